--- /dev/null
+++ b/src/admit/admit_share.c
@@ -0,0 +1,192 @@
+/*
+ * Static shares and bounded loans. The borrower counts a loan from the time
+ * it asked, the lender from the later time it granted, and the lender waits
+ * for the longest work after that; so the sum of what all hosts use stays
+ * within the cap whatever is cut, paused or lost.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "admit/admit.h"
+
+typedef struct {
+    uint64_t weight;
+    uint32_t index;
+} Weighted;
+
+static void expire_lent(CpShare *s, int64_t now_ns);
+static uint32_t sum_lent(const CpShare *s);
+static CpLoan *find_lent(CpShare *s, const char *peer, uint64_t incarnation);
+static int compare_weight(const void *a, const void *b);
+
+uint32_t
+CpShare_Usable(CpShare *s, int64_t now_ns, int64_t *until_ns)
+{
+    uint32_t n = 0;
+    *until_ns = INT64_MAX;
+    expire_lent(s, now_ns);
+    if (now_ns >= s->own_from_ns) {
+        uint32_t lent = sum_lent(s);
+        n = s->own > lent ? s->own - lent : 0;
+    }
+    for (uint32_t i = 0; i < s->borrowed_count; i++) {
+        const CpLoan *l = &s->borrowed[i];
+        if (l->until_ns > now_ns && l->units > 0) {
+            n += l->units;
+            if (l->until_ns < *until_ns) {
+                *until_ns = l->until_ns;
+            }
+        }
+    }
+    return n;
+}
+
+uint32_t
+CpShare_Lend(CpShare *s, const char *peer, uint64_t incarnation, uint64_t id,
+             uint32_t want, uint32_t in_use, int64_t now_ns)
+{
+    expire_lent(s, now_ns);
+    CpLoan *l = find_lent(s, peer, incarnation);
+    if (l != NULL && id <= l->last_id) {
+        return 0;
+    }
+    if (now_ns < s->own_from_ns) {
+        return 0;
+    }
+    if (l == NULL) {
+        if (s->lent_count == CP_MAX_LOANS || want == 0) {
+            return 0;
+        }
+        l = &s->lent[s->lent_count++];
+        *l = (CpLoan){.incarnation = incarnation};
+        CpStr_Copy(l->peer, sizeof(l->peer), peer);
+    }
+    l->last_id = id;
+    if (want == 0) {
+        l->units = 0;
+        l->until_ns = now_ns;
+        return 0;
+    }
+    uint32_t held = sum_lent(s) + in_use;
+    uint32_t room = s->own > held ? s->own - held : 0;
+    uint32_t more = want > l->units ? want - l->units : 0;
+    l->units += more < room ? more : room;
+    l->until_ns = now_ns + CP_LOAN_MS * CP_NS_PER_MS;
+    return l->units;
+}
+
+void
+CpShare_Borrow(CpShare *s, const char *peer, uint32_t units, int64_t asked_ns)
+{
+    CpLoan *l = NULL;
+    for (uint32_t i = 0; i < s->borrowed_count; i++) {
+        if (strcmp(s->borrowed[i].peer, peer) == 0) {
+            l = &s->borrowed[i];
+        }
+    }
+    if (l == NULL && s->borrowed_count < CP_MAX_LOANS) {
+        l = &s->borrowed[s->borrowed_count++];
+        *l = (CpLoan){0};
+        CpStr_Copy(l->peer, sizeof(l->peer), peer);
+    }
+    int64_t until_ns = asked_ns + CP_LOAN_MS * CP_NS_PER_MS;
+    if (l != NULL && until_ns >= l->until_ns) {
+        l->units = units;
+        l->until_ns = until_ns;
+    }
+}
+
+void
+CpShare_DropBorrowed(CpShare *s)
+{
+    s->borrowed_count = 0;
+}
+
+uint32_t
+CpShare_Borrowed(const CpShare *s, int64_t now_ns)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < s->borrowed_count; i++) {
+        n += s->borrowed[i].until_ns > now_ns ? s->borrowed[i].units : 0;
+    }
+    return n;
+}
+
+uint32_t
+CpShare_Static(const char *resource, uint32_t units, const char *const *hosts,
+               uint32_t host_count, const char *host)
+{
+    uint32_t *order = CpMem_Alloc((host_count + 1) * sizeof(*order));
+    uint32_t share = 0;
+    CpShare_Order(resource, hosts, host_count, order);
+    for (uint32_t i = 0; i < host_count; i++) {
+        if (strcmp(hosts[order[i]], host) == 0) {
+            share = units / host_count + (i < units % host_count);
+        }
+    }
+    free(order);
+    return share;
+}
+
+void
+CpShare_Order(const char *resource, const char *const *hosts,
+              uint32_t host_count, uint32_t *order)
+{
+    Weighted *w = CpMem_Alloc((host_count + 1) * sizeof(*w));
+    uint64_t seed = CpHash_Str(resource, 0);
+    for (uint32_t i = 0; i < host_count; i++) {
+        w[i] = (Weighted){CpHash_Str(hosts[i], seed), i};
+    }
+    qsort(w, host_count, sizeof(*w), compare_weight);
+    for (uint32_t i = 0; i < host_count; i++) {
+        order[i] = w[i].index;
+    }
+    free(w);
+}
+
+/* A loan is free again once its work must have ended. */
+static void
+expire_lent(CpShare *s, int64_t now_ns)
+{
+    uint32_t kept = 0;
+    for (uint32_t i = 0; i < s->lent_count; i++) {
+        const CpLoan *l = &s->lent[i];
+        bool over = now_ns >= l->until_ns + s->work_ns;
+        if (!over) {
+            s->lent[kept++] = *l;
+        }
+    }
+    s->lent_count = kept;
+}
+
+static uint32_t
+sum_lent(const CpShare *s)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < s->lent_count; i++) {
+        n += s->lent[i].units;
+    }
+    return n;
+}
+
+static CpLoan *
+find_lent(CpShare *s, const char *peer, uint64_t incarnation)
+{
+    for (uint32_t i = 0; i < s->lent_count; i++) {
+        if (s->lent[i].incarnation == incarnation &&
+            strcmp(s->lent[i].peer, peer) == 0) {
+            return &s->lent[i];
+        }
+    }
+    return NULL;
+}
+
+static int
+compare_weight(const void *a, const void *b)
+{
+    const Weighted *x = a, *y = b;
+    if (x->weight != y->weight) {
+        return x->weight < y->weight ? 1 : -1;
+    }
+    return x->index < y->index ? -1 : 1;
+}
--- /dev/null
+++ b/src/base/base.h
@@ -0,0 +1,196 @@
+/*
+ * base: what every package shares: status and verdict types, refusal reasons,
+ * counters, log lines, checked allocation, clocks and the timer service.
+ */
+#ifndef CP_BASE_H
+#define CP_BASE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define CP_NS_PER_MS INT64_C(1000000)
+#define CP_NS_PER_S INT64_C(1000000000)
+#define CP_NAME_BYTES 48 /* longest name of a host, domain, kind; with NUL */
+#define CP_ADDR_BYTES 64 /* "IP:port" with NUL */
+#define CP_RANKS 3       /* ranks of work; 0 is the most urgent */
+
+/* What a call that may fail returns; CpError_Message() has the details. */
+typedef enum {
+    CP_OK = 0,
+    CP_ERR_ARG,
+    CP_ERR_IO,
+    CP_ERR_PARSE,
+    CP_ERR_RANGE,
+    CP_ERR_CONFLICT,
+    CP_ERR_TIMEOUT,
+    CP_ERR_NOT_FOUND,
+    CP_ERR_AUTH,
+    CP_ERR_UNAVAILABLE,
+    CP_ERR_UNKNOWN_EFFECT, /* the effect may or may not have happened */
+    CP_STATUS_COUNT
+} CpStatus;
+
+/* Whether a request may have run on a backend server. */
+typedef enum {
+    CP_NOT_RUN = 0,
+    CP_MAY_HAVE_RUN,
+    CP_RAN,
+    CP_VERDICT_COUNT
+} CpVerdict;
+
+/* Why a request was refused or failed; each has a counter of its own. */
+typedef enum {
+    CP_REASON_NONE = 0,
+    CP_REASON_QUEUE_FULL,
+    CP_REASON_WOULD_MISS_DEADLINE,
+    CP_REASON_DEADLINE_PASSED,
+    CP_REASON_SHED,
+    CP_REASON_NO_SERVER,
+    CP_REASON_NO_HOST,
+    CP_REASON_SHIFT_CAP,
+    CP_REASON_REGION_LIMIT,
+    CP_REASON_HOST_BUSY,
+    CP_REASON_HOST_LEAVING,
+    CP_REASON_NOT_CONFIGURED,
+    CP_REASON_UNKNOWN_KIND,
+    CP_REASON_BAD_REQUEST,
+    CP_REASON_BODY_TOO_LARGE,
+    CP_REASON_TICKET_NEEDED,
+    CP_REASON_TICKET_BAD,
+    CP_REASON_TICKET_EXPIRED,
+    CP_REASON_ISSUER_GONE,
+    CP_REASON_CONNECT_FAILED,
+    CP_REASON_SERVER_REFUSED,
+    CP_REASON_SERVER_FAILED,
+    CP_REASON_ANSWER_CROSSED,
+    CP_REASON_ANSWER_TRUNCATED,
+    CP_REASON_SESSION_LOST,
+    CP_REASON_CALLER_GONE,
+    CP_REASON_HOP_LIMIT,
+    CP_REASON_COUNT
+} CpReason;
+
+/* Counters other than the per-reason ones. */
+typedef enum {
+    CP_COUNT_LOOKUPS = 0,
+    CP_COUNT_REQUESTS,
+    CP_COUNT_ANSWERED,
+    CP_COUNT_FORWARDED,
+    CP_COUNT_FORWARDED_IN,
+    CP_COUNT_DISPATCHED,
+    CP_COUNT_RETRIES,
+    CP_COUNT_RETRY_BUDGET_EMPTY,
+    CP_COUNT_TICKETS_ISSUED,
+    CP_COUNT_LEDGER_REPLAYED,
+    CP_COUNT_LEDGER_JOINED,
+    CP_COUNT_LATE_FRAMES,
+    CP_COUNT_BAD_FRAMES,
+    CP_COUNT_BAD_KEYS,
+    CP_COUNT_SESSIONS_OPENED,
+    CP_COUNT_SESSIONS_LOST,
+    CP_COUNT_MEMBER_CHANGES,
+    CP_COUNT_MEMBER_PROBES,
+    CP_COUNT_MEMBER_BYTES,
+    CP_COUNT_CONFIG_ACCEPTED,
+    CP_COUNT_CONFIG_REJECTED,
+    CP_COUNT_CONFIG_BYTES,
+    CP_COUNT_PLATFORM_READS,
+    CP_COUNT_PLATFORM_ERRORS,
+    CP_COUNT_LOANS_TAKEN,
+    CP_COUNT_LOANS_LAPSED,
+    CP_COUNT_PAUSES_SEEN,
+    CP_COUNT_LINK_BYTES,
+    CP_COUNT_LINK_WAITS,
+    CP_COUNT_CANCELLED,
+    CP_COUNTER_COUNT
+} CpCounter;
+
+/* Syslog severities that are in use. */
+typedef enum {
+    CP_LOG_ERR = 3,
+    CP_LOG_WARNING = 4,
+    CP_LOG_NOTICE = 5,
+    CP_LOG_INFO = 6
+} CpLogLevel;
+
+/* Records a formatted last message for this thread and returns `status`. */
+CpStatus CpError_Set(CpStatus status, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+/* The last message recorded by this thread; never NULL. */
+const char *CpError_Message(void);
+const char *CpStatus_Name(CpStatus status);
+
+/* "not-run", "may-have-run" or "ran". */
+const char *CpVerdict_Name(CpVerdict verdict);
+/* Parses CpVerdict_Name(); anything else counts as CP_MAY_HAVE_RUN. */
+CpVerdict CpVerdict_Parse(const char *text);
+
+/* Short name, as in counters and the Chestnutpaddle-Reason header. */
+const char *CpReason_Name(CpReason reason);
+/* One sentence for people. */
+const char *CpReason_Text(CpReason reason);
+/* HTTP status that a caller gets for this reason. */
+uint32_t CpReason_HttpStatus(CpReason reason);
+/* Seconds for Retry-After; 0 where a retry would not help. */
+uint32_t CpReason_RetryAfter_s(CpReason reason);
+
+void CpCounter_Add(CpCounter counter, uint64_t n);
+uint64_t CpCounter_Get(CpCounter counter);
+const char *CpCounter_Name(CpCounter counter);
+const char *CpCounter_Help(CpCounter counter);
+void CpCounter_AddReason(CpReason reason, uint32_t rank);
+uint64_t CpCounter_GetReason(CpReason reason, uint32_t rank);
+/* Records the latency of one answered request of `rank`. */
+void CpCounter_AddLatency(uint32_t rank, int64_t latency_ns);
+/* Upper bound of bucket `i` in ns, and its count; buckets are powers of 2. */
+#define CP_LATENCY_BUCKETS 28
+int64_t CpCounter_LatencyBound_ns(uint32_t bucket);
+uint64_t CpCounter_GetLatency(uint32_t rank, uint32_t bucket);
+
+/* Starts the log under `program`; lines go to standard error. */
+void CpLog_Open(const char *program);
+/* One line for a change of state. */
+void CpLog(CpLogLevel level, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+
+/* Allocation that ends the process with a message when memory runs out. */
+void *CpMem_Alloc(size_t size_bytes);
+void *CpMem_Realloc(void *p, size_t size_bytes);
+char *CpMem_Dup(const char *s);
+/* Copies `src` into a field of `dst_bytes`, cut to fit and NUL-ended. */
+void CpStr_Copy(char *dst, size_t dst_bytes, const char *src);
+
+/* Parses IP:port into a struct sockaddr_storage; returns its length, or 0. */
+uint32_t CpAddress_Parse(const char *text, void *sockaddr_storage);
+
+/* Monotonic clock; a paused process sees the whole pause pass at once. */
+int64_t CpClock_Now_ns(void);
+/* Wall clock, for expiry times that travel between hosts. */
+int64_t CpClock_Wall_ms(void);
+
+uint64_t CpHash(const void *data, size_t size_bytes, uint64_t seed);
+uint64_t CpHash_Str(const char *s, uint64_t seed);
+/* Unpredictable random number. */
+uint64_t CpRandom(void);
+
+/* Reference counts and flags that threads share without a lock. */
+void CpRef_Take(uint32_t *refs);
+/* Returns true when the last reference is gone. */
+bool CpRef_Drop(uint32_t *refs);
+uint32_t CpAtomic_Load(const uint32_t *p);
+void CpAtomic_Store(uint32_t *p, uint32_t value);
+
+/* Timer service: one thread that calls its subscribers. */
+typedef struct CpTimer CpTimer;
+typedef void (*CpTimerFn)(void *ctx, int64_t now_ns);
+CpTimer *CpTimer_New(void);
+/* Calls fn(ctx) every `period_ms` on the timer's thread. fn must be short. */
+void CpTimer_Subscribe(CpTimer *t, uint32_t period_ms, CpTimerFn fn,
+                       void *ctx);
+/* Starts the thread; subscriptions are made before. */
+CpStatus CpTimer_Start(CpTimer *t);
+/* Stops the thread and frees the service. */
+void CpTimer_Free(CpTimer *t);
+
+#endif
--- /dev/null
+++ b/src/base/base_counter.c
@@ -0,0 +1,142 @@
+/* Counters, spread over cache lines by thread so that adding never waits. */
+#include <ck_pr.h>
+
+#include "base/base.h"
+
+#define SHARDS 8
+#define LINE_BYTES 64
+
+typedef struct {
+    uint64_t plain[CP_COUNTER_COUNT];
+    uint64_t reason[CP_REASON_COUNT][CP_RANKS];
+    uint64_t latency[CP_RANKS][CP_LATENCY_BUCKETS];
+} CounterShard;
+
+typedef struct {
+    const char *name;
+    const char *help;
+} CounterRow;
+
+static CounterShard shards[SHARDS] __attribute__((aligned(LINE_BYTES)));
+static uint32_t next_shard;
+static _Thread_local uint32_t my_shard = SHARDS;
+
+static const CounterRow rows[CP_COUNTER_COUNT] = {
+    [CP_COUNT_LOOKUPS] = {"lookups", "Look-ups answered"},
+    [CP_COUNT_REQUESTS] = {"requests", "Requests received from callers"},
+    [CP_COUNT_ANSWERED] = {"answered", "Requests answered by a server"},
+    [CP_COUNT_FORWARDED] = {"forwarded", "Requests forwarded to a host"},
+    [CP_COUNT_FORWARDED_IN] = {"forwarded_in", "Requests from other hosts"},
+    [CP_COUNT_DISPATCHED] = {"dispatched", "Requests sent to servers"},
+    [CP_COUNT_RETRIES] = {"retries", "Requests tried again"},
+    [CP_COUNT_RETRY_BUDGET_EMPTY] = {"retry_budget_empty",
+                                     "Retries the budget refused"},
+    [CP_COUNT_TICKETS_ISSUED] = {"tickets_issued", "Tickets issued"},
+    [CP_COUNT_LEDGER_REPLAYED] = {"ledger_replayed",
+                                  "Repeats given the recorded outcome"},
+    [CP_COUNT_LEDGER_JOINED] = {"ledger_joined",
+                                "Repeats told that the first is in flight"},
+    [CP_COUNT_LATE_FRAMES] = {"late_frames", "Frames for ended requests"},
+    [CP_COUNT_BAD_FRAMES] = {"bad_frames", "Frames that ended a session"},
+    [CP_COUNT_BAD_KEYS] = {"bad_keys", "Sessions without the shared key"},
+    [CP_COUNT_SESSIONS_OPENED] = {"sessions_opened", "Sessions opened"},
+    [CP_COUNT_SESSIONS_LOST] = {"sessions_lost", "Sessions lost"},
+    [CP_COUNT_MEMBER_CHANGES] = {"member_changes", "Member state changes"},
+    [CP_COUNT_MEMBER_PROBES] = {"member_probes", "Membership probes sent"},
+    [CP_COUNT_MEMBER_BYTES] = {"member_bytes", "Membership bytes sent"},
+    [CP_COUNT_CONFIG_ACCEPTED] = {"config_accepted",
+                                  "Configuration versions put in force"},
+    [CP_COUNT_CONFIG_REJECTED] = {"config_rejected",
+                                  "Configurations that failed their checks"},
+    [CP_COUNT_CONFIG_BYTES] = {"config_bytes", "Configuration bytes sent"},
+    [CP_COUNT_PLATFORM_READS] = {"platform_reads", "Platform reads"},
+    [CP_COUNT_PLATFORM_ERRORS] = {"platform_errors",
+                                  "Platform calls that failed"},
+    [CP_COUNT_LOANS_TAKEN] = {"loans_taken", "Slot loans received"},
+    [CP_COUNT_LOANS_LAPSED] = {"loans_lapsed", "Slot loans that lapsed"},
+    [CP_COUNT_PAUSES_SEEN] = {"pauses_seen", "Pauses of this process seen"},
+    [CP_COUNT_LINK_BYTES] = {"link_bytes", "Bytes sent to other regions"},
+    [CP_COUNT_LINK_WAITS] = {"link_waits", "Sends that waited for a link"},
+    [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
+};
+
+static CounterShard *
+shard(void)
+{
+    if (my_shard == SHARDS) {
+        my_shard = ck_pr_faa_32(&next_shard, 1) % SHARDS;
+    }
+    return &shards[my_shard];
+}
+
+void
+CpCounter_Add(CpCounter counter, uint64_t n)
+{
+    ck_pr_add_64(&shard()->plain[counter], n);
+}
+
+uint64_t
+CpCounter_Get(CpCounter counter)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        sum += ck_pr_load_64(&shards[i].plain[counter]);
+    }
+    return sum;
+}
+
+const char *
+CpCounter_Name(CpCounter counter)
+{
+    return rows[counter].name;
+}
+
+const char *
+CpCounter_Help(CpCounter counter)
+{
+    return rows[counter].help;
+}
+
+void
+CpCounter_AddReason(CpReason reason, uint32_t rank)
+{
+    ck_pr_inc_64(&shard()->reason[reason][rank % CP_RANKS]);
+}
+
+uint64_t
+CpCounter_GetReason(CpReason reason, uint32_t rank)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        sum += ck_pr_load_64(&shards[i].reason[reason][rank]);
+    }
+    return sum;
+}
+
+/* The first bucket ends at 4.096 us, the last holds everything longer. */
+int64_t
+CpCounter_LatencyBound_ns(uint32_t bucket)
+{
+    return INT64_C(4096) << bucket;
+}
+
+void
+CpCounter_AddLatency(uint32_t rank, int64_t latency_ns)
+{
+    uint32_t i = 0;
+    while (i + 1 < CP_LATENCY_BUCKETS &&
+           latency_ns > CpCounter_LatencyBound_ns(i)) {
+        i++;
+    }
+    ck_pr_inc_64(&shard()->latency[rank % CP_RANKS][i]);
+}
+
+uint64_t
+CpCounter_GetLatency(uint32_t rank, uint32_t bucket)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        sum += ck_pr_load_64(&shards[i].latency[rank][bucket]);
+    }
+    return sum;
+}
--- /dev/null
+++ b/src/base/base_error.c
@@ -0,0 +1,162 @@
+/* Status codes, verdicts and reasons, with the tables of their texts. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/base.h"
+
+#define MESSAGE_BYTES 512
+
+typedef struct {
+    const char *name;
+    const char *text;
+    uint32_t http_status;
+    uint32_t retry_after_s;
+} ReasonRow;
+
+static _Thread_local char last_message[MESSAGE_BYTES];
+
+static const char *const status_names[CP_STATUS_COUNT] = {
+    [CP_OK] = "ok",
+    [CP_ERR_ARG] = "bad argument",
+    [CP_ERR_IO] = "input or output failed",
+    [CP_ERR_PARSE] = "cannot be parsed",
+    [CP_ERR_RANGE] = "out of range",
+    [CP_ERR_CONFLICT] = "conflict",
+    [CP_ERR_TIMEOUT] = "timed out",
+    [CP_ERR_NOT_FOUND] = "not found",
+    [CP_ERR_AUTH] = "not authorized",
+    [CP_ERR_UNAVAILABLE] = "unavailable",
+    [CP_ERR_UNKNOWN_EFFECT] = "effect unknown",
+};
+
+static const char *const verdict_names[CP_VERDICT_COUNT] = {
+    [CP_NOT_RUN] = "not-run",
+    [CP_MAY_HAVE_RUN] = "may-have-run",
+    [CP_RAN] = "ran",
+};
+
+static const ReasonRow reasons[CP_REASON_COUNT] = {
+    [CP_REASON_NONE] = {"none", "answered", 200, 0},
+    [CP_REASON_QUEUE_FULL] = {"queue_full", "the queue is full", 503, 1},
+    [CP_REASON_WOULD_MISS_DEADLINE] =
+        {"would_miss_deadline", "the expected wait exceeds the deadline", 503,
+         1},
+    [CP_REASON_DEADLINE_PASSED] = {"deadline_passed", "the deadline passed",
+                                   504, 0},
+    [CP_REASON_SHED] = {"shed", "shed in favour of more urgent work", 503, 2},
+    [CP_REASON_NO_SERVER] = {"no_server",
+                             "no backend server for this kind is usable", 503,
+                             2},
+    [CP_REASON_NO_HOST] = {"no_host", "no host can take this kind of work",
+                           503, 2},
+    [CP_REASON_SHIFT_CAP] = {"shift_cap", "the traffic shift is at its cap",
+                             503, 1},
+    [CP_REASON_REGION_LIMIT] = {"region_limit", "the region is at its limit",
+                                503, 1},
+    [CP_REASON_HOST_BUSY] = {"host_busy",
+                             "this host holds too many requests of this rank",
+                             503, 1},
+    [CP_REASON_HOST_LEAVING] = {"host_leaving", "this host is leaving", 503,
+                                1},
+    [CP_REASON_NOT_CONFIGURED] = {"not_configured",
+                                  "no configuration is in force yet", 503, 1},
+    [CP_REASON_UNKNOWN_KIND] = {"unknown_kind", "the kind of work is unknown",
+                                404, 0},
+    [CP_REASON_BAD_REQUEST] = {"bad_request", "the request is malformed", 400,
+                               0},
+    [CP_REASON_BODY_TOO_LARGE] = {"body_too_large", "the body is too large",
+                                  413, 0},
+    [CP_REASON_TICKET_NEEDED] = {"ticket_needed",
+                                 "a ticket was issued; repeat with it", 307,
+                                 0},
+    [CP_REASON_TICKET_BAD] = {"ticket_bad", "the ticket is not genuine", 403,
+                              0},
+    [CP_REASON_TICKET_EXPIRED] = {"ticket_expired", "the ticket has expired",
+                                  410, 0},
+    [CP_REASON_ISSUER_GONE] = {"issuer_gone",
+                               "the ticket's issuer cannot be reached", 502,
+                               0},
+    [CP_REASON_CONNECT_FAILED] = {"connect_failed",
+                                  "no connection to the backend server", 503,
+                                  1},
+    [CP_REASON_SERVER_REFUSED] = {"server_refused",
+                                  "the backend server refused before running",
+                                  503, 1},
+    [CP_REASON_SERVER_FAILED] = {"server_failed",
+                                 "the backend server's answer failed", 502, 0},
+    [CP_REASON_ANSWER_CROSSED] = {"answer_crossed",
+                                  "the answer belongs to another request", 502,
+                                  0},
+    [CP_REASON_ANSWER_TRUNCATED] = {"answer_truncated",
+                                    "the answer ended early", 502, 0},
+    [CP_REASON_SESSION_LOST] = {"session_lost",
+                                "the session to the owner host was lost", 502,
+                                0},
+    [CP_REASON_CALLER_GONE] = {"caller_gone", "the caller went away", 499, 0},
+    [CP_REASON_HOP_LIMIT] = {"hop_limit", "the request was forwarded enough",
+                             503, 1},
+};
+
+CpStatus
+CpError_Set(CpStatus status, const char *fmt, ...)
+{
+    va_list ap;
+    va_start(ap, fmt);
+    vsnprintf(last_message, sizeof(last_message), fmt, ap);
+    va_end(ap);
+    return status;
+}
+
+const char *
+CpError_Message(void)
+{
+    return last_message;
+}
+
+const char *
+CpStatus_Name(CpStatus status)
+{
+    return status_names[status];
+}
+
+const char *
+CpVerdict_Name(CpVerdict verdict)
+{
+    return verdict_names[verdict];
+}
+
+CpVerdict
+CpVerdict_Parse(const char *text)
+{
+    for (uint32_t i = 0; i < CP_VERDICT_COUNT; i++) {
+        if (strcmp(text, verdict_names[i]) == 0) {
+            return (CpVerdict)i;
+        }
+    }
+    return CP_MAY_HAVE_RUN;
+}
+
+const char *
+CpReason_Name(CpReason reason)
+{
+    return reasons[reason].name;
+}
+
+const char *
+CpReason_Text(CpReason reason)
+{
+    return reasons[reason].text;
+}
+
+uint32_t
+CpReason_HttpStatus(CpReason reason)
+{
+    return reasons[reason].http_status;
+}
+
+uint32_t
+CpReason_RetryAfter_s(CpReason reason)
+{
+    return reasons[reason].retry_after_s;
+}
--- /dev/null
+++ b/src/cli/cli_change.c
@@ -0,0 +1,228 @@
+/* Commands that change the accepted configuration: apply, drain, move. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "cli/cli.h"
+
+#define PLATFORM_TIMEOUT_MS 2000
+#define POLL_MS 100
+
+static CpExit set_drained(const CpCliOptions *o, int argc, char **argv,
+                          bool drained);
+static uint32_t mark_server(const CpCliOptions *o, const CpConfig *c,
+                            const CpServer *s, bool leaving);
+static uint32_t hosts_with(const CpCliOptions *o, const CpConfig *c,
+                           uint64_t version, uint32_t *answered);
+static void report(const CpCliOptions *o, uint64_t version, uint32_t have,
+                   uint32_t answered, uint32_t all);
+
+CpExit
+CpCli_Apply(const CpCliOptions *o, int argc, char **argv)
+{
+    CpConfig *c, *current = NULL;
+    if (argc != 1 || o->platform == NULL) {
+        return CpCli_Fail(
+            CpError_Set(CP_ERR_ARG, "apply CONFIG --platform URL"));
+    }
+    CpStatus st = CpCli_Load(argv[0], &c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    uint64_t base = 0;
+    st = CpCli_Current(o, &current);
+    if (st == CP_OK) {
+        base = current->version;
+    }
+    CpConfig_Free(current);
+    CpExit e = st == CP_OK || st == CP_ERR_NOT_FOUND
+                   ? CpCli_ApplyConfig(o, c, base)
+                   : CpCli_Fail(st);
+    CpConfig_Free(c);
+    return e;
+}
+
+CpExit
+CpCli_ApplyConfig(const CpCliOptions *o, const CpConfig *c, uint64_t base)
+{
+    CpPlatform *p = CpPlatform_NewHttp(o->platform, PLATFORM_TIMEOUT_MS);
+    char *text = CpConfig_Print(c);
+    uint64_t version = 0;
+    uint32_t have = 0, answered = 0;
+    CpStatus st = CpPlatform_Apply(p, text, strlen(text), base, &version);
+    free(text);
+    CpPlatform_FreeHttp(p);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    for (int32_t ms = 0; ms < o->wait_s * 1000; ms += POLL_MS) {
+        struct timespec ts = {.tv_nsec = POLL_MS * CP_NS_PER_MS};
+        have = hosts_with(o, c, version, &answered);
+        CpCli_Progress("version %" PRIu64 ": %u of %u hosts", version, have,
+                       c->host_count);
+        if (have == c->host_count) {
+            break;
+        }
+        nanosleep(&ts, NULL);
+    }
+    CpCli_Progress("%s", "");
+    report(o, version, have, answered, c->host_count);
+    return CP_EXIT_OK;
+}
+
+CpExit
+CpCli_Drain(const CpCliOptions *o, int argc, char **argv)
+{
+    return set_drained(o, argc, argv, true);
+}
+
+CpExit
+CpCli_Undrain(const CpCliOptions *o, int argc, char **argv)
+{
+    return set_drained(o, argc, argv, false);
+}
+
+CpExit
+CpCli_Move(const CpCliOptions *o, int argc, char **argv)
+{
+    CpConfig *c;
+    if (argc != 3 || o->platform == NULL) {
+        return CpCli_Fail(
+            CpError_Set(CP_ERR_ARG, "move FROM TO PERCENT --platform URL"));
+    }
+    CpStatus st = CpCli_Current(o, &c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    uint32_t from = CpConfig_Domain(c, argv[0]);
+    uint32_t to = CpConfig_Domain(c, argv[1]);
+    uint32_t percent = (uint32_t)strtoul(argv[2], NULL, 10);
+    CpExit e = CP_EXIT_USAGE;
+    if (from == CP_NO_INDEX || to == CP_NO_INDEX || percent > 100) {
+        e = CpCli_Fail(CpError_Set(
+            CP_ERR_ARG, "expected two failure domains and 0 to 100 percent"));
+    }
+    else {
+        uint32_t kept = 0;
+        c->moves =
+            CpMem_Realloc(c->moves, (c->move_count + 2) * sizeof(*c->moves));
+        for (uint32_t i = 0; i < c->move_count; i++) {
+            if (strcmp(c->moves[i].from, argv[0]) != 0 ||
+                strcmp(c->moves[i].to, argv[1]) != 0) {
+                c->moves[kept++] = c->moves[i];
+            }
+        }
+        c->move_count = kept;
+        if (percent > 0) {
+            CpMove *m = &c->moves[c->move_count++];
+            *m = (CpMove){.percent = percent};
+            CpStr_Copy(m->from, sizeof(m->from), argv[0]);
+            CpStr_Copy(m->to, sizeof(m->to), argv[1]);
+        }
+        e = CpCli_ApplyConfig(o, c, c->version);
+    }
+    CpConfig_Free(c);
+    return e;
+}
+
+/* A backend server's hosts are told at once, whatever the platform does;
+ * then the configuration records it. */
+static CpExit
+set_drained(const CpCliOptions *o, int argc, char **argv, bool drained)
+{
+    CpConfig *c;
+    if (argc != 1) {
+        return CpCli_Fail(CpError_Set(CP_ERR_ARG, "drain SERVER|DOMAIN"));
+    }
+    CpStatus st = CpCli_Current(o, &c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    uint32_t server = CpConfig_Server(c, argv[0]);
+    uint32_t domain = CpConfig_Domain(c, argv[0]);
+    uint32_t told = 0;
+    CpExit e;
+    if (server != CP_NO_INDEX) {
+        told = mark_server(o, c, &c->servers[server], drained);
+        c->servers[server].leaving = drained;
+    }
+    else if (domain != CP_NO_INDEX) {
+        c->domains[domain].drained = drained;
+    }
+    else {
+        e = CpCli_Fail(CpError_Set(CP_ERR_NOT_FOUND,
+                                   "no backend server or failure domain %s",
+                                   argv[0]));
+        CpConfig_Free(c);
+        return e;
+    }
+    e = o->platform != NULL
+            ? CpCli_ApplyConfig(o, c, c->version)
+            : CpCli_Fail(CpError_Set(CP_ERR_UNAVAILABLE,
+                                     "%u hosts were told; without --platform "
+                                     "it does not last",
+                                     told));
+    if (e == CP_EXIT_UNREACHABLE && told > 0) {
+        fprintf(stderr, "chestnutpaddle: %u hosts were told\n", told);
+    }
+    CpConfig_Free(c);
+    return e;
+}
+
+static uint32_t
+mark_server(const CpCliOptions *o, const CpConfig *c, const CpServer *s,
+            bool leaving)
+{
+    uint32_t told = 0;
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        char path[CP_NAME_BYTES + 32], *text = NULL;
+        long status = 0;
+        if (c->hosts[i].domain_index != s->domain_index) {
+            continue;
+        }
+        snprintf(path, sizeof(path), "/%s?name=%s",
+                 leaving ? "leaving" : "serving", s->name);
+        if (CpCli_Call(o, "POST", c->hosts[i].operator_listen, path, &text,
+                       &status) == CP_OK) {
+            told += status == 200;
+        }
+        free(text);
+    }
+    return told;
+}
+
+static uint32_t
+hosts_with(const CpCliOptions *o, const CpConfig *c, uint64_t version,
+           uint32_t *answered)
+{
+    uint32_t have = 0;
+    *answered = 0;
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        json_t *st = CpCli_HostStatus(o, c->hosts[i].operator_listen);
+        if (st != NULL) {
+            (*answered)++;
+            have += (uint64_t)json_integer_value(
+                        json_object_get(st, "version")) >= version;
+            json_decref(st);
+        }
+    }
+    return have;
+}
+
+static void
+report(const CpCliOptions *o, uint64_t version, uint32_t have,
+       uint32_t answered, uint32_t all)
+{
+    if (o->json) {
+        printf("{\"version\":%" PRIu64 ",\"hosts\":%u,\"answered\":%u,"
+               "\"in_force\":%u}\n",
+               version, all, answered, have);
+    }
+    else {
+        printf("version %" PRIu64 ": in force on %u of %u hosts (%u "
+               "answered)\n",
+               version, have, all, answered);
+    }
+}
--- /dev/null
+++ b/src/cli/cli_status.c
@@ -0,0 +1,269 @@
+/* Commands that look: status, watch, lookup. */
+#include <glib.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "cli/cli.h"
+
+/* What watch sums over all hosts. */
+typedef struct {
+    uint32_t answered;
+    uint64_t latency[CP_RANKS][CP_LATENCY_BUCKETS];
+    uint64_t failed[CP_REASON_COUNT][CP_RANKS];
+    uint64_t slots;
+    uint64_t inflight;
+    uint64_t queued;
+} Sample;
+
+static void status_line(const CpHost *h, json_t *st);
+static Sample take_sample(const CpCliOptions *o, const CpConfig *c);
+static void add_host(Sample *s, json_t *st);
+static void print_sample(const CpCliOptions *o, const CpConfig *c,
+                         const Sample *a, const Sample *b);
+static uint64_t answered_between(const Sample *a, const Sample *b,
+                                 uint32_t rank);
+static double percentile_ms(const Sample *a, const Sample *b, uint32_t rank,
+                            uint32_t permille);
+
+CpExit
+CpCli_Status(const CpCliOptions *o, int argc, char **argv)
+{
+    CpConfig *c;
+    uint32_t answered = 0;
+    (void)argc, (void)argv;
+    CpStatus st = CpCli_Current(o, &c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    json_t *list = json_array();
+    if (!o->json) {
+        printf("%-14s %-10s %-8s %7s %6s %5s %6s %6s\n", "host", "domain",
+               "state", "version", "active", "slots", "inflt", "queued");
+    }
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        json_t *s = CpCli_HostStatus(o, c->hosts[i].operator_listen);
+        answered += s != NULL;
+        if (!o->json) {
+            status_line(&c->hosts[i], s);
+        }
+        json_array_append_new(
+            list, s != NULL ? s
+                            : json_pack("{s:s,s:s}", "host", c->hosts[i].name,
+                                        "state", "unreachable"));
+    }
+    if (o->json) {
+        char *text = json_dumps(list, JSON_INDENT(1));
+        printf("%s\n", text);
+        free(text);
+    }
+    json_decref(list);
+    CpConfig_Free(c);
+    return answered > 0 ? CP_EXIT_OK : CP_EXIT_UNREACHABLE;
+}
+
+CpExit
+CpCli_Watch(const CpCliOptions *o, int argc, char **argv)
+{
+    CpConfig *c;
+    (void)argc, (void)argv;
+    CpStatus st = CpCli_Current(o, &c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    Sample before = take_sample(o, c);
+    for (int32_t i = 0; i < o->count; i++) {
+        struct timespec ts = {.tv_sec = o->interval_s};
+        nanosleep(&ts, NULL);
+        Sample now = take_sample(o, c);
+        print_sample(o, c, &before, &now);
+        before = now;
+    }
+    CpConfig_Free(c);
+    return before.answered > 0 ? CP_EXIT_OK : CP_EXIT_UNREACHABLE;
+}
+
+CpExit
+CpCli_Lookup(const CpCliOptions *o, int argc, char **argv)
+{
+    char path[256], *text = NULL;
+    long status = 0;
+    CpConfig *c = NULL;
+    CpStatus st = CP_ERR_UNAVAILABLE;
+    if (argc != 1) {
+        return CpCli_Fail(CpError_Set(CP_ERR_ARG, "lookup KIND"));
+    }
+    CpStatus got = CpCli_Current(o, &c);
+    if (got != CP_OK) {
+        return CpCli_Fail(got);
+    }
+    snprintf(path, sizeof(path), "/lookup?kind=%s%s%s", argv[0],
+             o->client ? "&client=" : "", o->client ? o->client : "");
+    for (uint32_t i = 0; st != CP_OK && i < c->host_count; i++) {
+        free(text);
+        st = CpCli_Call(o, "GET", c->hosts[i].caller, path, &text, &status);
+    }
+    CpConfig_Free(c);
+    if (st != CP_OK) {
+        return CpCli_Fail(st);
+    }
+    json_t *root = json_loads(text, 0, NULL), *h;
+    size_t i;
+    if (o->json || status != 200) {
+        printf("%s\n", text);
+    }
+    else {
+        json_array_foreach(json_object_get(root, "hosts"), i, h)
+        {
+            printf("%s %s %s\n",
+                   json_string_value(json_object_get(h, "address")),
+                   json_string_value(json_object_get(h, "host")),
+                   json_string_value(json_object_get(h, "domain")));
+        }
+    }
+    json_decref(root);
+    free(text);
+    return status == 200 ? CP_EXIT_OK : CP_EXIT_FAILED;
+}
+
+static void
+status_line(const CpHost *h, json_t *st)
+{
+    json_t *p;
+    size_t i;
+    json_int_t slots = 0, inflight = 0, queued = 0;
+    if (st == NULL) {
+        printf("%-14s %-10s %-8s\n", h->name, h->domain, "silent");
+        return;
+    }
+    json_array_foreach(json_object_get(st, "pools"), i, p)
+    {
+        slots += json_integer_value(json_object_get(p, "slots"));
+        inflight += json_integer_value(json_object_get(p, "inflight"));
+        queued += json_integer_value(json_object_get(p, "queued"));
+    }
+    printf("%-14s %-10s %-8s %7lld %6lld %5lld %6lld %6lld\n", h->name,
+           h->domain, json_string_value(json_object_get(st, "state")),
+           (long long)json_integer_value(json_object_get(st, "version")),
+           (long long)json_integer_value(json_object_get(st, "active")),
+           (long long)slots, (long long)inflight, (long long)queued);
+}
+
+static Sample
+take_sample(const CpCliOptions *o, const CpConfig *c)
+{
+    Sample s = {0};
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        json_t *st = CpCli_HostStatus(o, c->hosts[i].operator_listen);
+        if (st != NULL) {
+            add_host(&s, st);
+            json_decref(st);
+        }
+    }
+    return s;
+}
+
+static void
+add_host(Sample *s, json_t *st)
+{
+    json_t *pool, *failed;
+    size_t i;
+    s->answered++;
+    json_array_foreach(json_object_get(st, "pools"), i, pool)
+    {
+        s->slots +=
+            (uint64_t)json_integer_value(json_object_get(pool, "slots"));
+        s->inflight +=
+            (uint64_t)json_integer_value(json_object_get(pool, "inflight"));
+        s->queued +=
+            (uint64_t)json_integer_value(json_object_get(pool, "queued"));
+    }
+    failed = json_object_get(json_object_get(st, "counters"), "failed");
+    for (uint32_t r = 0; r < CP_RANKS; r++) {
+        json_t *row = json_array_get(json_object_get(st, "latency"), r);
+        for (uint32_t b = 0; b < CP_LATENCY_BUCKETS; b++) {
+            s->latency[r][b] +=
+                (uint64_t)json_integer_value(json_array_get(row, b));
+        }
+        for (uint32_t k = 1; k < CP_REASON_COUNT; k++) {
+            s->failed[k][r] += (uint64_t)json_integer_value(
+                json_array_get(json_object_get(failed, CpReason_Name(k)), r));
+        }
+    }
+}
+
+static void
+print_sample(const CpCliOptions *o, const CpConfig *c, const Sample *a,
+             const Sample *b)
+{
+    json_t *ranks = json_array();
+    for (uint32_t r = 0; r < c->rank_count; r++) {
+        uint64_t n = answered_between(a, b, r);
+        GString *why = g_string_new(NULL);
+        for (uint32_t k = 1; k < CP_REASON_COUNT; k++) {
+            uint64_t m = b->failed[k][r] - a->failed[k][r];
+            if (m > 0) {
+                g_string_append_printf(why, " %s=%" PRIu64, CpReason_Name(k),
+                                       m);
+            }
+        }
+        json_array_append_new(
+            ranks, json_pack("{s:s,s:I,s:f,s:f,s:s}", "rank", c->ranks[r].name,
+                             "answered", (json_int_t)n, "p50_ms",
+                             percentile_ms(a, b, r, 500), "p99_ms",
+                             percentile_ms(a, b, r, 990), "failed", why->str));
+        if (!o->json) {
+            printf("%-8s answered %7" PRIu64 "  p50 %8.2f ms  p99 %8.2f "
+                   "ms %s\n",
+                   c->ranks[r].name, n, percentile_ms(a, b, r, 500),
+                   percentile_ms(a, b, r, 990), why->str);
+        }
+        g_string_free(why, TRUE);
+    }
+    if (o->json) {
+        json_t *root = json_pack(
+            "{s:i,s:I,s:I,s:I,s:o}", "hosts", (int)b->answered, "slots",
+            (json_int_t)b->slots, "inflight", (json_int_t)b->inflight,
+            "queued", (json_int_t)b->queued, "ranks", ranks);
+        char *text = json_dumps(root, JSON_COMPACT);
+        printf("%s\n", text);
+        free(text);
+        json_decref(root);
+        return;
+    }
+    printf("hosts %u  slots %" PRIu64 "  in use %" PRIu64 "  waiting %" PRIu64
+           "  headroom %.0f%%\n",
+           b->answered, b->slots, b->inflight, b->queued,
+           b->slots > b->inflight
+               ? 100.0 * (double)(b->slots - b->inflight) / (double)b->slots
+               : 0.0);
+    json_decref(ranks);
+    fflush(stdout);
+}
+
+static uint64_t
+answered_between(const Sample *a, const Sample *b, uint32_t rank)
+{
+    uint64_t n = 0;
+    for (uint32_t i = 0; i < CP_LATENCY_BUCKETS; i++) {
+        n += b->latency[rank][i] - a->latency[rank][i];
+    }
+    return n;
+}
+
+/* Upper bound of the bucket that holds the percentile. */
+static double
+percentile_ms(const Sample *a, const Sample *b, uint32_t rank,
+              uint32_t permille)
+{
+    uint64_t want = answered_between(a, b, rank) * permille / 1000, n = 0;
+    for (uint32_t i = 0; i < CP_LATENCY_BUCKETS; i++) {
+        n += b->latency[rank][i] - a->latency[rank][i];
+        if (n > 0 && n >= want) {
+            return (double)CpCounter_LatencyBound_ns(i) / CP_NS_PER_MS;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,194 @@
+/*
+ * config: settings of a host, the questionnaire, the generated cluster
+ * configuration and its checks. Every field has a type, unit, range and
+ * default in one table; an error names file, line and field.
+ */
+#ifndef CP_CONFIG_H
+#define CP_CONFIG_H
+
+#include "base/base.h"
+
+#define CP_TEXT_BYTES 256 /* longest path or URL in settings; with NUL */
+
+/* All errors found in one file, in order of their lines. */
+typedef struct {
+    char **lines;
+    uint32_t count;
+} CpProblems;
+
+void CpProblems_Add(CpProblems *p, const char *fmt, ...)
+    __attribute__((format(printf, 2, 3)));
+void CpProblems_Print(const CpProblems *p);
+void CpProblems_Clear(CpProblems *p);
+
+typedef struct {
+    char value[CP_ADDR_BYTES];
+} CpAddress;
+
+/* What one host is told on start; see chestnutpaddled.yaml(5). */
+typedef struct {
+    char host[CP_NAME_BYTES];
+    char domain[CP_NAME_BYTES];
+    char caller[CP_ADDR_BYTES];
+    char inner[CP_ADDR_BYTES];
+    char operator_listen[CP_ADDR_BYTES];
+    char platform[CP_TEXT_BYTES];
+    char key_file[CP_TEXT_BYTES];
+    char token_file[CP_TEXT_BYTES];
+    CpAddress *neighbours;
+    uint32_t neighbour_count;
+    uint32_t worker_threads;
+    uint32_t max_requests;
+    uint32_t stop_timeout_s;
+} CpSettings;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    uint32_t max_inflight; /* requests running in the region; 0: no limit */
+} CpRegion;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char region[CP_NAME_BYTES];
+    uint32_t region_index;
+    uint32_t shift_cap_per_s; /* growth of foreign requests/s, per second */
+    bool drained;             /* operators moved its work away */
+} CpDomain;
+
+/* The link from one region to another, one way. */
+typedef struct {
+    char from[CP_NAME_BYTES];
+    char to[CP_NAME_BYTES];
+    uint32_t from_index;
+    uint32_t to_index;
+    uint32_t cap_kbit_s;
+    uint32_t latency_us;
+} CpLink;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char domain[CP_NAME_BYTES];
+    uint32_t domain_index;
+    char caller[CP_ADDR_BYTES];
+    char inner[CP_ADDR_BYTES];
+    char operator_listen[CP_ADDR_BYTES];
+} CpHost;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char domain[CP_NAME_BYTES];
+    uint32_t domain_index;
+    char address[CP_ADDR_BYTES];
+    char pool[CP_NAME_BYTES];
+    uint32_t pool_index;
+    uint32_t slots;
+    uint32_t connections;
+    bool leaving; /* operators drain it */
+} CpServer;
+
+/* A group of backend servers that serve the same kinds of work. */
+typedef struct {
+    char name[CP_NAME_BYTES];
+} CpPool;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    uint32_t floor_percent; /* least share of dispatches while it waits */
+} CpRank;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char rank[CP_NAME_BYTES];
+    uint32_t rank_index;
+    char pool[CP_NAME_BYTES];
+    uint32_t pool_index;
+    uint32_t deadline_ms;
+    bool idempotent; /* false: at most once, by ticket */
+    uint32_t max_body_kb;
+} CpKind;
+
+typedef struct {
+    char block[CP_NAME_BYTES]; /* CIDR */
+    char domain[CP_NAME_BYTES];
+    uint32_t domain_index;
+} CpClientBlock;
+
+typedef struct {
+    char from[CP_NAME_BYTES];
+    char to[CP_NAME_BYTES];
+    uint32_t from_index;
+    uint32_t to_index;
+    uint32_t percent;
+} CpMove;
+
+/* The cluster configuration; see chestnutpaddle.yaml(5). */
+typedef struct {
+    uint64_t version; /* from the platform's head row; not in the file */
+    uint32_t format;
+    char name[CP_NAME_BYTES];
+    uint32_t lookup_ttl_s;
+    uint32_t queue_limit;
+    uint32_t retry_percent;
+    uint32_t ticket_life_s;
+    CpRegion *regions;
+    uint32_t region_count;
+    CpDomain *domains;
+    uint32_t domain_count;
+    CpLink *links;
+    uint32_t link_count;
+    CpHost *hosts;
+    uint32_t host_count;
+    CpPool *pools;
+    uint32_t pool_count;
+    CpServer *servers;
+    uint32_t server_count;
+    CpRank *ranks;
+    uint32_t rank_count;
+    CpKind *kinds;
+    uint32_t kind_count;
+    CpClientBlock *clients;
+    uint32_t client_count;
+    CpMove *moves;
+    uint32_t move_count;
+} CpConfig;
+
+#define CP_NO_INDEX UINT32_MAX
+
+/* Reads and checks settings; problems are added to `p`. */
+CpStatus CpSettings_Load(const char *path, CpSettings *out, CpProblems *p);
+void CpSettings_Clear(CpSettings *s);
+
+/* Parses and checks a configuration; `label` stands for the file in errors.
+ * The result is freed with CpConfig_Free(). */
+CpStatus CpConfig_Parse(const char *label, const char *text, size_t text_bytes,
+                        CpConfig **out, CpProblems *p);
+void CpConfig_Free(CpConfig *c);
+
+/* The configuration as YAML; freed with free(). */
+char *CpConfig_Print(const CpConfig *c);
+/* Lines that tell what differs between two configurations; free(). */
+char *CpConfig_Diff(const CpConfig *a, const CpConfig *b);
+
+/* Index by name, or CP_NO_INDEX. */
+uint32_t CpConfig_Region(const CpConfig *c, const char *name);
+uint32_t CpConfig_Domain(const CpConfig *c, const char *name);
+uint32_t CpConfig_Host(const CpConfig *c, const char *name);
+uint32_t CpConfig_Server(const CpConfig *c, const char *name);
+uint32_t CpConfig_Pool(const CpConfig *c, const char *name);
+uint32_t CpConfig_Kind(const CpConfig *c, const char *name);
+/* The link between two regions, or NULL where there is none. */
+const CpLink *CpConfig_Link(const CpConfig *c, uint32_t from, uint32_t to);
+
+/* Questionnaire: a commented file of answers for a template. */
+const char *CpTemplate_Text(const char *name);
+/* Names of the templates, NULL-ended. */
+const char *const *CpTemplate_Names(void);
+/* Turns answers into a configuration; errors name the answers' lines. */
+CpStatus CpConfig_Generate(const char *label, const char *answers,
+                           size_t answers_bytes, CpConfig **out,
+                           CpProblems *p);
+
+/* Reads a whole file; free() the result. */
+CpStatus CpFile_Read(const char *path, char **text, size_t *text_bytes);
+
+#endif
--- /dev/null
+++ b/src/config/config_check.c
@@ -0,0 +1,254 @@
+/* Checks across fields of a configuration, and its indexes by name. */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/config_int.h"
+
+typedef struct {
+    const char *address;
+    const char *owner;
+} AddressRow;
+
+static void index_names(const char *label, CpConfig *c, CpProblems *p);
+static void check_unique(const char *label, const char *list,
+                         const void *items, size_t item_bytes, uint32_t n,
+                         CpProblems *p);
+static void check_addresses(const char *label, const CpConfig *c,
+                            CpProblems *p);
+static void check_floors(const char *label, const CpConfig *c, CpProblems *p);
+static void check_blocks(const char *label, const CpConfig *c, CpProblems *p);
+static uint32_t find(const void *items, size_t item_bytes, uint32_t n,
+                     const char *name);
+static uint32_t want(const char *label, const char *field, const char *name,
+                     uint32_t found, CpProblems *p);
+static int compare_address(const void *a, const void *b);
+
+void
+CpConfig_Check(const char *label, CpConfig *c, CpProblems *p)
+{
+    check_unique(label, "regions", c->regions, sizeof(CpRegion),
+                 c->region_count, p);
+    check_unique(label, "domains", c->domains, sizeof(CpDomain),
+                 c->domain_count, p);
+    check_unique(label, "hosts", c->hosts, sizeof(CpHost), c->host_count, p);
+    check_unique(label, "pools", c->pools, sizeof(CpPool), c->pool_count, p);
+    check_unique(label, "servers", c->servers, sizeof(CpServer),
+                 c->server_count, p);
+    check_unique(label, "ranks", c->ranks, sizeof(CpRank), c->rank_count, p);
+    check_unique(label, "kinds", c->kinds, sizeof(CpKind), c->kind_count, p);
+    index_names(label, c, p);
+    check_addresses(label, c, p);
+    check_floors(label, c, p);
+    check_blocks(label, c, p);
+}
+
+uint32_t
+CpConfig_Region(const CpConfig *c, const char *name)
+{
+    return find(c->regions, sizeof(CpRegion), c->region_count, name);
+}
+
+uint32_t
+CpConfig_Domain(const CpConfig *c, const char *name)
+{
+    return find(c->domains, sizeof(CpDomain), c->domain_count, name);
+}
+
+uint32_t
+CpConfig_Host(const CpConfig *c, const char *name)
+{
+    return find(c->hosts, sizeof(CpHost), c->host_count, name);
+}
+
+uint32_t
+CpConfig_Server(const CpConfig *c, const char *name)
+{
+    return find(c->servers, sizeof(CpServer), c->server_count, name);
+}
+
+uint32_t
+CpConfig_Pool(const CpConfig *c, const char *name)
+{
+    return find(c->pools, sizeof(CpPool), c->pool_count, name);
+}
+
+uint32_t
+CpConfig_Kind(const CpConfig *c, const char *name)
+{
+    return find(c->kinds, sizeof(CpKind), c->kind_count, name);
+}
+
+const CpLink *
+CpConfig_Link(const CpConfig *c, uint32_t from, uint32_t to)
+{
+    for (uint32_t i = 0; i < c->link_count; i++) {
+        if (c->links[i].from_index == from && c->links[i].to_index == to) {
+            return &c->links[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+index_names(const char *label, CpConfig *c, CpProblems *p)
+{
+    for (uint32_t i = 0; i < c->domain_count; i++) {
+        CpDomain *d = &c->domains[i];
+        d->region_index = want(label, "domains.region", d->region,
+                               CpConfig_Region(c, d->region), p);
+    }
+    for (uint32_t i = 0; i < c->link_count; i++) {
+        CpLink *l = &c->links[i];
+        l->from_index =
+            want(label, "links.from", l->from, CpConfig_Region(c, l->from), p);
+        l->to_index =
+            want(label, "links.to", l->to, CpConfig_Region(c, l->to), p);
+    }
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        CpHost *h = &c->hosts[i];
+        h->domain_index = want(label, "hosts.domain", h->domain,
+                               CpConfig_Domain(c, h->domain), p);
+    }
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        CpServer *s = &c->servers[i];
+        s->domain_index = want(label, "servers.domain", s->domain,
+                               CpConfig_Domain(c, s->domain), p);
+        s->pool_index =
+            want(label, "servers.pool", s->pool, CpConfig_Pool(c, s->pool), p);
+    }
+    for (uint32_t i = 0; i < c->kind_count; i++) {
+        CpKind *k = &c->kinds[i];
+        k->pool_index =
+            want(label, "kinds.pool", k->pool, CpConfig_Pool(c, k->pool), p);
+        k->rank_index =
+            want(label, "kinds.rank", k->rank,
+                 find(c->ranks, sizeof(CpRank), c->rank_count, k->rank), p);
+    }
+    for (uint32_t i = 0; i < c->client_count; i++) {
+        CpClientBlock *b = &c->clients[i];
+        b->domain_index = want(label, "clients.domain", b->domain,
+                               CpConfig_Domain(c, b->domain), p);
+    }
+    for (uint32_t i = 0; i < c->move_count; i++) {
+        CpMove *m = &c->moves[i];
+        m->from_index =
+            want(label, "moves.from", m->from, CpConfig_Domain(c, m->from), p);
+        m->to_index =
+            want(label, "moves.to", m->to, CpConfig_Domain(c, m->to), p);
+    }
+}
+
+static void
+check_unique(const char *label, const char *list, const void *items,
+             size_t item_bytes, uint32_t n, CpProblems *p)
+{
+    const char *at = items;
+    if (n == 0) {
+        CpProblems_Add(p, "%s: %s: expected at least one", label, list);
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        if (find(items, item_bytes, i, at + i * item_bytes) != CP_NO_INDEX) {
+            CpProblems_Add(p, "%s: %s: \"%s\" stands twice", label, list,
+                           at + i * item_bytes);
+        }
+    }
+}
+
+/* No two listeners and no two backend servers may share an address. */
+static void
+check_addresses(const char *label, const CpConfig *c, CpProblems *p)
+{
+    uint32_t n = 0, room = c->host_count * 3 + c->server_count;
+    AddressRow *rows = CpMem_Alloc((room + 1) * sizeof(*rows));
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        const CpHost *h = &c->hosts[i];
+        rows[n++] = (AddressRow){h->caller, h->name};
+        rows[n++] = (AddressRow){h->inner, h->name};
+        rows[n++] = (AddressRow){h->operator_listen, h->name};
+    }
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        rows[n++] = (AddressRow){c->servers[i].address, c->servers[i].name};
+    }
+    qsort(rows, n, sizeof(*rows), compare_address);
+    for (uint32_t i = 0; i < n; i++) {
+        if (!CpAddress_Valid(rows[i].address)) {
+            CpProblems_Add(p, "%s: %s: expected IP:port, got \"%s\"", label,
+                           rows[i].owner, rows[i].address);
+        }
+        if (i > 0 && strcmp(rows[i].address, rows[i - 1].address) == 0) {
+            CpProblems_Add(p, "%s: address %s: used by %s and %s", label,
+                           rows[i].address, rows[i - 1].owner, rows[i].owner);
+        }
+    }
+    free(rows);
+}
+
+static void
+check_floors(const char *label, const CpConfig *c, CpProblems *p)
+{
+    uint32_t sum = 0;
+    if (c->rank_count > CP_RANKS) {
+        CpProblems_Add(p, "%s: ranks: expected at most %d", label, CP_RANKS);
+    }
+    for (uint32_t i = 0; i < c->rank_count; i++) {
+        sum += c->ranks[i].floor_percent;
+    }
+    if (sum > 50) {
+        CpProblems_Add(p, "%s: ranks: floors sum to %u, expected at most 50",
+                       label, sum);
+    }
+}
+
+static void
+check_blocks(const char *label, const CpConfig *c, CpProblems *p)
+{
+    for (uint32_t i = 0; i < c->client_count; i++) {
+        char ip[CP_NAME_BYTES];
+        unsigned char raw[16];
+        CpStr_Copy(ip, sizeof(ip), c->clients[i].block);
+        char *slash = strchr(ip, '/');
+        bool v6 = strchr(ip, ':') != NULL;
+        int32_t bits = slash ? atoi(slash + 1) : -1;
+        if (slash != NULL) {
+            *slash = '\0';
+        }
+        if (bits < 0 || bits > (v6 ? 128 : 32) ||
+            inet_pton(v6 ? AF_INET6 : AF_INET, ip, raw) != 1) {
+            CpProblems_Add(p,
+                           "%s: clients[%u].block: expected IP/bits, "
+                           "got \"%s\"",
+                           label, i, c->clients[i].block);
+        }
+    }
+}
+
+static uint32_t
+find(const void *items, size_t item_bytes, uint32_t n, const char *name)
+{
+    const char *at = items;
+    for (uint32_t i = 0; i < n; i++) {
+        if (strcmp(at + i * item_bytes, name) == 0) {
+            return i;
+        }
+    }
+    return CP_NO_INDEX;
+}
+
+static uint32_t
+want(const char *label, const char *field, const char *name, uint32_t found,
+     CpProblems *p)
+{
+    if (found == CP_NO_INDEX) {
+        CpProblems_Add(p, "%s: %s: \"%s\" is not defined", label, field, name);
+    }
+    return found;
+}
+
+static int
+compare_address(const void *a, const void *b)
+{
+    return strcmp(((const AddressRow *)a)->address,
+                  ((const AddressRow *)b)->address);
+}
--- /dev/null
+++ b/src/config/config_int.h
@@ -0,0 +1,69 @@
+/* The table-driven YAML reader that settings, answers and configuration use.
+ */
+#ifndef CP_CONFIG_INT_H
+#define CP_CONFIG_INT_H
+
+#include "config/config.h"
+
+typedef enum {
+    CP_FIELD_TEXT, /* char array of `size_bytes` */
+    CP_FIELD_U32,
+    CP_FIELD_BOOL,
+    CP_FIELD_LIST, /* array of structs; its count at `count_offset` */
+} CpFieldType;
+
+typedef struct CpField {
+    const char *name;
+    CpFieldType type;
+    bool required;
+    size_t offset;
+    size_t size_bytes; /* of the text array, or of one list item */
+    size_t count_offset;
+    uint32_t min;
+    uint32_t max;
+    uint32_t preset; /* value where the file is silent */
+    const char *unit;
+    const struct CpField *fields; /* of one list item; NULL-name ended */
+} CpField;
+
+#define CP_TEXT_FIELD(s, f, req)                                              \
+    {                                                                         \
+        .name = #f, .type = CP_FIELD_TEXT, .required = (req),                 \
+        .offset = offsetof(s, f), .size_bytes = sizeof(((s *)0)->f)           \
+    }
+#define CP_U32_FIELD(s, f, lo, hi, def, u)                                    \
+    {                                                                         \
+        .name = #f, .type = CP_FIELD_U32, .offset = offsetof(s, f),           \
+        .min = (lo), .max = (hi), .preset = (def), .unit = (u)                \
+    }
+#define CP_U32_REQUIRED(s, f, lo, hi, u)                                      \
+    {                                                                         \
+        .name = #f, .type = CP_FIELD_U32, .required = true,                   \
+        .offset = offsetof(s, f), .min = (lo), .max = (hi), .unit = (u)       \
+    }
+#define CP_BOOL_FIELD(s, f, def)                                              \
+    {                                                                         \
+        .name = #f, .type = CP_FIELD_BOOL, .offset = offsetof(s, f),          \
+        .preset = (def)                                                       \
+    }
+#define CP_LIST_FIELD(s, f, n, item, item_fields, req)                        \
+    {                                                                         \
+        .name = #f, .type = CP_FIELD_LIST, .required = (req),                 \
+        .offset = offsetof(s, f), .size_bytes = sizeof(item),                 \
+        .count_offset = offsetof(s, n), .fields = (item_fields)               \
+    }
+
+/* Reads one YAML document into `out` as `fields` tell. */
+CpStatus CpYaml_Bind(const char *label, const char *text, size_t text_bytes,
+                     const CpField *fields, void *out, CpProblems *p);
+/* Frees the lists that CpYaml_Bind() made. */
+void CpYaml_Clear(const CpField *fields, void *out);
+
+/* Checks that go across fields; also fills the index fields. */
+void CpConfig_Check(const char *label, CpConfig *c, CpProblems *p);
+/* Whether `text` is IP:port with a port in 1..65535. */
+bool CpAddress_Valid(const char *text);
+
+extern const CpField cp_config_fields[];
+
+#endif
--- /dev/null
+++ b/src/config/config_settings.c
@@ -0,0 +1,99 @@
+/* Settings of one host: the file that chestnutpaddled reads on start. */
+#include <stdlib.h>
+#include <string.h>
+#include <arpa/inet.h>
+#include <stdio.h>
+
+#include "config/config_int.h"
+
+static const CpField address_fields[] = {
+    CP_TEXT_FIELD(CpAddress, value, true),
+    {0},
+};
+
+static const CpField settings_fields[] = {
+    CP_TEXT_FIELD(CpSettings, host, true),
+    CP_TEXT_FIELD(CpSettings, domain, true),
+    CP_TEXT_FIELD(CpSettings, caller, true),
+    CP_TEXT_FIELD(CpSettings, inner, true),
+    CP_TEXT_FIELD(CpSettings, operator_listen, true),
+    CP_TEXT_FIELD(CpSettings, platform, true),
+    CP_TEXT_FIELD(CpSettings, key_file, true),
+    CP_TEXT_FIELD(CpSettings, token_file, true),
+    CP_LIST_FIELD(CpSettings, neighbours, neighbour_count, CpAddress,
+                  address_fields, false),
+    CP_U32_FIELD(CpSettings, worker_threads, 1, 16, 2, "threads"),
+    CP_U32_FIELD(CpSettings, max_requests, 16, 20000, 2000, "requests"),
+    CP_U32_FIELD(CpSettings, stop_timeout_s, 1, 3600, 60, "s"),
+    {0},
+};
+
+static void check_address(const char *path, const char *field,
+                          const char *value, CpProblems *p);
+
+CpStatus
+CpSettings_Load(const char *path, CpSettings *out, CpProblems *p)
+{
+    char *text;
+    size_t n;
+    uint32_t before = p->count;
+    *out = (CpSettings){0};
+    CpStatus st = CpFile_Read(path, &text, &n);
+    if (st != CP_OK) {
+        CpProblems_Add(p, "%s", CpError_Message());
+        return st;
+    }
+    st = CpYaml_Bind(path, text, n, settings_fields, out, p);
+    free(text);
+    if (st == CP_OK) {
+        check_address(path, "caller", out->caller, p);
+        check_address(path, "inner", out->inner, p);
+        check_address(path, "operator_listen", out->operator_listen, p);
+        for (uint32_t i = 0; i < out->neighbour_count; i++) {
+            check_address(path, "neighbours", out->neighbours[i].value, p);
+        }
+        if (strncmp(out->platform, "http://", 7) != 0) {
+            CpProblems_Add(p, "%s: platform: expected http://IP:port", path);
+        }
+    }
+    if (p->count > before) {
+        return CpError_Set(CP_ERR_PARSE, "%s: %u problems", path,
+                           p->count - before);
+    }
+    return CP_OK;
+}
+
+void
+CpSettings_Clear(CpSettings *s)
+{
+    CpYaml_Clear(settings_fields, s);
+}
+
+bool
+CpAddress_Valid(const char *text)
+{
+    char ip[CP_ADDR_BYTES];
+    struct in_addr a4;
+    struct in6_addr a6;
+    const char *colon = strrchr(text, ':');
+    if (colon == NULL || (size_t)(colon - text) >= sizeof(ip)) {
+        return false;
+    }
+    int32_t port = atoi(colon + 1);
+    CpStr_Copy(ip, (size_t)(colon - text) + 1, text);
+    if (port < 1 || port > 65535) {
+        return false;
+    }
+    return inet_pton(AF_INET, ip, &a4) == 1 ||
+           inet_pton(AF_INET6, ip, &a6) == 1;
+}
+
+static void
+check_address(const char *path, const char *field, const char *value,
+              CpProblems *p)
+{
+    if (!CpAddress_Valid(value)) {
+        CpProblems_Add(p, "%s: %s: expected IP:port, got \"%s\"", path, field,
+                       value);
+    }
+}
--- /dev/null
+++ b/src/host/host_follow.c
@@ -0,0 +1,286 @@
+/*
+ * Follows the accepted configuration: the highest version that the platform
+ * or any host tells of, never a lower one. The text comes from the platform
+ * or, as well, from a host that has it.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "host/host_int.h"
+
+#define POLL_MS 1000
+#define FIRST_WAIT_MS 700 /* for neighbours to tell a version, on start */
+#define CHUNK_BYTES (32 * 1024)
+#define MAX_CONFIG_BYTES (64u * 1024 * 1024)
+#define PEER_TRY_MS 500
+
+static void *follow_thread(void *ctx);
+static void register_host(CpNode *n);
+static void hear_neighbours(CpNode *n);
+static void read_platform(CpNode *n);
+static void ask_peer(CpNode *n);
+static void apply_marks(CpNode *n, const char *value);
+static bool take_text(CpNode *n, char *text, size_t text_bytes,
+                      uint64_t version);
+static uint64_t version_of(CpNode *n);
+static void wait_due(CpNode *n, int64_t wait_ms);
+
+CpStatus
+CpFollow_Start(CpNode *n)
+{
+    if (pthread_create(&n->follower, NULL, follow_thread, n) != 0) {
+        return CpError_Set(CP_ERR_IO, "follow: no thread");
+    }
+    return CP_OK;
+}
+
+void
+CpFollow_Stop(CpNode *n)
+{
+    pthread_mutex_lock(&n->follow_lock);
+    n->follow_stop = true;
+    pthread_cond_signal(&n->follow_wake);
+    pthread_mutex_unlock(&n->follow_lock);
+    pthread_join(n->follower, NULL);
+}
+
+void
+CpFollow_Wake(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    (void)now_ns;
+    pthread_mutex_lock(&n->follow_lock);
+    n->follow_due = true;
+    pthread_cond_signal(&n->follow_wake);
+    pthread_mutex_unlock(&n->follow_lock);
+}
+
+/* A host asks for this host's configuration: sends it in chunks. */
+void
+CpFollow_OnGet(CpNode *n, CpSession *s, const CpConfigFrame *f)
+{
+    CpView *v = CpView_Acquire(n);
+    if (v == NULL) {
+        return;
+    }
+    const CpGeneration *g = v->generation;
+    for (size_t at = 0; at < g->text_bytes; at += CHUNK_BYTES) {
+        size_t size = g->text_bytes - at;
+        if (size > CHUNK_BYTES) {
+            size = CHUNK_BYTES;
+        }
+        CpFrame out = {.type = CP_FRAME_CONFIG_CHUNK};
+        out.config = (CpConfigFrame){.id = f->id,
+                                     .version = g->version,
+                                     .offset_bytes = (uint32_t)at,
+                                     .total_bytes = (uint32_t)g->text_bytes,
+                                     .data = {g->text + at, (uint32_t)size}};
+        CpCounter_Add(CP_COUNT_CONFIG_BYTES, size);
+        CpSession_Send(s, &out, CP_CLASS_OF_RANK(0));
+    }
+    CpView_Release(v);
+}
+
+void
+CpFollow_OnChunk(CpNode *n, CpSession *s, const CpConfigFrame *f)
+{
+    (void)s;
+    char *text = NULL;
+    size_t size = 0;
+    pthread_mutex_lock(&n->follow_lock);
+    if (f->offset_bytes == 0 && f->total_bytes <= MAX_CONFIG_BYTES) {
+        g_string_truncate(n->fetch_text, 0);
+        n->fetch_version = f->version;
+    }
+    if (f->version == n->fetch_version &&
+        f->offset_bytes == n->fetch_text->len) {
+        g_string_append_len(n->fetch_text, f->data.data,
+                            (gssize)f->data.size_bytes);
+        if (n->fetch_text->len == f->total_bytes) {
+            size = n->fetch_text->len;
+            text = CpMem_Alloc(size + 1);
+            memcpy(text, n->fetch_text->str, size);
+            n->fetch_version = 0;
+        }
+    }
+    pthread_mutex_unlock(&n->follow_lock);
+    if (text != NULL) {
+        take_text(n, text, size, f->version);
+    }
+}
+
+static void *
+follow_thread(void *ctx)
+{
+    CpNode *n = ctx;
+    register_host(n);
+    hear_neighbours(n);
+    for (;;) {
+        pthread_mutex_lock(&n->follow_lock);
+        bool stop = n->follow_stop;
+        pthread_mutex_unlock(&n->follow_lock);
+        if (stop) {
+            return NULL;
+        }
+        ask_peer(n);
+        read_platform(n);
+        wait_due(n, POLL_MS);
+    }
+}
+
+/* A row of this name tells that an earlier process of this host may have
+ * left loans and work behind; without one there was none. */
+static void
+register_host(CpNode *n)
+{
+    CpRow row = {0};
+    snprintf(row.key, sizeof(row.key), "host/%s", n->settings.host);
+    snprintf(row.value, sizeof(row.value), "%016" PRIx64, n->incarnation);
+    CpStatus st = n->platform->commit(n->platform->ctx, &row, 1);
+    CpAtomic_Store(&n->fresh, st == CP_OK);
+}
+
+/* Asks the neighbours from the settings first, so that a restart in a region
+ * that is cut off, or a stale read, brings no older version back. */
+static void
+hear_neighbours(CpNode *n)
+{
+    for (uint32_t i = 0; i < n->settings.neighbour_count; i++) {
+        CpFrame f = {.type = CP_FRAME_CONFIG_GET, .config = {.id = i}};
+        const char *address = n->settings.neighbours[i].value;
+        CpSession *s = CpWire_Dial(n->wire, address, address);
+        CpSession_Send(s, &f, CP_CLASS_CONTROL);
+        CpSession_Release(s);
+    }
+    int64_t until_ns = CpClock_Now_ns() + FIRST_WAIT_MS * CP_NS_PER_MS;
+    while (n->settings.neighbour_count > 0 && version_of(n) == 0 &&
+           CpClock_Now_ns() < until_ns) {
+        wait_due(n, FIRST_WAIT_MS / 7);
+    }
+}
+
+static void
+read_platform(CpNode *n)
+{
+    CpRow rows[2] = {{.key = CP_HEAD_KEY}};
+    CpHeadRow head;
+    char *text;
+    size_t size;
+    snprintf(rows[1].key, sizeof(rows[1].key), "live/%s", n->settings.domain);
+    if (n->platform->read(n->platform->ctx, rows, 2) != CP_OK) {
+        return;
+    }
+    if (rows[1].version > 0) {
+        apply_marks(n, rows[1].value);
+    }
+    if (!CpHeadRow_Parse(&rows[0], &head) || head.version <= version_of(n)) {
+        return;
+    }
+    if (n->platform->get(n->platform->ctx, head.object, &text, &size) ==
+        CP_OK) {
+        take_text(n, text, size, head.version);
+    }
+}
+
+/* A host with a later version than any this one could get. */
+static void
+ask_peer(CpNode *n)
+{
+    char name[CP_NAME_BYTES];
+    pthread_mutex_lock(&n->member_lock);
+    bool wanted = n->seen_version > version_of(n);
+    CpStr_Copy(name, sizeof(name), n->seen_host);
+    pthread_mutex_unlock(&n->member_lock);
+    CpView *v = wanted ? CpView_Acquire(n) : NULL;
+    if (v != NULL) {
+        uint32_t h = CpConfig_Host(v->generation->config, name);
+        if (h != CP_NO_INDEX) {
+            CpFrame f = {.type = CP_FRAME_CONFIG_GET};
+            CpSession *s = CpWire_Dial(n->wire, name,
+                                       v->generation->config->hosts[h].inner);
+            CpSession_Send(s, &f, CP_CLASS_CONTROL);
+            CpSession_Release(s);
+            wait_due(n, PEER_TRY_MS);
+        }
+    }
+    CpView_Release(v);
+}
+
+/* The platform's list of leaving backend servers of this domain: names
+ * separated by spaces, "+name" for one that serves again. */
+static void
+apply_marks(CpNode *n, const char *value)
+{
+    char **names = g_strsplit(value, " ", CP_MARK_MAX);
+    for (char **at = names; *at != NULL; at++) {
+        bool back = (*at)[0] == '+';
+        CpPool_Mark(n, *at + back, !back);
+    }
+    g_strfreev(names);
+}
+
+/* Puts a later version in force; takes `text` over. */
+static bool
+take_text(CpNode *n, char *text, size_t text_bytes, uint64_t version)
+{
+    CpProblems problems = {0};
+    CpConfig *config;
+    pthread_mutex_lock(&n->install_lock);
+    if (version <= version_of(n)) {
+        pthread_mutex_unlock(&n->install_lock);
+        free(text);
+        return false;
+    }
+    if (CpConfig_Parse("configuration", text, text_bytes, &config,
+                       &problems) != CP_OK) {
+        pthread_mutex_unlock(&n->install_lock);
+        CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
+        CpLog(CP_LOG_ERR, "version %" PRIu64 ": %s", version,
+              problems.count > 0 ? problems.lines[0] : "unusable");
+        CpProblems_Clear(&problems);
+        free(text);
+        return false;
+    }
+    CpGeneration *g = CpGeneration_New(n, config, text, text_bytes, version);
+    CpRef_Take(&g->refs);
+    CpPeers_Configure(n, g);
+    CpPool_Configure(n, g);
+    pthread_mutex_lock(&n->budget_lock);
+    n->budget.percent = config->retry_percent;
+    pthread_mutex_unlock(&n->budget_lock);
+    CpView_Install(n, g);
+    pthread_mutex_unlock(&n->install_lock);
+    CpCounter_Add(CP_COUNT_CONFIG_ACCEPTED, 1);
+    CpLog(CP_LOG_NOTICE, "configuration %s version %" PRIu64 " in force",
+          config->name, version);
+    CpGeneration_Release(g);
+    return true;
+}
+
+static uint64_t
+version_of(CpNode *n)
+{
+    CpView *v = CpView_Acquire(n);
+    uint64_t version = v != NULL ? v->generation->version : 0;
+    CpView_Release(v);
+    return version;
+}
+
+static void
+wait_due(CpNode *n, int64_t wait_ms)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    int64_t ns = until.tv_nsec + wait_ms * CP_NS_PER_MS;
+    until.tv_sec += ns / CP_NS_PER_S;
+    until.tv_nsec = ns % CP_NS_PER_S;
+    pthread_mutex_lock(&n->follow_lock);
+    if (!n->follow_due && !n->follow_stop) {
+        pthread_cond_timedwait(&n->follow_wake, &n->follow_lock, &until);
+    }
+    n->follow_due = false;
+    pthread_mutex_unlock(&n->follow_lock);
+}
--- /dev/null
+++ b/src/host/host_int.h
@@ -0,0 +1,234 @@
+/* What the files of the host package share. */
+#ifndef CP_HOST_INT_H
+#define CP_HOST_INT_H
+
+#include <ck_epoch.h>
+#include <glib.h>
+#include <pthread.h>
+
+#include "admit/admit.h"
+#include "host/host.h"
+#include "http/http.h"
+#include "member/member.h"
+#include "once/once.h"
+#include "platform/platform.h"
+#include "relay/relay.h"
+#include "steer/steer.h"
+#include "wire/wire.h"
+
+#define CP_STREAM_SHARDS 16
+#define CP_LOOKUP_TURNS 4 /* rendered answers a domain, to spread clients */
+#define CP_LEDGER_SHARDS 16
+#define CP_POOL_TICK_MS 5
+#define CP_MAX_REGIONS 32
+#define CP_MARK_MAX 1024 /* backend servers marked as leaving */
+
+/* A configuration in force, with all that follows from it alone. */
+typedef struct {
+    uint32_t refs;
+    uint64_t version;
+    CpConfig *config;
+    CpTopology *topology;
+    char *text;
+    size_t text_bytes;
+    uint32_t self; /* index of this host, or CP_NO_INDEX */
+    uint32_t self_domain;
+} CpGeneration;
+
+/* What steering reads: swapped whole, reclaimed by epochs. */
+typedef struct {
+    ck_epoch_entry_t epoch;
+    uint32_t refs;
+    CpGeneration *generation;
+    CpSteerHost *hosts;
+    char **lookups; /* [domain][turn] */
+} CpView;
+
+/* One pool of backend servers as this host holds it. */
+typedef struct {
+    pthread_mutex_t lock; /* of all below */
+    CpNode *node;
+    char name[CP_NAME_BYTES];
+    CpAdmit *admit;
+    uint32_t count;
+    uint32_t room;
+    char (*names)[CP_NAME_BYTES];
+    char (*addresses)[CP_ADDR_BYTES];
+    CpShare *shares;
+    uint32_t *next_own;  /* static share once every host has the version */
+    uint32_t *kept_own;  /* static share that is in use until then */
+    bool *configured;    /* in this domain and not leaving by configuration */
+    bool *owner;         /* this host has the right to borrow for it */
+    bool *was_owner;     /* loans may still be out in its name */
+    bool *marked;        /* a sign other than the configuration: leaving */
+    CpExchange *started; /* collected under the lock, sent after it */
+    CpExchange *refused;
+    CpShift shift;
+    uint64_t domain_cap_milli; /* of the whole domain */
+    uint32_t domain_slots;     /* of all its servers */
+    uint32_t index;            /* in the configuration */
+} CpHostPool;
+
+/* A request that this host sent to another, or got from one. */
+typedef struct {
+    uint64_t id;
+    CpSession *session;
+    CpExchange *ex;
+    CpNode *node;
+    bool outgoing;
+    bool ended;
+    CpPurpose purpose;
+    uint32_t host; /* index it was sent to */
+    uint32_t pool;
+    uint64_t got_bytes;   /* of the incoming body */
+    uint32_t owed_bytes;  /* read but not credited yet */
+    pthread_mutex_t lock; /* of the sending side below */
+    bool head_sent;
+    bool end_sent;
+    uint32_t credit_bytes;
+    uint64_t put_bytes;
+} CpStream;
+
+typedef struct {
+    pthread_mutex_t lock;
+    GHashTable *streams;
+} CpStreamShard;
+
+struct CpNode {
+    CpSettings settings;
+    uint64_t incarnation;
+    uint8_t key[32];
+    char token[256];
+    int64_t started_ns;
+    uint32_t leaving; /* flag */
+    uint32_t fresh;   /* flag: the platform knew no earlier incarnation */
+
+    CpTimer *timer;
+    CpWire *wire;
+    CpFront *front;
+    CpBackend *backend;
+    CpOperator *operator_if;
+    CpPlatform *platform;
+    CpLedger *ledger;
+    uint64_t next_ticket;
+
+    ck_epoch_t epoch;
+    CpView *view;
+
+    pthread_mutex_t member_lock; /* of the next 4 */
+    CpMember *member;
+    uint32_t members_changed;
+    uint64_t seen_version; /* highest that any host told of */
+    char seen_host[CP_NAME_BYTES];
+    uint64_t probe_id;
+
+    pthread_mutex_t pools_lock; /* of the list; pools are never freed */
+    CpHostPool *pools[CP_MAX_POOLS];
+    uint32_t pool_count;
+    uint32_t rank_inflight[CP_RANKS]; /* atomic */
+
+    uint64_t next_stream; /* atomic */
+    CpStreamShard streams[CP_STREAM_SHARDS];
+    uint32_t *outstanding; /* [host][pool], atomic; sized once */
+
+    pthread_mutex_t loan_lock; /* of asks */
+    uint64_t ask_id;
+    struct {
+        uint64_t id;
+        int64_t asked_ns;
+    } asks[256];
+
+    pthread_mutex_t link_lock;     /* of links */
+    CpPacer links[CP_MAX_REGIONS]; /* by region of the receiver */
+    uint64_t link_cap_bytes_s[CP_MAX_REGIONS];
+    uint32_t link_peers; /* hosts of this region; each has a share */
+
+    pthread_mutex_t budget_lock;
+    CpRetryBudget budget;
+
+    pthread_mutex_t install_lock; /* one version is installed at a time */
+    pthread_t follower;
+    pthread_mutex_t follow_lock; /* of the next 6 */
+    pthread_cond_t follow_wake;
+    bool follow_stop;
+    bool follow_due;
+    uint64_t fetch_version; /* being fetched from a peer */
+    GString *fetch_text;
+};
+
+/* view: configuration, members and rendered look-ups */
+void CpView_Install(CpNode *n, CpGeneration *g);
+/* Rebuilds hosts and look-ups from the membership table. */
+void CpView_Refresh(CpNode *n);
+CpView *CpView_Acquire(CpNode *n);
+void CpView_Release(CpView *v);
+void CpView_Poll(CpNode *n);
+CpGeneration *CpGeneration_New(CpNode *n, CpConfig *config, char *text,
+                               size_t text_bytes, uint64_t version);
+void CpGeneration_Release(CpGeneration *g);
+char *CpView_Lookup(void *ctx, const char *kind, const char *client,
+                    uint32_t *ttl_s);
+void CpView_Origin(void *ctx, const char *client, char out[CP_NAME_BYTES]);
+CpReason CpView_Kind(void *ctx, const char *name, CpKindInfo *out);
+
+/* route: where a request goes, and what follows when that failed */
+void CpRoute_Submit(void *ctx, CpExchange *ex);
+/* Routes an exchange that this host answers for; takes the reference. */
+void CpRoute_Run(CpNode *n, CpExchange *ex);
+/* A try ended without an answer: another one, or the caller is told. Takes
+ * the reference. */
+void CpRoute_Failed(CpNode *n, CpExchange *ex, CpVerdict verdict,
+                    CpReason reason);
+void CpRoute_Done(CpNode *n, CpExchange *ex);
+
+/* pool: admission to this host's backend servers, and loans of slots */
+void CpPool_Configure(CpNode *n, const CpGeneration *g);
+CpHostPool *CpPool_Find(CpNode *n, const char *name);
+void CpPool_Submit(CpNode *n, CpExchange *ex);
+void CpPool_BackendDone(void *ctx, CpExchange *ex,
+                        const CpBackendResult *result);
+void CpPool_Tick(void *ctx, int64_t now_ns);
+void CpPool_LoanTick(void *ctx, int64_t now_ns);
+void CpPool_OnAsk(CpNode *n, CpSession *s, const CpLoanFrame *f);
+void CpPool_OnGrant(CpNode *n, CpSession *s, const CpLoanFrame *f);
+uint32_t CpPool_Loads(CpNode *n, CpLoad *out);
+/* Marks a backend server as leaving or not; false if it is unknown here. */
+bool CpPool_Mark(CpNode *n, const char *server, bool leaving);
+
+/* stream: requests between hosts */
+void CpStream_Init(CpNode *n);
+void CpStream_Send(CpNode *n, CpExchange *ex, uint32_t host_index,
+                   const CpHost *host, CpPurpose purpose);
+void CpStream_OnFrame(void *ctx, CpSession *s, const CpFrame *f);
+void CpStream_OnUnsent(void *ctx, CpSession *s, uint64_t id);
+void CpStream_OnLost(CpNode *n, CpSession *s);
+
+/* once: tickets and the ledger */
+void CpOnce_Submit(CpNode *n, CpExchange *ex);
+/* The host that issued a ticket could not be reached, or refused. */
+void CpOnce_IssuerFailed(CpNode *n, CpExchange *ex, CpVerdict verdict,
+                         CpReason reason);
+void CpOnce_Answer(void *ctx, void *waiter, const CpRecord *record);
+char *CpOnce_NewTicket(void *ctx);
+int64_t CpOnce_Now_ms(void);
+
+/* peers: membership and link budgets */
+void CpPeers_Init(CpNode *n);
+void CpPeers_Tick(void *ctx, int64_t now_ns);
+void CpPeers_OnProbe(CpNode *n, CpSession *s, const CpFrame *f);
+void CpPeers_OnLost(void *ctx, CpSession *s, bool refused);
+bool CpPeers_OnSpend(void *ctx, const char *peer, uint32_t class_index,
+                     uint32_t size_bytes);
+void CpPeers_Configure(CpNode *n, const CpGeneration *g);
+
+/* follow: the accepted configuration, from the platform or from peers */
+CpStatus CpFollow_Start(CpNode *n);
+void CpFollow_Stop(CpNode *n);
+void CpFollow_Wake(void *ctx, int64_t now_ns);
+void CpFollow_OnGet(CpNode *n, CpSession *s, const CpConfigFrame *f);
+void CpFollow_OnChunk(CpNode *n, CpSession *s, const CpConfigFrame *f);
+
+/* report: pages for operators */
+extern const CpOperatorRoute cp_operator_routes[];
+
+#endif
--- /dev/null
+++ b/src/host/host_node.c
@@ -0,0 +1,241 @@
+/* One entry host: opening, starting, draining and ending its parts. */
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "host/host_int.h"
+
+#define PLATFORM_TIMEOUT_MS 800
+#define DRAIN_STEP_MS 50
+#define MAX_HOSTS 4096
+#define LEDGER_SWEEP_MS 1000
+#define KEY_MIN_BYTES 16
+
+static CpStatus read_key(CpNode *n);
+static CpStatus read_token(CpNode *n);
+static CpStatus open_listeners(CpNode *n);
+static void sweep_ledger(void *ctx, int64_t now_ns);
+static void sleep_ms(uint32_t ms);
+static uint32_t lookup_ttl_s(CpNode *n);
+
+CpStatus
+CpNode_New(const CpSettings *settings, CpNode **out)
+{
+    CpNode *n = CpMem_Alloc(sizeof(*n));
+    pthread_condattr_t attr;
+    n->settings = *settings;
+    n->incarnation = CpRandom();
+    n->started_ns = CpClock_Now_ns();
+    pthread_mutex_init(&n->member_lock, NULL);
+    pthread_mutex_init(&n->pools_lock, NULL);
+    pthread_mutex_init(&n->loan_lock, NULL);
+    pthread_mutex_init(&n->link_lock, NULL);
+    pthread_mutex_init(&n->budget_lock, NULL);
+    pthread_mutex_init(&n->follow_lock, NULL);
+    pthread_mutex_init(&n->install_lock, NULL);
+    pthread_condattr_init(&attr);
+    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+    pthread_cond_init(&n->follow_wake, &attr);
+    pthread_condattr_destroy(&attr);
+    n->fetch_text = g_string_new(NULL);
+    n->outstanding =
+        CpMem_Alloc(MAX_HOSTS * CP_MAX_POOLS * sizeof(*n->outstanding));
+    ck_epoch_init(&n->epoch);
+    CpStream_Init(n);
+    CpPeers_Init(n);
+    n->timer = CpTimer_New();
+    n->platform = CpPlatform_NewHttp(settings->platform, PLATFORM_TIMEOUT_MS);
+    n->ledger = CpLedger_New(CP_LEDGER_SHARDS, CpOnce_Answer, n);
+    CpStatus st = read_key(n);
+    if (st == CP_OK) {
+        st = read_token(n);
+    }
+    if (st == CP_OK) {
+        st = open_listeners(n);
+    }
+    *out = n;
+    return st;
+}
+
+CpStatus
+CpNode_Start(CpNode *n)
+{
+    CpWire_Subscribe(n->wire, n->timer);
+    CpFront_Subscribe(n->front, n->timer);
+    CpTimer_Subscribe(n->timer, CP_PROBE_MS, CpPeers_Tick, n);
+    CpTimer_Subscribe(n->timer, CP_POOL_TICK_MS, CpPool_Tick, n);
+    CpTimer_Subscribe(n->timer, CP_LOAN_PERIOD_MS, CpPool_LoanTick, n);
+    CpTimer_Subscribe(n->timer, LEDGER_SWEEP_MS, sweep_ledger, n);
+    CpStatus st = CpWire_Start(n->wire);
+    if (st == CP_OK) {
+        st = CpBackend_Start(n->backend);
+    }
+    if (st == CP_OK) {
+        st = CpTimer_Start(n->timer);
+    }
+    if (st == CP_OK) {
+        st = CpFollow_Start(n);
+    }
+    return st;
+}
+
+/* Announced as leaving, the host drops out of look-ups; callers use cached
+ * ones for their time to live, so it serves that long and ends the rest. */
+void
+CpNode_Drain(CpNode *n)
+{
+    CpAtomic_Store(&n->leaving, 1);
+    CpLog(CP_LOG_NOTICE, "leaving");
+    int64_t quiet_ns = CpClock_Now_ns() + (lookup_ttl_s(n) + 1) * CP_NS_PER_S;
+    int64_t until_ns =
+        CpClock_Now_ns() + n->settings.stop_timeout_s * CP_NS_PER_S;
+    while (CpClock_Now_ns() < quiet_ns && CpClock_Now_ns() < until_ns) {
+        sleep_ms(DRAIN_STEP_MS);
+    }
+    CpFront_Quiesce(n->front);
+    while (CpClock_Now_ns() < until_ns) {
+        uint32_t busy = CpFront_Active(n->front);
+        CpLoad loads[CP_MAX_POOLS];
+        uint32_t count = CpPool_Loads(n, loads);
+        for (uint32_t i = 0; i < count; i++) {
+            busy += loads[i].inflight + loads[i].queued;
+        }
+        if (busy == 0) {
+            break;
+        }
+        sleep_ms(DRAIN_STEP_MS);
+    }
+    CpLog(CP_LOG_NOTICE, "left");
+}
+
+/* Threads end in the order in which they feed each other. */
+void
+CpNode_Free(CpNode *n)
+{
+    CpFollow_Stop(n);
+    CpTimer_Free(n->timer);
+    CpFront_Free(n->front);
+    CpOperator_Free(n->operator_if);
+    CpBackend_Free(n->backend);
+    CpWire_Stop(n->wire);
+    CpWire_Free(n->wire);
+    CpPlatform_FreeHttp(n->platform);
+    CpLedger_Free(n->ledger);
+    CpMember_Free(n->member);
+    sodium_memzero(n->key, sizeof(n->key));
+}
+
+void
+CpNode_Reload(CpNode *n, const CpSettings *settings)
+{
+    n->settings.max_requests = settings->max_requests;
+    n->settings.stop_timeout_s = settings->stop_timeout_s;
+    CpLog(CP_LOG_NOTICE, "settings read again");
+}
+
+static CpStatus
+read_key(CpNode *n)
+{
+    char *text;
+    size_t size;
+    CpStatus st = CpFile_Read(n->settings.key_file, &text, &size);
+    if (st != CP_OK) {
+        return st;
+    }
+    if (size < KEY_MIN_BYTES) {
+        st = CpError_Set(CP_ERR_RANGE, "%s: expected at least %d bytes",
+                         n->settings.key_file, KEY_MIN_BYTES);
+    }
+    crypto_generichash(n->key, sizeof(n->key), (const uint8_t *)text, size,
+                       NULL, 0);
+    sodium_memzero(text, size);
+    free(text);
+    return st;
+}
+
+static CpStatus
+read_token(CpNode *n)
+{
+    char *text;
+    size_t size;
+    CpStatus st = CpFile_Read(n->settings.token_file, &text, &size);
+    if (st == CP_OK) {
+        CpStr_Copy(n->token, sizeof(n->token), g_strstrip(text));
+        free(text);
+        if (n->token[0] == '\0') {
+            st =
+                CpError_Set(CP_ERR_RANGE, "%s: empty", n->settings.token_file);
+        }
+    }
+    return st;
+}
+
+static CpStatus
+open_listeners(CpNode *n)
+{
+    const CpSettings *s = &n->settings;
+    CpWireOptions wire = {.host = s->host,
+                          .domain = s->domain,
+                          .listen = s->inner,
+                          .incarnation = n->incarnation,
+                          .threads = s->worker_threads,
+                          .callbacks = {.on_frame = CpStream_OnFrame,
+                                        .on_unsent = CpStream_OnUnsent,
+                                        .on_lost = CpPeers_OnLost,
+                                        .on_spend = CpPeers_OnSpend,
+                                        .ctx = n}};
+    CpBackendOptions backend = {.threads = s->worker_threads,
+                                .source = s->inner,
+                                .done = CpPool_BackendDone,
+                                .ctx = n};
+    CpFrontOptions front = {.listen = s->caller,
+                            .threads = s->worker_threads,
+                            .connections = s->max_requests * 2,
+                            .kind = CpView_Kind,
+                            .submit = CpRoute_Submit,
+                            .lookup = CpView_Lookup,
+                            .ticket = CpOnce_NewTicket,
+                            .origin = CpView_Origin,
+                            .ctx = n};
+    CpOperatorOptions oper = {.listen = s->operator_listen,
+                              .token = n->token,
+                              .routes = cp_operator_routes,
+                              .ctx = n};
+    memcpy(wire.key, n->key, sizeof(wire.key));
+    CpStatus st = CpWire_New(&wire, &n->wire);
+    if (st == CP_OK) {
+        st = CpBackend_New(&backend, &n->backend);
+    }
+    if (st == CP_OK) {
+        st = CpFront_New(&front, &n->front);
+    }
+    if (st == CP_OK) {
+        st = CpOperator_New(&oper, &n->operator_if);
+    }
+    return st;
+}
+
+static void
+sweep_ledger(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    CpLedger_Sweep(n->ledger, now_ns / CP_NS_PER_MS);
+}
+
+static void
+sleep_ms(uint32_t ms)
+{
+    struct timespec ts = {.tv_sec = ms / 1000,
+                          .tv_nsec = ms % 1000 * CP_NS_PER_MS};
+    nanosleep(&ts, NULL);
+}
+
+static uint32_t
+lookup_ttl_s(CpNode *n)
+{
+    CpView *v = CpView_Acquire(n);
+    uint32_t ttl_s = v != NULL ? v->generation->config->lookup_ttl_s : 0;
+    CpView_Release(v);
+    return ttl_s;
+}
--- /dev/null
+++ b/src/host/host_once.c
@@ -0,0 +1,318 @@
+/*
+ * Requests that run at most once: a ticket from this host is run through its
+ * ledger; one from another host is forwarded to it, since only it can tell.
+ */
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+/* A run of one ticket, apart from the callers that wait for it. */
+typedef struct {
+    CpNode *node;
+    uint64_t number;
+    CpExchange *ex;
+    pthread_mutex_t lock;
+    bool reading;
+    bool ended;
+    uint8_t *body;
+    uint32_t body_bytes;
+    bool too_long;
+} Run;
+
+static void redirect(CpNode *n, CpExchange *ex);
+static void forward(CpNode *n, CpExchange *ex, const CpTicket *t);
+static void begin(CpNode *n, CpExchange *ex, const CpTicket *t);
+static void start_run(CpNode *n, const CpExchange *outer, uint64_t number);
+static void on_waiter_cancel(void *ctx, CpExchange *ex);
+static void on_run_wake(void *ctx);
+static void on_run_head(void *ctx, CpExchange *ex);
+static void read_answer(Run *r);
+static void end_run(Run *r, bool whole);
+static void drop_run(void *memory);
+static void new_ticket(CpNode *n, CpTicket *t,
+                       char text[CP_TICKET_TEXT_BYTES]);
+static uint32_t ticket_life_s(CpNode *n);
+
+void
+CpOnce_Submit(CpNode *n, CpExchange *ex)
+{
+    CpTicket t;
+    if (ex->ticket[0] == '\0') {
+        redirect(n, ex);
+        return;
+    }
+    if (CpTicket_Open(ex->ticket, n->key, &t) != CP_OK) {
+        CpExchange_Fail(ex, CP_NOT_RUN, CP_REASON_TICKET_BAD);
+        CpRoute_Done(n, ex);
+        return;
+    }
+    if (strcmp(t.host, n->settings.host) != 0) {
+        forward(n, ex, &t);
+        return;
+    }
+    if (t.incarnation != n->incarnation) {
+        CpExchange_Fail(ex, CP_MAY_HAVE_RUN, CP_REASON_ISSUER_GONE);
+        CpRoute_Done(n, ex);
+        return;
+    }
+    begin(n, ex, &t);
+}
+
+void
+CpOnce_IssuerFailed(CpNode *n, CpExchange *ex, CpVerdict verdict,
+                    CpReason reason)
+{
+    if (reason == CP_REASON_SESSION_LOST) {
+        /* This try was not run, but an earlier one may have been. */
+        verdict = CP_MAY_HAVE_RUN;
+        reason = CP_REASON_ISSUER_GONE;
+    }
+    CpExchange_Fail(ex, verdict, reason);
+    CpRoute_Done(n, ex);
+}
+
+void
+CpOnce_Answer(void *ctx, void *waiter, const CpRecord *record)
+{
+    CpNode *n = ctx;
+    CpExchange *ex = waiter;
+    CpExchange_SetBack(ex, NULL, NULL);
+    if (record->reason != CP_REASON_NONE) {
+        CpExchange_Fail(ex, record->verdict, record->reason);
+    }
+    else {
+        CpHead head = {.status = record->status,
+                       .verdict = record->verdict,
+                       .length_bytes = record->body_bytes};
+        CpStr_Copy(head.content_type, sizeof(head.content_type),
+                   record->content_type);
+        CpPipe_Write(ex->down, record->body, record->body_bytes);
+        CpPipe_End(ex->down, CP_PIPE_WHOLE);
+        CpExchange_Head(ex, &head);
+    }
+    CpRoute_Done(n, ex);
+}
+
+char *
+CpOnce_NewTicket(void *ctx)
+{
+    CpNode *n = ctx;
+    CpTicket t;
+    char text[CP_TICKET_TEXT_BYTES];
+    new_ticket(n, &t, text);
+    json_t *root = json_pack("{s:s,s:s,s:s,s:i}", "ticket", text, "host",
+                             n->settings.host, "address", n->settings.caller,
+                             "expires_s", (int)ticket_life_s(n));
+    char *out = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return out;
+}
+
+int64_t
+CpOnce_Now_ms(void)
+{
+    return CpClock_Now_ns() / CP_NS_PER_MS;
+}
+
+/* Sends the caller to the same place with a new ticket. */
+static void
+redirect(CpNode *n, CpExchange *ex)
+{
+    CpTicket t;
+    char text[CP_TICKET_TEXT_BYTES];
+    CpHead head = {.status = CpReason_HttpStatus(CP_REASON_TICKET_NEEDED),
+                   .verdict = CP_NOT_RUN,
+                   .reason = CP_REASON_TICKET_NEEDED};
+    new_ticket(n, &t, text);
+    snprintf(head.location, sizeof(head.location),
+             "http://%s/run%.700s%ccp_ticket=%s", n->settings.caller,
+             ex->target, strchr(ex->target, '?') ? '&' : '?', text);
+    CpPipe_End(ex->down, CP_PIPE_WHOLE);
+    CpExchange_Head(ex, &head);
+    CpRoute_Done(n, ex);
+}
+
+static void
+forward(CpNode *n, CpExchange *ex, const CpTicket *t)
+{
+    CpView *v = CpView_Acquire(n);
+    const CpConfig *c = v != NULL ? v->generation->config : NULL;
+    uint32_t host = c != NULL ? CpConfig_Host(c, t->host) : CP_NO_INDEX;
+    bool known = host != CP_NO_INDEX && ex->hops == 0;
+    if (known && v->hosts[host].state != CP_MEMBER_FAILED) {
+        CpCounter_Add(CP_COUNT_FORWARDED, 1);
+        CpStream_Send(n, ex, host, &c->hosts[host], CP_PURPOSE_TICKET);
+    }
+    else {
+        CpExchange_Fail(ex, CP_MAY_HAVE_RUN, CP_REASON_ISSUER_GONE);
+        CpRoute_Done(n, ex);
+    }
+    CpView_Release(v);
+}
+
+static void
+begin(CpNode *n, CpExchange *ex, const CpTicket *t)
+{
+    ex->ticket_number = t->number;
+    CpExchange *held = CpExchange_Retain(ex);
+    CpExchange_SetBack(ex, on_waiter_cancel, n);
+    CpLedgerStep step = CpLedger_Begin(n->ledger, t, ex, CpOnce_Now_ms());
+    if (step == CP_LEDGER_RUN) {
+        start_run(n, held, t->number);
+    }
+    else if (step == CP_LEDGER_EXPIRED) {
+        CpExchange_SetBack(ex, NULL, NULL);
+        CpExchange_Fail(ex, CP_MAY_HAVE_RUN, CP_REASON_TICKET_EXPIRED);
+        CpRoute_Done(n, ex);
+    }
+    CpExchange_Release(held);
+}
+
+/* The run has an exchange of its own: callers may come and go meanwhile. */
+static void
+start_run(CpNode *n, const CpExchange *outer, uint64_t number)
+{
+    CpExchange *ex = CpExchange_New();
+    Run *r = CpMem_Alloc(sizeof(*r));
+    r->node = n;
+    r->number = number;
+    r->ex = ex;
+    pthread_mutex_init(&r->lock, NULL);
+    CpExchange_Keep(ex, r, drop_run);
+    ex->kind_index = outer->kind_index;
+    ex->pool_index = outer->pool_index;
+    ex->rank = outer->rank;
+    ex->hops = outer->hops;
+    ex->deadline_ns = outer->deadline_ns;
+    CpStr_Copy(ex->kind, sizeof(ex->kind), outer->kind);
+    CpStr_Copy(ex->method, sizeof(ex->method), outer->method);
+    CpStr_Copy(ex->target, sizeof(ex->target), outer->target);
+    CpStr_Copy(ex->content_type, sizeof(ex->content_type),
+               outer->content_type);
+    CpStr_Copy(ex->origin, sizeof(ex->origin), outer->origin);
+    if (outer->body_bytes > 0) {
+        ex->body = CpMem_Alloc(outer->body_bytes);
+        memcpy(ex->body, outer->body, outer->body_bytes);
+        ex->body_bytes = outer->body_bytes;
+    }
+    CpPipe_SetReader(ex->down, on_run_wake, r);
+    CpExchange_SetFront(ex, on_run_head, r);
+    CpRoute_Run(n, CpExchange_Retain(ex));
+}
+
+/* A caller that went away leaves the run alone; at its deadline the run's
+ * own verdict follows at once. */
+static void
+on_waiter_cancel(void *ctx, CpExchange *ex)
+{
+    CpNode *n = ctx;
+    if (CpClock_Now_ns() < ex->deadline_ns &&
+        CpLedger_Leave(n->ledger, ex->ticket_number, ex)) {
+        CpExchange_Fail(ex, CP_MAY_HAVE_RUN, CP_REASON_CALLER_GONE);
+        CpRoute_Done(n, ex);
+    }
+}
+
+static void
+on_run_wake(void *ctx)
+{
+    read_answer(ctx);
+}
+
+static void
+on_run_head(void *ctx, CpExchange *ex)
+{
+    (void)ex;
+    read_answer(ctx);
+}
+
+/* Collects the answer's body for the ledger, up to its limit. */
+static void
+read_answer(Run *r)
+{
+    uint8_t block[CP_DATA_MAX_BYTES];
+    CpPipeState state = CP_PIPE_OPEN;
+    CpExchange *ex = CpExchange_Retain(r->ex);
+    bool over = false;
+    pthread_mutex_lock(&r->lock);
+    while (!r->ended && CpExchange_Headed(ex)) {
+        uint32_t n = CpPipe_Read(ex->down, block, sizeof(block), &state);
+        if (n == 0) {
+            over = r->ended = state != CP_PIPE_OPEN;
+            break;
+        }
+        if (r->body_bytes + n > CP_RECORD_MAX_BYTES) {
+            r->too_long = true;
+            continue;
+        }
+        r->body = CpMem_Realloc(r->body, r->body_bytes + n);
+        memcpy(r->body + r->body_bytes, block, n);
+        r->body_bytes += n;
+    }
+    pthread_mutex_unlock(&r->lock);
+    if (over) {
+        end_run(r, state == CP_PIPE_WHOLE);
+    }
+    CpExchange_Release(ex);
+}
+
+static void
+end_run(Run *r, bool whole)
+{
+    CpExchange *ex = r->ex;
+    pthread_mutex_lock(&ex->lock);
+    CpHead head = ex->head;
+    pthread_mutex_unlock(&ex->lock);
+    CpRecord record = {.status = head.status,
+                       .verdict = head.verdict,
+                       .reason = head.reason,
+                       .body = r->body,
+                       .body_bytes = r->body_bytes};
+    CpStr_Copy(record.content_type, sizeof(record.content_type),
+               head.content_type);
+    bool short_body = head.length_bytes != CP_LENGTH_UNKNOWN &&
+                      head.length_bytes != r->body_bytes;
+    if (head.reason == CP_REASON_NONE &&
+        (!whole || short_body || r->too_long)) {
+        record.reason = r->too_long ? CP_REASON_BODY_TOO_LARGE
+                                    : CP_REASON_ANSWER_TRUNCATED;
+        record.verdict = CP_RAN;
+    }
+    CpLedger_End(r->node->ledger, r->number, &record);
+    CpExchange_SetFront(ex, NULL, NULL);
+    CpPipe_SetReader(ex->down, NULL, NULL);
+    CpExchange_Release(ex); /* of start_run */
+}
+
+static void
+drop_run(void *memory)
+{
+    Run *r = memory;
+    pthread_mutex_destroy(&r->lock);
+    free(r->body);
+    free(r);
+}
+
+static void
+new_ticket(CpNode *n, CpTicket *t, char text[CP_TICKET_TEXT_BYTES])
+{
+    *t = (CpTicket){.incarnation = n->incarnation};
+    CpStr_Copy(t->host, sizeof(t->host), n->settings.host);
+    t->number = __atomic_add_fetch(&n->next_ticket, 1, __ATOMIC_RELAXED);
+    t->expires_ms = CpOnce_Now_ms() + ticket_life_s(n) * INT64_C(1000);
+    CpTicket_Seal(t, n->key, text);
+    CpCounter_Add(CP_COUNT_TICKETS_ISSUED, 1);
+}
+
+static uint32_t
+ticket_life_s(CpNode *n)
+{
+    CpView *v = CpView_Acquire(n);
+    uint32_t life_s = v != NULL ? v->generation->config->ticket_life_s : 60;
+    CpView_Release(v);
+    return life_s;
+}
--- /dev/null
+++ b/src/host/host_peers.c
@@ -0,0 +1,197 @@
+/* Adapter of membership to sessions, and the budgets of links to regions. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+static void send_probe(void *ctx, const CpMemberEntry *to, bool far,
+                       CpMemberRow *rows, uint32_t row_count);
+static void on_changed(void *ctx, const CpMemberEntry *e,
+                       CpMemberState before);
+static void on_newer(void *ctx, const CpMemberEntry *e);
+static uint64_t on_random(void *ctx);
+
+void
+CpPeers_Init(CpNode *n)
+{
+    CpMemberOptions o = {.host = n->settings.host,
+                         .incarnation = n->incarnation,
+                         .probe = send_probe,
+                         .changed = on_changed,
+                         .newer = on_newer,
+                         .random = on_random,
+                         .ctx = n};
+    n->member = CpMember_New(&o);
+}
+
+void
+CpPeers_Configure(CpNode *n, const CpGeneration *g)
+{
+    const CpConfig *c = g->config;
+    const char **names = CpMem_Alloc((c->host_count + 1) * sizeof(*names));
+    uint32_t *domains = CpMem_Alloc((c->host_count + 1) * sizeof(*domains));
+    uint32_t peers = 0, self_region = CP_NO_INDEX, mine = 0;
+    if (g->self_domain != CP_NO_INDEX) {
+        self_region = c->domains[g->self_domain].region_index;
+    }
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        uint32_t d = c->hosts[i].domain_index;
+        names[i] = c->hosts[i].name;
+        domains[i] = d;
+        if (c->domains[d].region_index == self_region) {
+            mine = i == g->self ? peers : mine;
+            peers++;
+        }
+    }
+    pthread_mutex_lock(&n->member_lock);
+    CpMember_SetRoster(n->member, names, domains, c->host_count);
+    pthread_mutex_unlock(&n->member_lock);
+    pthread_mutex_lock(&n->link_lock);
+    n->link_peers = peers;
+    for (uint32_t r = 0; r < c->region_count && r < CP_MAX_REGIONS; r++) {
+        const CpLink *l = CpConfig_Link(c, self_region, r);
+        uint64_t cap = l != NULL ? l->cap_kbit_s * UINT64_C(125) : 0;
+        n->link_cap_bytes_s[r] = cap;
+        if (cap > 0) {
+            CpPacer_SetRate(&n->links[r], cap / (peers ? peers : 1),
+                            CpClock_Now_ns());
+        }
+    }
+    pthread_mutex_unlock(&n->link_lock);
+    free(names);
+    free(domains);
+}
+
+void
+CpPeers_Tick(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    CpLoad loads[CP_MAX_POOLS];
+    uint32_t count = CpPool_Loads(n, loads);
+    CpView *v = CpView_Acquire(n);
+    pthread_mutex_lock(&n->member_lock);
+    CpMember_SetSelf(n->member,
+                     CpAtomic_Load(&n->leaving) ? CP_MEMBER_LEAVING
+                                                : CP_MEMBER_LIVE,
+                     v != NULL ? v->generation->version : 0, loads, count);
+    bool paused = CpMember_Tick(n->member, now_ns);
+    pthread_mutex_unlock(&n->member_lock);
+    if (paused) {
+        CpCounter_Add(CP_COUNT_PAUSES_SEEN, 1);
+        CpLog(CP_LOG_WARNING, "this process was paused");
+    }
+    if (v != NULL) {
+        CpView_Refresh(n);
+    }
+    CpView_Release(v);
+    CpView_Poll(n);
+}
+
+void
+CpPeers_OnProbe(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    const CpProbeFrame *p = &f->probe;
+    CpFrame ack = {.type = CP_FRAME_PROBE_ACK};
+    pthread_mutex_lock(&n->member_lock);
+    CpMember_Receive(n->member, CpSession_Peer(s), p->rows, p->row_count,
+                     CpClock_Now_ns());
+    if (f->type == CP_FRAME_PROBE) {
+        ack.probe.id = p->id;
+        ack.probe.far = p->far;
+        ack.probe.row_count =
+            CpMember_Rows(n->member, p->far != 0, &ack.probe.rows);
+        CpSession_Send(s, &ack, CP_CLASS_CONTROL);
+    }
+    pthread_mutex_unlock(&n->member_lock);
+}
+
+void
+CpPeers_OnLost(void *ctx, CpSession *s, bool refused)
+{
+    CpNode *n = ctx;
+    CpStream_OnLost(n, s);
+    if (refused && CpSession_Dialled(s)) {
+        pthread_mutex_lock(&n->member_lock);
+        CpMember_Refused(n->member, CpSession_Peer(s), CpClock_Now_ns());
+        pthread_mutex_unlock(&n->member_lock);
+    }
+}
+
+bool
+CpPeers_OnSpend(void *ctx, const char *peer, uint32_t class_index,
+                uint32_t size_bytes)
+{
+    CpNode *n = ctx;
+    uint32_t region = CP_NO_INDEX, own = CP_NO_INDEX;
+    CpView *v = CpView_Acquire(n);
+    if (v != NULL) {
+        const CpGeneration *g = v->generation;
+        uint32_t h = CpConfig_Host(g->config, peer);
+        if (h != CP_NO_INDEX && g->self_domain != CP_NO_INDEX) {
+            region = g->config->domains[g->config->hosts[h].domain_index]
+                         .region_index;
+            own = g->config->domains[g->self_domain].region_index;
+        }
+    }
+    CpView_Release(v);
+    if (region == own || region >= CP_MAX_REGIONS) {
+        return true;
+    }
+    pthread_mutex_lock(&n->link_lock);
+    bool ok = n->link_cap_bytes_s[region] == 0 ||
+              CpPacer_Spend(&n->links[region], class_index, size_bytes,
+                            CpClock_Now_ns());
+    pthread_mutex_unlock(&n->link_lock);
+    CpCounter_Add(ok ? CP_COUNT_LINK_BYTES : CP_COUNT_LINK_WAITS,
+                  ok ? size_bytes : 1);
+    return ok;
+}
+
+static void
+send_probe(void *ctx, const CpMemberEntry *to, bool far, CpMemberRow *rows,
+           uint32_t row_count)
+{
+    CpNode *n = ctx;
+    CpView *v = CpView_Acquire(n);
+    uint32_t h = v != NULL ? CpConfig_Host(v->generation->config, to->host)
+                           : CP_NO_INDEX;
+    if (h != CP_NO_INDEX) {
+        CpFrame f = {.type = CP_FRAME_PROBE};
+        f.probe = (CpProbeFrame){.id = ++n->probe_id,
+                                 .far = far,
+                                 .rows = rows,
+                                 .row_count = row_count};
+        CpSession *s = CpWire_Dial(n->wire, to->host,
+                                   v->generation->config->hosts[h].inner);
+        CpSession_Send(s, &f, CP_CLASS_CONTROL);
+        CpSession_Release(s);
+    }
+    CpView_Release(v);
+}
+
+/* Called under the member lock. */
+static void
+on_changed(void *ctx, const CpMemberEntry *e, CpMemberState before)
+{
+    (void)ctx;
+    CpLog(CP_LOG_NOTICE, "host %s: %s (was %s)", e->host,
+          CpMemberState_Name(e->state), CpMemberState_Name(before));
+}
+
+static void
+on_newer(void *ctx, const CpMemberEntry *e)
+{
+    CpNode *n = ctx;
+    if (e->config_version > n->seen_version) {
+        n->seen_version = e->config_version;
+        CpStr_Copy(n->seen_host, sizeof(n->seen_host), e->host);
+        CpFollow_Wake(n, 0);
+    }
+}
+
+static uint64_t
+on_random(void *ctx)
+{
+    (void)ctx;
+    return CpRandom();
+}
--- /dev/null
+++ b/src/host/host_pool.c
@@ -0,0 +1,628 @@
+/*
+ * Pools of backend servers on this host: each under its own lock. Decisions
+ * are admit's; this file collects what they start and refuse under the lock
+ * and carries it out after.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+#define LOAN_WORK_MARGIN_MS 200 /* for the end of work past its deadline */
+
+static void on_start(void *ctx, CpAdmitItem *item);
+static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
+static void on_cancel(void *ctx, CpExchange *ex);
+static void flush(CpHostPool *p);
+static void refresh(CpHostPool *p, int64_t now_ns);
+static uint32_t find_server(CpHostPool *p, const char *name, bool add);
+static void grow(CpHostPool *p);
+static void configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
+                           uint32_t pool_index);
+static void configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
+                             const CpServer *s, int64_t work_ns);
+static uint32_t domain_hosts(const CpGeneration *g, const char **out);
+static uint32_t effective_slots(const CpConfig *c, const CpServer *s);
+static int64_t longest_work_ns(const CpConfig *c, uint32_t pool_index);
+static bool all_have(CpNode *n, const CpGeneration *g);
+static uint32_t owner_of(CpNode *n, const CpGeneration *g, const char *server);
+static void ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer,
+                     int64_t now_ns);
+static void ask_rows(CpHostPool *p, const CpGeneration *g, const char *peer,
+                     CpLoanRow *rows, uint32_t room, uint32_t *count);
+
+void
+CpPool_Configure(CpNode *n, const CpGeneration *g)
+{
+    for (uint32_t i = 0; i < g->config->pool_count && i < CP_MAX_POOLS; i++) {
+        const char *name = g->config->pools[i].name;
+        CpHostPool *p = CpPool_Find(n, name);
+        if (p == NULL) {
+            p = CpMem_Alloc(sizeof(*p));
+            pthread_mutex_init(&p->lock, NULL);
+            p->node = n;
+            CpStr_Copy(p->name, sizeof(p->name), name);
+            CpAdmitOptions o = {.queue_limit = g->config->queue_limit,
+                                .breaker = true,
+                                .start = on_start,
+                                .refuse = on_refuse,
+                                .ctx = p};
+            for (uint32_t r = 0; r < g->config->rank_count; r++) {
+                o.floor_percent[r] = g->config->ranks[r].floor_percent;
+            }
+            p->admit = CpAdmit_New(&o);
+            pthread_mutex_lock(&n->pools_lock);
+            n->pools[n->pool_count] = p;
+            CpAtomic_Store(&n->pool_count, n->pool_count + 1);
+            pthread_mutex_unlock(&n->pools_lock);
+        }
+        configure_pool(n, p, g, i);
+    }
+}
+
+CpHostPool *
+CpPool_Find(CpNode *n, const char *name)
+{
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(n->pools[i]->name, name) == 0) {
+            return n->pools[i];
+        }
+    }
+    return NULL;
+}
+
+void
+CpPool_Submit(CpNode *n, CpExchange *ex)
+{
+    CpView *v = CpView_Acquire(n);
+    CpHostPool *p = NULL;
+    if (v != NULL && ex->pool_index < v->generation->config->pool_count) {
+        p = CpPool_Find(n, v->generation->config->pools[ex->pool_index].name);
+    }
+    CpView_Release(v);
+    if (p == NULL) {
+        CpRoute_Failed(n, ex, CP_NOT_RUN, CP_REASON_NOT_CONFIGURED);
+        return;
+    }
+    int64_t now_ns = CpClock_Now_ns();
+    ex->item.rank = ex->rank;
+    ex->item.deadline_ns = ex->deadline_ns;
+    ex->item.idempotent = ex->idempotent;
+    bool foreign = strcmp(ex->origin, n->settings.domain) != 0;
+    if (!CpExchange_SetBack(ex, on_cancel, p)) {
+        CpRoute_Failed(n, ex, CP_NOT_RUN, CP_REASON_CALLER_GONE);
+        return;
+    }
+    pthread_mutex_lock(&p->lock);
+    if (foreign && !CpShift_Admit(&p->shift, now_ns)) {
+        on_refuse(p, &ex->item, CP_REASON_SHIFT_CAP);
+    }
+    else {
+        CpAdmit_Submit(p->admit, &ex->item, now_ns);
+    }
+    flush(p);
+}
+
+void
+CpPool_BackendDone(void *ctx, CpExchange *ex, const CpBackendResult *result)
+{
+    CpNode *n = ctx;
+    CpHostPool *p = ex->pool;
+    pthread_mutex_lock(&p->lock);
+    CpAdmit_Done(p->admit, &ex->item, result->outcome, result->latency_ns,
+                 CpClock_Now_ns());
+    CpExchange_Retain(ex);
+    flush(p);
+    if (result->reason == CP_REASON_NONE) {
+        CpRoute_Done(n, ex);
+    }
+    else {
+        CpRoute_Failed(n, ex, result->verdict, result->reason);
+    }
+}
+
+void
+CpPool_Tick(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        refresh(p, now_ns);
+        CpAdmit_Tick(p->admit, now_ns);
+        flush(p);
+    }
+}
+
+void
+CpPool_LoanTick(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    CpView *v = CpView_Acquire(n);
+    if (v == NULL) {
+        return;
+    }
+    const CpGeneration *g = v->generation;
+    bool ready = all_have(n, g);
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        for (uint32_t k = 0; k < p->count; k++) {
+            p->owner[k] = owner_of(n, g, p->names[k]) == g->self;
+            if (!p->owner[k]) {
+                CpShare_DropBorrowed(&p->shares[k]);
+            }
+            if (ready) {
+                p->shares[k].own = p->kept_own[k] = p->next_own[k];
+            }
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+    for (uint32_t i = 0; i < g->config->host_count; i++) {
+        if (i != g->self && v->hosts[i].domain_index == g->self_domain &&
+            (v->hosts[i].state == CP_MEMBER_LIVE ||
+             v->hosts[i].state == CP_MEMBER_LEAVING)) {
+            ask_peer(n, g, i, now_ns);
+        }
+    }
+    CpView_Release(v);
+}
+
+void
+CpPool_OnAsk(CpNode *n, CpSession *s, const CpLoanFrame *f)
+{
+    CpView *v = CpView_Acquire(n);
+    CpFrame out = {.type = CP_FRAME_LOAN_GRANT};
+    if (v == NULL) {
+        return;
+    }
+    CpLoanRow *rows = CpMem_Alloc((f->row_count + 1) * sizeof(*rows));
+    int64_t now_ns = CpClock_Now_ns();
+    uint32_t asker = CpConfig_Host(v->generation->config, CpSession_Peer(s));
+    for (uint32_t i = 0; i < f->row_count; i++) {
+        const CpLoanRow *row = &f->rows[i];
+        uint32_t sv = CpConfig_Server(v->generation->config, row->resource);
+        rows[i] = *row;
+        rows[i].units = 0;
+        if (sv == CP_NO_INDEX || asker == CP_NO_INDEX ||
+            (row->units > 0 &&
+             owner_of(n, v->generation, row->resource) != asker)) {
+            continue;
+        }
+        CpHostPool *p =
+            CpPool_Find(n, v->generation->config->servers[sv].pool);
+        pthread_mutex_lock(&p->lock);
+        uint32_t k = find_server(p, row->resource, false);
+        if (k < p->count) {
+            rows[i].units = CpShare_Lend(
+                &p->shares[k], CpSession_Peer(s), CpSession_PeerIncarnation(s),
+                f->id, row->units, CpAdmit_Inflight(p->admit, k), now_ns);
+            refresh(p, now_ns);
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+    out.loan = (CpLoanFrame){.id = f->id,
+                             .ttl_ms = CP_LOAN_MS,
+                             .rows = rows,
+                             .row_count = f->row_count};
+    CpSession_Send(s, &out, CP_CLASS_CONTROL);
+    free(rows);
+    CpView_Release(v);
+}
+
+void
+CpPool_OnGrant(CpNode *n, CpSession *s, const CpLoanFrame *f)
+{
+    int64_t asked_ns = 0;
+    pthread_mutex_lock(&n->loan_lock);
+    uint32_t slot = f->id % (sizeof(n->asks) / sizeof(n->asks[0]));
+    if (n->asks[slot].id == f->id) {
+        asked_ns = n->asks[slot].asked_ns;
+    }
+    pthread_mutex_unlock(&n->loan_lock);
+    if (asked_ns == 0) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        for (uint32_t r = 0; r < f->row_count; r++) {
+            uint32_t k = find_server(p, f->rows[r].resource, false);
+            if (k < p->count && p->owner[k]) {
+                CpShare_Borrow(&p->shares[k], CpSession_Peer(s),
+                               f->rows[r].units, asked_ns);
+                CpCounter_Add(CP_COUNT_LOANS_TAKEN, f->rows[r].units > 0);
+            }
+        }
+        int64_t now_ns = CpClock_Now_ns();
+        refresh(p, now_ns);
+        CpAdmit_Tick(p->admit, now_ns);
+        flush(p);
+    }
+}
+
+uint32_t
+CpPool_Loads(CpNode *n, CpLoad *out)
+{
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    memset(out, 0, CP_MAX_POOLS * sizeof(*out));
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        if (p->index < CP_MAX_POOLS) {
+            out[p->index] =
+                (CpLoad){.queued = CpAdmit_Queued(p->admit),
+                         .inflight = CpAdmit_TotalInflight(p->admit),
+                         .slots = CpAdmit_TotalSlots(p->admit)};
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+    return count;
+}
+
+bool
+CpPool_Mark(CpNode *n, const char *server, bool leaving)
+{
+    bool found = false;
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        uint32_t k = find_server(p, server, false);
+        if (k < p->count) {
+            found = true;
+            if (p->marked[k] != leaving) {
+                CpLog(CP_LOG_NOTICE, "backend server %s: %s", server,
+                      leaving ? "leaving" : "serving");
+            }
+            p->marked[k] = leaving;
+            refresh(p, CpClock_Now_ns());
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+    return found;
+}
+
+static void
+on_start(void *ctx, CpAdmitItem *item)
+{
+    CpHostPool *p = ctx;
+    CpExchange *ex = item->ctx;
+    ex->next = NULL;
+    CpExchange **at = &p->started;
+    while (*at != NULL) {
+        at = &(*at)->next;
+    }
+    *at = ex;
+}
+
+static void
+on_refuse(void *ctx, CpAdmitItem *item, CpReason reason)
+{
+    CpHostPool *p = ctx;
+    CpExchange *ex = item->ctx;
+    ex->refusal = reason;
+    ex->next = p->refused;
+    p->refused = ex;
+}
+
+/* The front end gave up; what still waits leaves the queue. */
+static void
+on_cancel(void *ctx, CpExchange *ex)
+{
+    CpHostPool *p = ctx;
+    pthread_mutex_lock(&p->lock);
+    bool waited = CpAdmit_Remove(p->admit, &ex->item);
+    if (waited) {
+        CpReason why = CpClock_Now_ns() >= ex->deadline_ns
+                           ? CP_REASON_DEADLINE_PASSED
+                           : CP_REASON_CALLER_GONE;
+        on_refuse(p, &ex->item, why);
+    }
+    flush(p);
+}
+
+/* Unlocks the pool and carries out what was collected. */
+static void
+flush(CpHostPool *p)
+{
+    CpExchange *started = p->started, *refused = p->refused;
+    p->started = p->refused = NULL;
+    for (CpExchange *ex = started; ex != NULL; ex = ex->next) {
+        CpStr_Copy(ex->address, sizeof(ex->address),
+                   p->addresses[ex->item.server]);
+        ex->pool = p;
+    }
+    pthread_mutex_unlock(&p->lock);
+    while (started != NULL) {
+        CpExchange *ex = started;
+        started = ex->next;
+        CpCounter_Add(CP_COUNT_DISPATCHED, 1);
+        CpBackend_Send(p->node->backend, ex, ex->address);
+        CpExchange_Release(ex);
+    }
+    while (refused != NULL) {
+        CpExchange *ex = refused;
+        refused = ex->next;
+        CpExchange_SetBack(ex, NULL, NULL);
+        CpRoute_Failed(p->node, ex, CP_NOT_RUN, ex->refusal);
+    }
+}
+
+/* Brings the usable slots of every server up to date. */
+static void
+refresh(CpHostPool *p, int64_t now_ns)
+{
+    uint64_t mine = 0;
+    for (uint32_t k = 0; k < p->count; k++) {
+        int64_t until_ns;
+        uint32_t usable = CpShare_Usable(&p->shares[k], now_ns, &until_ns);
+        CpAdmit_SetServer(p->admit, k, usable, until_ns,
+                          p->configured[k] && !p->marked[k]);
+        mine += usable;
+    }
+    p->shift.cap_milli =
+        p->domain_slots > 0 ? p->domain_cap_milli * mine / p->domain_slots : 0;
+}
+
+static uint32_t
+find_server(CpHostPool *p, const char *name, bool add)
+{
+    for (uint32_t i = 0; i < p->count; i++) {
+        if (strcmp(p->names[i], name) == 0) {
+            return i;
+        }
+    }
+    if (!add) {
+        return p->count;
+    }
+    if (p->count == p->room) {
+        grow(p);
+    }
+    CpStr_Copy(p->names[p->count], CP_NAME_BYTES, name);
+    CpAdmit_Grow(p->admit, p->count + 1);
+    return p->count++;
+}
+
+static void
+grow(CpHostPool *p)
+{
+    uint32_t room = p->room ? 2 * p->room : 16;
+#define GROW(f)                                                               \
+    p->f = CpMem_Realloc(p->f, room * sizeof(*p->f));                         \
+    memset(p->f + p->room, 0, (room - p->room) * sizeof(*p->f))
+    GROW(names);
+    GROW(addresses);
+    GROW(shares);
+    GROW(next_own);
+    GROW(kept_own);
+    GROW(was_owner);
+    GROW(configured);
+    GROW(owner);
+    GROW(marked);
+#undef GROW
+    p->room = room;
+}
+
+static void
+configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
+               uint32_t pool_index)
+{
+    const CpConfig *c = g->config;
+    int64_t work_ns = longest_work_ns(c, pool_index);
+    pthread_mutex_lock(&p->lock);
+    p->index = pool_index;
+    p->domain_slots = 0;
+    if (g->self_domain != CP_NO_INDEX) {
+        p->domain_cap_milli =
+            c->domains[g->self_domain].shift_cap_per_s * UINT64_C(1000);
+    }
+    for (uint32_t i = 0; i < p->count; i++) {
+        p->configured[i] = false;
+        p->next_own[i] = 0;
+        p->shares[i].own = 0;
+    }
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        const CpServer *s = &c->servers[i];
+        if (s->domain_index != g->self_domain) {
+            continue;
+        }
+        p->domain_slots += effective_slots(c, s);
+        if (s->pool_index == pool_index) {
+            configure_server(n, p, g, s, work_ns);
+        }
+    }
+    refresh(p, CpClock_Now_ns());
+    pthread_mutex_unlock(&p->lock);
+}
+
+static void
+configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
+                 const CpServer *s, int64_t work_ns)
+{
+    const char **hosts =
+        CpMem_Alloc((g->config->host_count + 1) * sizeof(*hosts));
+    uint32_t count = domain_hosts(g, hosts);
+    uint32_t before = p->count;
+    uint32_t k = find_server(p, s->name, true);
+    CpShare *share = &p->shares[k];
+    uint32_t own = CpShare_Static(s->name, effective_slots(g->config, s),
+                                  hosts, count, n->settings.host);
+    if (k == before) { /* new here: a former process may still use it */
+        share->own_from_ns =
+            CpAtomic_Load(&n->fresh)
+                ? 0
+                : n->started_ns + CP_LOAN_MS * CP_NS_PER_MS + work_ns;
+        share->own = own;
+    }
+    else if (p->kept_own[k] < own) {
+        share->own = p->kept_own[k]; /* grows once all have the version */
+    }
+    else {
+        share->own = own;
+    }
+    p->kept_own[k] = share->own;
+    p->next_own[k] = own;
+    share->work_ns = work_ns;
+    CpStr_Copy(p->addresses[k], CP_ADDR_BYTES, s->address);
+    p->configured[k] = !s->leaving;
+    free(hosts);
+}
+
+/* Names of the hosts of this host's domain. */
+static uint32_t
+domain_hosts(const CpGeneration *g, const char **out)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < g->config->host_count; i++) {
+        if (g->config->hosts[i].domain_index == g->self_domain) {
+            out[n++] = g->config->hosts[i].name;
+        }
+    }
+    return n;
+}
+
+/* Slots that may be used: where a region's limit is below the sum of its
+ * slots, each server gets its part of the limit, so that no steering can
+ * overload the region. */
+static uint32_t
+effective_slots(const CpConfig *c, const CpServer *s)
+{
+    uint32_t region = c->domains[s->domain_index].region_index;
+    uint64_t limit = c->regions[region].max_inflight, total = 0, before = 0;
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        const CpServer *o = &c->servers[i];
+        if (c->domains[o->domain_index].region_index == region) {
+            total += o->slots;
+            before += o < s ? o->slots : 0;
+        }
+    }
+    if (limit == 0 || limit >= total) {
+        return s->slots;
+    }
+    return (uint32_t)((before + s->slots) * limit / total -
+                      before * limit / total);
+}
+
+static int64_t
+longest_work_ns(const CpConfig *c, uint32_t pool_index)
+{
+    uint32_t longest_ms = 0;
+    for (uint32_t i = 0; i < c->kind_count; i++) {
+        if (c->kinds[i].pool_index == pool_index &&
+            c->kinds[i].deadline_ms > longest_ms) {
+            longest_ms = c->kinds[i].deadline_ms;
+        }
+    }
+    return (longest_ms + LOAN_WORK_MARGIN_MS) * CP_NS_PER_MS;
+}
+
+/* Whether every host of the domain is known to have this version. */
+static bool
+all_have(CpNode *n, const CpGeneration *g)
+{
+    bool all = true;
+    pthread_mutex_lock(&n->member_lock);
+    for (uint32_t i = 0; i < g->config->host_count; i++) {
+        const CpHost *h = &g->config->hosts[i];
+        if (h->domain_index != g->self_domain || i == g->self) {
+            continue;
+        }
+        const CpMemberEntry *e = CpMember_Find(n->member, h->name);
+        all = all && e != NULL && e->config_version >= g->version;
+    }
+    pthread_mutex_unlock(&n->member_lock);
+    return all;
+}
+
+/* The first live host in the server's order; it borrows the others' slots.
+ */
+static uint32_t
+owner_of(CpNode *n, const CpGeneration *g, const char *server)
+{
+    uint32_t count = g->config->host_count, owner = CP_NO_INDEX;
+    const char **hosts = CpMem_Alloc((count + 1) * sizeof(*hosts));
+    uint32_t *order = CpMem_Alloc((count + 1) * sizeof(*order));
+    uint32_t m = domain_hosts(g, hosts);
+    CpShare_Order(server, hosts, m, order);
+    pthread_mutex_lock(&n->member_lock);
+    for (uint32_t i = 0; i < m && owner == CP_NO_INDEX; i++) {
+        const char *name = hosts[order[i]];
+        const CpMemberEntry *e = CpMember_Find(n->member, name);
+        bool self = strcmp(name, n->settings.host) == 0;
+        if (self ? !CpAtomic_Load(&n->leaving)
+                 : e != NULL && (e->state == CP_MEMBER_LIVE ||
+                                 e->state == CP_MEMBER_SUSPECT)) {
+            owner = CpConfig_Host(g->config, name);
+        }
+    }
+    pthread_mutex_unlock(&n->member_lock);
+    free(order);
+    free(hosts);
+    return owner;
+}
+
+static void
+ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer, int64_t now_ns)
+{
+    const CpHost *h = &g->config->hosts[peer];
+    CpLoanRow *rows =
+        CpMem_Alloc((g->config->server_count + 1) * sizeof(*rows));
+    uint32_t count = 0, pools = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < pools; i++) {
+        ask_rows(n->pools[i], g, h->name, rows, g->config->server_count,
+                 &count);
+    }
+    if (count > 0) {
+        CpFrame f = {.type = CP_FRAME_LOAN_ASK};
+        pthread_mutex_lock(&n->loan_lock);
+        uint64_t id = ++n->ask_id;
+        uint32_t slot = id % (sizeof(n->asks) / sizeof(n->asks[0]));
+        n->asks[slot].id = id;
+        n->asks[slot].asked_ns = now_ns;
+        pthread_mutex_unlock(&n->loan_lock);
+        f.loan = (CpLoanFrame){.id = id, .rows = rows, .row_count = count};
+        CpSession *s = CpWire_Dial(n->wire, h->name, h->inner);
+        CpSession_Send(s, &f, CP_CLASS_CONTROL);
+        CpSession_Release(s);
+    }
+    free(rows);
+}
+
+/* What to ask a peer for: its share of each server that this host owns, or
+ * nothing where it owned one before and all work on the loan has ended. */
+static void
+ask_rows(CpHostPool *p, const CpGeneration *g, const char *peer,
+         CpLoanRow *rows, uint32_t room, uint32_t *count)
+{
+    const char **hosts =
+        CpMem_Alloc((g->config->host_count + 1) * sizeof(*hosts));
+    uint32_t m = domain_hosts(g, hosts);
+    pthread_mutex_lock(&p->lock);
+    for (uint32_t k = 0; k < p->count && *count < room; k++) {
+        uint32_t sv = CpConfig_Server(g->config, p->names[k]);
+        if (sv == CP_NO_INDEX) {
+            continue;
+        }
+        uint32_t want = CpShare_Static(
+            p->names[k], effective_slots(g->config, &g->config->servers[sv]),
+            hosts, m, peer);
+        if (p->owner[k] && want > 0) {
+            CpStr_Copy(rows[*count].resource, CP_NAME_BYTES, p->names[k]);
+            rows[(*count)++].units = want;
+            p->was_owner[k] = true;
+        }
+        else if (!p->owner[k] && p->was_owner[k] &&
+                 CpAdmit_Inflight(p->admit, k) == 0) {
+            CpStr_Copy(rows[*count].resource, CP_NAME_BYTES, p->names[k]);
+            rows[(*count)++].units = 0;
+        }
+    }
+    pthread_mutex_unlock(&p->lock);
+    free(hosts);
+}
--- /dev/null
+++ b/src/host/host_route.c
@@ -0,0 +1,156 @@
+/* The way of a request: limits at the door, the choice of a host, retries. */
+#include <string.h>
+
+#include "host/host_int.h"
+
+#define MAX_ATTEMPTS 3
+
+static CpReason enter(CpNode *n, const CpExchange *ex);
+static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
+                      CpReason reason);
+static uint32_t choose(CpNode *n, const CpView *v, CpExchange *ex);
+
+/* Share of the host's requests that a rank may hold, in percent. */
+static const uint32_t rank_percent[CP_RANKS] = {100, 75, 50};
+
+/* Reasons after which another host may well do better. */
+static const bool worth_another[CP_REASON_COUNT] = {
+    [CP_REASON_QUEUE_FULL] = true,
+    [CP_REASON_WOULD_MISS_DEADLINE] = true,
+    [CP_REASON_NO_SERVER] = true,
+    [CP_REASON_SHIFT_CAP] = true,
+    [CP_REASON_HOST_BUSY] = true,
+    [CP_REASON_HOST_LEAVING] = true,
+    [CP_REASON_CONNECT_FAILED] = true,
+    [CP_REASON_SERVER_REFUSED] = true,
+    [CP_REASON_SERVER_FAILED] = true,
+    [CP_REASON_ANSWER_CROSSED] = true,
+    [CP_REASON_SESSION_LOST] = true,
+    [CP_REASON_NOT_CONFIGURED] = true,
+    [CP_REASON_ANSWER_TRUNCATED] = true,
+};
+
+void
+CpRoute_Submit(void *ctx, CpExchange *ex)
+{
+    CpNode *n = ctx;
+    CpReason reason = enter(n, ex);
+    if (reason != CP_REASON_NONE) {
+        CpExchange_Fail(ex, CP_NOT_RUN, reason);
+        CpExchange_Release(ex);
+        return;
+    }
+    if (!ex->idempotent) {
+        CpOnce_Submit(n, ex);
+        return;
+    }
+    pthread_mutex_lock(&n->budget_lock);
+    CpRetry_Earn(&n->budget);
+    pthread_mutex_unlock(&n->budget_lock);
+    CpRoute_Run(n, ex);
+}
+
+void
+CpRoute_Run(CpNode *n, CpExchange *ex)
+{
+    CpView *v = CpView_Acquire(n);
+    if (v == NULL) {
+        CpExchange_Fail(ex, CP_NOT_RUN, CP_REASON_NOT_CONFIGURED);
+        CpRoute_Done(n, ex);
+        return;
+    }
+    uint32_t host = choose(n, v, ex);
+    ex->attempts++;
+    if (host == CP_NO_INDEX) {
+        CpExchange_Fail(ex, CP_NOT_RUN, CP_REASON_NO_HOST);
+        CpRoute_Done(n, ex);
+    }
+    else {
+        if (ex->tried_count < CP_MAX_TRIED) {
+            ex->tried[ex->tried_count++] = host;
+        }
+        if (host == v->generation->self) {
+            CpPool_Submit(n, ex);
+        }
+        else {
+            CpCounter_Add(CP_COUNT_FORWARDED, 1);
+            CpStream_Send(n, ex, host, &v->generation->config->hosts[host],
+                          CP_PURPOSE_RUN);
+        }
+    }
+    CpView_Release(v);
+}
+
+void
+CpRoute_Failed(CpNode *n, CpExchange *ex, CpVerdict verdict, CpReason reason)
+{
+    if (may_retry(n, ex, verdict, reason)) {
+        CpCounter_Add(CP_COUNT_RETRIES, 1);
+        CpRoute_Run(n, ex);
+        return;
+    }
+    CpExchange_Fail(ex, verdict, reason);
+    CpRoute_Done(n, ex);
+}
+
+void
+CpRoute_Done(CpNode *n, CpExchange *ex)
+{
+    (void)n;
+    CpExchange_Release(ex);
+}
+
+/* Keeps part of this host's requests for the more urgent ranks. */
+static CpReason
+enter(CpNode *n, const CpExchange *ex)
+{
+    uint32_t active = CpFront_Active(n->front);
+    uint32_t limit = n->settings.max_requests * rank_percent[ex->rank] / 100;
+    return active > limit ? CP_REASON_HOST_BUSY : CP_REASON_NONE;
+}
+
+/* Another try only if the first cannot have run, or may run again. */
+static bool
+may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict, CpReason reason)
+{
+    if (ex->from_wire || ex->attempts >= MAX_ATTEMPTS || ex->up != NULL ||
+        !worth_another[reason] || CpExchange_Headed(ex) ||
+        CpClock_Now_ns() >= ex->deadline_ns) {
+        return false;
+    }
+    if (verdict != CP_NOT_RUN && !ex->idempotent) {
+        return false;
+    }
+    if (reason == CP_REASON_SHIFT_CAP) {
+        return true; /* refused at once, and the next place is nearer home */
+    }
+    pthread_mutex_lock(&n->budget_lock);
+    bool spent = CpRetry_Spend(&n->budget);
+    pthread_mutex_unlock(&n->budget_lock);
+    if (!spent) {
+        CpCounter_Add(CP_COUNT_RETRY_BUDGET_EMPTY, 1);
+    }
+    return spent;
+}
+
+static uint32_t
+choose(CpNode *n, const CpView *v, CpExchange *ex)
+{
+    const CpGeneration *g = v->generation;
+    const CpSteerHost *hosts = v->hosts;
+    CpSteerAsk ask = {.domain_index = g->self_domain,
+                      .pool_index = ex->pool_index,
+                      .tried = ex->tried,
+                      .tried_count = ex->tried_count,
+                      .outstanding = n->outstanding,
+                      .random = CpRandom()};
+    if (g->self_domain == CP_NO_INDEX) {
+        return CP_NO_INDEX;
+    }
+    uint32_t host = CpSteer_Choose(g->topology, hosts, &ask);
+    if (host == CP_NO_INDEX) {
+        ask.allow_drained = true;
+        host = CpSteer_Choose(g->topology, hosts, &ask);
+    }
+    return host;
+}
--- /dev/null
+++ b/src/host/host_stream.c
@@ -0,0 +1,624 @@
+/*
+ * Requests between hosts. Each side is a stream: the sender of a body sends
+ * no more than the receiver credited, and the receiver credits what its
+ * reader took, so that a body never sits whole in memory.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+#define CREDIT_STEP_BYTES (CP_PIPE_BYTES / 4)
+#define DEADLINE_MARGIN_MS 3 /* the owner's verdict has to travel back */
+
+static void open_incoming(CpNode *n, CpSession *s, const CpRequestFrame *r);
+static void on_head_frame(CpNode *n, CpSession *s, const CpHeadFrame *h);
+static void on_end_frame(CpNode *n, CpSession *s, const CpEndFrame *e);
+static void on_data_frame(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_credit_frame(CpNode *n, CpSession *s, const CpCreditFrame *c);
+static void on_cancel_frame(CpNode *n, CpSession *s, const CpIdFrame *c);
+static void on_config_get(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_config_chunk(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_loan_ask(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_loan_grant(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_request(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_head(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_end(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_credit(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_cancel(CpNode *n, CpSession *s, const CpFrame *f);
+static void back_cancel(void *ctx, CpExchange *ex);
+static void front_head(void *ctx, CpExchange *ex);
+static void pump_wake(void *ctx);
+static void pump(CpStream *st);
+static void send_head(CpStream *st);
+static bool send_block(CpStream *st, CpPipe *from);
+static void on_consumed(void *ctx, uint32_t size_bytes);
+static CpStream *new_stream(CpNode *n, CpSession *s, CpExchange *ex,
+                            uint64_t id, bool outgoing);
+static CpStream *find(CpNode *n, const CpSession *s, uint64_t id);
+static CpStream *take(CpNode *n, const CpSession *s, uint64_t id);
+static void finish_outgoing(CpStream *st, CpVerdict verdict, CpReason reason);
+static void close_stream(CpStream *st);
+static void drop_stream(void *memory);
+static CpStreamShard *shard_of(CpNode *n, uint64_t id);
+static guint stream_hash(gconstpointer p);
+static gboolean stream_equal(gconstpointer a, gconstpointer b);
+
+typedef void (*FrameFn)(CpNode *n, CpSession *s, const CpFrame *f);
+static const FrameFn frame_fns[CP_FRAME_TYPE_COUNT] = {
+    [CP_FRAME_REQUEST] = on_request,
+    [CP_FRAME_BODY] = on_data_frame,
+    [CP_FRAME_CREDIT] = on_credit,
+    [CP_FRAME_HEAD] = on_head,
+    [CP_FRAME_DATA] = on_data_frame,
+    [CP_FRAME_END] = on_end,
+    [CP_FRAME_CANCEL] = on_cancel,
+    [CP_FRAME_PROBE] = CpPeers_OnProbe,
+    [CP_FRAME_PROBE_ACK] = CpPeers_OnProbe,
+    [CP_FRAME_LOAN_ASK] = on_loan_ask,
+    [CP_FRAME_LOAN_GRANT] = on_loan_grant,
+    [CP_FRAME_CONFIG_GET] = on_config_get,
+    [CP_FRAME_CONFIG_CHUNK] = on_config_chunk,
+};
+
+void
+CpStream_Init(CpNode *n)
+{
+    for (uint32_t i = 0; i < CP_STREAM_SHARDS; i++) {
+        pthread_mutex_init(&n->streams[i].lock, NULL);
+        n->streams[i].streams = g_hash_table_new(stream_hash, stream_equal);
+    }
+}
+
+void
+CpStream_Send(CpNode *n, CpExchange *ex, uint32_t host_index,
+              const CpHost *host, CpPurpose purpose)
+{
+    CpSession *s = CpWire_Dial(n->wire, host->name, host->inner);
+    int64_t left_ms = (ex->deadline_ns - CpClock_Now_ns()) / CP_NS_PER_MS -
+                      DEADLINE_MARGIN_MS;
+    uint64_t id = __atomic_add_fetch(&n->next_stream, 1, __ATOMIC_RELAXED);
+    CpFrame f = {.type = CP_FRAME_REQUEST};
+    CpRequestFrame *r = &f.request;
+    CpStream *st = new_stream(n, s, ex, id, true);
+    st->host = host_index;
+    st->pool = ex->pool_index;
+    st->purpose = purpose;
+    __atomic_add_fetch(
+        &n->outstanding[host_index * CP_MAX_POOLS + ex->pool_index], 1,
+        __ATOMIC_RELAXED);
+    r->id = id;
+    r->purpose = purpose;
+    r->hops = ex->hops + 1;
+    r->remaining_ms = left_ms > 1 ? (uint32_t)left_ms : 1;
+    r->streams_body = ex->up != NULL;
+    r->body = (CpBytes){ex->body, ex->body_bytes};
+    CpStr_Copy(r->kind, sizeof(r->kind), ex->kind);
+    CpStr_Copy(r->method, sizeof(r->method), ex->method);
+    CpStr_Copy(r->target, sizeof(r->target), ex->target);
+    CpStr_Copy(r->content_type, sizeof(r->content_type), ex->content_type);
+    CpStr_Copy(r->origin, sizeof(r->origin), ex->origin);
+    if (purpose == CP_PURPOSE_TICKET) {
+        CpStr_Copy(r->ticket, sizeof(r->ticket), ex->ticket);
+    }
+    CpPipe_SetConsumed(ex->down, on_consumed, st);
+    if (ex->up != NULL) {
+        CpPipe_SetReader(ex->up, pump_wake, st);
+    }
+    CpExchange_SetBack(ex, back_cancel, st);
+    CpExchange *held = CpExchange_Retain(ex);
+    if (CpSession_Send(s, &f, CP_CLASS_OF_RANK(ex->rank)) != CP_OK) {
+        CpStream *mine = take(n, s, id);
+        if (mine != NULL) {
+            finish_outgoing(mine, CP_NOT_RUN, CP_REASON_SESSION_LOST);
+        }
+    }
+    else if (ex->up != NULL) {
+        pump(st);
+    }
+    CpExchange_Release(held);
+}
+
+void
+CpStream_OnFrame(void *ctx, CpSession *s, const CpFrame *f)
+{
+    FrameFn fn = frame_fns[f->type];
+    if (fn != NULL) {
+        fn(ctx, s, f);
+    }
+}
+
+void
+CpStream_OnUnsent(void *ctx, CpSession *s, uint64_t id)
+{
+    CpStream *st = take(ctx, s, id);
+    if (st != NULL) {
+        finish_outgoing(st, CP_NOT_RUN, CP_REASON_SESSION_LOST);
+    }
+}
+
+void
+CpStream_OnLost(CpNode *n, CpSession *s)
+{
+    GPtrArray *mine = g_ptr_array_new();
+    for (uint32_t i = 0; i < CP_STREAM_SHARDS; i++) {
+        GHashTableIter it;
+        void *key;
+        pthread_mutex_lock(&n->streams[i].lock);
+        g_hash_table_iter_init(&it, n->streams[i].streams);
+        while (g_hash_table_iter_next(&it, &key, NULL)) {
+            if (((CpStream *)key)->session == s) {
+                g_hash_table_iter_remove(&it);
+                g_ptr_array_add(mine, key);
+            }
+        }
+        pthread_mutex_unlock(&n->streams[i].lock);
+    }
+    for (uint32_t i = 0; i < mine->len; i++) {
+        CpStream *st = mine->pdata[i];
+        if (st->outgoing) {
+            finish_outgoing(st, CP_MAY_HAVE_RUN, CP_REASON_SESSION_LOST);
+            continue;
+        }
+        if (st->ex->idempotent) {
+            CpExchange_Cancel(st->ex);
+        }
+        close_stream(st);
+    }
+    g_ptr_array_free(mine, TRUE);
+}
+
+static void
+on_request(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    open_incoming(n, s, &f->request);
+}
+
+static void
+on_head(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    on_head_frame(n, s, &f->head);
+}
+
+static void
+on_end(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    on_end_frame(n, s, &f->end);
+}
+
+static void
+on_credit(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    on_credit_frame(n, s, &f->credit);
+}
+
+static void
+on_cancel(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    on_cancel_frame(n, s, &f->cancel);
+}
+
+static void
+on_config_get(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    CpFollow_OnGet(n, s, &f->config);
+}
+
+static void
+on_config_chunk(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    CpFollow_OnChunk(n, s, &f->config);
+}
+
+static void
+on_loan_ask(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    CpPool_OnAsk(n, s, &f->loan);
+}
+
+static void
+on_loan_grant(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    CpPool_OnGrant(n, s, &f->loan);
+}
+
+/* A request from another host: an exchange whose front end is its session. */
+static void
+open_incoming(CpNode *n, CpSession *s, const CpRequestFrame *r)
+{
+    CpKindInfo info;
+    CpExchange *ex = CpExchange_New();
+    CpReason reason = CpView_Kind(n, r->kind, &info);
+    CpCounter_Add(CP_COUNT_FORWARDED_IN, 1);
+    CpStr_Copy(ex->kind, sizeof(ex->kind), r->kind);
+    CpStr_Copy(ex->method, sizeof(ex->method), r->method);
+    CpStr_Copy(ex->target, sizeof(ex->target), r->target);
+    CpStr_Copy(ex->content_type, sizeof(ex->content_type), r->content_type);
+    CpStr_Copy(ex->ticket, sizeof(ex->ticket), r->ticket);
+    CpStr_Copy(ex->origin, sizeof(ex->origin), r->origin);
+    ex->hops = r->hops;
+    ex->from_wire = r->purpose == CP_PURPOSE_RUN;
+    ex->deadline_ns = ex->started_ns + r->remaining_ms * CP_NS_PER_MS;
+    if (reason == CP_REASON_NONE) {
+        ex->kind_index = info.kind_index;
+        ex->pool_index = info.pool_index;
+        ex->rank = info.rank;
+        ex->idempotent = info.idempotent;
+    }
+    if (r->body.size_bytes > 0) {
+        ex->body = CpMem_Alloc(r->body.size_bytes);
+        memcpy(ex->body, r->body.data, r->body.size_bytes);
+        ex->body_bytes = r->body.size_bytes;
+    }
+    CpStream *st = new_stream(n, s, ex, r->id, false);
+    if (r->streams_body) {
+        ex->up = CpPipe_New(CP_PIPE_BYTES);
+        CpPipe_SetConsumed(ex->up, on_consumed, st);
+    }
+    CpPipe_SetReader(ex->down, pump_wake, st);
+    CpExchange_SetFront(ex, front_head, st);
+    CpExchange *held = CpExchange_Retain(ex);
+    if (reason != CP_REASON_NONE) {
+        CpExchange_Fail(held, CP_NOT_RUN, reason);
+        CpExchange_Release(held);
+    }
+    else if (r->purpose == CP_PURPOSE_TICKET) {
+        CpOnce_Submit(n, held);
+    }
+    else {
+        CpPool_Submit(n, held);
+    }
+}
+
+static void
+on_head_frame(CpNode *n, CpSession *s, const CpHeadFrame *h)
+{
+    if (h->reason != CP_REASON_NONE) {
+        CpStream *st = take(n, s, h->id);
+        if (st == NULL) {
+            CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+            return;
+        }
+        finish_outgoing(st,
+                        h->verdict < CP_VERDICT_COUNT ? (CpVerdict)h->verdict
+                                                      : CP_MAY_HAVE_RUN,
+                        h->reason < CP_REASON_COUNT ? (CpReason)h->reason
+                                                    : CP_REASON_SERVER_FAILED);
+        return;
+    }
+    CpStream *st = find(n, s, h->id);
+    if (st == NULL) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    CpHead head = {.status = h->status,
+                   .verdict = (CpVerdict)h->verdict,
+                   .length_bytes = h->length_bytes};
+    CpStr_Copy(head.content_type, sizeof(head.content_type), h->content_type);
+    CpStr_Copy(head.server, sizeof(head.server), h->server);
+    CpExchange_Head(st->ex, &head);
+    CpExchange_Release(st->ex);
+}
+
+static void
+on_end_frame(CpNode *n, CpSession *s, const CpEndFrame *e)
+{
+    CpStream *st = take(n, s, e->id);
+    if (st == NULL) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    bool whole = e->reason == CP_REASON_NONE &&
+                 e->total_bytes == st->got_bytes && CpExchange_Headed(st->ex);
+    if (whole) {
+        CpPipe_End(st->ex->down, CP_PIPE_WHOLE);
+        finish_outgoing(st, CP_RAN, CP_REASON_NONE);
+    }
+    else {
+        finish_outgoing(st, CP_RAN, CP_REASON_ANSWER_TRUNCATED);
+    }
+}
+
+/* DATA goes down to the caller, BODY up to the backend server. */
+static void
+on_data_frame(CpNode *n, CpSession *s, const CpFrame *f)
+{
+    const CpDataFrame *d = &f->data;
+    CpStream *st = find(n, s, d->id);
+    if (st == NULL) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    CpExchange *ex = st->ex;
+    CpPipe *to = st->outgoing ? ex->down : ex->up;
+    if (to != NULL) {
+        uint32_t n_put = CpPipe_Write(to, d->data.data, d->data.size_bytes);
+        st->got_bytes += n_put;
+        if (n_put < d->data.size_bytes) { /* beyond its credit */
+            CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
+            CpSession_Close(s);
+        }
+        else if (!st->outgoing && d->last) {
+            CpPipe_End(to, d->last == 1 ? CP_PIPE_WHOLE : CP_PIPE_BROKEN);
+        }
+    }
+    CpExchange_Release(ex);
+}
+
+static void
+on_credit_frame(CpNode *n, CpSession *s, const CpCreditFrame *c)
+{
+    CpStream *st = find(n, s, c->id);
+    if (st == NULL) {
+        return;
+    }
+    pthread_mutex_lock(&st->lock);
+    st->credit_bytes += c->credit_bytes;
+    pthread_mutex_unlock(&st->lock);
+    pump(st);
+    CpExchange_Release(st->ex);
+}
+
+static void
+on_cancel_frame(CpNode *n, CpSession *s, const CpIdFrame *c)
+{
+    CpStream *st = find(n, s, c->id);
+    if (st == NULL) {
+        return;
+    }
+    CpExchange *ex = st->ex;
+    CpExchange_Cancel(ex);
+    CpExchange_Release(ex);
+}
+
+/* The caller gave up on a request that another host runs. */
+static void
+back_cancel(void *ctx, CpExchange *ex)
+{
+    CpStream *st = ctx;
+    CpFrame f = {.type = CP_FRAME_CANCEL, .cancel = {.id = st->id}};
+    (void)ex;
+    CpSession_Send(st->session, &f, CP_CLASS_CONTROL);
+}
+
+static void
+front_head(void *ctx, CpExchange *ex)
+{
+    (void)ex;
+    pump(ctx);
+}
+
+static void
+pump_wake(void *ctx)
+{
+    pump(ctx);
+}
+
+/* Sends what the credit allows: the answer of an incoming request, or the
+ * body of an outgoing one. */
+static void
+pump(CpStream *st)
+{
+    CpExchange *ex = CpExchange_Retain(st->ex);
+    bool over = false;
+    pthread_mutex_lock(&st->lock);
+    if (st->outgoing) {
+        while (!st->end_sent && send_block(st, ex->up)) {
+        }
+    }
+    else if (CpExchange_Headed(ex)) {
+        if (!st->head_sent) {
+            send_head(st);
+        }
+        while (!st->end_sent && send_block(st, ex->down)) {
+        }
+        over = st->end_sent;
+    }
+    pthread_mutex_unlock(&st->lock);
+    if (over) {
+        CpStream *mine = take(st->node, st->session, st->id);
+        if (mine != NULL) {
+            close_stream(mine);
+        }
+    }
+    CpExchange_Release(ex);
+}
+
+static void
+send_head(CpStream *st)
+{
+    CpExchange *ex = st->ex;
+    CpFrame f = {.type = CP_FRAME_HEAD};
+    pthread_mutex_lock(&ex->lock);
+    CpHead head = ex->head;
+    pthread_mutex_unlock(&ex->lock);
+    f.head = (CpHeadFrame){.id = st->id,
+                           .status = head.status,
+                           .verdict = head.verdict,
+                           .reason = head.reason,
+                           .length_bytes = head.length_bytes};
+    CpStr_Copy(f.head.content_type, sizeof(f.head.content_type),
+               head.content_type);
+    CpStr_Copy(f.head.server, sizeof(f.head.server), head.server);
+    CpSession_Send(st->session, &f, CP_CLASS_OF_RANK(ex->rank));
+    st->head_sent = true;
+    st->end_sent = head.reason != CP_REASON_NONE;
+}
+
+/* Sends one block; false when there is none now. */
+static bool
+send_block(CpStream *st, CpPipe *from)
+{
+    uint8_t block[CP_DATA_MAX_BYTES];
+    CpPipeState state;
+    if (st->credit_bytes == 0 && !CpPipe_IsBroken(from)) {
+        return false;
+    }
+    CpFrame f = {.type = st->outgoing ? CP_FRAME_BODY : CP_FRAME_DATA};
+    uint32_t room =
+        st->credit_bytes < sizeof(block) ? st->credit_bytes : sizeof(block);
+    uint32_t n = CpPipe_Read(from, block, room, &state);
+    if (n == 0 && state == CP_PIPE_OPEN) {
+        return false;
+    }
+    uint32_t class_index = CP_CLASS_OF_RANK(st->ex->rank);
+    f.data = (CpDataFrame){.id = st->id, .data = {block, n}};
+    st->credit_bytes -= n;
+    st->put_bytes += n;
+    if (n > 0) {
+        CpSession_Send(st->session, &f, class_index);
+        return true;
+    }
+    st->end_sent = true;
+    if (st->outgoing) {
+        f.data.last = state == CP_PIPE_WHOLE ? 1 : 2;
+        CpSession_Send(st->session, &f, class_index);
+        return false;
+    }
+    CpFrame end = {.type = CP_FRAME_END};
+    end.end = (CpEndFrame){.id = st->id,
+                           .verdict = CP_RAN,
+                           .reason = state == CP_PIPE_WHOLE
+                                         ? CP_REASON_NONE
+                                         : CP_REASON_ANSWER_TRUNCATED,
+                           .total_bytes = st->put_bytes};
+    CpSession_Send(st->session, &end, class_index);
+    return false;
+}
+
+static void
+on_consumed(void *ctx, uint32_t size_bytes)
+{
+    CpStream *st = ctx;
+    uint32_t owed =
+        __atomic_add_fetch(&st->owed_bytes, size_bytes, __ATOMIC_RELAXED);
+    if (owed < CREDIT_STEP_BYTES) {
+        return;
+    }
+    owed = __atomic_exchange_n(&st->owed_bytes, 0, __ATOMIC_RELAXED);
+    CpFrame f = {.type = CP_FRAME_CREDIT,
+                 .credit = {.id = st->id, .credit_bytes = owed}};
+    CpSession_Send(st->session, &f, CP_CLASS_CONTROL);
+}
+
+/* Takes over one reference to the exchange, until close_stream(). The
+ * stream's memory lives as long as the exchange. */
+static CpStream *
+new_stream(CpNode *n, CpSession *s, CpExchange *ex, uint64_t id, bool outgoing)
+{
+    CpStream *st = CpMem_Alloc(sizeof(*st));
+    CpStreamShard *sh = shard_of(n, id);
+    pthread_mutex_init(&st->lock, NULL);
+    st->node = n;
+    st->id = id;
+    st->ex = ex;
+    st->outgoing = outgoing;
+    st->credit_bytes = CP_PIPE_BYTES;
+    st->session = outgoing ? s : CpSession_Retain(s);
+    CpExchange_Keep(ex, st, drop_stream);
+    pthread_mutex_lock(&sh->lock);
+    g_hash_table_add(sh->streams, st);
+    pthread_mutex_unlock(&sh->lock);
+    return st;
+}
+
+/* Finds a stream and takes a reference to its exchange. */
+static CpStream *
+find(CpNode *n, const CpSession *s, uint64_t id)
+{
+    CpStreamShard *sh = shard_of(n, id);
+    CpStream key = {.id = id, .session = (CpSession *)s};
+    pthread_mutex_lock(&sh->lock);
+    CpStream *st = g_hash_table_lookup(sh->streams, &key);
+    if (st != NULL) {
+        CpExchange_Retain(st->ex);
+    }
+    pthread_mutex_unlock(&sh->lock);
+    return st;
+}
+
+/* Takes a stream out of the table; whoever gets it ends it. */
+static CpStream *
+take(CpNode *n, const CpSession *s, uint64_t id)
+{
+    CpStreamShard *sh = shard_of(n, id);
+    CpStream key = {.id = id, .session = (CpSession *)s};
+    pthread_mutex_lock(&sh->lock);
+    CpStream *st = g_hash_table_lookup(sh->streams, &key);
+    if (st != NULL) {
+        g_hash_table_remove(sh->streams, st);
+    }
+    pthread_mutex_unlock(&sh->lock);
+    return st;
+}
+
+/* Ends the sending side: the answer is whole, or another try may follow. */
+static void
+finish_outgoing(CpStream *st, CpVerdict verdict, CpReason reason)
+{
+    CpNode *n = st->node;
+    CpExchange *ex = CpExchange_Retain(st->ex);
+    CpPurpose purpose = st->purpose;
+    __atomic_sub_fetch(&n->outstanding[st->host * CP_MAX_POOLS + st->pool], 1,
+                       __ATOMIC_RELAXED);
+    CpPipe_SetConsumed(ex->down, NULL, NULL);
+    if (ex->up != NULL) {
+        CpPipe_SetReader(ex->up, NULL, NULL);
+    }
+    CpExchange_SetBack(ex, NULL, NULL);
+    close_stream(st);
+    if (reason == CP_REASON_NONE) {
+        CpRoute_Done(n, ex);
+    }
+    else if (purpose == CP_PURPOSE_TICKET) {
+        CpOnce_IssuerFailed(n, ex, verdict, reason);
+    }
+    else {
+        CpRoute_Failed(n, ex, verdict, reason);
+    }
+}
+
+static void
+close_stream(CpStream *st)
+{
+    CpExchange *ex = st->ex;
+    if (!st->outgoing) {
+        CpExchange_SetFront(ex, NULL, NULL);
+        CpPipe_SetReader(ex->down, NULL, NULL);
+        CpPipe_End(ex->down, CP_PIPE_BROKEN);
+        if (ex->up != NULL) {
+            CpPipe_End(ex->up, CP_PIPE_BROKEN);
+        }
+    }
+    CpExchange_Release(ex);
+}
+
+static void
+drop_stream(void *memory)
+{
+    CpStream *st = memory;
+    CpSession_Release(st->session);
+    pthread_mutex_destroy(&st->lock);
+    free(st);
+}
+
+static CpStreamShard *
+shard_of(CpNode *n, uint64_t id)
+{
+    return &n->streams[CpHash(&id, sizeof(id), 0) % CP_STREAM_SHARDS];
+}
+
+static guint
+stream_hash(gconstpointer p)
+{
+    const CpStream *st = p;
+    return (guint)CpHash(&st->id, sizeof(st->id),
+                         (uint64_t)(uintptr_t)st->session);
+}
+
+static gboolean
+stream_equal(gconstpointer a, gconstpointer b)
+{
+    const CpStream *x = a, *y = b;
+    return x->id == y->id && x->session == y->session;
+}
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,98 @@
+/*
+ * http: the callers' front end and the operators' interface (libmicrohttpd),
+ * and the client of backend servers (libcurl). They turn messages into
+ * exchanges and back; what to do with an exchange is decided elsewhere.
+ */
+#ifndef CP_HTTP_H
+#define CP_HTTP_H
+
+#include "base/base.h"
+#include "relay/relay.h"
+
+#define CP_HEADER_VERDICT "Chestnutpaddle-Verdict"
+#define CP_HEADER_REASON "Chestnutpaddle-Reason"
+#define CP_HEADER_SERVER "Chestnutpaddle-Server"
+#define CP_HEADER_REQUEST_ID "Chestnutpaddle-Request-Id"
+#define CP_HEADER_DEADLINE "Chestnutpaddle-Deadline-Ms"
+#define CP_HEADER_ORIGIN "Chestnutpaddle-Origin"
+#define CP_HEADER_TICKET "Chestnutpaddle-Ticket"
+
+/* How one dispatch to a backend server ended. */
+typedef struct {
+    CpOutcome outcome;
+    CpVerdict verdict;
+    CpReason reason;
+    bool headed; /* the answer's head has gone to the front end */
+    int64_t latency_ns;
+} CpBackendResult;
+
+typedef struct CpBackend CpBackend;
+typedef struct {
+    uint32_t threads;
+    const char *source; /* IP:port of this host; its IP is used */
+    void (*done)(void *ctx, CpExchange *ex, const CpBackendResult *result);
+    void *ctx;
+} CpBackendOptions;
+CpStatus CpBackend_New(const CpBackendOptions *options, CpBackend **out);
+CpStatus CpBackend_Start(CpBackend *b);
+void CpBackend_Free(CpBackend *b);
+/* Sends the exchange to a server; `done` is called once for it. Takes a
+ * reference. */
+void CpBackend_Send(CpBackend *b, CpExchange *ex, const char *address);
+
+/* The kind of work as the front end needs it. */
+typedef struct {
+    uint32_t kind_index;
+    uint32_t pool_index;
+    uint32_t rank;
+    uint32_t deadline_ms;
+    bool idempotent;
+    uint32_t max_body_kb;
+} CpKindInfo;
+
+typedef struct CpFront CpFront;
+typedef struct {
+    const char *listen;
+    uint32_t threads;
+    uint32_t connections;
+    /* Looks a kind up; CP_REASON_NONE when it was found. */
+    CpReason (*kind)(void *ctx, const char *name, CpKindInfo *out);
+    /* Takes the exchange over and will deliver a head to it. */
+    void (*submit)(void *ctx, CpExchange *ex);
+    /* Renders the look-up answer; free() the result; NULL when there is no
+     * configuration. */
+    char *(*lookup)(void *ctx, const char *kind, const char *client,
+                    uint32_t *ttl_s);
+    /* Renders a new ticket; free() the result. */
+    char *(*ticket)(void *ctx);
+    /* Names the home domain of a client. */
+    void (*origin)(void *ctx, const char *client, char out[CP_NAME_BYTES]);
+    void *ctx;
+} CpFrontOptions;
+CpStatus CpFront_New(const CpFrontOptions *options, CpFront **out);
+/* Deadlines and callers that went away are found by the timer. */
+void CpFront_Subscribe(CpFront *f, CpTimer *t);
+/* Requests that have not been answered. */
+uint32_t CpFront_Active(CpFront *f);
+/* Takes no new connections. */
+void CpFront_Quiesce(CpFront *f);
+void CpFront_Free(CpFront *f);
+
+typedef struct CpOperator CpOperator;
+typedef struct {
+    const char *method;
+    const char *path;
+    const char *content_type;
+    /* Renders the answer; returns the HTTP status. free() *out. */
+    uint32_t (*fn)(void *ctx, const char *argument, char **out);
+} CpOperatorRoute;
+typedef struct {
+    const char *listen;
+    const char *token;
+    const CpOperatorRoute *routes; /* ended by a NULL path */
+    void *ctx;
+} CpOperatorOptions;
+CpStatus CpOperator_New(const CpOperatorOptions *options, CpOperator **out);
+void CpOperator_Free(CpOperator *o);
+
+#endif
--- /dev/null
+++ b/src/http/http_front.c
@@ -0,0 +1,648 @@
+/*
+ * The callers' front end. A connection that waits is suspended, and resumed
+ * by whoever delivers the head or the next bytes; no thread waits for it.
+ */
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "http/http.h"
+
+#define BLOCK_BYTES (32 * 1024)
+#define SWEEP_MS 20
+#define GRACE_NS (100 * CP_NS_PER_MS) /* for the verdict after a deadline */
+#define IDLE_TIMEOUT_S 30
+#define SHARDS 8
+#define RUN_PREFIX "/run/"
+#define MAX_PARAMETER 512
+
+typedef struct Call Call;
+
+typedef struct {
+    pthread_mutex_t lock;
+    Call *calls;
+    uint32_t count;
+} Shard;
+
+/* One request of a caller; lives as long as its exchange. */
+struct Call {
+    Call *next; /* in its shard */
+    Call *prev;
+    CpFront *front;
+    Shard *shard;
+    CpExchange *ex;
+    CpReason early;     /* refused before it was submitted */
+    uint32_t submitted; /* flag; the sweep reads it too */
+    uint32_t max_body_bytes;
+    uint64_t body_left; /* announced and not read yet; or unknown */
+    uint64_t sent_bytes;
+    pthread_mutex_t lock; /* of the next 3 */
+    struct MHD_Connection *conn;
+    bool suspended;
+    int32_t fd;
+};
+
+struct CpFront {
+    CpFrontOptions options;
+    struct MHD_Daemon *daemon;
+    Shard shards[SHARDS];
+    uint32_t next_shard;
+};
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+                                  const char *url, const char *method,
+                                  const char *version, const char *data,
+                                  size_t *data_bytes, void **state);
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+                         enum MHD_RequestTerminationCode code);
+static enum MHD_Result answer_lookup(CpFront *f, struct MHD_Connection *conn);
+static enum MHD_Result answer_ticket(CpFront *f, struct MHD_Connection *conn);
+static enum MHD_Result answer_text(struct MHD_Connection *conn,
+                                   uint32_t status, char *text);
+static enum MHD_Result answer_refusal(struct MHD_Connection *conn,
+                                      const CpHead *head);
+static enum MHD_Result answer_head(Call *c);
+static Call *begin_call(CpFront *f, struct MHD_Connection *conn,
+                        const char *url, const char *method);
+static CpReason fill_exchange(CpFront *f, Call *c, const char *url,
+                              const char *method);
+static void drop_call(void *memory);
+static void take_body(Call *c, const char *data, size_t *data_bytes);
+static void submit(Call *c);
+static void set_target(CpExchange *ex, const char *url,
+                       struct MHD_Connection *conn);
+static enum MHD_Result add_parameter(void *ctx, enum MHD_ValueKind kind,
+                                     const char *key, const char *value);
+static ssize_t on_block(void *ctx, uint64_t pos, char *out, size_t room);
+static void on_head(void *ctx, CpExchange *ex);
+static void on_wake(void *ctx);
+static void on_sweep(void *ctx, int64_t now_ns);
+static void fail_rest(CpFront *f);
+static bool is_gone(Call *c);
+static void client_ip(struct MHD_Connection *conn, char *out, size_t n);
+static void count_end(Call *c);
+
+CpStatus
+CpFront_New(const CpFrontOptions *options, CpFront **out)
+{
+    struct sockaddr_storage sa;
+    CpFront *f = CpMem_Alloc(sizeof(*f));
+    f->options = *options;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        pthread_mutex_init(&f->shards[i].lock, NULL);
+    }
+    if (CpAddress_Parse(options->listen, &sa) == 0) {
+        free(f);
+        return CpError_Set(CP_ERR_ARG, "%s: bad address", options->listen);
+    }
+    f->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+            MHD_USE_ITC |
+            (sa.ss_family == AF_INET6 ? MHD_USE_IPv6 : MHD_NO_FLAG),
+        0, NULL, NULL, on_request, f, MHD_OPTION_SOCK_ADDR, &sa,
+        MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)options->threads,
+        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)options->connections,
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+        MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024u, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, f, MHD_OPTION_END);
+    if (f->daemon == NULL) {
+        free(f);
+        return CpError_Set(CP_ERR_IO, "%s: cannot listen", options->listen);
+    }
+    *out = f;
+    return CP_OK;
+}
+
+void
+CpFront_Subscribe(CpFront *f, CpTimer *t)
+{
+    CpTimer_Subscribe(t, SWEEP_MS, on_sweep, f);
+}
+
+uint32_t
+CpFront_Active(CpFront *f)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        pthread_mutex_lock(&f->shards[i].lock);
+        n += f->shards[i].count;
+        pthread_mutex_unlock(&f->shards[i].lock);
+    }
+    return n;
+}
+
+void
+CpFront_Quiesce(CpFront *f)
+{
+    MHD_socket fd = MHD_quiesce_daemon(f->daemon);
+    if (fd != MHD_INVALID_SOCKET) {
+        close(fd);
+    }
+}
+
+void
+CpFront_Free(CpFront *f)
+{
+    fail_rest(f);
+    MHD_stop_daemon(f->daemon);
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        pthread_mutex_destroy(&f->shards[i].lock);
+    }
+    free(f);
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_bytes, void **state)
+{
+    CpFront *f = ctx;
+    Call *c = *state;
+    (void)version;
+    if (c == NULL) {
+        if (strcmp(url, "/lookup") == 0) {
+            return answer_lookup(f, conn);
+        }
+        *state = begin_call(f, conn, url, method);
+        return MHD_YES;
+    }
+    if (*data_bytes > 0) {
+        take_body(c, data, data_bytes);
+        return MHD_YES;
+    }
+    if (strcmp(url, "/ticket") == 0 && strcmp(method, "POST") == 0) {
+        return answer_ticket(f, conn);
+    }
+    if (c->early != CP_REASON_NONE) {
+        CpHead head = {.status = CpReason_HttpStatus(c->early),
+                       .verdict = CP_NOT_RUN,
+                       .reason = c->early};
+        CpCounter_AddReason(c->early, c->ex->rank);
+        return answer_refusal(conn, &head);
+    }
+    if (!c->submitted) {
+        submit(c);
+    }
+    else if (c->ex->up != NULL) {
+        CpPipe_End(c->ex->up, CP_PIPE_WHOLE);
+    }
+    pthread_mutex_lock(&c->lock);
+    bool headed = CpExchange_Headed(c->ex);
+    if (!headed) {
+        c->suspended = true;
+        MHD_suspend_connection(conn);
+    }
+    pthread_mutex_unlock(&c->lock);
+    return headed ? answer_head(c) : MHD_YES;
+}
+
+static void
+on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    Call *c = *state;
+    (void)ctx, (void)conn;
+    if (c == NULL) {
+        return;
+    }
+    *state = NULL;
+    pthread_mutex_lock(&c->lock);
+    c->conn = NULL;
+    c->suspended = false;
+    pthread_mutex_unlock(&c->lock);
+    pthread_mutex_lock(&c->shard->lock);
+    if (c->prev != NULL) {
+        c->prev->next = c->next;
+    }
+    else {
+        c->shard->calls = c->next;
+    }
+    if (c->next != NULL) {
+        c->next->prev = c->prev;
+    }
+    c->shard->count--;
+    pthread_mutex_unlock(&c->shard->lock);
+    CpExchange *ex = c->ex;
+    CpExchange_SetFront(ex, NULL, NULL);
+    if (c->submitted && code != MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        CpCounter_Add(CP_COUNT_CANCELLED, 1);
+        CpExchange_Cancel(ex);
+    }
+    if (ex->up != NULL) {
+        CpPipe_End(ex->up, CP_PIPE_BROKEN);
+    }
+    CpPipe_End(ex->down, CP_PIPE_BROKEN);
+    CpExchange_Release(ex);
+}
+
+static enum MHD_Result
+answer_lookup(CpFront *f, struct MHD_Connection *conn)
+{
+    char ip[INET6_ADDRSTRLEN], cache[32];
+    uint32_t ttl_s = 0;
+    const char *kind =
+        MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "kind");
+    const char *client =
+        MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "client");
+    if (client == NULL) {
+        client_ip(conn, ip, sizeof(ip));
+        client = ip;
+    }
+    char *text =
+        f->options.lookup(f->options.ctx, kind ? kind : "", client, &ttl_s);
+    if (text == NULL) {
+        CpHead head = {.status = 503,
+                       .verdict = CP_NOT_RUN,
+                       .reason = CP_REASON_NOT_CONFIGURED};
+        return answer_refusal(conn, &head);
+    }
+    CpCounter_Add(CP_COUNT_LOOKUPS, 1);
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    snprintf(cache, sizeof(cache), "max-age=%u", ttl_s);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    MHD_add_response_header(r, "Cache-Control", cache);
+    enum MHD_Result ok = MHD_queue_response(conn, 200, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static enum MHD_Result
+answer_ticket(CpFront *f, struct MHD_Connection *conn)
+{
+    return answer_text(conn, 200, f->options.ticket(f->options.ctx));
+}
+
+static enum MHD_Result
+answer_text(struct MHD_Connection *conn, uint32_t status, char *text)
+{
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    enum MHD_Result ok = MHD_queue_response(conn, status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static enum MHD_Result
+answer_refusal(struct MHD_Connection *conn, const CpHead *head)
+{
+    char text[512], after[16];
+    uint32_t after_s = CpReason_RetryAfter_s(head->reason);
+    int32_t n =
+        snprintf(text, sizeof(text),
+                 "{\"reason\":\"%s\",\"verdict\":\"%s\","
+                 "\"text\":\"%s\"}\n",
+                 CpReason_Name(head->reason), CpVerdict_Name(head->verdict),
+                 CpReason_Text(head->reason));
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        (size_t)n, text, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    MHD_add_response_header(r, CP_HEADER_VERDICT,
+                            CpVerdict_Name(head->verdict));
+    MHD_add_response_header(r, CP_HEADER_REASON, CpReason_Name(head->reason));
+    if (after_s > 0) {
+        snprintf(after, sizeof(after), "%u", after_s);
+        MHD_add_response_header(r, "Retry-After", after);
+    }
+    if (head->location[0] != '\0') {
+        MHD_add_response_header(r, "Location", head->location);
+    }
+    enum MHD_Result ok = MHD_queue_response(conn, head->status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static enum MHD_Result
+answer_head(Call *c)
+{
+    CpExchange *ex = c->ex;
+    pthread_mutex_lock(&ex->lock);
+    CpHead head = ex->head;
+    pthread_mutex_unlock(&ex->lock);
+    count_end(c);
+    if (head.reason != CP_REASON_NONE) {
+        return answer_refusal(c->conn, &head);
+    }
+    uint64_t size = head.length_bytes == CP_LENGTH_UNKNOWN ? MHD_SIZE_UNKNOWN
+                                                           : head.length_bytes;
+    size_t block = size < BLOCK_BYTES ? (size_t)size + 1 : BLOCK_BYTES;
+    CpPipe_SetReader(ex->down, on_wake, c);
+    struct MHD_Response *r =
+        MHD_create_response_from_callback(size, block, on_block, c, NULL);
+    MHD_add_response_header(r, CP_HEADER_VERDICT,
+                            CpVerdict_Name(head.verdict));
+    MHD_add_response_header(r, CP_HEADER_SERVER, head.server);
+    if (head.content_type[0] != '\0') {
+        MHD_add_response_header(r, "Content-Type", head.content_type);
+    }
+    enum MHD_Result ok = MHD_queue_response(c->conn, head.status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static Call *
+begin_call(CpFront *f, struct MHD_Connection *conn, const char *url,
+           const char *method)
+{
+    Call *c = CpMem_Alloc(sizeof(*c));
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+    c->front = f;
+    c->conn = conn;
+    c->fd = info->connect_fd;
+    c->ex = CpExchange_New();
+    CpExchange_Keep(c->ex, c, drop_call);
+    pthread_mutex_init(&c->lock, NULL);
+    c->early = fill_exchange(f, c, url, method);
+    uint32_t turn = __atomic_add_fetch(&f->next_shard, 1, __ATOMIC_RELAXED);
+    c->shard = &f->shards[turn % SHARDS];
+    pthread_mutex_lock(&c->shard->lock);
+    c->next = c->shard->calls;
+    if (c->next != NULL) {
+        c->next->prev = c;
+    }
+    c->shard->calls = c;
+    c->shard->count++;
+    pthread_mutex_unlock(&c->shard->lock);
+    return c;
+}
+
+static CpReason
+fill_exchange(CpFront *f, Call *c, const char *url, const char *method)
+{
+    CpExchange *ex = c->ex;
+    CpKindInfo info;
+    char ip[INET6_ADDRSTRLEN];
+    const char *length = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                                     "Content-Length");
+    const char *coding = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                                     "Transfer-Encoding");
+    const char *deadline = MHD_lookup_connection_value(
+        c->conn, MHD_HEADER_KIND, CP_HEADER_DEADLINE);
+    const char *ticket = MHD_lookup_connection_value(
+        c->conn, MHD_GET_ARGUMENT_KIND, "cp_ticket");
+    const char *type =
+        MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, "Content-Type");
+    size_t skip = strlen(RUN_PREFIX);
+    c->body_left = length != NULL ? strtoull(length, NULL, 10) : 0;
+    if (strcmp(url, "/ticket") == 0) {
+        return CP_REASON_NONE;
+    }
+    if (strncmp(url, RUN_PREFIX, skip) != 0) {
+        return CP_REASON_UNKNOWN_KIND;
+    }
+    size_t n = strcspn(url + skip, "/");
+    CpStr_Copy(ex->kind, n + 1 < sizeof(ex->kind) ? n + 1 : sizeof(ex->kind),
+               url + skip);
+    CpReason reason = f->options.kind(f->options.ctx, ex->kind, &info);
+    if (reason != CP_REASON_NONE) {
+        return reason;
+    }
+    if (ticket == NULL) {
+        ticket = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                             CP_HEADER_TICKET);
+    }
+    ex->kind_index = info.kind_index;
+    ex->pool_index = info.pool_index;
+    ex->rank = info.rank;
+    ex->idempotent = info.idempotent;
+    uint32_t limit_ms = info.deadline_ms;
+    if (deadline != NULL && strtoul(deadline, NULL, 10) < limit_ms) {
+        limit_ms = (uint32_t)strtoul(deadline, NULL, 10);
+    }
+    ex->deadline_ns = ex->started_ns + limit_ms * CP_NS_PER_MS;
+    if (strlen(method) >= sizeof(ex->method) ||
+        strlen(url) + 256 >= sizeof(ex->target) ||
+        (ticket != NULL && strlen(ticket) >= sizeof(ex->ticket))) {
+        return CP_REASON_BAD_REQUEST;
+    }
+    CpStr_Copy(ex->method, sizeof(ex->method), method);
+    CpStr_Copy(ex->ticket, sizeof(ex->ticket), ticket ? ticket : "");
+    CpStr_Copy(ex->content_type, sizeof(ex->content_type), type ? type : "");
+    set_target(ex, url + skip - 1, c->conn);
+    client_ip(c->conn, ip, sizeof(ip));
+    f->options.origin(f->options.ctx, ip, ex->origin);
+    c->max_body_bytes = info.max_body_kb * 1024;
+    if (c->body_left > c->max_body_bytes) {
+        return CP_REASON_BODY_TOO_LARGE;
+    }
+    if (coding != NULL || c->body_left > CP_BODY_MAX_BYTES) {
+        if (!ex->idempotent) {
+            return CP_REASON_BODY_TOO_LARGE;
+        }
+        ex->up = CpPipe_New(CP_PIPE_BYTES);
+        CpPipe_SetWriter(ex->up, on_wake, c);
+    }
+    return CP_REASON_NONE;
+}
+
+static void
+drop_call(void *memory)
+{
+    Call *c = memory;
+    pthread_mutex_destroy(&c->lock);
+    free(c);
+}
+
+static void
+take_body(Call *c, const char *data, size_t *data_bytes)
+{
+    CpExchange *ex = c->ex;
+    size_t n = *data_bytes;
+    if (c->early != CP_REASON_NONE) {
+        *data_bytes = 0;
+        return;
+    }
+    c->sent_bytes += n;
+    if (c->sent_bytes > c->max_body_bytes) {
+        c->early = CP_REASON_BODY_TOO_LARGE;
+        *data_bytes = 0;
+        if (c->submitted) {
+            CpExchange_Cancel(ex);
+            CpPipe_End(ex->up, CP_PIPE_BROKEN);
+        }
+        return;
+    }
+    if (ex->up == NULL) {
+        ex->body = CpMem_Realloc(ex->body, ex->body_bytes + n);
+        memcpy(ex->body + ex->body_bytes, data, n);
+        ex->body_bytes += (uint32_t)n;
+        *data_bytes = 0;
+        return;
+    }
+    if (!c->submitted) {
+        submit(c);
+    }
+    pthread_mutex_lock(&c->lock);
+    uint32_t taken = CpPipe_Write(ex->up, data, (uint32_t)n);
+    *data_bytes = n - taken;
+    c->sent_bytes -= n - taken;
+    if (taken < n) {
+        c->suspended = true;
+        MHD_suspend_connection(c->conn);
+    }
+    pthread_mutex_unlock(&c->lock);
+}
+
+static void
+submit(Call *c)
+{
+    CpFront *f = c->front;
+    c->sent_bytes = 0;
+    CpCounter_Add(CP_COUNT_REQUESTS, 1);
+    CpExchange_SetFront(c->ex, on_head, c);
+    CpAtomic_Store(&c->submitted, 1);
+    f->options.submit(f->options.ctx, CpExchange_Retain(c->ex));
+}
+
+/* The path and query that the backend server gets, without the ticket. */
+static void
+set_target(CpExchange *ex, const char *url, struct MHD_Connection *conn)
+{
+    CpStr_Copy(ex->target, sizeof(ex->target), url);
+    MHD_get_connection_values(conn, MHD_GET_ARGUMENT_KIND, add_parameter, ex);
+}
+
+static enum MHD_Result
+add_parameter(void *ctx, enum MHD_ValueKind kind, const char *key,
+              const char *value)
+{
+    CpExchange *ex = ctx;
+    size_t n = strlen(ex->target);
+    (void)kind;
+    if (strcmp(key, "cp_ticket") != 0) {
+        snprintf(ex->target + n, sizeof(ex->target) - n, "%c%s%s%s",
+                 strchr(ex->target, '?') ? '&' : '?', key, value ? "=" : "",
+                 value ? value : "");
+    }
+    return MHD_YES;
+}
+
+static ssize_t
+on_block(void *ctx, uint64_t pos, char *out, size_t room)
+{
+    Call *c = ctx;
+    CpPipeState state;
+    (void)pos;
+    pthread_mutex_lock(&c->lock);
+    uint32_t n = CpPipe_Read(c->ex->down, out, (uint32_t)room, &state);
+    if (n == 0 && state == CP_PIPE_OPEN) {
+        c->suspended = true;
+        MHD_suspend_connection(c->conn);
+    }
+    pthread_mutex_unlock(&c->lock);
+    if (n > 0 || state == CP_PIPE_OPEN) {
+        return n;
+    }
+    return state == CP_PIPE_WHOLE ? MHD_CONTENT_READER_END_OF_STREAM
+                                  : MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+static void
+on_head(void *ctx, CpExchange *ex)
+{
+    (void)ex;
+    on_wake(ctx);
+}
+
+static void
+on_wake(void *ctx)
+{
+    Call *c = ctx;
+    pthread_mutex_lock(&c->lock);
+    if (c->suspended && c->conn != NULL) {
+        c->suspended = false;
+        MHD_resume_connection(c->conn);
+    }
+    pthread_mutex_unlock(&c->lock);
+}
+
+/* Ends what is past its deadline or whose caller closed the connection. */
+static void
+on_sweep(void *ctx, int64_t now_ns)
+{
+    CpFront *f = ctx;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        Shard *sh = &f->shards[i];
+        pthread_mutex_lock(&sh->lock);
+        for (Call *c = sh->calls; c != NULL; c = c->next) {
+            CpExchange *ex = c->ex;
+            if (!CpAtomic_Load(&c->submitted)) {
+                continue;
+            }
+            if (is_gone(c) || now_ns > ex->deadline_ns) {
+                CpExchange_Cancel(ex);
+            }
+            if (now_ns > ex->deadline_ns + GRACE_NS) {
+                CpExchange_Fail(ex, CP_MAY_HAVE_RUN,
+                                CP_REASON_DEADLINE_PASSED);
+            }
+        }
+        pthread_mutex_unlock(&sh->lock);
+    }
+}
+
+/* MHD must not be stopped while connections are suspended. */
+static void
+fail_rest(CpFront *f)
+{
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        pthread_mutex_lock(&f->shards[i].lock);
+        for (Call *c = f->shards[i].calls; c != NULL; c = c->next) {
+            CpExchange_Cancel(c->ex);
+            CpExchange_Fail(c->ex, CP_MAY_HAVE_RUN, CP_REASON_HOST_LEAVING);
+            on_wake(c);
+        }
+        pthread_mutex_unlock(&f->shards[i].lock);
+    }
+}
+
+/* MHD does not watch a suspended connection, so this does. */
+static bool
+is_gone(Call *c)
+{
+    bool gone = false;
+    pthread_mutex_lock(&c->lock);
+    if (c->suspended && c->conn != NULL) {
+        struct pollfd p = {.fd = c->fd, .events = POLLRDHUP};
+        gone = poll(&p, 1, 0) > 0 &&
+               (p.revents & (POLLRDHUP | POLLHUP | POLLERR));
+    }
+    pthread_mutex_unlock(&c->lock);
+    return gone;
+}
+
+static void
+client_ip(struct MHD_Connection *conn, char *out, size_t n)
+{
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+    const struct sockaddr *sa = info->client_addr;
+    const void *at =
+        sa->sa_family == AF_INET6
+            ? (const void *)&((const struct sockaddr_in6 *)(const void *)sa)
+                  ->sin6_addr
+            : (const void *)&((const struct sockaddr_in *)(const void *)sa)
+                  ->sin_addr;
+    if (inet_ntop(sa->sa_family, at, out, (socklen_t)n) == NULL) {
+        out[0] = '\0';
+    }
+}
+
+static void
+count_end(Call *c)
+{
+    const CpExchange *ex = c->ex;
+    if (ex->head.reason == CP_REASON_NONE) {
+        CpCounter_Add(CP_COUNT_ANSWERED, 1);
+        CpCounter_AddLatency(ex->rank, CpClock_Now_ns() - ex->started_ns);
+    }
+    else {
+        CpCounter_AddReason(ex->head.reason, ex->rank);
+    }
+}
--- /dev/null
+++ b/src/member/member_table.c
@@ -0,0 +1,407 @@
+/* The membership table: probes, suspicions, refutations, dissemination. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "member/member.h"
+
+#define MAX_ROWS_NEAR 8 /* rows on a probe within the domain */
+#define TELL_FACTOR 3   /* a change travels this many times log2(members) */
+#define FAR_ROWS 64
+
+struct CpMember {
+    CpMemberOptions options;
+    char host[CP_NAME_BYTES];
+    CpMemberEntry *entries;
+    uint32_t count;
+    uint32_t self;  /* index of this host, or count */
+    uint32_t *ring; /* probing order of the own domain */
+    uint32_t ring_count;
+    uint32_t ring_at;
+    uint32_t far_at;
+    uint32_t ticks;
+    uint32_t epoch;
+    CpMemberState own_state;
+    uint64_t own_version;
+    CpLoad own_loads[CP_MAX_POOLS];
+    uint32_t own_load_count;
+    int64_t last_tick_ns;
+    CpMemberRow rows[FAR_ROWS + 1];
+};
+
+static const char *const state_names[CP_MEMBER_STATE_COUNT] = {
+    [CP_MEMBER_UNKNOWN] = "unknown", [CP_MEMBER_LIVE] = "live",
+    [CP_MEMBER_LEAVING] = "leaving", [CP_MEMBER_SUSPECT] = "suspect",
+    [CP_MEMBER_FAILED] = "failed",
+};
+
+static CpMemberEntry *find(const CpMember *m, const char *host);
+static void set_state(CpMember *m, CpMemberEntry *e, CpMemberState state);
+static void merge(CpMember *m, CpMemberEntry *e, const CpMemberRow *row,
+                  bool direct, int64_t now_ns);
+static void merge_self(CpMember *m, const CpMemberRow *row);
+static void probe_next(CpMember *m, int64_t now_ns);
+static void probe_far(CpMember *m, int64_t now_ns);
+static void send_probe(CpMember *m, CpMemberEntry *e, bool far,
+                       int64_t now_ns);
+static void check_waits(CpMember *m, int64_t now_ns);
+static void fill_row(CpMemberRow *row, CpMemberEntry *e);
+static void fill_self(CpMember *m, CpMemberRow *row);
+static uint32_t own_domain(const CpMember *m);
+static uint32_t tell_count(const CpMember *m);
+
+CpMember *
+CpMember_New(const CpMemberOptions *options)
+{
+    CpMember *m = CpMem_Alloc(sizeof(*m));
+    m->options = *options;
+    CpStr_Copy(m->host, sizeof(m->host), options->host);
+    m->own_state = CP_MEMBER_LIVE;
+    return m;
+}
+
+void
+CpMember_Free(CpMember *m)
+{
+    free(m->entries);
+    free(m->ring);
+    free(m);
+}
+
+void
+CpMember_SetRoster(CpMember *m, const char *const *hosts,
+                   const uint32_t *domain_index, uint32_t count)
+{
+    CpMemberEntry *next = CpMem_Alloc((count + 1) * sizeof(*next));
+    uint32_t self = count;
+    for (uint32_t i = 0; i < count; i++) {
+        const CpMemberEntry *old = find(m, hosts[i]);
+        if (old != NULL) {
+            next[i] = *old;
+        }
+        CpStr_Copy(next[i].host, sizeof(next[i].host), hosts[i]);
+        next[i].domain_index = domain_index[i];
+        if (strcmp(hosts[i], m->host) == 0) {
+            self = i;
+            next[i].state = m->own_state;
+            next[i].incarnation = m->options.incarnation;
+        }
+    }
+    free(m->entries);
+    free(m->ring);
+    m->entries = next;
+    m->count = count;
+    m->self = self;
+    m->ring = CpMem_Alloc((count + 1) * sizeof(*m->ring));
+    m->ring_count = 0;
+    for (uint32_t i = 0; i < count && self < count; i++) {
+        if (i != self && next[i].domain_index == next[self].domain_index) {
+            m->ring[m->ring_count++] = i;
+        }
+    }
+    m->ring_at = 0;
+}
+
+bool
+CpMember_Tick(CpMember *m, int64_t now_ns)
+{
+    bool paused = m->last_tick_ns != 0 &&
+                  now_ns - m->last_tick_ns > CP_PAUSE_MS * CP_NS_PER_MS;
+    if (paused) {
+        for (uint32_t i = 0; i < m->count; i++) {
+            m->entries[i].probed_ns = 0;
+            m->entries[i].suspected_ns = now_ns;
+        }
+    }
+    m->last_tick_ns = now_ns;
+    m->ticks++;
+    check_waits(m, now_ns);
+    probe_next(m, now_ns);
+    uint32_t far_ticks = m->ring_count >= 16 ? 5 : 2;
+    if (m->ticks % far_ticks == 0) {
+        probe_far(m, now_ns);
+    }
+    return paused;
+}
+
+void
+CpMember_Receive(CpMember *m, const char *from, const CpMemberRow *rows,
+                 uint32_t row_count, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < row_count; i++) {
+        if (strcmp(rows[i].host, m->host) == 0) {
+            merge_self(m, &rows[i]);
+            continue;
+        }
+        CpMemberEntry *e = find(m, rows[i].host);
+        if (e != NULL && rows[i].state < CP_MEMBER_STATE_COUNT) {
+            merge(m, e, &rows[i], strcmp(rows[i].host, from) == 0, now_ns);
+        }
+    }
+    CpMember_Heard(m, from, now_ns);
+}
+
+uint32_t
+CpMember_Rows(CpMember *m, bool far, CpMemberRow **rows)
+{
+    uint32_t n = 0, domain = own_domain(m);
+    uint32_t room = far ? FAR_ROWS : MAX_ROWS_NEAR;
+    fill_self(m, &m->rows[n++]);
+    for (uint32_t i = 0; i < m->count && n < room; i++) {
+        CpMemberEntry *e = &m->entries[i];
+        if (i == m->self || e->state == CP_MEMBER_UNKNOWN) {
+            continue;
+        }
+        if (far ? e->domain_index == domain : e->tell > 0) {
+            fill_row(&m->rows[n++], e);
+            e->tell -= !far;
+        }
+    }
+    *rows = m->rows;
+    return n;
+}
+
+void
+CpMember_Heard(CpMember *m, const char *from, int64_t now_ns)
+{
+    CpMemberEntry *e = find(m, from);
+    if (e == NULL) {
+        return;
+    }
+    e->heard_ns = now_ns;
+    e->probed_ns = 0;
+    if (e->state == CP_MEMBER_SUSPECT) {
+        set_state(m, e, CP_MEMBER_LIVE);
+    }
+}
+
+void
+CpMember_Refused(CpMember *m, const char *host, int64_t now_ns)
+{
+    CpMemberEntry *e = find(m, host);
+    (void)now_ns;
+    if (e != NULL && e->state != CP_MEMBER_FAILED &&
+        e->state != CP_MEMBER_UNKNOWN) {
+        set_state(m, e, CP_MEMBER_FAILED);
+    }
+}
+
+void
+CpMember_SetSelf(CpMember *m, CpMemberState state, uint64_t config_version,
+                 const CpLoad *loads, uint32_t load_count)
+{
+    m->own_state = state;
+    m->own_version = config_version;
+    m->own_load_count = load_count < CP_MAX_POOLS ? load_count : CP_MAX_POOLS;
+    memcpy(m->own_loads, loads, m->own_load_count * sizeof(*loads));
+    if (m->self < m->count) {
+        CpMemberEntry *e = &m->entries[m->self];
+        e->state = state;
+        e->config_version = config_version;
+        e->incarnation = m->options.incarnation;
+        e->load_count = m->own_load_count;
+        memcpy(e->loads, m->own_loads, sizeof(e->loads));
+    }
+}
+
+uint32_t
+CpMember_Count(const CpMember *m)
+{
+    return m->count;
+}
+
+const CpMemberEntry *
+CpMember_At(const CpMember *m, uint32_t i)
+{
+    return &m->entries[i];
+}
+
+const CpMemberEntry *
+CpMember_Find(const CpMember *m, const char *host)
+{
+    return find(m, host);
+}
+
+const char *
+CpMemberState_Name(CpMemberState state)
+{
+    return state_names[state];
+}
+
+static CpMemberEntry *
+find(const CpMember *m, const char *host)
+{
+    for (uint32_t i = 0; i < m->count; i++) {
+        if (strcmp(m->entries[i].host, host) == 0) {
+            return &m->entries[i];
+        }
+    }
+    return NULL;
+}
+
+static void
+set_state(CpMember *m, CpMemberEntry *e, CpMemberState state)
+{
+    CpMemberState before = e->state;
+    if (before == state) {
+        return;
+    }
+    e->state = state;
+    e->tell = tell_count(m);
+    CpCounter_Add(CP_COUNT_MEMBER_CHANGES, 1);
+    m->options.changed(m->options.ctx, e, before);
+}
+
+/* A row counts if it is of a later incarnation or epoch than what is known,
+ * or tells a worse state of the same one. */
+static void
+merge(CpMember *m, CpMemberEntry *e, const CpMemberRow *row, bool direct,
+      int64_t now_ns)
+{
+    bool same = row->incarnation == e->incarnation;
+    bool later = same ? row->epoch > e->epoch : e->incarnation == 0 || direct;
+    bool worse = same && row->epoch == e->epoch && row->state > e->state;
+    if (!same && !later) {
+        return;
+    }
+    if (row->config_version > e->config_version) {
+        e->config_version = row->config_version;
+        m->options.newer(m->options.ctx, e);
+    }
+    if (direct || now_ns - e->heard_ns > CP_NS_PER_S) {
+        e->load_count =
+            row->load_count < CP_MAX_POOLS ? row->load_count : CP_MAX_POOLS;
+        if (e->load_count > 0) {
+            memcpy(e->loads, row->loads, e->load_count * sizeof(*e->loads));
+        }
+    }
+    if (later) {
+        e->incarnation = row->incarnation;
+        e->epoch = row->epoch;
+    }
+    if (later || worse || direct) {
+        if (row->state == CP_MEMBER_SUSPECT && e->state != CP_MEMBER_SUSPECT) {
+            e->suspected_ns = now_ns;
+        }
+        set_state(m, e, (CpMemberState)row->state);
+    }
+}
+
+/* Somebody suspects this host: a higher epoch refutes it. */
+static void
+merge_self(CpMember *m, const CpMemberRow *row)
+{
+    if (row->incarnation == m->options.incarnation &&
+        row->state >= CP_MEMBER_SUSPECT && row->epoch >= m->epoch) {
+        m->epoch = row->epoch + 1;
+    }
+}
+
+/* The ring is shuffled once a round, so that each member is probed in
+ * bounded time and in no order that hosts share. */
+static void
+probe_next(CpMember *m, int64_t now_ns)
+{
+    if (m->ring_count == 0) {
+        return;
+    }
+    if (m->ring_at == m->ring_count) {
+        m->ring_at = 0;
+        for (uint32_t i = m->ring_count - 1; i > 0; i--) {
+            uint32_t j =
+                (uint32_t)(m->options.random(m->options.ctx) % (i + 1));
+            uint32_t swap = m->ring[i];
+            m->ring[i] = m->ring[j];
+            m->ring[j] = swap;
+        }
+    }
+    send_probe(m, &m->entries[m->ring[m->ring_at++]], false, now_ns);
+}
+
+/* One host of another domain, preferring those not known to have failed. */
+static void
+probe_far(CpMember *m, int64_t now_ns)
+{
+    uint32_t domain = own_domain(m);
+    for (uint32_t tries = 0; tries < 4 && m->count > 0; tries++) {
+        CpMemberEntry *e =
+            &m->entries[m->options.random(m->options.ctx) % m->count];
+        if (e->domain_index != domain &&
+            (e->state != CP_MEMBER_FAILED || tries == 3)) {
+            send_probe(m, e, true, now_ns);
+            return;
+        }
+    }
+}
+
+static void
+send_probe(CpMember *m, CpMemberEntry *e, bool far, int64_t now_ns)
+{
+    CpMemberRow *rows;
+    uint32_t n = CpMember_Rows(m, far, &rows);
+    if (e->probed_ns == 0) {
+        e->probed_ns = now_ns;
+    }
+    CpCounter_Add(CP_COUNT_MEMBER_PROBES, 1);
+    m->options.probe(m->options.ctx, e, far, rows, n);
+}
+
+static void
+check_waits(CpMember *m, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < m->count; i++) {
+        CpMemberEntry *e = &m->entries[i];
+        if (i == m->self) {
+            continue;
+        }
+        bool up = e->state == CP_MEMBER_LIVE || e->state == CP_MEMBER_LEAVING;
+        if (up && e->probed_ns != 0 &&
+            now_ns - e->probed_ns > CP_PROBE_WAIT_MS * CP_NS_PER_MS) {
+            e->suspected_ns = now_ns;
+            set_state(m, e, CP_MEMBER_SUSPECT);
+        }
+        if (e->state == CP_MEMBER_SUSPECT &&
+            now_ns - e->suspected_ns > CP_SUSPECT_MS * CP_NS_PER_MS) {
+            set_state(m, e, CP_MEMBER_FAILED);
+        }
+    }
+}
+
+static void
+fill_row(CpMemberRow *row, CpMemberEntry *e)
+{
+    CpStr_Copy(row->host, sizeof(row->host), e->host);
+    row->incarnation = e->incarnation;
+    row->epoch = e->epoch;
+    row->state = e->state;
+    row->config_version = e->config_version;
+    row->loads = e->loads;
+    row->load_count = e->load_count;
+}
+
+static void
+fill_self(CpMember *m, CpMemberRow *row)
+{
+    CpStr_Copy(row->host, sizeof(row->host), m->host);
+    row->incarnation = m->options.incarnation;
+    row->epoch = m->epoch;
+    row->state = m->own_state;
+    row->config_version = m->own_version;
+    row->loads = m->own_loads;
+    row->load_count = m->own_load_count;
+}
+
+static uint32_t
+own_domain(const CpMember *m)
+{
+    return m->self < m->count ? m->entries[m->self].domain_index : UINT32_MAX;
+}
+
+static uint32_t
+tell_count(const CpMember *m)
+{
+    uint32_t n = TELL_FACTOR;
+    for (uint32_t left = m->ring_count + 1; left > 1; left /= 2) {
+        n += TELL_FACTOR;
+    }
+    return n;
+}
--- /dev/null
+++ b/src/once/once.h
@@ -0,0 +1,62 @@
+/*
+ * once: at-most-once execution without a store. A ticket names the host
+ * incarnation that issued it, and only that one may run it; its ledger
+ * remembers each ticket until it expires.
+ */
+#ifndef CP_ONCE_H
+#define CP_ONCE_H
+
+#include "base/base.h"
+
+#define CP_TICKET_TEXT_BYTES 192
+#define CP_RECORD_MAX_BYTES (64 * 1024) /* longest answer kept for repeats */
+
+typedef struct {
+    char host[CP_NAME_BYTES];
+    uint64_t incarnation;
+    uint64_t number;
+    int64_t expires_ms; /* on the issuer's monotonic clock */
+} CpTicket;
+
+/* Writes the sealed ticket as text. */
+void CpTicket_Seal(const CpTicket *t, const uint8_t key[32],
+                   char text[CP_TICKET_TEXT_BYTES]);
+/* CP_ERR_AUTH if the text is no ticket that this key sealed. */
+CpStatus CpTicket_Open(const char *text, const uint8_t key[32], CpTicket *out);
+
+/* An answer as the ledger keeps it. */
+typedef struct {
+    uint32_t status;
+    CpVerdict verdict;
+    CpReason reason;
+    char content_type[96];
+    uint8_t *body;
+    uint32_t body_bytes;
+} CpRecord;
+
+typedef enum {
+    CP_LEDGER_RUN = 0, /* the caller of Begin runs it, then calls End */
+    CP_LEDGER_WAIT,    /* one is in flight; `waiter` is told at its end */
+    CP_LEDGER_REPLAY,  /* ended; `answer` was called with the record */
+    CP_LEDGER_EXPIRED  /* too old to tell */
+} CpLedgerStep;
+
+typedef struct CpLedger CpLedger;
+/* Gives a waiter the outcome. The record is valid during the call. */
+typedef void (*CpAnswerFn)(void *ctx, void *waiter, const CpRecord *record);
+
+CpLedger *CpLedger_New(uint32_t shard_count, CpAnswerFn answer, void *ctx);
+void CpLedger_Free(CpLedger *l);
+CpLedgerStep CpLedger_Begin(CpLedger *l, const CpTicket *t, void *waiter,
+                            int64_t now_ms);
+/* The run ended: every waiter is answered. After "not run" the ticket may be
+ * used again; otherwise the record stays until the ticket expires. */
+void CpLedger_End(CpLedger *l, uint64_t number, const CpRecord *record);
+/* Forgets a waiter that went away; the run goes on. False if it was answered
+ * already. */
+bool CpLedger_Leave(CpLedger *l, uint64_t number, void *waiter);
+/* Drops what expired. */
+void CpLedger_Sweep(CpLedger *l, int64_t now_ms);
+uint64_t CpLedger_Count(CpLedger *l);
+
+#endif
--- /dev/null
+++ b/src/platform/platform_head.c
@@ -0,0 +1,92 @@
+/* The head row of the accepted configuration, moved by compare-and-set. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "platform/platform.h"
+
+#define TRIES 5
+
+static CpStatus resolve(const CpPlatform *p, const char *change_key,
+                        bool *happened);
+
+bool
+CpHeadRow_Parse(const CpRow *row, CpHeadRow *out)
+{
+    *out = (CpHeadRow){0};
+    return row->version > 0 &&
+           sscanf(row->value, "%" SCNu64 " %127s %47s", &out->version,
+                  out->object, out->change_id) == 3;
+}
+
+CpStatus
+CpPlatform_Apply(const CpPlatform *p, const char *text, size_t text_bytes,
+                 uint64_t base, uint64_t *version)
+{
+    CpRow rows[2] = {{.key = CP_HEAD_KEY}};
+    CpHeadRow head;
+    char object[CP_KEY_BYTES];
+    uint64_t change = CpRandom();
+    CpStatus st = p->read(p->ctx, rows, 1);
+    if (st != CP_OK) {
+        return st;
+    }
+    if (!CpHeadRow_Parse(&rows[0], &head) && rows[0].version != 0) {
+        return CpError_Set(CP_ERR_PARSE, "platform: malformed head row");
+    }
+    if (head.version != base) {
+        return CpError_Set(CP_ERR_CONFLICT,
+                           "version %" PRIu64 " is in force, this change is "
+                           "based on %" PRIu64,
+                           head.version, base);
+    }
+    snprintf(object, sizeof(object), "config-%016" PRIx64, change);
+    for (uint32_t i = 0; i < TRIES; i++) {
+        st = p->put(p->ctx, object, text, text_bytes);
+        if (st == CP_OK) {
+            break;
+        }
+    }
+    if (st != CP_OK) {
+        return CpError_Set(CP_ERR_UNAVAILABLE, "the object cannot be put");
+    }
+    snprintf(rows[0].value, sizeof(rows[0].value),
+             "%" PRIu64 " %s %016" PRIx64, base + 1, object, change);
+    snprintf(rows[1].key, sizeof(rows[1].key), "change/%016" PRIx64, change);
+    snprintf(rows[1].value, sizeof(rows[1].value), "%" PRIu64, base + 1);
+    *version = base + 1;
+    st = p->commit(p->ctx, rows, 2);
+    if (st != CP_ERR_UNKNOWN_EFFECT) {
+        return st;
+    }
+    /* The row of the change tells whether the lost answer was a success. A
+     * retry of the commit closes the door on a write that is still on its
+     * way: either it succeeds, or it finds the head moved. */
+    for (uint32_t i = 0; i < TRIES; i++) {
+        bool happened;
+        st = p->commit(p->ctx, rows, 2);
+        if (st == CP_OK) {
+            return CP_OK;
+        }
+        if (st == CP_ERR_CONFLICT) {
+            st = resolve(p, rows[1].key, &happened);
+            if (st == CP_OK) {
+                return happened ? CP_OK
+                                : CpError_Set(CP_ERR_CONFLICT,
+                                              "another change won");
+            }
+        }
+    }
+    return CpError_Set(CP_ERR_UNKNOWN_EFFECT,
+                       "no answer; the change may be in force");
+}
+
+static CpStatus
+resolve(const CpPlatform *p, const char *change_key, bool *happened)
+{
+    CpRow row = {0};
+    CpStr_Copy(row.key, sizeof(row.key), change_key);
+    CpStatus st = p->read(p->ctx, &row, 1);
+    *happened = st == CP_OK && row.version > 0;
+    return st;
+}
--- /dev/null
+++ b/src/relay/relay.h
@@ -0,0 +1,135 @@
+/*
+ * relay: carries one request from its front end (a caller, or another host)
+ * to the place that runs it and the answer back, with the verdict.
+ */
+#ifndef CP_RELAY_H
+#define CP_RELAY_H
+
+#include <pthread.h>
+
+#include "admit/admit.h"
+#include "base/base.h"
+#include "config/config.h"
+#include "wire/wire.h"
+
+#define CP_PIPE_BYTES (128 * 1024)
+#define CP_MAX_TRIED 4 /* hosts that one request may be sent to */
+#define CP_MAX_KEPT 8  /* retries, and both ends */
+
+/* A bounded byte stream between two threads, with wake-ups on both sides. */
+typedef struct CpPipe CpPipe;
+typedef void (*CpPipeFn)(void *ctx);
+typedef enum {
+    CP_PIPE_OPEN = 0,
+    CP_PIPE_WHOLE,
+    CP_PIPE_BROKEN
+} CpPipeState;
+
+CpPipe *CpPipe_New(uint32_t capacity_bytes);
+void CpPipe_Free(CpPipe *p);
+/* Who is woken when a reader that got nothing may read again. */
+void CpPipe_SetReader(CpPipe *p, CpPipeFn fn, void *ctx);
+/* Who is woken when a writer that was cut short may write again. */
+void CpPipe_SetWriter(CpPipe *p, CpPipeFn fn, void *ctx);
+/* Takes what fits; the rest has to wait for the writer's wake-up. */
+uint32_t CpPipe_Write(CpPipe *p, const void *data, uint32_t size_bytes);
+/* Who is told how many bytes a read took, for flow control. */
+typedef void (*CpPipeReadFn)(void *ctx, uint32_t size_bytes);
+void CpPipe_SetConsumed(CpPipe *p, CpPipeReadFn fn, void *ctx);
+/* Whether `size_bytes` fit now; if not, the writer is woken later. */
+bool CpPipe_CanWrite(CpPipe *p, uint32_t size_bytes);
+bool CpPipe_IsBroken(CpPipe *p);
+/* Ends the stream: whole, or broken. The first end counts. */
+void CpPipe_End(CpPipe *p, CpPipeState how);
+/* Reads what is there; 0 with *state open means wait for the wake-up. */
+uint32_t CpPipe_Read(CpPipe *p, void *out, uint32_t room_bytes,
+                     CpPipeState *state);
+
+/* The head of an answer, or of a refusal where reason is not NONE. */
+typedef struct {
+    uint32_t status;
+    CpVerdict verdict;
+    CpReason reason;
+    uint64_t length_bytes;
+    char content_type[CP_TYPE_BYTES];
+    char server[CP_NAME_BYTES];
+    char location[CP_TARGET_BYTES]; /* of a redirect */
+} CpHead;
+
+typedef struct CpExchange CpExchange;
+typedef void (*CpExchangeFn)(void *ctx, CpExchange *ex);
+
+/* One request and its answer. Fields up to `lock` are set before it is
+ * submitted and do not change after. */
+struct CpExchange {
+    uint32_t refs;
+    uint64_t id; /* unique in this process */
+    uint32_t kind_index;
+    uint32_t pool_index;
+    uint32_t rank;
+    bool idempotent;
+    char kind[CP_NAME_BYTES];
+    char method[16];
+    char target[CP_TARGET_BYTES];
+    char content_type[CP_TYPE_BYTES];
+    char ticket[CP_TICKET_BYTES];
+    char origin[CP_NAME_BYTES];
+    uint32_t hops;
+    uint64_t ticket_number;
+    int64_t started_ns;
+    int64_t deadline_ns;
+    uint8_t *body; /* the whole body, where `up` is NULL */
+    uint32_t body_bytes;
+    CpPipe *up;   /* body that streams in; NULL for a small one */
+    CpPipe *down; /* body of the answer */
+
+    pthread_mutex_t lock;
+    bool headed; /* the head was delivered */
+    bool cancelled;
+    CpHead head;
+    CpExchangeFn on_head; /* the front end's */
+    void *front_ctx;
+    CpExchangeFn on_cancel; /* of whoever runs it now */
+    void *back_ctx;
+
+    struct {
+        void *memory;
+        void (*drop)(void *memory);
+    } kept[CP_MAX_KEPT];
+    uint32_t kept_count;
+
+    /* Of whoever holds the exchange at the time. */
+    struct CpExchange *next;
+    struct CpExchange *prev;
+    CpAdmitItem item;
+    CpReason refusal;            /* collected by the pool */
+    char address[CP_ADDR_BYTES]; /* of the backend server */
+    void *pool;                  /* that gave the slot */
+    uint32_t attempts;
+    uint32_t tried[CP_MAX_TRIED]; /* hosts that refused it */
+    uint32_t tried_count;
+    bool from_wire; /* another host routed it here */
+    int64_t dispatched_ns;
+    uint64_t config_version;
+};
+
+CpExchange *CpExchange_New(void);
+CpExchange *CpExchange_Retain(CpExchange *ex);
+void CpExchange_Release(CpExchange *ex);
+/* Delivers the head, once; false when there is one already. */
+bool CpExchange_Head(CpExchange *ex, const CpHead *head);
+/* Ends the exchange without an answer, or breaks the answer's body. */
+void CpExchange_Fail(CpExchange *ex, CpVerdict verdict, CpReason reason);
+/* The front end gives up; whoever runs it is told. */
+void CpExchange_Cancel(CpExchange *ex);
+/* Sets who is told of a cancel; false when it was cancelled already. */
+bool CpExchange_SetBack(CpExchange *ex, CpExchangeFn on_cancel, void *ctx);
+bool CpExchange_Headed(CpExchange *ex);
+/* Sets or clears the front end's callback. */
+void CpExchange_SetFront(CpExchange *ex, CpExchangeFn on_head, void *ctx);
+/* Drops `memory` together with the exchange. Whatever wakes up through the
+ * exchange's pipes keeps its state in such memory. */
+typedef void (*CpDropFn)(void *memory);
+void CpExchange_Keep(CpExchange *ex, void *memory, CpDropFn drop);
+
+#endif
