--- /dev/null
+++ b/src/relay/relay_pipe.c
@@ -0,0 +1,205 @@
+/* The bounded byte stream between a producing and a consuming thread. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "relay/relay.h"
+
+struct CpPipe {
+    pthread_mutex_t lock;
+    uint8_t *data; /* allocated with the first write */
+    uint32_t capacity_bytes;
+    uint32_t head; /* next byte to read */
+    uint32_t used_bytes;
+    CpPipeState state;
+    bool reader_waits;
+    bool writer_waits;
+    CpPipeFn on_data;
+    void *reader_ctx;
+    CpPipeFn on_space;
+    void *writer_ctx;
+    CpPipeReadFn on_read;
+    void *read_ctx;
+};
+
+static void copy_in(CpPipe *p, const uint8_t *data, uint32_t n);
+static void copy_out(CpPipe *p, uint8_t *out, uint32_t n);
+
+CpPipe *
+CpPipe_New(uint32_t capacity_bytes)
+{
+    CpPipe *p = CpMem_Alloc(sizeof(*p));
+    pthread_mutex_init(&p->lock, NULL);
+    p->capacity_bytes = capacity_bytes;
+    return p;
+}
+
+void
+CpPipe_Free(CpPipe *p)
+{
+    if (p != NULL) {
+        pthread_mutex_destroy(&p->lock);
+        free(p->data);
+        free(p);
+    }
+}
+
+void
+CpPipe_SetReader(CpPipe *p, CpPipeFn fn, void *ctx)
+{
+    pthread_mutex_lock(&p->lock);
+    p->on_data = fn;
+    p->reader_ctx = ctx;
+    pthread_mutex_unlock(&p->lock);
+}
+
+void
+CpPipe_SetWriter(CpPipe *p, CpPipeFn fn, void *ctx)
+{
+    pthread_mutex_lock(&p->lock);
+    p->on_space = fn;
+    p->writer_ctx = ctx;
+    pthread_mutex_unlock(&p->lock);
+}
+
+void
+CpPipe_SetConsumed(CpPipe *p, CpPipeReadFn fn, void *ctx)
+{
+    pthread_mutex_lock(&p->lock);
+    p->on_read = fn;
+    p->read_ctx = ctx;
+    pthread_mutex_unlock(&p->lock);
+}
+
+uint32_t
+CpPipe_Write(CpPipe *p, const void *data, uint32_t size_bytes)
+{
+    CpPipeFn wake = NULL;
+    void *ctx = NULL;
+    pthread_mutex_lock(&p->lock);
+    uint32_t n = p->capacity_bytes - p->used_bytes;
+    if (p->state != CP_PIPE_OPEN) {
+        n = size_bytes; /* nobody reads any more: swallow it */
+    }
+    else {
+        if (n > size_bytes) {
+            n = size_bytes;
+        }
+        copy_in(p, data, n);
+        p->writer_waits = n < size_bytes;
+        if (n > 0 && p->reader_waits) {
+            p->reader_waits = false;
+            wake = p->on_data;
+            ctx = p->reader_ctx;
+        }
+    }
+    pthread_mutex_unlock(&p->lock);
+    if (wake != NULL) {
+        wake(ctx);
+    }
+    return n;
+}
+
+bool
+CpPipe_CanWrite(CpPipe *p, uint32_t size_bytes)
+{
+    pthread_mutex_lock(&p->lock);
+    bool fits = p->state != CP_PIPE_OPEN ||
+                p->capacity_bytes - p->used_bytes >= size_bytes;
+    p->writer_waits = !fits;
+    pthread_mutex_unlock(&p->lock);
+    return fits;
+}
+
+bool
+CpPipe_IsBroken(CpPipe *p)
+{
+    pthread_mutex_lock(&p->lock);
+    bool broken = p->state == CP_PIPE_BROKEN;
+    pthread_mutex_unlock(&p->lock);
+    return broken;
+}
+
+void
+CpPipe_End(CpPipe *p, CpPipeState how)
+{
+    pthread_mutex_lock(&p->lock);
+    bool first = p->state == CP_PIPE_OPEN;
+    CpPipeFn wake = first ? p->on_data : NULL;
+    CpPipeFn space = first && p->writer_waits ? p->on_space : NULL;
+    void *ctx = p->reader_ctx, *wctx = p->writer_ctx;
+    if (first) {
+        p->state = how;
+        p->reader_waits = false;
+        p->writer_waits = false;
+    }
+    pthread_mutex_unlock(&p->lock);
+    if (wake != NULL) {
+        wake(ctx);
+    }
+    if (space != NULL) {
+        space(wctx);
+    }
+}
+
+uint32_t
+CpPipe_Read(CpPipe *p, void *out, uint32_t room_bytes, CpPipeState *state)
+{
+    CpPipeFn wake = NULL;
+    void *ctx = NULL;
+    pthread_mutex_lock(&p->lock);
+    uint32_t n = p->used_bytes < room_bytes ? p->used_bytes : room_bytes;
+    if (p->state == CP_PIPE_BROKEN) {
+        n = 0;
+    }
+    copy_out(p, out, n);
+    *state = n > 0 ? CP_PIPE_OPEN : p->state;
+    p->reader_waits = n == 0;
+    if (p->writer_waits && p->used_bytes <= p->capacity_bytes / 2) {
+        p->writer_waits = false;
+        wake = p->on_space;
+        ctx = p->writer_ctx;
+    }
+    CpPipeReadFn on_read = n > 0 ? p->on_read : NULL;
+    void *read_ctx = p->read_ctx;
+    pthread_mutex_unlock(&p->lock);
+    if (wake != NULL) {
+        wake(ctx);
+    }
+    if (on_read != NULL) {
+        on_read(read_ctx, n);
+    }
+    return n;
+}
+
+static void
+copy_in(CpPipe *p, const uint8_t *data, uint32_t n)
+{
+    if (p->data == NULL && n > 0) {
+        p->data = CpMem_Alloc(p->capacity_bytes);
+    }
+    uint32_t tail = (p->head + p->used_bytes) % p->capacity_bytes;
+    uint32_t first = p->capacity_bytes - tail;
+    if (first > n) {
+        first = n;
+    }
+    if (n > 0) {
+        memcpy(p->data + tail, data, first);
+        memcpy(p->data, data + first, n - first);
+    }
+    p->used_bytes += n;
+}
+
+static void
+copy_out(CpPipe *p, uint8_t *out, uint32_t n)
+{
+    uint32_t first = p->capacity_bytes - p->head;
+    if (first > n) {
+        first = n;
+    }
+    if (n > 0) {
+        memcpy(out, p->data + p->head, first);
+        memcpy(out + first, p->data, n - first);
+    }
+    p->head = (p->head + n) % p->capacity_bytes;
+    p->used_bytes -= n;
+}
--- /dev/null
+++ b/src/steer/steer_choose.c
@@ -0,0 +1,287 @@
+/* Choice of the failure domain and host for a request, and for look-ups. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "steer/steer.h"
+
+#define DOMAIN_LATENCY_US 1000  /* between domains of one region */
+#define REGION_LATENCY_US 50000 /* where no link is configured */
+#define LEAVE_HOME_FACTOR 2     /* a far queue must be this much shorter */
+
+typedef struct {
+    uint32_t slots;
+    uint32_t busy; /* running, waiting, or sent there */
+} DomainLoad;
+
+static void sort_near(CpTopology *t, uint32_t domain);
+static uint32_t latency(const CpConfig *c, uint32_t a, uint32_t b);
+static DomainLoad domain_load(const CpTopology *t, const CpSteerHost *hosts,
+                              const CpSteerAsk *ask, uint32_t domain);
+static uint32_t choose_host(const CpTopology *t, const CpSteerHost *hosts,
+                            const CpSteerAsk *ask, uint32_t domain);
+static bool usable(const CpSteerHost *h, const CpSteerAsk *ask, uint32_t i);
+static uint32_t busy(const CpSteerHost *hosts, const CpSteerAsk *ask,
+                     uint32_t i);
+static bool better(const CpSteerHost *hosts, const CpSteerAsk *ask, uint32_t a,
+                   uint32_t b);
+static bool is_drained(const CpTopology *t, uint32_t domain);
+
+CpTopology *
+CpTopology_New(const CpConfig *config)
+{
+    CpTopology *t = CpMem_Alloc(sizeof(*t));
+    uint32_t n = config->domain_count, used = 0;
+    CpBlock *blocks =
+        CpMem_Alloc((config->client_count + 1) * sizeof(*blocks));
+    t->config = config;
+    for (uint32_t i = 0; i < config->client_count; i++) {
+        if (CpBlock_Parse(config->clients[i].block, &blocks[used])) {
+            blocks[used++].value = (uint16_t)config->clients[i].domain_index;
+        }
+    }
+    t->blocks = CpBlockMap_Build(blocks, used);
+    free(blocks);
+    t->near = CpMem_Alloc((n * n + 1) * sizeof(*t->near));
+    t->latency_us = CpMem_Alloc((n * n + 1) * sizeof(*t->latency_us));
+    for (uint32_t a = 0; a < n; a++) {
+        for (uint32_t b = 0; b < n; b++) {
+            t->latency_us[a * n + b] = latency(config, a, b);
+        }
+        sort_near(t, a);
+    }
+    return t;
+}
+
+void
+CpTopology_Free(CpTopology *t)
+{
+    if (t != NULL) {
+        CpBlockMap_Free(t->blocks);
+        free(t->near);
+        free(t->latency_us);
+        free(t);
+    }
+}
+
+uint32_t
+CpSteer_Choose(const CpTopology *t, const CpSteerHost *hosts,
+               const CpSteerAsk *ask)
+{
+    uint32_t n = t->config->domain_count, best = CP_NO_INDEX;
+    uint64_t best_wait = UINT64_MAX;
+    for (uint32_t i = 0; i < n; i++) {
+        uint32_t d = t->near[ask->domain_index * n + i];
+        DomainLoad load = domain_load(t, hosts, ask, d);
+        if (load.slots == 0 || (is_drained(t, d) && !ask->allow_drained)) {
+            continue;
+        }
+        if (load.busy < load.slots) {
+            best = d;
+            break;
+        }
+        uint64_t wait = (uint64_t)load.busy * 1000 / load.slots;
+        if (best == CP_NO_INDEX || wait * LEAVE_HOME_FACTOR < best_wait) {
+            best = d;
+            best_wait = wait;
+        }
+    }
+    return best == CP_NO_INDEX ? best : choose_host(t, hosts, ask, best);
+}
+
+uint32_t
+CpSteer_Home(const CpTopology *t, const uint8_t *ip, bool v6,
+             uint32_t fallback)
+{
+    uint32_t d = CpSteer_Origin(t, ip, v6, fallback);
+    uint64_t turn = CpHash(ip, v6 ? 16 : 4, 1) % 100;
+    for (uint32_t i = 0; i < t->config->move_count; i++) {
+        const CpMove *m = &t->config->moves[i];
+        if (m->from_index == d) {
+            if (turn < m->percent) {
+                return m->to_index;
+            }
+            turn -= m->percent;
+        }
+    }
+    return d;
+}
+
+uint32_t
+CpSteer_Origin(const CpTopology *t, const uint8_t *ip, bool v6,
+               uint32_t fallback)
+{
+    uint32_t d = CpBlockMap_Find(t->blocks, ip, v6);
+    return d == CP_NO_INDEX ? fallback : d;
+}
+
+uint32_t
+CpSteer_Entry(const CpTopology *t, const CpSteerHost *hosts,
+              uint32_t domain_index, uint32_t pool_index, uint32_t turn,
+              uint32_t *out, uint32_t room)
+{
+    const CpConfig *c = t->config;
+    uint32_t found = 0;
+    (void)pool_index;
+    for (uint32_t pass = 0; pass < 2 && found == 0; pass++) {
+        for (uint32_t i = 0; i < c->domain_count && found < room; i++) {
+            uint32_t d = t->near[domain_index * c->domain_count + i];
+            if (is_drained(t, d) && pass == 0) {
+                continue;
+            }
+            for (uint32_t k = 0; k < c->host_count && found < room; k++) {
+                uint32_t h = (k + turn) % c->host_count;
+                if (hosts[h].domain_index == d &&
+                    hosts[h].state == CP_MEMBER_LIVE) {
+                    out[found++] = h;
+                }
+            }
+        }
+    }
+    return found;
+}
+
+void
+CpSteer_Plan(const CpTopology *t, CpPlanDomain *out)
+{
+    const CpConfig *c = t->config;
+    uint32_t *counts = CpMem_Alloc((c->domain_count + 1) * sizeof(*counts));
+    for (uint32_t i = 0; i < c->client_count; i++) {
+        uint32_t from = c->clients[i].domain_index, left = 1000;
+        for (uint32_t k = 0; k < c->move_count; k++) {
+            if (c->moves[k].from_index == from) {
+                uint32_t part = c->moves[k].percent * 10;
+                counts[c->moves[k].to_index] += part;
+                left -= part < left ? part : left;
+            }
+        }
+        counts[from] += left;
+    }
+    for (uint32_t d = 0; d < c->domain_count; d++) {
+        out[d] = (CpPlanDomain){0};
+    }
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        const CpServer *s = &c->servers[i];
+        out[s->domain_index].slots += s->leaving ? 0 : s->slots;
+    }
+    for (uint32_t d = 0; d < c->domain_count; d++) {
+        uint32_t to = d;
+        for (uint32_t i = 0; i < c->domain_count && is_drained(t, to); i++) {
+            to = t->near[d * c->domain_count + i];
+        }
+        if (c->client_count > 0) {
+            out[to].share_permille += counts[d] / c->client_count;
+        }
+    }
+    free(counts);
+}
+
+static void
+sort_near(CpTopology *t, uint32_t domain)
+{
+    uint32_t n = t->config->domain_count;
+    uint16_t *near = &t->near[domain * n];
+    const uint32_t *us = &t->latency_us[domain * n];
+    for (uint32_t i = 0; i < n; i++) {
+        uint32_t at = i;
+        while (at > 0 && us[near[at - 1]] > us[i]) {
+            near[at] = near[at - 1];
+            at--;
+        }
+        near[at] = (uint16_t)i;
+    }
+}
+
+static uint32_t
+latency(const CpConfig *c, uint32_t a, uint32_t b)
+{
+    uint32_t ra = c->domains[a].region_index, rb = c->domains[b].region_index;
+    if (a == b) {
+        return 0;
+    }
+    if (ra == rb) {
+        return DOMAIN_LATENCY_US;
+    }
+    const CpLink *l = CpConfig_Link(c, ra, rb);
+    return DOMAIN_LATENCY_US + (l != NULL ? l->latency_us : REGION_LATENCY_US);
+}
+
+static DomainLoad
+domain_load(const CpTopology *t, const CpSteerHost *hosts,
+            const CpSteerAsk *ask, uint32_t domain)
+{
+    DomainLoad sum = {0};
+    for (uint32_t i = 0; i < t->config->host_count; i++) {
+        const CpSteerHost *h = &hosts[i];
+        if (h->domain_index == domain && usable(h, ask, i)) {
+            sum.slots += h->loads[ask->pool_index].slots;
+            sum.busy += busy(hosts, ask, i);
+        }
+    }
+    return sum;
+}
+
+/* The less loaded of two hosts taken at random by their slots. */
+static uint32_t
+choose_host(const CpTopology *t, const CpSteerHost *hosts,
+            const CpSteerAsk *ask, uint32_t domain)
+{
+    uint32_t total = domain_load(t, hosts, ask, domain).slots;
+    uint32_t picked[2] = {CP_NO_INDEX, CP_NO_INDEX};
+    for (uint32_t k = 0; k < 2; k++) {
+        uint32_t at = (uint32_t)(ask->random >> (32 * k)) % total;
+        for (uint32_t i = 0; i < t->config->host_count; i++) {
+            const CpSteerHost *h = &hosts[i];
+            if (h->domain_index != domain || !usable(h, ask, i)) {
+                continue;
+            }
+            uint32_t slots = h->loads[ask->pool_index].slots;
+            if (at < slots) {
+                picked[k] = i;
+                break;
+            }
+            at -= slots;
+        }
+    }
+    if (picked[1] != CP_NO_INDEX && better(hosts, ask, picked[1], picked[0])) {
+        return picked[1];
+    }
+    return picked[0];
+}
+
+static bool
+usable(const CpSteerHost *h, const CpSteerAsk *ask, uint32_t i)
+{
+    for (uint32_t k = 0; k < ask->tried_count; k++) {
+        if (ask->tried[k] == i) {
+            return false;
+        }
+    }
+    return (h->state == CP_MEMBER_LIVE || h->state == CP_MEMBER_LEAVING) &&
+           ask->pool_index < h->load_count;
+}
+
+static uint32_t
+busy(const CpSteerHost *hosts, const CpSteerAsk *ask, uint32_t i)
+{
+    const CpLoad *load = &hosts[i].loads[ask->pool_index];
+    uint32_t told = load->queued + load->inflight;
+    uint32_t sent =
+        CpAtomic_Load(&ask->outstanding[i * CP_MAX_POOLS + ask->pool_index]);
+    return told > sent ? told : sent;
+}
+
+/* Whether host `a` is less loaded than `b`, for its slots. */
+static bool
+better(const CpSteerHost *hosts, const CpSteerAsk *ask, uint32_t a, uint32_t b)
+{
+    uint32_t pool = ask->pool_index;
+    uint64_t x = (uint64_t)busy(hosts, ask, a) * hosts[b].loads[pool].slots;
+    uint64_t y = (uint64_t)busy(hosts, ask, b) * hosts[a].loads[pool].slots;
+    return x < y;
+}
+
+static bool
+is_drained(const CpTopology *t, uint32_t domain)
+{
+    return t->config->domains[domain].drained;
+}
--- /dev/null
+++ b/src/wire/wire_codec.c
@@ -0,0 +1,327 @@
+/* Encodes and decodes frames by field tables, with msgpack. */
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wire/wire.h"
+
+typedef enum {
+    FIELD_U32,
+    FIELD_U64,
+    FIELD_TEXT,
+    FIELD_BYTES,
+    FIELD_ROWS
+} FieldType;
+
+typedef struct Field {
+    FieldType type;
+    size_t offset;
+    size_t size_bytes; /* of a text array, or of one row */
+    size_t count_offset;
+    const struct Field *rows;
+    uint32_t row_fields;
+} Field;
+
+typedef struct {
+    const Field *fields;
+    uint32_t count;
+} FrameRow;
+
+#define U32(s, f)                                                             \
+    {                                                                         \
+        .type = FIELD_U32, .offset = offsetof(s, f)                           \
+    }
+#define U64(s, f)                                                             \
+    {                                                                         \
+        .type = FIELD_U64, .offset = offsetof(s, f)                           \
+    }
+#define BYTES(s, f)                                                           \
+    {                                                                         \
+        .type = FIELD_BYTES, .offset = offsetof(s, f)                         \
+    }
+#define TEXT(s, f)                                                            \
+    {                                                                         \
+        .type = FIELD_TEXT, .offset = offsetof(s, f),                         \
+        .size_bytes = sizeof(((s *)0)->f)                                     \
+    }
+#define ROWS(s, f, n, item, table)                                            \
+    {                                                                         \
+        .type = FIELD_ROWS, .offset = offsetof(s, f),                         \
+        .size_bytes = sizeof(item), .count_offset = offsetof(s, n),           \
+        .rows = (table), .row_fields = sizeof(table) / sizeof((table)[0])     \
+    }
+#define MAX_ROWS 4096
+
+static const Field hello_fields[] = {
+    TEXT(CpHello, host), TEXT(CpHello, domain), U64(CpHello, incarnation),
+    BYTES(CpHello, nonce)};
+static const Field proof_fields[] = {BYTES(CpProof, mac)};
+static const Field request_fields[] = {U64(CpRequestFrame, id),
+                                       U32(CpRequestFrame, purpose),
+                                       U32(CpRequestFrame, hops),
+                                       TEXT(CpRequestFrame, kind),
+                                       TEXT(CpRequestFrame, method),
+                                       TEXT(CpRequestFrame, target),
+                                       TEXT(CpRequestFrame, content_type),
+                                       TEXT(CpRequestFrame, ticket),
+                                       TEXT(CpRequestFrame, origin),
+                                       U32(CpRequestFrame, remaining_ms),
+                                       U32(CpRequestFrame, streams_body),
+                                       BYTES(CpRequestFrame, body)};
+static const Field data_fields[] = {
+    U64(CpDataFrame, id), U32(CpDataFrame, last), BYTES(CpDataFrame, data)};
+static const Field credit_fields[] = {U64(CpCreditFrame, id),
+                                      U32(CpCreditFrame, credit_bytes)};
+static const Field head_fields[] = {
+    U64(CpHeadFrame, id),           U32(CpHeadFrame, status),
+    U32(CpHeadFrame, verdict),      U32(CpHeadFrame, reason),
+    U64(CpHeadFrame, length_bytes), TEXT(CpHeadFrame, content_type),
+    TEXT(CpHeadFrame, server)};
+static const Field end_fields[] = {
+    U64(CpEndFrame, id), U32(CpEndFrame, verdict), U32(CpEndFrame, reason),
+    U64(CpEndFrame, total_bytes)};
+static const Field cancel_fields[] = {U64(CpIdFrame, id)};
+static const Field load_fields[] = {U32(CpLoad, queued), U32(CpLoad, inflight),
+                                    U32(CpLoad, slots)};
+static const Field member_fields[] = {
+    TEXT(CpMemberRow, host),
+    U64(CpMemberRow, incarnation),
+    U32(CpMemberRow, epoch),
+    U32(CpMemberRow, state),
+    U64(CpMemberRow, config_version),
+    ROWS(CpMemberRow, loads, load_count, CpLoad, load_fields)};
+static const Field probe_fields[] = {
+    U64(CpProbeFrame, id), U32(CpProbeFrame, far),
+    U64(CpProbeFrame, config_version),
+    ROWS(CpProbeFrame, rows, row_count, CpMemberRow, member_fields)};
+static const Field loan_row_fields[] = {TEXT(CpLoanRow, resource),
+                                        U32(CpLoanRow, units)};
+static const Field loan_fields[] = {
+    U64(CpLoanFrame, id), U32(CpLoanFrame, ttl_ms),
+    ROWS(CpLoanFrame, rows, row_count, CpLoanRow, loan_row_fields)};
+static const Field config_fields[] = {
+    U64(CpConfigFrame, id),          U64(CpConfigFrame, version),
+    U64(CpConfigFrame, base),        U32(CpConfigFrame, offset_bytes),
+    U32(CpConfigFrame, total_bytes), BYTES(CpConfigFrame, data)};
+
+#define FRAME(table)                                                          \
+    {                                                                         \
+        (table), sizeof(table) / sizeof((table)[0])                           \
+    }
+static const FrameRow frames[CP_FRAME_TYPE_COUNT] = {
+    [CP_FRAME_HELLO] = FRAME(hello_fields),
+    [CP_FRAME_PROOF] = FRAME(proof_fields),
+    [CP_FRAME_REQUEST] = FRAME(request_fields),
+    [CP_FRAME_BODY] = FRAME(data_fields),
+    [CP_FRAME_CREDIT] = FRAME(credit_fields),
+    [CP_FRAME_HEAD] = FRAME(head_fields),
+    [CP_FRAME_DATA] = FRAME(data_fields),
+    [CP_FRAME_END] = FRAME(end_fields),
+    [CP_FRAME_CANCEL] = FRAME(cancel_fields),
+    [CP_FRAME_PROBE] = FRAME(probe_fields),
+    [CP_FRAME_PROBE_ACK] = FRAME(probe_fields),
+    [CP_FRAME_LOAN_ASK] = FRAME(loan_fields),
+    [CP_FRAME_LOAN_GRANT] = FRAME(loan_fields),
+    [CP_FRAME_CONFIG_GET] = FRAME(config_fields),
+    [CP_FRAME_CONFIG_CHUNK] = FRAME(config_fields),
+};
+
+static void pack_fields(msgpack_packer *pk, const Field *fields,
+                        uint32_t count, const char *in);
+static void pack_field(msgpack_packer *pk, const Field *f, const char *in);
+static bool unpack_fields(const msgpack_object *from, const Field *fields,
+                          uint32_t count, char *out, msgpack_zone *zone);
+static bool unpack_field(const msgpack_object *o, const Field *f, char *out,
+                         msgpack_zone *zone);
+static bool unpack_rows(const msgpack_object *o, const Field *f, char *out,
+                        msgpack_zone *zone);
+
+CpStatus
+CpFrame_Encode(const CpFrame *frame, uint8_t **out, uint32_t *out_bytes)
+{
+    const FrameRow *row = &frames[frame->type];
+    msgpack_sbuffer buf;
+    msgpack_packer pk;
+    const char prefix[CP_PREFIX_BYTES] = {0};
+    msgpack_sbuffer_init(&buf);
+    msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
+    msgpack_sbuffer_write(&buf, prefix, sizeof(prefix));
+    msgpack_pack_array(&pk, row->count + 1);
+    msgpack_pack_uint32(&pk, frame->type);
+    pack_fields(&pk, row->fields, row->count, (const char *)&frame->hello);
+    if (buf.size > CP_FRAME_MAX_BYTES) {
+        msgpack_sbuffer_destroy(&buf);
+        return CpError_Set(CP_ERR_RANGE, "frame of %zu bytes", buf.size);
+    }
+    uint32_t length = htonl((uint32_t)(buf.size - CP_PREFIX_BYTES));
+    memcpy(buf.data, &length, sizeof(length));
+    *out_bytes = (uint32_t)buf.size;
+    *out = (uint8_t *)msgpack_sbuffer_release(&buf);
+    return CP_OK;
+}
+
+CpStatus
+CpFrame_Decode(const uint8_t *data, uint32_t size_bytes, CpDecoded *out)
+{
+    msgpack_object o;
+    size_t at = 0;
+    msgpack_zone *zone = msgpack_zone_new(1024);
+    *out = (CpDecoded){.zone = zone};
+    if (msgpack_unpack((const char *)data, size_bytes, &at, zone, &o) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        at != size_bytes || o.type != MSGPACK_OBJECT_ARRAY ||
+        o.via.array.size == 0 ||
+        o.via.array.ptr[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER) {
+        CpFrame_Clear(out);
+        return CpError_Set(CP_ERR_PARSE, "frame is not a typed array");
+    }
+    uint64_t type = o.via.array.ptr[0].via.u64;
+    if (type == 0 || type >= CP_FRAME_TYPE_COUNT ||
+        o.via.array.size != frames[type].count + 1) {
+        CpFrame_Clear(out);
+        return CpError_Set(CP_ERR_PARSE, "frame of unknown type or size");
+    }
+    out->frame.type = (CpFrameType)type;
+    msgpack_object rest = o;
+    rest.via.array.ptr++;
+    rest.via.array.size--;
+    if (!unpack_fields(&rest, frames[type].fields, frames[type].count,
+                       (char *)&out->frame.hello, zone)) {
+        CpFrame_Clear(out);
+        return CpError_Set(CP_ERR_PARSE, "frame type %u has a bad field",
+                           (uint32_t)type);
+    }
+    return CP_OK;
+}
+
+void
+CpFrame_Clear(CpDecoded *d)
+{
+    if (d->zone != NULL) {
+        msgpack_zone_free(d->zone);
+        d->zone = NULL;
+    }
+}
+
+static void
+pack_fields(msgpack_packer *pk, const Field *fields, uint32_t count,
+            const char *in)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        pack_field(pk, &fields[i], in);
+    }
+}
+
+static void
+pack_field(msgpack_packer *pk, const Field *f, const char *in)
+{
+    const void *at = in + f->offset;
+    const CpBytes *bytes = at;
+    size_t n;
+    switch (f->type) {
+    case FIELD_U32:
+        msgpack_pack_uint32(pk, *(const uint32_t *)at);
+        break;
+    case FIELD_U64:
+        msgpack_pack_uint64(pk, *(const uint64_t *)at);
+        break;
+    case FIELD_TEXT:
+        n = strnlen(at, f->size_bytes);
+        msgpack_pack_str(pk, n);
+        msgpack_pack_str_body(pk, at, n);
+        break;
+    case FIELD_BYTES:
+        msgpack_pack_bin(pk, bytes->size_bytes);
+        msgpack_pack_bin_body(pk, bytes->data, bytes->size_bytes);
+        break;
+    case FIELD_ROWS: {
+        const char *rows = *(char *const *)at;
+        uint32_t count =
+            *(const uint32_t *)(const void *)(in + f->count_offset);
+        msgpack_pack_array(pk, count);
+        for (uint32_t i = 0; i < count; i++) {
+            msgpack_pack_array(pk, f->row_fields);
+            pack_fields(pk, f->rows, f->row_fields, rows + i * f->size_bytes);
+        }
+        break;
+    }
+    }
+}
+
+static bool
+unpack_fields(const msgpack_object *from, const Field *fields, uint32_t count,
+              char *out, msgpack_zone *zone)
+{
+    if (from->type != MSGPACK_OBJECT_ARRAY || from->via.array.size != count) {
+        return false;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        if (!unpack_field(&from->via.array.ptr[i], &fields[i], out, zone)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+unpack_field(const msgpack_object *o, const Field *f, char *out,
+             msgpack_zone *zone)
+{
+    char *at = out + f->offset;
+    bool integer = o->type == MSGPACK_OBJECT_POSITIVE_INTEGER;
+    switch (f->type) {
+    case FIELD_U32:
+        if (!integer || o->via.u64 > UINT32_MAX) {
+            return false;
+        }
+        *(uint32_t *)(void *)at = (uint32_t)o->via.u64;
+        return true;
+    case FIELD_U64:
+        if (!integer) {
+            return false;
+        }
+        *(uint64_t *)(void *)at = o->via.u64;
+        return true;
+    case FIELD_TEXT:
+        if (o->type != MSGPACK_OBJECT_STR ||
+            o->via.str.size >= f->size_bytes) {
+            return false;
+        }
+        if (o->via.str.size > 0) {
+            memcpy(at, o->via.str.ptr, o->via.str.size);
+        }
+        at[o->via.str.size] = '\0';
+        return true;
+    case FIELD_BYTES:
+        if (o->type != MSGPACK_OBJECT_BIN) {
+            return false;
+        }
+        *(CpBytes *)(void *)at = (CpBytes){o->via.bin.ptr, o->via.bin.size};
+        return true;
+    case FIELD_ROWS:
+        return unpack_rows(o, f, out, zone);
+    }
+    return false;
+}
+
+static bool
+unpack_rows(const msgpack_object *o, const Field *f, char *out,
+            msgpack_zone *zone)
+{
+    if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size > MAX_ROWS) {
+        return false;
+    }
+    uint32_t n = o->via.array.size;
+    char *rows = msgpack_zone_malloc(zone, (n + 1) * f->size_bytes);
+    memset(rows, 0, (n + 1) * f->size_bytes);
+    *(void **)(void *)(out + f->offset) = rows;
+    *(uint32_t *)(void *)(out + f->count_offset) = n;
+    for (uint32_t i = 0; i < n; i++) {
+        if (!unpack_fields(&o->via.array.ptr[i], f->rows, f->row_fields,
+                           rows + i * f->size_bytes, zone)) {
+            return false;
+        }
+    }
+    return true;
+}
--- /dev/null
+++ b/src/wire/wire_out.c
@@ -0,0 +1,137 @@
+/* A session's output: queues by class, written without ever blocking. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "wire/wire_int.h"
+
+static CpOut *next_out(CpSession *s);
+static void arm_write(CpSession *s, bool on);
+static void drop_out(CpOut *o);
+
+CpStatus
+CpOut_Put(CpSession *s, const CpFrame *frame, uint32_t class_index)
+{
+    CpOut *o = CpMem_Alloc(sizeof(*o));
+    CpStatus st = CpFrame_Encode(frame, &o->data, &o->size_bytes);
+    if (st != CP_OK) {
+        free(o);
+        return st;
+    }
+    o->class_index = class_index;
+    o->request_id = frame->type == CP_FRAME_REQUEST ? frame->request.id : 0;
+    CpOutQueue *q = &s->out[class_index];
+    if (q->last != NULL) {
+        q->last->next = o;
+    }
+    else {
+        q->first = o;
+    }
+    q->last = o;
+    bool handshake = frame->type <= CP_FRAME_PROOF;
+    if (s->state == CP_SESSION_READY || handshake) {
+        CpOut_Flush(s);
+    }
+    return CP_OK;
+}
+
+bool
+CpOut_Flush(CpSession *s)
+{
+    s->paced = false;
+    for (;;) {
+        if (s->sending == NULL) {
+            s->sending = next_out(s);
+        }
+        CpOut *o = s->sending;
+        if (o == NULL) {
+            arm_write(s, false);
+            return true;
+        }
+        ssize_t n = send(s->fd, o->data + o->sent_bytes,
+                         o->size_bytes - o->sent_bytes, MSG_NOSIGNAL);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            arm_write(s, true);
+            return true;
+        }
+        if (n < 0) {
+            shutdown(s->fd, SHUT_RDWR);
+            return false;
+        }
+        o->sent_bytes += (uint32_t)n;
+        if (o->sent_bytes == o->size_bytes) {
+            s->sending = NULL;
+            drop_out(o);
+        }
+    }
+}
+
+CpOut *
+CpOut_TakeAll(CpSession *s)
+{
+    CpOut *all = NULL;
+    for (uint32_t i = 0; i < CP_CLASSES; i++) {
+        while (s->out[i].first != NULL) {
+            CpOut *o = s->out[i].first;
+            s->out[i].first = o->next;
+            o->next = all;
+            all = o;
+        }
+        s->out[i].last = NULL;
+    }
+    if (s->sending != NULL) {
+        s->sending->request_id = 0;
+        s->sending->next = all;
+        all = s->sending;
+        s->sending = NULL;
+    }
+    return all;
+}
+
+/* The next frame in order of class that the link has room for. */
+static CpOut *
+next_out(CpSession *s)
+{
+    const CpWireCallbacks *cb = &s->wire->options.callbacks;
+    uint32_t classes = s->state == CP_SESSION_READY ? CP_CLASSES : 1;
+    for (uint32_t i = 0; i < classes; i++) {
+        CpOut *o = s->out[i].first;
+        if (o == NULL) {
+            continue;
+        }
+        if (!cb->on_spend(cb->ctx, s->peer, i, o->size_bytes)) {
+            s->paced = true;
+            return NULL;
+        }
+        s->out[i].first = o->next;
+        if (o->next == NULL) {
+            s->out[i].last = NULL;
+        }
+        uint32_t number = htonl(s->sent_frames++);
+        memcpy(o->data + CP_LENGTH_BYTES, &number, sizeof(number));
+        return o;
+    }
+    return NULL;
+}
+
+static void
+arm_write(CpSession *s, bool on)
+{
+    if (s->wants_write == on) {
+        return;
+    }
+    struct epoll_event ev = {.events = EPOLLIN | (on ? EPOLLOUT : 0),
+                             .data.ptr = s};
+    epoll_ctl(s->shard->epoll_fd, EPOLL_CTL_MOD, s->fd, &ev);
+    s->wants_write = on;
+}
+
+static void
+drop_out(CpOut *o)
+{
+    free(o->data);
+    free(o);
+}
--- /dev/null
+++ b/src/wire/wire_session.c
@@ -0,0 +1,506 @@
+/* Sessions: dialling, accepting, reading, ending; one thread a shard. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <sodium.h>
+
+#include "wire/wire_int.h"
+
+#define EVENTS 64
+#define HANDSHAKE_MS 2000
+#define HANDSHAKE_MAX_BYTES 1024
+#define PACE_MS 5
+#define READ_ROOM_BYTES 4096 /* first size of the input buffer */
+#define USER_TIMEOUT_MS 3000
+
+static void *shard_thread(void *ctx);
+static void handle_event(CpWireShard *sh, struct epoll_event *ev);
+static void accept_all(CpWire *w);
+static bool read_session(CpSession *s);
+static bool handle_input(CpSession *s);
+static bool handle_frame(CpSession *s, const uint8_t *data,
+                         uint32_t size_bytes);
+static bool finish_connect(CpSession *s);
+static void end_session(CpSession *s);
+static CpSession *new_session(CpWire *w, CpWireShard *sh, int32_t fd,
+                              bool dialled);
+static int32_t dial_socket(CpWire *w, const char *address);
+static void add_session(CpSession *s, uint32_t events);
+static void on_tick(void *ctx, int64_t now_ns);
+static void set_socket(int32_t fd);
+
+CpStatus
+CpWire_New(const CpWireOptions *options, CpWire **out)
+{
+    CpWire *w = CpMem_Alloc(sizeof(*w));
+    struct sockaddr_storage sa;
+    int32_t one = 1;
+    w->options = *options;
+    CpStr_Copy(w->host, sizeof(w->host), options->host);
+    CpStr_Copy(w->domain, sizeof(w->domain), options->domain);
+    CpStr_Copy(w->listen, sizeof(w->listen), options->listen);
+    uint32_t n = CpAddress_Parse(w->listen, &sa);
+    w->listen_fd = n == 0
+                       ? -1
+                       : socket(sa.ss_family,
+                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (w->listen_fd < 0) {
+        free(w);
+        return CpError_Set(CP_ERR_ARG, "%s: bad address", options->listen);
+    }
+    setsockopt(w->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (bind(w->listen_fd, (struct sockaddr *)&sa, n) != 0 ||
+        listen(w->listen_fd, 512) != 0) {
+        CpError_Set(CP_ERR_IO, "%s: %s", w->listen, strerror(errno));
+        close(w->listen_fd);
+        free(w);
+        return CP_ERR_IO;
+    }
+    w->shard_count = options->threads;
+    w->shards = CpMem_Alloc(w->shard_count * sizeof(*w->shards));
+    for (uint32_t i = 0; i < w->shard_count; i++) {
+        CpWireShard *sh = &w->shards[i];
+        struct epoll_event ev = {.events = EPOLLIN, .data.ptr = NULL};
+        sh->wire = w;
+        pthread_mutex_init(&sh->lock, NULL);
+        sh->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+        sh->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        epoll_ctl(sh->epoll_fd, EPOLL_CTL_ADD, sh->wake_fd, &ev);
+    }
+    *out = w;
+    return CP_OK;
+}
+
+void
+CpWire_Subscribe(CpWire *w, CpTimer *t)
+{
+    CpTimer_Subscribe(t, PACE_MS, on_tick, w);
+}
+
+CpStatus
+CpWire_Start(CpWire *w)
+{
+    struct epoll_event ev = {.events = EPOLLIN, .data.ptr = w};
+    epoll_ctl(w->shards[0].epoll_fd, EPOLL_CTL_ADD, w->listen_fd, &ev);
+    for (uint32_t i = 0; i < w->shard_count; i++) {
+        if (pthread_create(&w->shards[i].thread, NULL, shard_thread,
+                           &w->shards[i]) != 0) {
+            return CpError_Set(CP_ERR_IO, "wire: no thread");
+        }
+    }
+    return CP_OK;
+}
+
+void
+CpWire_Stop(CpWire *w)
+{
+    CpAtomic_Store(&w->stopping, 1);
+    for (uint32_t i = 0; i < w->shard_count; i++) {
+        uint64_t one = 1;
+        if (write(w->shards[i].wake_fd, &one, sizeof(one)) < 0) {
+            CpLog(CP_LOG_ERR, "wire: wake-up failed");
+        }
+        pthread_join(w->shards[i].thread, NULL);
+    }
+}
+
+void
+CpWire_Free(CpWire *w)
+{
+    for (uint32_t i = 0; i < w->shard_count; i++) {
+        CpWireShard *sh = &w->shards[i];
+        while (sh->sessions != NULL) {
+            end_session(sh->sessions);
+        }
+        close(sh->epoll_fd);
+        close(sh->wake_fd);
+        pthread_mutex_destroy(&sh->lock);
+    }
+    close(w->listen_fd);
+    free(w->shards);
+    free(w);
+}
+
+CpSession *
+CpWire_Dial(CpWire *w, const char *peer, const char *address)
+{
+    CpWireShard *sh = &w->shards[CpHash_Str(address, 0) % w->shard_count];
+    pthread_mutex_lock(&sh->lock);
+    for (CpSession *s = sh->sessions; s != NULL; s = s->next) {
+        if (s->dialled && CpAtomic_Load(&s->state) != CP_SESSION_ENDED &&
+            strcmp(s->address, address) == 0) {
+            CpSession_Retain(s);
+            pthread_mutex_unlock(&sh->lock);
+            return s;
+        }
+    }
+    CpSession *s = new_session(w, sh, dial_socket(w, address), true);
+    CpStr_Copy(s->peer, sizeof(s->peer), peer);
+    CpStr_Copy(s->address, sizeof(s->address), address);
+    s->next = sh->sessions;
+    sh->sessions = s;
+    CpSession_Retain(s);
+    pthread_mutex_unlock(&sh->lock);
+    add_session(s, EPOLLIN | EPOLLOUT);
+    return s;
+}
+
+CpSession *
+CpSession_Retain(CpSession *s)
+{
+    CpRef_Take(&s->refs);
+    return s;
+}
+
+void
+CpSession_Release(CpSession *s)
+{
+    if (CpRef_Drop(&s->refs)) {
+        pthread_mutex_destroy(&s->lock);
+        free(s->in);
+        free(s);
+    }
+}
+
+CpStatus
+CpSession_Send(CpSession *s, const CpFrame *frame, uint32_t class_index)
+{
+    CpStatus st;
+    pthread_mutex_lock(&s->lock);
+    if (s->state == CP_SESSION_ENDED) {
+        st = CpError_Set(CP_ERR_UNAVAILABLE, "session with %s ended", s->peer);
+    }
+    else {
+        st = CpOut_Put(s, frame, class_index);
+    }
+    pthread_mutex_unlock(&s->lock);
+    return st;
+}
+
+void
+CpSession_Close(CpSession *s)
+{
+    pthread_mutex_lock(&s->lock);
+    if (s->state != CP_SESSION_ENDED && s->fd >= 0) {
+        shutdown(s->fd, SHUT_RDWR);
+    }
+    pthread_mutex_unlock(&s->lock);
+}
+
+const char *
+CpSession_Peer(const CpSession *s)
+{
+    return s->peer;
+}
+
+uint64_t
+CpSession_PeerIncarnation(const CpSession *s)
+{
+    return s->peer_incarnation;
+}
+
+bool
+CpSession_Dialled(const CpSession *s)
+{
+    return s->dialled;
+}
+
+static void *
+shard_thread(void *ctx)
+{
+    CpWireShard *sh = ctx;
+    struct epoll_event events[EVENTS];
+    while (!CpAtomic_Load(&sh->wire->stopping)) {
+        int32_t n = epoll_wait(sh->epoll_fd, events, EVENTS, -1);
+        for (int32_t i = 0; i < n; i++) {
+            handle_event(sh, &events[i]);
+        }
+    }
+    return NULL;
+}
+
+static void
+handle_event(CpWireShard *sh, struct epoll_event *ev)
+{
+    if (ev->data.ptr == NULL) {
+        uint64_t n;
+        if (read(sh->wake_fd, &n, sizeof(n)) < 0) {
+            return;
+        }
+        return;
+    }
+    if (ev->data.ptr == sh->wire) {
+        accept_all(sh->wire);
+        return;
+    }
+    CpSession *s = ev->data.ptr;
+    bool ok = true;
+    if (CpAtomic_Load(&s->state) == CP_SESSION_CONNECTING) {
+        ok = finish_connect(s);
+    }
+    else {
+        if (ev->events & EPOLLOUT) {
+            pthread_mutex_lock(&s->lock);
+            ok = CpOut_Flush(s);
+            pthread_mutex_unlock(&s->lock);
+        }
+        if (ok && (ev->events & (EPOLLIN | EPOLLHUP | EPOLLERR))) {
+            ok = read_session(s);
+        }
+    }
+    if (!ok) {
+        end_session(s);
+    }
+}
+
+static void
+accept_all(CpWire *w)
+{
+    for (;;) {
+        int32_t fd =
+            accept4(w->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (fd < 0) {
+            return;
+        }
+        CpWireShard *sh = &w->shards[CpRandom() % w->shard_count];
+        CpSession *s = new_session(w, sh, fd, false);
+        CpAtomic_Store(&s->state, CP_SESSION_HELLO);
+        set_socket(fd);
+        pthread_mutex_lock(&sh->lock);
+        s->next = sh->sessions;
+        sh->sessions = s;
+        pthread_mutex_unlock(&sh->lock);
+        add_session(s, EPOLLIN);
+    }
+}
+
+static bool
+read_session(CpSession *s)
+{
+    for (;;) {
+        if (s->in_room == s->in_bytes) {
+            s->in_room = s->in_room ? 2 * s->in_room : READ_ROOM_BYTES;
+            s->in = CpMem_Realloc(s->in, s->in_room);
+        }
+        uint32_t room = s->in_room - s->in_bytes;
+        ssize_t n = recv(s->fd, s->in + s->in_bytes, room, 0);
+        if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            return true;
+        }
+        if (n <= 0) {
+            return false;
+        }
+        s->in_bytes += (uint32_t)n;
+        if (!handle_input(s)) {
+            return false;
+        }
+        if ((uint32_t)n < room) {
+            return true;
+        }
+    }
+}
+
+/* Handles every whole frame in the input buffer. */
+static bool
+handle_input(CpSession *s)
+{
+    uint32_t at = 0;
+    while (s->in_bytes - at >= CP_PREFIX_BYTES) {
+        uint32_t prefix[2];
+        memcpy(prefix, s->in + at, CP_PREFIX_BYTES);
+        uint32_t n = ntohl(prefix[0]);
+        uint32_t limit = CpAtomic_Load(&s->state) == CP_SESSION_READY
+                             ? CP_FRAME_MAX_BYTES
+                             : HANDSHAKE_MAX_BYTES;
+        if (n > limit || ntohl(prefix[1]) != s->got_frames) {
+            CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
+            CpLog(CP_LOG_WARNING, "session with %s: frame %u of %u bytes",
+                  s->peer, ntohl(prefix[1]), n);
+            return false;
+        }
+        if (s->in_bytes - at - CP_PREFIX_BYTES < n) {
+            break;
+        }
+        s->got_frames++;
+        if (!handle_frame(s, s->in + at + CP_PREFIX_BYTES, n)) {
+            return false;
+        }
+        at += CP_PREFIX_BYTES + n;
+    }
+    memmove(s->in, s->in + at, s->in_bytes - at);
+    s->in_bytes -= at;
+    return true;
+}
+
+static bool
+handle_frame(CpSession *s, const uint8_t *data, uint32_t size_bytes)
+{
+    const CpWireCallbacks *cb = &s->wire->options.callbacks;
+    CpDecoded d;
+    bool ok = true;
+    if (CpFrame_Decode(data, size_bytes, &d) != CP_OK) {
+        CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
+        CpLog(CP_LOG_WARNING, "session with %s: %s", s->peer,
+              CpError_Message());
+        return false;
+    }
+    if (CpAtomic_Load(&s->state) == CP_SESSION_READY) {
+        if (d.frame.type <= CP_FRAME_PROOF) {
+            ok = false;
+        }
+        else {
+            cb->on_frame(cb->ctx, s, &d.frame);
+        }
+    }
+    else {
+        ok = CpAuth_Handle(s, &d.frame);
+    }
+    CpFrame_Clear(&d);
+    return ok;
+}
+
+static bool
+finish_connect(CpSession *s)
+{
+    int32_t err = 0;
+    socklen_t n = sizeof(err);
+    getsockopt(s->fd, SOL_SOCKET, SO_ERROR, &err, &n);
+    if (err != 0) {
+        s->refused = err == ECONNREFUSED;
+        return false;
+    }
+    pthread_mutex_lock(&s->lock);
+    CpAtomic_Store(&s->state, CP_SESSION_HELLO);
+    s->wants_write = true;
+    CpAuth_Hello(s);
+    pthread_mutex_unlock(&s->lock);
+    return true;
+}
+
+/* Takes the session from its shard and tells the owner; once a session. */
+static void
+end_session(CpSession *s)
+{
+    const CpWireCallbacks *cb = &s->wire->options.callbacks;
+    pthread_mutex_lock(&s->shard->lock);
+    CpSession **at = &s->shard->sessions;
+    while (*at != NULL && *at != s) {
+        at = &(*at)->next;
+    }
+    if (*at == s) {
+        *at = s->next;
+    }
+    pthread_mutex_unlock(&s->shard->lock);
+    pthread_mutex_lock(&s->lock);
+    bool was_ready = s->state == CP_SESSION_READY;
+    CpAtomic_Store(&s->state, CP_SESSION_ENDED);
+    CpOut *all = CpOut_TakeAll(s);
+    if (s->fd >= 0) {
+        close(s->fd);
+        s->fd = -1;
+    }
+    pthread_mutex_unlock(&s->lock);
+    if (was_ready) {
+        CpCounter_Add(CP_COUNT_SESSIONS_LOST, 1);
+    }
+    while (all != NULL) {
+        CpOut *o = all;
+        all = o->next;
+        if (o->request_id != 0 && o->sent_bytes == 0) {
+            cb->on_unsent(cb->ctx, s, o->request_id);
+        }
+        free(o->data);
+        free(o);
+    }
+    cb->on_lost(cb->ctx, s, s->refused);
+    CpSession_Release(s);
+}
+
+static CpSession *
+new_session(CpWire *w, CpWireShard *sh, int32_t fd, bool dialled)
+{
+    CpSession *s = CpMem_Alloc(sizeof(*s));
+    s->wire = w;
+    s->shard = sh;
+    s->fd = fd;
+    s->dialled = dialled;
+    s->refs = 1;
+    s->opened_ns = CpClock_Now_ns();
+    randombytes_buf(s->nonce, sizeof(s->nonce));
+    pthread_mutex_init(&s->lock, NULL);
+    return s;
+}
+
+/* A socket that is connecting from this host's own IP. */
+static int32_t
+dial_socket(CpWire *w, const char *address)
+{
+    struct sockaddr_storage to, from;
+    uint32_t n = CpAddress_Parse(address, &to);
+    uint32_t m = CpAddress_Parse(w->listen, &from);
+    if (n == 0 || to.ss_family != from.ss_family) {
+        return -1;
+    }
+    ((struct sockaddr_in *)&from)->sin_port = 0;
+    int32_t fd =
+        socket(to.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    set_socket(fd);
+    if (bind(fd, (struct sockaddr *)&from, m) != 0) {
+        CpLog(CP_LOG_WARNING, "wire: bind: %s", strerror(errno));
+    }
+    if (connect(fd, (struct sockaddr *)&to, n) != 0 && errno != EINPROGRESS) {
+        CpLog(CP_LOG_WARNING, "wire: %s: %s", address, strerror(errno));
+    }
+    return fd;
+}
+
+static void
+add_session(CpSession *s, uint32_t events)
+{
+    struct epoll_event ev = {.events = events, .data.ptr = s};
+    if (s->fd < 0 ||
+        epoll_ctl(s->shard->epoll_fd, EPOLL_CTL_ADD, s->fd, &ev) != 0) {
+        end_session(s);
+    }
+}
+
+/* Wakes paced sessions and ends handshakes that take too long. */
+static void
+on_tick(void *ctx, int64_t now_ns)
+{
+    CpWire *w = ctx;
+    for (uint32_t i = 0; i < w->shard_count; i++) {
+        CpWireShard *sh = &w->shards[i];
+        pthread_mutex_lock(&sh->lock);
+        for (CpSession *s = sh->sessions; s != NULL; s = s->next) {
+            pthread_mutex_lock(&s->lock);
+            if (s->paced && s->state == CP_SESSION_READY) {
+                CpOut_Flush(s);
+            }
+            if (s->state < CP_SESSION_READY && s->fd >= 0 &&
+                now_ns - s->opened_ns > HANDSHAKE_MS * CP_NS_PER_MS) {
+                shutdown(s->fd, SHUT_RDWR);
+            }
+            pthread_mutex_unlock(&s->lock);
+        }
+        pthread_mutex_unlock(&sh->lock);
+    }
+}
+
+static void
+set_socket(int32_t fd)
+{
+    int32_t one = 1;
+    uint32_t timeout_ms = USER_TIMEOUT_MS;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+               sizeof(timeout_ms));
+}
--- /dev/null
+++ b/standin/standin_fault.c
@@ -0,0 +1,327 @@
+/*
+ * Fault-injecting TCP proxy. Arguments: CONTROL ROUTE... where a route is
+ * LISTEN=TARGET. POST /fault?route=LISTEN&from=IP&mode=M&arg=N on the control
+ * address sets a rule; without "from" it is for all sources, without "route"
+ * for all routes. Modes: pass, cut (bytes vanish), hold (bytes wait), reset,
+ * delay (arg ms a chunk), lose (reset when the answer begins), truncate
+ * (reset after arg bytes of answer), repeat (each frame is sent twice).
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <glib.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "standin.h"
+
+#define CHUNK_BYTES (64 * 1024)
+#define SLICE_MS 5
+#define MAX_RULES 256
+#define FRAME_PREFIX_BYTES 8
+
+typedef enum {
+    MODE_PASS = 0,
+    MODE_CUT,
+    MODE_HOLD,
+    MODE_RESET,
+    MODE_DELAY,
+    MODE_LOSE,
+    MODE_TRUNCATE,
+    MODE_REPEAT,
+    MODE_COUNT
+} Mode;
+
+typedef struct {
+    char listen[CP_ADDR_BYTES];
+    char target[CP_ADDR_BYTES];
+    int32_t fd;
+} Route;
+
+typedef struct {
+    char route[CP_ADDR_BYTES]; /* "" for all */
+    char from[CP_ADDR_BYTES];
+    Mode mode;
+    uint64_t arg;
+} Rule;
+
+typedef struct {
+    const Route *route;
+    char from[CP_ADDR_BYTES];
+    int32_t in;  /* to the side that connected */
+    int32_t out; /* to the target */
+    uint64_t answered_bytes;
+    uint64_t frames;
+} Link;
+
+static const char *const mode_names[MODE_COUNT] = {
+    [MODE_PASS] = "pass",         [MODE_CUT] = "cut",
+    [MODE_HOLD] = "hold",         [MODE_RESET] = "reset",
+    [MODE_DELAY] = "delay",       [MODE_LOSE] = "lose",
+    [MODE_TRUNCATE] = "truncate", [MODE_REPEAT] = "repeat",
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static Rule rules[MAX_RULES];
+static uint32_t rule_count;
+
+static void *accept_thread(void *ctx);
+static void *link_thread(void *ctx);
+static bool carry(Link *l, bool answer);
+static bool put(int32_t fd, const char *data, size_t n);
+static bool repeat_frame(Link *l, const char *data, size_t n);
+static Rule rule_for(const Link *l);
+static void close_hard(int32_t fd);
+static void open_route(Route *r, const char *spec);
+static enum MHD_Result on_control(void *ctx, struct MHD_Connection *conn,
+                                  const char *url, const char *method,
+                                  const char *version, const char *data,
+                                  size_t *data_bytes, void **state);
+
+int
+main(int argc, char **argv)
+{
+    if (argc < 3) {
+        fprintf(stderr, "usage: standin-fault CONTROL LISTEN=TARGET ...\n");
+        return 2;
+    }
+    CpStandin_BlockSignals();
+    struct MHD_Daemon *d = CpStandin_Listen(argv[1], on_control, NULL, NULL);
+    Route *routes = CpMem_Alloc((size_t)argc * sizeof(*routes));
+    for (int i = 2; i < argc; i++) {
+        pthread_t t;
+        open_route(&routes[i], argv[i]);
+        pthread_create(&t, NULL, accept_thread, &routes[i]);
+        pthread_detach(t);
+    }
+    CpStandin_WaitForStop();
+    MHD_stop_daemon(d);
+    return 0;
+}
+
+static void
+open_route(Route *r, const char *spec)
+{
+    struct sockaddr_storage sa;
+    int32_t one = 1;
+    char **part = g_strsplit(spec, "=", 2);
+    CpStr_Copy(r->listen, sizeof(r->listen), part[0]);
+    CpStr_Copy(r->target, sizeof(r->target), part[1] ? part[1] : "");
+    g_strfreev(part);
+    uint32_t n = CpAddress_Parse(r->listen, &sa);
+    r->fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(r->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (n == 0 || bind(r->fd, (struct sockaddr *)&sa, n) != 0 ||
+        listen(r->fd, 512) != 0) {
+        fprintf(stderr, "standin-fault: %s: %s\n", spec, strerror(errno));
+        exit(2);
+    }
+}
+
+static void *
+accept_thread(void *ctx)
+{
+    const Route *r = ctx;
+    for (;;) {
+        struct sockaddr_in peer;
+        socklen_t n = sizeof(peer);
+        pthread_t t;
+        int32_t fd = accept(r->fd, (struct sockaddr *)&peer, &n);
+        if (fd < 0) {
+            return NULL;
+        }
+        Link *l = CpMem_Alloc(sizeof(*l));
+        l->route = r;
+        l->in = fd;
+        inet_ntop(AF_INET, &peer.sin_addr, l->from, sizeof(l->from));
+        if (pthread_create(&t, NULL, link_thread, l) != 0) {
+            close(fd);
+            free(l);
+            continue;
+        }
+        pthread_detach(t);
+    }
+}
+
+static void *
+link_thread(void *ctx)
+{
+    Link *l = ctx;
+    struct sockaddr_storage sa;
+    struct sockaddr_in from = {.sin_family = AF_INET};
+    int32_t one = 1;
+    bool ok = true;
+    while (rule_for(l).mode == MODE_CUT || rule_for(l).mode == MODE_HOLD) {
+        CpStandin_Sleep_ms(SLICE_MS);
+    }
+    uint32_t n = CpAddress_Parse(l->route->target, &sa);
+    l->out = socket(AF_INET, SOCK_STREAM, 0);
+    inet_pton(AF_INET, l->from, &from.sin_addr);
+    bind(l->out, (struct sockaddr *)&from, sizeof(from));
+    if (rule_for(l).mode == MODE_RESET ||
+        connect(l->out, (struct sockaddr *)&sa, n) != 0) {
+        ok = false;
+    }
+    setsockopt(l->in, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    setsockopt(l->out, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    while (ok) {
+        struct pollfd p[2] = {{.fd = l->in, .events = POLLIN},
+                              {.fd = l->out, .events = POLLIN}};
+        Mode mode = rule_for(l).mode;
+        if (mode == MODE_RESET) {
+            break;
+        }
+        if (mode == MODE_HOLD) {
+            CpStandin_Sleep_ms(SLICE_MS);
+            continue;
+        }
+        if (poll(p, 2, 100) <= 0) {
+            continue;
+        }
+        if (p[0].revents != 0) {
+            ok = carry(l, false);
+        }
+        if (ok && p[1].revents != 0) {
+            ok = carry(l, true);
+        }
+    }
+    close_hard(l->in);
+    close_hard(l->out);
+    free(l);
+    return NULL;
+}
+
+/* Carries one chunk; false when the link has to end. */
+static bool
+carry(Link *l, bool answer)
+{
+    char data[CHUNK_BYTES];
+    ssize_t got = recv(answer ? l->out : l->in, data, sizeof(data), 0);
+    int32_t to = answer ? l->in : l->out;
+    if (got <= 0) {
+        return false;
+    }
+    Rule r = rule_for(l);
+    size_t n = (size_t)got;
+    switch (r.mode) {
+    case MODE_CUT:
+        return true;
+    case MODE_DELAY:
+        CpStandin_Sleep_ms(r.arg);
+        break;
+    case MODE_LOSE:
+        if (answer) {
+            return false;
+        }
+        break;
+    case MODE_TRUNCATE:
+        if (answer && l->answered_bytes + n > r.arg) {
+            n = l->answered_bytes < r.arg ? r.arg - l->answered_bytes : 0;
+            put(to, data, n);
+            return false;
+        }
+        break;
+    case MODE_REPEAT:
+        if (!answer) {
+            return repeat_frame(l, data, n);
+        }
+        break;
+    default:
+        break;
+    }
+    if (answer) {
+        l->answered_bytes += n;
+    }
+    return put(to, data, n);
+}
+
+static bool
+put(int32_t fd, const char *data, size_t n)
+{
+    while (n > 0) {
+        ssize_t m = send(fd, data, n, MSG_NOSIGNAL);
+        if (m <= 0) {
+            return false;
+        }
+        data += m;
+        n -= (size_t)m;
+    }
+    return true;
+}
+
+/* Sends a chunk that is exactly one frame twice, after the handshake. */
+static bool
+repeat_frame(Link *l, const char *data, size_t n)
+{
+    uint32_t length = 0;
+    bool whole = false;
+    if (n > FRAME_PREFIX_BYTES) {
+        memcpy(&length, data, sizeof(length));
+        whole = ntohl(length) + FRAME_PREFIX_BYTES == n;
+    }
+    if (!put(l->out, data, n)) {
+        return false;
+    }
+    return !whole || l->frames++ < 2 || put(l->out, data, n);
+}
+
+/* The last rule that fits counts. */
+static Rule
+rule_for(const Link *l)
+{
+    Rule found = {0};
+    pthread_mutex_lock(&lock);
+    for (uint32_t i = 0; i < rule_count; i++) {
+        const Rule *r = &rules[i];
+        if ((r->route[0] == '\0' || strcmp(r->route, l->route->listen) == 0) &&
+            (r->from[0] == '\0' || strcmp(r->from, l->from) == 0)) {
+            found = *r;
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return found;
+}
+
+static void
+close_hard(int32_t fd)
+{
+    struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    close(fd);
+}
+
+static enum MHD_Result
+on_control(void *ctx, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_bytes, void **state)
+{
+    static char started;
+    const char *name = CpStandin_Text(conn, "mode", "pass");
+    (void)ctx, (void)url, (void)method, (void)version, (void)data;
+    if (*state == NULL || *data_bytes > 0) {
+        *data_bytes = 0;
+        *state = &started;
+        return MHD_YES;
+    }
+    pthread_mutex_lock(&lock);
+    if (strcmp(name, "clear") == 0) {
+        rule_count = 0;
+    }
+    for (uint32_t i = 0; i < MODE_COUNT; i++) {
+        if (strcmp(name, mode_names[i]) == 0 && rule_count < MAX_RULES) {
+            Rule *r = &rules[rule_count++];
+            *r = (Rule){.mode = i, .arg = CpStandin_Number(conn, "arg", 0)};
+            CpStr_Copy(r->route, sizeof(r->route),
+                       CpStandin_Text(conn, "route", ""));
+            CpStr_Copy(r->from, sizeof(r->from),
+                       CpStandin_Text(conn, "from", ""));
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Answer(conn, 200, g_strdup("{}\n"));
+}
--- /dev/null
+++ b/tools/cluster.sh
@@ -0,0 +1,164 @@
+# Shell functions that start, reach and stop a cluster of plain processes on
+# loopback. Sourced by the demo, the system tests and the benchmarks.
+# B: build folder. W: work folder, made here. Needs bash.
+
+W=${W:-$(mktemp -d)}
+B=$(cd "${BUILD:-build}" && pwd)
+PLATFORM=127.1.0.1:7900
+PIDS=""
+
+# spawn NAME COMMAND...: starts a process; its id is in $W/NAME.pid.
+spawn() {
+    spawn_name=$1
+    shift
+    "$@" >"$W/$spawn_name.out" 2>>"$W/$spawn_name.log" &
+    echo $! >"$W/$spawn_name.pid"
+    PIDS="$PIDS $!"
+}
+
+pid_of() { cat "$W/$1.pid"; }
+
+# end NAME [SIGNAL]: signals a process and waits for it; sets STATUS.
+end() {
+    kill "-${2:-TERM}" "$(pid_of "$1")" 2>/dev/null
+    wait "$(pid_of "$1")" 2>/dev/null
+    STATUS=$?
+}
+
+cleanup() {
+    for p in $PIDS; do
+        kill -CONT "$p" 2>/dev/null
+        kill -TERM "$p" 2>/dev/null
+    done
+    if [ -n "${FAST_STOP:-1}" ]; then
+        for p in $PIDS; do kill -KILL "$p" 2>/dev/null; done
+    fi
+    for p in $PIDS; do wait "$p" 2>/dev/null; done
+    [ -n "${KEEP:-}" ] || rm -rf "$W"
+}
+
+cp_cli() {
+    cp_command=$1
+    shift
+    "$B/chestnutpaddle" "$cp_command" "$@" --platform "http://$PLATFORM" \
+        --token-file "$W/token"
+}
+
+# wait_for SECONDS COMMAND...: until the command succeeds.
+wait_for() {
+    wait_left=$(($1 * 20))
+    shift
+    while [ "$wait_left" -gt 0 ]; do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.05
+        wait_left=$((wait_left - 1))
+    done
+    return 1
+}
+
+# make_config TEMPLATE [SED]: answers, configuration and settings in $W.
+make_config() {
+    head -c 32 /dev/urandom >"$W/key"
+    echo "token-$$" >"$W/token"
+    "$B/chestnutpaddle" init "$1" -o "$W/answers.yaml" || return 1
+    [ -z "${2:-}" ] || sed -i -e "$2" "$W/answers.yaml"
+    "$B/chestnutpaddle" generate "$W/answers.yaml" -o "$W/config.yaml" \
+        --settings "$W/hosts" --platform "http://$PLATFORM" \
+        --key-file "$W/key" --token-file "$W/token"
+}
+
+start_platform() {
+    spawn platform "$B/standin-platform" "$PLATFORM"
+    wait_for 5 curl -s "http://$PLATFORM/control"
+}
+
+platform_mode() { curl -s -X POST "http://$PLATFORM/control?mode=$1&ms=${2:-0}" >/dev/null; }
+
+# Fields of a list in the generated configuration, one item a line.
+servers_of_config() {
+    awk '/^servers:/ {on = 1; next} /^[a-z]/ {on = 0}
+        on && /name:/ {gsub(/"/, ""); name = $NF}
+        on && /domain:/ {gsub(/"/, ""); dom = $2}
+        on && /address:/ {gsub(/"/, ""); addr = $2}
+        on && /pool:/ {gsub(/"/, ""); pool = $2}
+        on && /slots:/ {print addr, dom, pool, $2, name}' "$W/config.yaml"
+}
+
+hosts_of_config() {
+    awk '/^hosts:/ {on = 1; next} /^[a-z]/ {on = 0}
+        on && /name:/ {gsub(/"/, ""); name = $NF}
+        on && /domain:/ {gsub(/"/, ""); dom = $2}
+        on && /caller:/ {gsub(/"/, ""); caller = $2}
+        on && /inner:/ {gsub(/"/, ""); inner = $2}
+        on && /operator_listen:/ {gsub(/"/, ""); print name, dom, caller,
+            inner, $2}' "$W/config.yaml"
+}
+
+# service_ms POOL: service time of the stand-ins; tests may redefine it.
+service_ms() { echo 5; }
+
+start_servers() {
+    servers_of_config >"$W/servers"
+    server_args=""
+    while read -r addr dom pool slots _; do
+        server_args="$server_args $addr,$dom,$slots,$(service_ms "$pool")"
+    done <"$W/servers"
+    # shellcheck disable=SC2086
+    spawn servers "$B/standin-server" $server_args
+    FIRST_SERVER=$(head -1 "$W/servers" | cut -d' ' -f1)
+    wait_for 5 curl -s "http://$FIRST_SERVER/health"
+}
+
+start_host() { spawn "$1" "$B/chestnutpaddled" -c "$W/hosts/$1.yaml"; }
+
+start_hosts() {
+    hosts_of_config >"$W/hostlist"
+    while read -r name _; do start_host "$name"; done <"$W/hostlist"
+    while read -r _ _ caller _; do
+        wait_for 10 curl -s "http://$caller/none" || return 1
+    done <"$W/hostlist"
+}
+
+host_field() { awk -v n="$1" -v f="$2" '$1 == n {print $f}' "$W/hostlist"; }
+caller_of() { host_field "$1" 3; }
+operator_of() { host_field "$1" 5; }
+server_field() { awk -v n="$1" -v f="$2" '$5 == n {print $f}' "$W/servers"; }
+
+host_status() {
+    curl -s -H "Authorization: Bearer $(cat "$W/token")" \
+        "http://$(operator_of "$1")/status"
+}
+
+version_of() { host_status "$1" | sed -n 's/^ "version": \([0-9]*\),*/\1/p'; }
+
+# counter HOST NAME
+counter() {
+    curl -s -H "Authorization: Bearer $(cat "$W/token")" \
+        "http://$(operator_of "$1")/metrics" |
+        awk -v n="chestnutpaddle_$2_total" '$1 == n {print $2}'
+}
+
+# sum_stat FIELD: over all backend servers of the stand-in.
+sum_stat() {
+    curl -s "http://$FIRST_SERVER/stats" | tr '{' '\n' |
+        sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p" |
+        awk '{s += $1} END {print s + 0}'
+}
+
+# wait_slots N: until the live hosts together hold N slots.
+wait_slots() {
+    wait_for "${2:-10}" has_slots "$1"
+}
+has_slots() {
+    slots_now=$(cp_cli status | awk 'NR > 1 {s += $6} END {print s + 0}')
+    [ "$slots_now" -ge "$1" ]
+}
+total_slots() { awk '{s += $4} END {print s}' "$W/servers"; }
+
+# start_cluster TEMPLATE [SED]: everything, with a configuration in force.
+start_cluster() {
+    trap cleanup EXIT
+    make_config "$1" "${2:-}" && start_platform && start_servers &&
+        start_hosts && cp_cli apply "$W/config.yaml" >"$W/apply.out" &&
+        wait_slots "$(total_slots)"
+}
