Send the handshake before frames that were queued earlier

Cause: a session sent queued control frames before its HELLO, and the peer ended it; found with strace of a host that saw no members. Ruled out: key mismatch (no bad_keys), addressing (connects succeeded). Change: the handshake has a queue of its own, the only one that is sent before the session is ready.

--- a/src/wire/wire_auth.c
+++ b/src/wire/wire_auth.c
@@ -32,7 +32,7 @@
     CpStr_Copy(f.hello.domain, sizeof(f.hello.domain), s->wire->domain);
     f.hello.incarnation = s->wire->options.incarnation;
     f.hello.nonce = (CpBytes){s->nonce, CP_NONCE_BYTES};
-    CpOut_Put(s, &f, CP_CLASS_CONTROL);
+    CpOut_Put(s, &f, CP_CLASS_HANDSHAKE);
 }
 
 static bool
@@ -75,7 +75,7 @@
     CpFrame f = {.type = CP_FRAME_PROOF};
     sign(s, s->dialled, mac);
     f.proof.mac = (CpBytes){mac, sizeof(mac)};
-    CpOut_Put(s, &f, CP_CLASS_CONTROL);
+    CpOut_Put(s, &f, CP_CLASS_HANDSHAKE);
 }
 
 /* The MAC of one side; the side is part of it, so none can be reflected. */
--- a/src/wire/wire_int.h
+++ b/src/wire/wire_int.h
@@ -14,6 +14,8 @@
     CP_SESSION_ENDED
 } CpSessionState;
 
+#define CP_CLASS_HANDSHAKE CP_CLASSES
+
 /* One encoded frame in a session's queue. */
 typedef struct CpOut {
     struct CpOut *next;
@@ -58,7 +60,7 @@
     int64_t opened_ns;
     uint32_t sent_frames;
     CpOut *sending; /* partly written */
-    CpOutQueue out[CP_CLASSES];
+    CpOutQueue out[CP_CLASSES + 1]; /* the last: the handshake's */
     /* Input; only the shard's thread uses it. */
     uint8_t *in;
     uint32_t in_bytes;
--- a/src/wire/wire_out.c
+++ b/src/wire/wire_out.c
@@ -9,6 +9,7 @@
 #include "wire/wire_int.h"
 
 static CpOut *next_out(CpSession *s);
+static CpOut *unlink_first(CpSession *s, uint32_t class_index);
 static void arm_write(CpSession *s, bool on);
 static void drop_out(CpOut *o);
 
@@ -73,7 +74,7 @@
 CpOut_TakeAll(CpSession *s)
 {
     CpOut *all = NULL;
-    for (uint32_t i = 0; i < CP_CLASSES; i++) {
+    for (uint32_t i = 0; i <= CP_CLASSES; i++) {
         while (s->out[i].first != NULL) {
             CpOut *o = s->out[i].first;
             s->out[i].first = o->next;
@@ -91,14 +92,19 @@
     return all;
 }
 
-/* The next frame in order of class that the link has room for. */
+/* The next frame in order of class that the link has room for. Until the
+ * session is ready only its handshake is sent. */
 static CpOut *
 next_out(CpSession *s)
 {
     const CpWireCallbacks *cb = &s->wire->options.callbacks;
-    uint32_t classes = s->state == CP_SESSION_READY ? CP_CLASSES : 1;
-    for (uint32_t i = 0; i < classes; i++) {
-        CpOut *o = s->out[i].first;
+    CpOut *o = s->out[CP_CLASS_HANDSHAKE].first;
+    if (o != NULL) {
+        return unlink_first(s, CP_CLASS_HANDSHAKE);
+    }
+    for (uint32_t i = 0; s->state == CP_SESSION_READY && i < CP_CLASSES;
+         i++) {
+        o = s->out[i].first;
         if (o == NULL) {
             continue;
         }
@@ -106,17 +112,27 @@
             s->paced = true;
             return NULL;
         }
-        s->out[i].first = o->next;
-        if (o->next == NULL) {
-            s->out[i].last = NULL;
-        }
-        uint32_t number = htonl(s->sent_frames++);
-        memcpy(o->data + CP_LENGTH_BYTES, &number, sizeof(number));
-        return o;
+        return unlink_first(s, i);
     }
     return NULL;
 }
 
+/* Takes the first frame of a queue, numbered for its place in the stream. */
+static CpOut *
+unlink_first(CpSession *s, uint32_t class_index)
+{
+    CpOutQueue *q = &s->out[class_index];
+    CpOut *o = q->first;
+    q->first = o->next;
+    if (o->next == NULL) {
+        q->last = NULL;
+    }
+    o->next = NULL;
+    uint32_t number = htonl(s->sent_frames++);
+    memcpy(o->data + CP_LENGTH_BYTES, &number, sizeof(number));
+    return o;
+}
+
 static void
 arm_write(CpSession *s, bool on)
 {
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -35,6 +35,7 @@
     fi
     for p in $PIDS; do wait "$p" 2>/dev/null; done
     [ -n "${KEEP:-}" ] || rm -rf "$W"
+    return 0
 }
 
 cp_cli() {
@@ -160,5 +161,12 @@
     trap cleanup EXIT
     make_config "$1" "${2:-}" && start_platform && start_servers &&
         start_hosts && cp_cli apply "$W/config.yaml" >"$W/apply.out" &&
-        wait_slots "$(total_slots)"
+        wait_slots "$(total_slots)" && wait_for 10 all_live
+}
+# Whether each host sees all of them live.
+all_live() {
+    while read -r live_host _; do
+        live_count=$(host_status "$live_host" | grep -c '"state": "live"')
+        [ "$live_count" = $(($(wc -l <"$W/hostlist") + 1)) ] || return 1
+    done <"$W/hostlist"
 }
