--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	clang-format --dry-run -Werror $(C_FILES)
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 	    --enable=warning,portability --suppress=missingIncludeSystem \
+	    '-DCK_EPOCH_CONTAINER(T,M,N)=' \
 	    -Isrc src standin bench regress
 format:
 	clang-format -i $(C_FILES)
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -47,12 +47,12 @@
     CpStatus st =
         CpFrame_Decode(a + CP_PREFIX_BYTES, an - CP_PREFIX_BYTES, &d);
     if (st != CP_OK) {
-        fprintf(out, "type %u: %s\n", type, CpError_Message());
+        fprintf(out, "type %d: %s\n", (int)type, CpError_Message());
         free(a);
         return;
     }
     CpFrame_Encode(&d.frame, &b, &bn);
-    fprintf(out, "type %u: %s\n", type,
+    fprintf(out, "type %d: %s\n", (int)type,
             an == bn && memcmp(a, b, an) == 0 ? "the same" : "differs");
     CpFrame_Clear(&d);
     free(a);
--- a/src/host/host_once.c
+++ b/src/host/host_once.c
@@ -36,6 +36,7 @@
 static void new_ticket(CpNode *n, CpTicket *t,
                        char text[CP_TICKET_TEXT_BYTES]);
 static uint32_t ticket_life_s(CpNode *n);
+static void caller_address(CpNode *n, char out[CP_ADDR_BYTES]);
 
 void
 CpOnce_Submit(CpNode *n, CpExchange *ex)
@@ -103,9 +104,11 @@
     CpNode *n = ctx;
     CpTicket t;
     char text[CP_TICKET_TEXT_BYTES];
+    char address[CP_ADDR_BYTES];
     new_ticket(n, &t, text);
+    caller_address(n, address);
     json_t *root = json_pack("{s:s,s:s,s:s,s:i}", "ticket", text, "host",
-                             n->settings.host, "address", n->settings.caller,
+                             n->settings.host, "address", address,
                              "expires_s", (int)ticket_life_s(n));
     char *out = json_dumps(root, JSON_COMPACT);
     json_decref(root);
@@ -123,13 +126,14 @@
 redirect(CpNode *n, CpExchange *ex)
 {
     CpTicket t;
-    char text[CP_TICKET_TEXT_BYTES];
+    char text[CP_TICKET_TEXT_BYTES], address[CP_ADDR_BYTES];
     CpHead head = {.status = CpReason_HttpStatus(CP_REASON_TICKET_NEEDED),
                    .verdict = CP_NOT_RUN,
                    .reason = CP_REASON_TICKET_NEEDED};
     new_ticket(n, &t, text);
+    caller_address(n, address);
     snprintf(head.location, sizeof(head.location),
-             "http://%s/run%.700s%ccp_ticket=%s", n->settings.caller,
+             "http://%s/run%.700s%ccp_ticket=%s", address,
              ex->target, strchr(ex->target, '?') ? '&' : '?', text);
     CpPipe_End(ex->down, CP_PIPE_WHOLE);
     CpExchange_Head(ex, &head);
@@ -316,3 +320,17 @@
     CpView_Release(v);
     return life_s;
 }
+
+/* Where callers reach this host, as the configuration tells them. */
+static void
+caller_address(CpNode *n, char out[CP_ADDR_BYTES])
+{
+    CpView *v = CpView_Acquire(n);
+    const char *address = n->settings.caller;
+    if (v != NULL && v->generation->self != CP_NO_INDEX) {
+        address =
+            v->generation->config->hosts[v->generation->self].caller;
+    }
+    CpStr_Copy(out, CP_ADDR_BYTES, address);
+    CpView_Release(v);
+}
--- a/src/steer/steer_blocks.c
+++ b/src/steer/steer_blocks.c
@@ -144,7 +144,7 @@
 flatten(const CpBlock *blocks, uint32_t count, bool v6, Flat *out)
 {
     Range *all = CpMem_Alloc((count + 1) * sizeof(*all));
-    Range open[MAX_NESTING];
+    Range open[MAX_NESTING] = {{0}};
     uint32_t n = 0, depth = 0, width = v6 ? 128 : 32;
     for (uint32_t i = 0; i < count; i++) {
         if (blocks[i].v6 != v6) {
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -432,22 +432,30 @@
     return CpStandin_Answer(conn, 200, g_strdup_printf("%u\n", (uint32_t)n));
 }
 
-/* Keys with more than one effect, a line each, then the number of keys. */
+/* Keys with more than one effect, a line each, then the number of keys; with
+ * ?all=1 every key and its count. */
 static enum MHD_Result
 doubled(struct MHD_Connection *conn)
 {
     GString *s = g_string_new(NULL);
     GHashTableIter it;
     void *key, *value;
+    bool every = CpStandin_Number(conn, "all", 0) != 0;
     pthread_mutex_lock(&keys_lock);
     g_hash_table_iter_init(&it, keys);
     while (g_hash_table_iter_next(&it, &key, &value)) {
-        if ((uintptr_t)value > 1) {
+        if (every) {
+            g_string_append_printf(s, "%s %u\n", (char *)key,
+                                   (uint32_t)(uintptr_t)value);
+        }
+        else if ((uintptr_t)value > 1) {
             g_string_append_printf(s, "doubled %s %u\n", (char *)key,
                                    (uint32_t)(uintptr_t)value);
         }
     }
-    g_string_append_printf(s, "keys %u\n", g_hash_table_size(keys));
+    if (!every) {
+        g_string_append_printf(s, "keys %u\n", g_hash_table_size(keys));
+    }
     pthread_mutex_unlock(&keys_lock);
     return CpStandin_Answer(conn, 200, g_string_free(s, FALSE));
 }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -4,7 +4,9 @@
 
 W=${W:-$(mktemp -d)}
 B=$(cd "${BUILD:-build}" && pwd)
-PLATFORM=127.1.0.1:7900
+# NET: a digit that moves all addresses, so that two clusters can run at once.
+NET=${NET:-}
+PLATFORM=127.${NET}1.0.1:7900
 PIDS=""
 
 # spawn NAME COMMAND...: starts a process; its id is in $W/NAME.pid.
@@ -63,6 +65,7 @@
     echo "token-$$" >"$W/token"
     "$B/chestnutpaddle" init "$1" -o "$W/answers.yaml" || return 1
     [ -z "${2:-}" ] || sed -i -e "$2" "$W/answers.yaml"
+    sed -i "s/127\.\([123]\)\./127.${NET}\1./" "$W/answers.yaml"
     "$B/chestnutpaddle" generate "$W/answers.yaml" -o "$W/config.yaml" \
         --settings "$W/hosts" --platform "http://$PLATFORM" \
         --key-file "$W/key" --token-file "$W/token"
@@ -98,17 +101,6 @@
 # service_ms POOL: service time of the stand-ins; tests may redefine it.
 service_ms() { echo 5; }
 
-start_servers() {
-    servers_of_config >"$W/servers"
-    server_args=""
-    while read -r addr dom pool slots _; do
-        server_args="$server_args $addr,$dom,$slots,$(service_ms "$pool")"
-    done <"$W/servers"
-    # shellcheck disable=SC2086
-    spawn servers "$B/standin-server" $server_args
-    FIRST_SERVER=$(head -1 "$W/servers" | cut -d' ' -f1)
-    wait_for 5 curl -s "http://$FIRST_SERVER/health"
-}
 
 start_host() { spawn "$1" "$B/chestnutpaddled" -c "$W/hosts/$1.yaml"; }
 
@@ -170,3 +162,105 @@
         [ "$live_count" = $(($(wc -l <"$W/hostlist") + 1)) ] || return 1
     done <"$W/hostlist"
 }
+
+# --- the same with a fault proxy between callers, hosts and servers ---------
+# Callers reach hosts at 127.5.x.y, hosts each other at 127.6.x.y and backend
+# servers at 127.7.x.y; the proxy keeps the source address.
+FAULT_CONTROL=127.${NET}1.0.2:7901
+
+with_faults() {
+    hosts_of_config >"$W/hosts.real"
+    servers_of_config >"$W/servers.real"
+    sed -i -e "s/caller: \"127\.${NET}1\./caller: \"127.${NET}5./" \
+        -e "s/inner: \"127\.${NET}1\./inner: \"127.${NET}6./" \
+        -e "s/address: \"127\.${NET}2\./address: \"127.${NET}7./" \
+        "$W/config.yaml"
+    sed -i "s/^  - 127\.${NET}1\./  - 127.${NET}6./" "$W"/hosts/*.yaml
+}
+
+start_faults() {
+    routes=""
+    while read -r _ _ caller inner _; do
+        routes="$routes 127.${NET}5.${caller#127."${NET}"1.}=$caller"
+        routes="$routes 127.${NET}6.${inner#127."${NET}"1.}=$inner"
+    done <"$W/hosts.real"
+    while read -r addr _; do
+        routes="$routes 127.${NET}7.${addr#127."${NET}"2.}=$addr"
+    done <"$W/servers.real"
+    # shellcheck disable=SC2086
+    spawn fault "$B/standin-fault" "$FAULT_CONTROL" $routes
+    wait_for 5 curl -s "http://$FAULT_CONTROL/fault?mode=none"
+}
+
+# fault MODE [ROUTE] [FROM] [ARG]: sets a rule; "fault clear" drops all.
+fault() {
+    curl -s -X POST "http://$FAULT_CONTROL/fault?mode=$1&route=${2:-}&from=${3:-}&arg=${4:-0}" >/dev/null
+}
+
+# Addresses of a host at the proxy, and its own IP.
+ip_of() { awk -v n="$1" '$1 == n {sub(/:.*/, "", $3); print $3}' "$W/hosts.real"; }
+inner_route() { echo "127.${NET}6.$(ip_of "$1" | cut -d. -f3-):7100"; }
+caller_route() { echo "127.${NET}5.$(ip_of "$1" | cut -d. -f3-):7000"; }
+
+# cut_hosts A B: neither reaches the other. heal is "fault clear".
+cut_hosts() {
+    fault "${3:-cut}" "$(inner_route "$1")" "$(ip_of "$2")"
+    fault "${3:-cut}" "$(inner_route "$2")" "$(ip_of "$1")"
+}
+
+start_servers() {
+    [ -f "$W/servers.real" ] || servers_of_config >"$W/servers.real"
+    cp "$W/servers.real" "$W/servers"
+    server_args=""
+    while read -r addr dom pool slots _; do
+        server_args="$server_args $addr,$dom,$slots,$(service_ms "$pool")"
+    done <"$W/servers"
+    # shellcheck disable=SC2086
+    spawn servers "$B/standin-server" $server_args
+    FIRST_SERVER=$(head -1 "$W/servers" | cut -d' ' -f1)
+    wait_for 5 curl -s "http://$FIRST_SERVER/health"
+}
+
+# start_faulty_cluster TEMPLATE [SED] [SED of the configuration]
+start_faulty_cluster() {
+    trap cleanup EXIT
+    make_config "$1" "${2:-}" && with_faults || return 1
+    [ -z "${3:-}" ] || sed -i -e "$3" "$W/config.yaml"
+    start_platform && start_servers && start_faults || return 1
+    cp "$W/hosts.real" "$W/hostlist"
+    for name in $(cut -d' ' -f1 "$W/hostlist"); do start_host "$name"; done
+    for at in $(cut -d' ' -f3 "$W/hostlist"); do
+        wait_for 10 curl -s "http://$at/none" || return 1
+    done
+    cp_cli apply "$W/config.yaml" >"$W/apply.out" &&
+        wait_slots "$(total_slots)" && wait_for 20 all_live
+}
+
+server_route() { echo "127.${NET}7.${1#127."${NET}"2.}"; }
+
+# load NAME: runs the experiment on standard input, whose addresses follow
+# NET; its report is in $W/NAME.json.
+load() {
+    sed "s/127\.\([123]\)\./127.${NET}\1./g" >"$W/$1.exp"
+    "$B/chestnutpaddle-load" "$W/$1.exp" --keys "$W/$1.keys" \
+        --series "$W/$1.csv" --json >"$W/$1.json"
+}
+
+# load_field NAME FLOW FIELD
+load_field() {
+    awk -v f="\"$2\"" -v k="\"$3\":" '
+        $1 == "\"flow\":" {on = index($2, f) == 1}
+        on && $1 == k {sub(/,$/, "", $2); print $2}' "$W/$1.json"
+}
+
+# check_keys KEYS: each key's effects against what its caller was told.
+check_keys() {
+    curl -s "http://$FIRST_SERVER/doubled?all=1" >"$W/effects"
+    awk 'NR == FNR {n[$1] = $2; next}
+        {k = $1; c = (k in n) ? n[k] : 0
+         if (c > 1) doubled++
+         if ($2 == "not-run" && c > 0) untrue++
+         if ($2 == "ran" && c != 1) lost++}
+        END {printf "doubled %d, not-run but ran %d, ran but not %d\n",
+             doubled, untrue, lost}' "$W/effects" "$1"
+}
