--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -56,6 +56,7 @@
     bool has_verdict;
     CpReason reason;
     bool may_have_run; /* some try of it may have */
+    bool echo;         /* a repeat, which is not recorded */
     char ticket[256];
     char text[2048]; /* of a look-up or ticket */
     CURL *easy;
@@ -71,6 +72,8 @@
 static void finish_lookup(Call *c, long status);
 static void finish_ticket(Call *c, long status);
 static void finish_run(Call *c, CURLcode code, long status);
+static void start_echo(const Call *of);
+static bool wants_echo(const Call *c, uint32_t part);
 static bool try_again(Call *c, CURLcode code, long status);
 static void record(Call *c, CURLcode code, long status);
 static void end_call(Call *c);
@@ -349,6 +352,38 @@
     c->step = STEP_RUN;
     c->entry = 0;
     send_call(c);
+    if (wants_echo(c, 0)) {
+        start_echo(c);
+    }
+}
+
+/* Half of the repeats go out beside the first, half after its answer. */
+static bool
+wants_echo(const Call *c, uint32_t part)
+{
+    const CpFlow *f = &c->runner->thread->experiment->flows[c->flow];
+    uint64_t draw = CpHash(&c->tag, sizeof(c->tag), 5) % 200;
+    return !c->echo && f->once && draw / 100 == part &&
+           draw % 100 < f->repeat_percent;
+}
+
+/* The same ticket once more, at the next entry host. */
+static void
+start_echo(const Call *of)
+{
+    Call *c = CpMem_Alloc(sizeof(*c));
+    c->runner = of->runner;
+    c->flow = of->flow;
+    c->step = STEP_RUN;
+    c->tag = of->tag;
+    c->start_ns = CpClock_Now_ns();
+    c->entry = of->entry;
+    c->echo = true;
+    CpStr_Copy(c->ticket, sizeof(c->ticket), of->ticket);
+    c->runner->active++;
+    c->runner->flow[c->flow].running++;
+    c->runner->thread->results[c->flow].repeats++;
+    send_call(c);
 }
 
 static void
@@ -396,6 +431,15 @@
     bool answered = code == CURLE_OK && status >= 200 && status < 300;
     bool checked = strcmp(f->kind, "(lookup)") != 0;
     const char *outcome = "ran";
+    if (c->echo) {
+        res->wrong +=
+            answered && (c->differs || c->got_bytes != f->size_bytes);
+        end_call(c);
+        return;
+    }
+    if (wants_echo(c, 1)) {
+        start_echo(c);
+    }
     if (answered && checked && (c->differs || c->got_bytes != f->size_bytes)) {
         res->wrong++;
     }
--- a/src/admit/admit_limits.c
+++ b/src/admit/admit_limits.c
@@ -4,8 +4,8 @@
 #define RETRY_MAX_PERCENT 1000 /* at most ten retries in store */
 #define MILLI 1000
 #define BURST_NS (30 * CP_NS_PER_MS)
-#define RATE_NUM 95           /* of 100: keeps any 1 s window under the cap */
-#define SHIFT_LEAD_PERCENT 20 /* of an interval's room, usable at once */
+#define RATE_NUM 95          /* of 100: keeps any 1 s window under the cap */
+#define SHIFT_LEAD_PERCENT 5 /* of an interval's room, usable at once */
 #define RESERVE_DIV 4 /* part of the burst that only urgent classes use */
 
 void
--- a/src/host/host_follow.c
+++ b/src/host/host_follow.c
@@ -217,7 +217,7 @@
     char **names = g_strsplit(value, " ", CP_MARK_MAX);
     for (char **at = names; *at != NULL; at++) {
         bool back = (*at)[0] == '+';
-        CpPool_Mark(n, *at + back, !back);
+        CpPool_Mark(n, *at + back, CP_SIGN_LIVE_LIST, !back);
     }
     g_strfreev(names);
 }
--- /dev/null
+++ b/src/host/host_health.c
@@ -0,0 +1,129 @@
+/*
+ * Asks the backend servers that this host sends work to whether they leave.
+ * Only that word is taken: an endpoint that reports good health may lie, and
+ * what requests meet tells more.
+ */
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+#define PERIOD_MS 700
+#define TIMEOUT_MS 500
+#define TEXT_BYTES 512
+
+typedef struct {
+    CpServerAt at;
+    char url[CP_ADDR_BYTES + 32];
+    char text[TEXT_BYTES];
+    size_t text_bytes;
+} Probe;
+
+static void *health_thread(void *ctx);
+static void start_round(CpNode *n, CURLM *multi);
+static uint32_t take_answers(CpNode *n, CURLM *multi);
+static size_t on_data(char *data, size_t size, size_t n, void *ctx);
+
+CpStatus
+CpHealth_Start(CpNode *n)
+{
+    n->health_multi = curl_multi_init();
+    if (pthread_create(&n->health, NULL, health_thread, n) != 0) {
+        return CpError_Set(CP_ERR_IO, "health: no thread");
+    }
+    return CP_OK;
+}
+
+void
+CpHealth_Stop(CpNode *n)
+{
+    CpAtomic_Store(&n->health_stop, 1);
+    curl_multi_wakeup(n->health_multi);
+    pthread_join(n->health, NULL);
+    curl_multi_cleanup(n->health_multi);
+}
+
+static void *
+health_thread(void *ctx)
+{
+    CpNode *n = ctx;
+    CURLM *multi = n->health_multi;
+    int64_t due_ns = 0;
+    int running = 0;
+    while (!CpAtomic_Load(&n->health_stop)) {
+        int64_t now_ns = CpClock_Now_ns();
+        if (now_ns >= due_ns) {
+            start_round(n, multi);
+            due_ns = now_ns + PERIOD_MS * CP_NS_PER_MS;
+        }
+        curl_multi_perform(multi, &running);
+        take_answers(n, multi);
+        int64_t wait_ms = (due_ns - CpClock_Now_ns()) / CP_NS_PER_MS + 1;
+        curl_multi_poll(multi, NULL, 0, (int)(wait_ms > 0 ? wait_ms : 0),
+                        NULL);
+    }
+    do { /* let the last ones end, so that nothing leaks */
+        curl_multi_poll(multi, NULL, 0, TIMEOUT_MS / 10, NULL);
+        curl_multi_perform(multi, &running);
+        take_answers(n, multi);
+    } while (running > 0);
+    return NULL;
+}
+
+static void
+start_round(CpNode *n, CURLM *multi)
+{
+    CpServerAt *servers;
+    uint32_t count = CpPool_Servers(n, &servers);
+    for (uint32_t i = 0; i < count; i++) {
+        Probe *p = CpMem_Alloc(sizeof(*p));
+        CURL *e = curl_easy_init();
+        p->at = servers[i];
+        snprintf(p->url, sizeof(p->url), "http://%s/health", p->at.address);
+        curl_easy_setopt(e, CURLOPT_URL, p->url);
+        curl_easy_setopt(e, CURLOPT_PRIVATE, p);
+        curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+        curl_easy_setopt(e, CURLOPT_PROXY, "");
+        curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
+        curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
+        curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
+        curl_multi_add_handle(multi, e);
+    }
+    free(servers);
+}
+
+static uint32_t
+take_answers(CpNode *n, CURLM *multi)
+{
+    CURLMsg *msg;
+    int left;
+    uint32_t taken = 0;
+    while ((msg = curl_multi_info_read(multi, &left)) != NULL) {
+        Probe *p;
+        CURL *e = msg->easy_handle;
+        CURLcode code = msg->data.result;
+        curl_easy_getinfo(e, CURLINFO_PRIVATE, &p);
+        if (code == CURLE_OK) {
+            CpPool_Mark(n, p->at.name, CP_SIGN_HEALTH,
+                        strstr(p->text, "\"leaving\"") != NULL);
+        }
+        curl_multi_remove_handle(multi, e);
+        curl_easy_cleanup(e);
+        free(p);
+        taken++;
+    }
+    return taken;
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *ctx)
+{
+    Probe *p = ctx;
+    n *= size;
+    if (p->text_bytes + n < sizeof(p->text)) {
+        memcpy(p->text + p->text_bytes, data, n);
+        p->text_bytes += n;
+    }
+    return n;
+}
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -44,6 +44,14 @@
     char **lookups; /* [domain][turn] */
 } CpView;
 
+/* Who says that a backend server leaves; each may take only its own word
+ * back. */
+typedef enum {
+    CP_SIGN_OPERATOR = 1,
+    CP_SIGN_LIVE_LIST = 2,
+    CP_SIGN_HEALTH = 4
+} CpSign;
+
 /* One pool of backend servers as this host holds it. */
 typedef struct {
     pthread_mutex_t lock; /* of all below */
@@ -60,7 +68,7 @@
     bool *configured;    /* in this domain and not leaving by configuration */
     bool *owner;         /* this host has the right to borrow for it */
     bool *was_owner;     /* loans may still be out in its name */
-    bool *marked;        /* a sign other than the configuration: leaving */
+    uint32_t *signs;     /* CpSign bits, apart from the configuration */
     CpExchange *started; /* collected under the lock, sent after it */
     CpExchange *refused;
     CpShift shift;
@@ -146,6 +154,10 @@
     pthread_mutex_t budget_lock;
     CpRetryBudget budget;
 
+    pthread_t health;
+    uint32_t health_stop; /* flag */
+    void *health_multi;   /* CURLM */
+
     pthread_mutex_t install_lock; /* one version is installed at a time */
     pthread_t follower;
     pthread_mutex_t follow_lock; /* of the next 6 */
@@ -192,8 +204,15 @@
 void CpPool_OnAsk(CpNode *n, CpSession *s, const CpLoanFrame *f);
 void CpPool_OnGrant(CpNode *n, CpSession *s, const CpLoanFrame *f);
 uint32_t CpPool_Loads(CpNode *n, CpLoad *out);
-/* Marks a backend server as leaving or not; false if it is unknown here. */
-bool CpPool_Mark(CpNode *n, const char *server, bool leaving);
+/* Sets or clears a sign that a backend server leaves; false if it is unknown
+ * here. */
+bool CpPool_Mark(CpNode *n, const char *server, CpSign sign, bool leaving);
+/* Backend servers that this host may send work to; free() the result. */
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char address[CP_ADDR_BYTES];
+} CpServerAt;
+uint32_t CpPool_Servers(CpNode *n, CpServerAt **out);
 
 /* stream: requests between hosts */
 void CpStream_Init(CpNode *n);
@@ -228,6 +247,10 @@
 void CpFollow_OnGet(CpNode *n, CpSession *s, const CpConfigFrame *f);
 void CpFollow_OnChunk(CpNode *n, CpSession *s, const CpConfigFrame *f);
 
+/* health: what the backend servers themselves say */
+CpStatus CpHealth_Start(CpNode *n);
+void CpHealth_Stop(CpNode *n);
+
 /* report: pages for operators */
 extern const CpOperatorRoute cp_operator_routes[];
 
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -77,6 +77,9 @@
     if (st == CP_OK) {
         st = CpFollow_Start(n);
     }
+    if (st == CP_OK) {
+        st = CpHealth_Start(n);
+    }
     return st;
 }
 
@@ -113,6 +116,7 @@
 void
 CpNode_Free(CpNode *n)
 {
+    CpHealth_Stop(n);
     CpFollow_Stop(n);
     CpTimer_Free(n->timer);
     CpFront_Free(n->front);
--- a/src/host/host_once.c
+++ b/src/host/host_once.c
@@ -108,8 +108,8 @@
     new_ticket(n, &t, text);
     caller_address(n, address);
     json_t *root = json_pack("{s:s,s:s,s:s,s:i}", "ticket", text, "host",
-                             n->settings.host, "address", address,
-                             "expires_s", (int)ticket_life_s(n));
+                             n->settings.host, "address", address, "expires_s",
+                             (int)ticket_life_s(n));
     char *out = json_dumps(root, JSON_COMPACT);
     json_decref(root);
     return out;
@@ -133,8 +133,8 @@
     new_ticket(n, &t, text);
     caller_address(n, address);
     snprintf(head.location, sizeof(head.location),
-             "http://%s/run%.700s%ccp_ticket=%s", address,
-             ex->target, strchr(ex->target, '?') ? '&' : '?', text);
+             "http://%s/run%.700s%ccp_ticket=%s", address, ex->target,
+             strchr(ex->target, '?') ? '&' : '?', text);
     CpPipe_End(ex->down, CP_PIPE_WHOLE);
     CpExchange_Head(ex, &head);
     CpRoute_Done(n, ex);
@@ -328,8 +328,7 @@
     CpView *v = CpView_Acquire(n);
     const char *address = n->settings.caller;
     if (v != NULL && v->generation->self != CP_NO_INDEX) {
-        address =
-            v->generation->config->hosts[v->generation->self].caller;
+        address = v->generation->config->hosts[v->generation->self].caller;
     }
     CpStr_Copy(out, CP_ADDR_BYTES, address);
     CpView_Release(v);
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -266,7 +266,7 @@
 }
 
 bool
-CpPool_Mark(CpNode *n, const char *server, bool leaving)
+CpPool_Mark(CpNode *n, const char *server, CpSign sign, bool leaving)
 {
     bool found = false;
     uint32_t count = CpAtomic_Load(&n->pool_count);
@@ -276,11 +276,12 @@
         uint32_t k = find_server(p, server, false);
         if (k < p->count) {
             found = true;
-            if (p->marked[k] != leaving) {
+            uint32_t before = p->signs[k];
+            p->signs[k] = leaving ? before | sign : before & ~sign;
+            if ((before == 0) != (p->signs[k] == 0)) {
                 CpLog(CP_LOG_NOTICE, "backend server %s: %s", server,
                       leaving ? "leaving" : "serving");
             }
-            p->marked[k] = leaving;
             refresh(p, CpClock_Now_ns());
         }
         pthread_mutex_unlock(&p->lock);
@@ -288,6 +289,32 @@
     return found;
 }
 
+uint32_t
+CpPool_Servers(CpNode *n, CpServerAt **out)
+{
+    uint32_t used = 0, room = 0, count = CpAtomic_Load(&n->pool_count);
+    *out = NULL;
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        room += p->count;
+        *out = CpMem_Realloc(*out, (room + 1) * sizeof(**out));
+        for (uint32_t k = 0; k < p->count; k++) {
+            int64_t until_ns;
+            if (!p->configured[k] ||
+                CpShare_Usable(&p->shares[k], CpClock_Now_ns(), &until_ns) ==
+                    0) {
+                continue;
+            }
+            CpServerAt *at = &(*out)[used++];
+            CpStr_Copy(at->name, sizeof(at->name), p->names[k]);
+            CpStr_Copy(at->address, sizeof(at->address), p->addresses[k]);
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+    return used;
+}
+
 static void
 on_start(void *ctx, CpAdmitItem *item)
 {
@@ -363,7 +390,7 @@
         int64_t until_ns;
         uint32_t usable = CpShare_Usable(&p->shares[k], now_ns, &until_ns);
         CpAdmit_SetServer(p->admit, k, usable, until_ns,
-                          p->configured[k] && !p->marked[k]);
+                          p->configured[k] && p->signs[k] == 0);
         mine += usable;
     }
     p->shift.cap_milli =
@@ -404,7 +431,7 @@
     GROW(was_owner);
     GROW(configured);
     GROW(owner);
-    GROW(marked);
+    GROW(signs);
 #undef GROW
     p->room = room;
 }
--- a/src/host/host_report.c
+++ b/src/host/host_report.c
@@ -146,7 +146,7 @@
 static uint32_t
 mark(void *ctx, const char *server, bool leaving, char **out)
 {
-    bool found = CpPool_Mark(ctx, server, leaving);
+    bool found = CpPool_Mark(ctx, server, CP_SIGN_OPERATOR, leaving);
     *out = g_strdup_printf("{\"found\":%s}\n", found ? "true" : "false");
     return found ? 200 : 404;
 }
@@ -225,7 +225,7 @@
                           "usable", (int)usable, "inflight",
                           (int)CpAdmit_Inflight(p->admit, k), "owner",
                           (int)p->owner[k], "leaving",
-                          (int)(!p->configured[k] || p->marked[k])));
+                          (int)(!p->configured[k] || p->signs[k] != 0)));
         }
         json_array_append_new(
             list,
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -65,6 +65,7 @@
                                    uint32_t status, char *text);
 static enum MHD_Result answer_refusal(struct MHD_Connection *conn,
                                       const CpHead *head);
+static enum MHD_Result refuse_early(Call *c);
 static enum MHD_Result answer_head(Call *c);
 static Call *begin_call(CpFront *f, struct MHD_Connection *conn,
                         const char *url, const char *method);
@@ -167,8 +168,9 @@
         if (strcmp(url, "/lookup") == 0) {
             return answer_lookup(f, conn);
         }
-        *state = begin_call(f, conn, url, method);
-        return MHD_YES;
+        c = begin_call(f, conn, url, method);
+        *state = c;
+        return c->early == CP_REASON_NONE ? MHD_YES : refuse_early(c);
     }
     if (*data_bytes > 0) {
         take_body(c, data, data_bytes);
@@ -178,11 +180,7 @@
         return answer_ticket(f, conn);
     }
     if (c->early != CP_REASON_NONE) {
-        CpHead head = {.status = CpReason_HttpStatus(c->early),
-                       .verdict = CP_NOT_RUN,
-                       .reason = c->early};
-        CpCounter_AddReason(c->early, c->ex->rank);
-        return answer_refusal(conn, &head);
+        return refuse_early(c);
     }
     if (!c->submitted) {
         submit(c);
@@ -317,6 +315,17 @@
     return ok;
 }
 
+/* Refuses before anything was submitted, without reading the body. */
+static enum MHD_Result
+refuse_early(Call *c)
+{
+    CpHead head = {.status = CpReason_HttpStatus(c->early),
+                   .verdict = CP_NOT_RUN,
+                   .reason = c->early};
+    CpCounter_AddReason(c->early, c->ex->rank);
+    return answer_refusal(c->conn, &head);
+}
+
 static enum MHD_Result
 answer_head(Call *c)
 {
--- a/standin/standin_fault.c
+++ b/standin/standin_fault.c
@@ -24,6 +24,8 @@
 #define SLICE_MS 5
 #define MAX_RULES 256
 #define FRAME_PREFIX_BYTES 8
+#define SLICES_A_SECOND 10
+#define OCTETS 16
 
 typedef enum {
     MODE_PASS = 0,
@@ -59,6 +61,15 @@
     uint64_t frames;
 } Link;
 
+/* Bytes from one third octet of addresses to another, in slices of time. */
+typedef struct {
+    uint64_t slices[SLICES_A_SECOND];
+    int64_t slice;
+    uint64_t window; /* sum of the slices */
+    uint64_t most;
+    uint64_t all;
+} Meter;
+
 static const char *const mode_names[MODE_COUNT] = {
     [MODE_PASS] = "pass",         [MODE_CUT] = "cut",
     [MODE_HOLD] = "hold",         [MODE_RESET] = "reset",
@@ -69,6 +80,7 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static Rule rules[MAX_RULES];
 static uint32_t rule_count;
+static Meter meters[OCTETS][OCTETS]; /* of routes between hosts */
 
 static void *accept_thread(void *ctx);
 static void *link_thread(void *ctx);
@@ -77,6 +89,9 @@
 static bool repeat_frame(Link *l, const char *data, size_t n);
 static Rule rule_for(const Link *l);
 static void close_hard(int32_t fd);
+static void measure(const Link *l, bool answer, size_t n);
+static uint32_t third_octet(const char *address);
+static enum MHD_Result answer_meters(struct MHD_Connection *conn);
 static void open_route(Route *r, const char *spec);
 static enum MHD_Result on_control(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
@@ -237,6 +252,7 @@
     if (answer) {
         l->answered_bytes += n;
     }
+    measure(l, answer, n);
     return put(to, data, n);
 }
 
@@ -302,16 +318,22 @@
 {
     static char started;
     const char *name = CpStandin_Text(conn, "mode", "pass");
-    (void)ctx, (void)url, (void)method, (void)version, (void)data;
+    (void)ctx, (void)method, (void)version, (void)data;
     if (*state == NULL || *data_bytes > 0) {
         *data_bytes = 0;
         *state = &started;
         return MHD_YES;
     }
+    if (strcmp(url, "/meters") == 0) {
+        return answer_meters(conn);
+    }
     pthread_mutex_lock(&lock);
     if (strcmp(name, "clear") == 0) {
         rule_count = 0;
     }
+    if (strcmp(name, "zero") == 0) {
+        memset(meters, 0, sizeof(meters));
+    }
     for (uint32_t i = 0; i < MODE_COUNT; i++) {
         if (strcmp(name, mode_names[i]) == 0 && rule_count < MAX_RULES) {
             Rule *r = &rules[rule_count++];
@@ -325,3 +347,58 @@
     pthread_mutex_unlock(&lock);
     return CpStandin_Answer(conn, 200, g_strdup("{}\n"));
 }
+
+/* Counts what hosts send each other; inner listeners have port 7100. */
+static void
+measure(const Link *l, bool answer, size_t n)
+{
+    const char *port = strrchr(l->route->listen, ':');
+    uint32_t from = third_octet(l->from), to = third_octet(l->route->listen);
+    int64_t slice = CpClock_Now_ns() / (CP_NS_PER_S / SLICES_A_SECOND);
+    if (strcmp(port, ":7100") != 0 || from >= OCTETS || to >= OCTETS) {
+        return;
+    }
+    pthread_mutex_lock(&lock);
+    Meter *m = answer ? &meters[to][from] : &meters[from][to];
+    if (slice - m->slice >= SLICES_A_SECOND) {
+        memset(m->slices, 0, sizeof(m->slices));
+        m->window = 0;
+        m->slice = slice;
+    }
+    while (m->slice < slice) {
+        uint64_t *oldest = &m->slices[++m->slice % SLICES_A_SECOND];
+        m->window -= *oldest;
+        *oldest = 0;
+    }
+    m->slices[slice % SLICES_A_SECOND] += n;
+    m->window += n;
+    m->all += n;
+    m->most = m->window > m->most ? m->window : m->most;
+    pthread_mutex_unlock(&lock);
+}
+
+static uint32_t
+third_octet(const char *address)
+{
+    uint32_t a, b, c;
+    return sscanf(address, "%u.%u.%u", &a, &b, &c) == 3 ? c : OCTETS;
+}
+
+/* A line a pair: from, to, most bytes in a window of 1 s, all bytes. */
+static enum MHD_Result
+answer_meters(struct MHD_Connection *conn)
+{
+    GString *s = g_string_new(NULL);
+    pthread_mutex_lock(&lock);
+    for (uint32_t i = 0; i < OCTETS; i++) {
+        for (uint32_t k = 0; k < OCTETS; k++) {
+            if (meters[i][k].all > 0) {
+                g_string_append_printf(s, "%u %u %llu %llu\n", i, k,
+                                       (unsigned long long)meters[i][k].most,
+                                       (unsigned long long)meters[i][k].all);
+            }
+        }
+    }
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Answer(conn, 200, g_string_free(s, FALSE));
+}
