Benchmarks: look-up rate, speed, blocks, scenarios beside a baseline; keep look-ups alive

Cause: a look-up was answered in the first call of its handler, after which the HTTP library ends the connection; found by the rate bench, whose connections were lost after one answer. Ruled out: the connection limit. Change: look-ups are answered in the second call. The fault proxy delays bytes without blocking the link, and has latencies between domains. The stand-in queues requests beyond its slots, so that the baseline has a capacity.

--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 PREFIX ?= /usr/local
 DESTDIR ?=
 SANITIZE ?=
-B := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 comma := ,
+B := build$(if $(SANITIZE),-$(subst $(comma),-,$(SANITIZE)))
 PKGS := libmicrohttpd libcurl glib-2.0 yaml-0.1 msgpack jansson libsodium \
         libxxhash
 CFLAGS ?= -O2 -g
@@ -27,7 +27,8 @@
 C_FILES := $(sort $(wildcard src/*/*.[ch] standin/*.[ch] bench/*.[ch] \
         regress/*.[ch]))
 
-.PHONY: all check demo bench soak lint format install clean
+
+.PHONY: all sanitize check demo bench soak lint format install clean
 all: $(BINS)
 
 $(B)/libchestnutpaddle.a: $(LIB_OBJ)
@@ -46,6 +47,8 @@
 $(B)/chestnutpaddle-load: $(LOAD_OBJ) $(STANDIN_COMMON) \
         $(B)/libchestnutpaddle.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
+$(B)/bench-%: $(B)/bench/%.o $(B)/libchestnutpaddle.a
+	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS)
 $(B)/regress-run: $(REGRESS_OBJ) $(B)/libchestnutpaddle.a
 	$(CC) $(ALL_CFLAGS) -o $@ $^ $(LIBS) $(shell pkg-config --libs check)
 
@@ -55,8 +58,11 @@
 	sh tools/install-packages
 	$(MAKE) all
 	BUILD=$(B) bash tools/demo
-bench: all
+bench: all $(B)/bench-lookup_rate $(B)/bench-blocks
 	BUILD=$(B) bash bench/run
+sanitize: # the scripts under the sanitizers
+	$(MAKE) check SANITIZE=address,undefined
+	$(MAKE) check SANITIZE=thread
 soak: all
 	BUILD=$(B) bash regress/system/soak $(or $(SEED),1) $(or $(RUNS),500)
 lint:
--- /dev/null
+++ b/bench/blocks.c
@@ -0,0 +1,68 @@
+/* Memory and time of the table of client blocks, against their number. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "steer/steer.h"
+
+#define FINDS 2000000
+#define SITES 130
+
+static CpBlock *make_blocks(uint32_t count, bool v6);
+
+int
+main(void)
+{
+    static const uint32_t sizes[] = {10000, 50000, 100000, 490000};
+    printf("family blocks bytes bytes_per_block build_ms find_ns\n");
+    for (uint32_t f = 0; f < 2; f++) {
+        for (uint32_t i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
+            uint64_t sum = 0, x = 88172645463325252u;
+            CpBlock *b = make_blocks(sizes[i], f == 1);
+            int64_t t0 = CpClock_Now_ns();
+            CpBlockMap *m = CpBlockMap_Build(b, sizes[i]);
+            int64_t t1 = CpClock_Now_ns();
+            for (uint32_t k = 0; k < FINDS; k++) {
+                uint8_t ip[CP_IP_BYTES] = {0};
+                x ^= x << 13;
+                x ^= x >> 7;
+                x ^= x << 17;
+                memcpy(ip, b[x % sizes[i]].ip, 6);
+                ip[3] |= (uint8_t)(x >> 56);
+                sum += CpBlockMap_Find(m, ip, f == 1);
+            }
+            int64_t t2 = CpClock_Now_ns();
+            printf("%s %u %llu %.1f %.1f %.0f %s\n", f ? "IPv6" : "IPv4",
+                   sizes[i], (unsigned long long)CpBlockMap_Size_bytes(m),
+                   (double)CpBlockMap_Size_bytes(m) / sizes[i],
+                   (double)(t1 - t0) / CP_NS_PER_MS, (double)(t2 - t1) / FINDS,
+                   sum == 0 ? "?" : "");
+            CpBlockMap_Free(m);
+            free(b);
+        }
+    }
+    return 0;
+}
+
+/* Blocks of mixed lengths; one in eight lies inside another. */
+static CpBlock *
+make_blocks(uint32_t count, bool v6)
+{
+    CpBlock *b = CpMem_Alloc(count * sizeof(*b));
+    for (uint32_t i = 0; i < count; i++) {
+        uint32_t net = v6 ? i * 8191 + 0x20000000u : i * 8191 + 0x01000000u;
+        b[i] = (CpBlock){.v6 = v6,
+                         .bits = (uint8_t)((v6 ? 40 : 19) + i % 6),
+                         .value = (uint16_t)(i % SITES)};
+        if (i % 8 == 7) { /* inside the one before */
+            memcpy(b[i].ip, b[i - 1].ip, CP_IP_BYTES);
+            b[i].bits = v6 ? 56 : 28;
+            continue;
+        }
+        for (uint32_t k = 0; k < 4; k++) {
+            b[i].ip[k] = (uint8_t)(net >> (24 - 8 * k));
+        }
+        b[i].ip[4] = (uint8_t)(v6 ? i : 0);
+    }
+    return b;
+}
--- a/bench/load.c
+++ b/bench/load.c
@@ -7,6 +7,7 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "config/config_int.h"
 #include "load.h"
@@ -17,6 +18,11 @@
     CP_TEXT_FIELD(CpAddress, value, true),
     {0},
 };
+static const CpField target_fields[] = {
+    CP_TEXT_FIELD(CpTarget, kind, true),
+    CP_TEXT_FIELD(CpTarget, address, true),
+    {0},
+};
 static const CpField flow_fields[] = {
     CP_TEXT_FIELD(CpFlow, name, true),
     CP_TEXT_FIELD(CpFlow, kind, true),
@@ -41,6 +47,8 @@
     CP_U32_FIELD(CpExperiment, seed, 0, UINT32_MAX, 1, "(seed)"),
     CP_LIST_FIELD(CpExperiment, entries, entry_count, CpAddress, entry_fields,
                   true),
+    CP_LIST_FIELD(CpExperiment, targets, target_count, CpTarget, target_fields,
+                  false),
     CP_LIST_FIELD(CpExperiment, flows, flow_count, CpFlow, flow_fields, true),
     {0},
 };
@@ -52,6 +60,7 @@
 static void print_series(const CpExperiment *e, const CpFlowResult *r,
                          const char *path);
 static uint32_t flow_seconds(const CpFlow *f, uint32_t seconds);
+static uint32_t first_of_name(const CpExperiment *e, uint32_t flow);
 static int compare_u32(const void *a, const void *b);
 
 int
@@ -182,6 +191,16 @@
     }
     json_t *list = json_array();
     for (uint32_t k = 0; k < e->flow_count; k++) {
+        uint32_t first = first_of_name(e, k);
+        if (first < k) { /* flows of one name are reported together */
+            CpLoad_Merge(&sum[first], &sum[k]);
+            sum[k] = (CpFlowResult){0};
+        }
+    }
+    for (uint32_t k = 0; k < e->flow_count; k++) {
+        if (first_of_name(e, k) < k) {
+            continue;
+        }
         qsort(sum[k].latency_us, sum[k].latency_count, sizeof(uint32_t),
               compare_u32);
         uint32_t s = flow_seconds(&e->flows[k], e->seconds);
@@ -262,12 +281,16 @@
     }
     fprintf(f, "second");
     for (uint32_t k = 0; k < e->flow_count; k++) {
-        fprintf(f, ",%s_sent,%s_ok", e->flows[k].name, e->flows[k].name);
+        if (first_of_name(e, k) == k) {
+            fprintf(f, ",%s_sent,%s_ok", e->flows[k].name, e->flows[k].name);
+        }
     }
     for (uint32_t s = 0; s < e->seconds; s++) {
         fprintf(f, "\n%u", s);
         for (uint32_t k = 0; k < e->flow_count; k++) {
-            fprintf(f, ",%u,%u", r[k].sent_in_s[s], r[k].ok_in_s[s]);
+            if (first_of_name(e, k) == k) {
+                fprintf(f, ",%u,%u", r[k].sent_in_s[s], r[k].ok_in_s[s]);
+            }
         }
     }
     fprintf(f, "\n");
@@ -281,6 +304,16 @@
     return end_s > f->start_s ? end_s - f->start_s : 1;
 }
 
+static uint32_t
+first_of_name(const CpExperiment *e, uint32_t flow)
+{
+    uint32_t k = 0;
+    while (strcmp(e->flows[k].name, e->flows[flow].name) != 0) {
+        k++;
+    }
+    return k;
+}
+
 static int
 compare_u32(const void *a, const void *b)
 {
--- a/bench/load.h
+++ b/bench/load.h
@@ -10,7 +10,7 @@
 #include "config/config.h"
 
 #define CP_LOAD_MAX_SECONDS 600
-#define CP_LOAD_MAX_FLOWS 16
+#define CP_LOAD_MAX_FLOWS 32
 
 /* One kind of work sent by one client at a steady rate. */
 typedef struct {
@@ -30,6 +30,12 @@
     bool round_robin; /* baseline: direct, in turn, with retries */
 } CpFlow;
 
+/* A backend server that round-robin flows of a kind use. */
+typedef struct {
+    char kind[CP_NAME_BYTES];
+    char address[CP_ADDR_BYTES];
+} CpTarget;
+
 typedef struct {
     char name[CP_NAME_BYTES];
     uint32_t seconds;
@@ -37,6 +43,8 @@
     uint32_t seed;
     CpAddress *entries;
     uint32_t entry_count;
+    CpTarget *targets;
+    uint32_t target_count;
     CpFlow *flows;
     uint32_t flow_count;
 } CpExperiment;
--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -68,6 +68,8 @@
 static void start_call(Runner *r, uint32_t flow, Step step);
 static void send_call(Call *c);
 static void set_url(Call *c, const CpFlow *f);
+static const char *next_target(const CpExperiment *e, const char *kind,
+                               uint32_t turn);
 static void finish(Call *c, CURLcode code);
 static void finish_lookup(Call *c, long status);
 static void finish_ticket(Call *c, long status);
@@ -251,8 +253,9 @@
         turn = r->flow[c->flow].turn++;
     }
     const char *host =
-        seeds ? e->entries[turn % e->entry_count].value
-              : r->flow[c->flow].hosts[turn % r->flow[c->flow].count];
+        f->round_robin ? next_target(e, f->kind, turn)
+        : seeds        ? e->entries[turn % e->entry_count].value
+                       : r->flow[c->flow].hosts[turn % r->flow[c->flow].count];
     if (c->step == STEP_LOOKUP || strcmp(f->kind, "(lookup)") == 0) {
         snprintf(c->url, sizeof(c->url), "http://%s/lookup%s%s", host,
                  f->client[0] ? "?client=" : "", f->client);
@@ -275,6 +278,21 @@
     }
 }
 
+/* The turn-th backend server of a kind, around and around. */
+static const char *
+next_target(const CpExperiment *e, const char *kind, uint32_t turn)
+{
+    uint32_t n = 0, at = 0;
+    for (uint32_t i = 0; i < e->target_count; i++) {
+        n += strcmp(e->targets[i].kind, kind) == 0;
+    }
+    turn = n > 0 ? turn % n : 0;
+    while (n > 0 && (strcmp(e->targets[at].kind, kind) != 0 || turn-- > 0)) {
+        at++;
+    }
+    return n > 0 ? e->targets[at].address : "127.0.0.1:1";
+}
+
 static void
 finish(Call *c, CURLcode code)
 {
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -57,6 +57,9 @@
     uint32_t next_shard;
 };
 
+/* Marks a look-up, which needs no call of its own. */
+static Call lookup_state;
+
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
@@ -195,9 +198,14 @@
     CpFront *f = ctx;
     Call *c = *state;
     (void)version;
+    if (c == &lookup_state) {
+        *data_bytes = 0;
+        return answer_lookup(f, conn);
+    }
     if (c == NULL) {
         if (strcmp(url, "/lookup") == 0) {
-            return answer_lookup(f, conn);
+            *state = &lookup_state; /* an answer now would end keep-alive */
+            return MHD_YES;
         }
         c = begin_call(f, conn, url, method);
         *state = c;
@@ -235,7 +243,7 @@
 {
     Call *c = *state;
     (void)ctx, (void)conn;
-    if (c == NULL) {
+    if (c == NULL || c == &lookup_state) {
         return;
     }
     *state = NULL;
--- a/standin/standin_fault.c
+++ b/standin/standin_fault.c
@@ -3,8 +3,9 @@
  * LISTEN=TARGET. POST /fault?route=LISTEN&from=IP&mode=M&arg=N on the control
  * address sets a rule; without "from" it is for all sources, without "route"
  * for all routes. Modes: pass, cut (bytes vanish), hold (bytes wait), reset,
- * delay (arg ms a chunk), lose (reset when the answer begins), truncate
- * (reset after arg bytes of answer), repeat (each frame is sent twice).
+ * delay (each chunk arrives arg ms later), lose (reset when the answer
+ * begins), truncate (reset after arg bytes of answer), repeat (each frame is
+ * sent twice).
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -26,6 +27,7 @@
 #define FRAME_PREFIX_BYTES 8
 #define SLICES_A_SECOND 10
 #define OCTETS 16
+#define QUEUE_MAX_BYTES (16 * 1024 * 1024)
 
 typedef enum {
     MODE_PASS = 0,
@@ -52,6 +54,20 @@
     uint64_t arg;
 } Rule;
 
+/* A chunk on its way. */
+typedef struct Chunk {
+    struct Chunk *next;
+    int64_t due_ns;
+    size_t size_bytes;
+    char data[];
+} Chunk;
+
+typedef struct {
+    Chunk *first;
+    Chunk *last;
+    size_t size_bytes;
+} ChunkQueue;
+
 typedef struct {
     const Route *route;
     char from[CP_ADDR_BYTES];
@@ -59,6 +75,7 @@
     int32_t out; /* to the target */
     uint64_t answered_bytes;
     uint64_t frames;
+    ChunkQueue queues[2]; /* to the target; back */
 } Link;
 
 /* Bytes from one third octet of addresses to another, in slices of time. */
@@ -80,11 +97,16 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static Rule rules[MAX_RULES];
 static uint32_t rule_count;
-static Meter meters[OCTETS][OCTETS]; /* of routes between hosts */
+static Meter meters[OCTETS][OCTETS];          /* of routes between hosts */
+static uint64_t latencies_us[OCTETS][OCTETS]; /* set before the load */
 
 static void *accept_thread(void *ctx);
 static void *link_thread(void *ctx);
 static bool carry(Link *l, bool answer);
+static void enqueue(Link *l, bool answer, const char *data, size_t n,
+                    uint64_t delay_us);
+static bool send_due(Link *l, int64_t now_ns, int64_t *wait_ns);
+static uint64_t latency_us(const Link *l);
 static bool put(int32_t fd, const char *data, size_t n);
 static bool repeat_frame(Link *l, const char *data, size_t n);
 static Rule rule_for(const Link *l);
@@ -195,7 +217,15 @@
             CpStandin_Sleep_ms(SLICE_MS);
             continue;
         }
-        if (poll(p, 2, 100) <= 0) {
+        int64_t wait_ns = 100 * CP_NS_PER_MS;
+        ok = send_due(l, CpClock_Now_ns(), &wait_ns);
+        for (uint32_t i = 0; i < 2; i++) {
+            if (l->queues[i].size_bytes > QUEUE_MAX_BYTES) {
+                p[i].events = 0;
+            }
+        }
+        struct timespec ts = {.tv_nsec = wait_ns};
+        if (!ok || ppoll(p, 2, &ts, NULL) <= 0) {
             continue;
         }
         if (p[0].revents != 0) {
@@ -207,10 +237,66 @@
     }
     close_hard(l->in);
     close_hard(l->out);
+    for (uint32_t i = 0; i < 2; i++) {
+        while (l->queues[i].first != NULL) {
+            Chunk *c = l->queues[i].first;
+            l->queues[i].first = c->next;
+            free(c);
+        }
+    }
     free(l);
     return NULL;
 }
 
+static void
+enqueue(Link *l, bool answer, const char *data, size_t n, uint64_t delay_us)
+{
+    ChunkQueue *q = &l->queues[answer];
+    Chunk *c = CpMem_Alloc(sizeof(*c) + n);
+    c->due_ns = CpClock_Now_ns() + (int64_t)delay_us * 1000;
+    c->size_bytes = n;
+    memcpy(c->data, data, n);
+    if (q->last != NULL && q->first != NULL) {
+        q->last->next = c;
+    }
+    else {
+        q->first = c;
+    }
+    q->last = c;
+    q->size_bytes += n;
+}
+
+/* Sends what is due; *wait_ns is lowered to when the next is. */
+static bool
+send_due(Link *l, int64_t now_ns, int64_t *wait_ns)
+{
+    for (uint32_t i = 0; i < 2; i++) {
+        ChunkQueue *q = &l->queues[i];
+        while (q->first != NULL && q->first->due_ns <= now_ns) {
+            Chunk *c = q->first;
+            bool ok = put(i ? l->in : l->out, c->data, c->size_bytes);
+            q->first = c->next;
+            q->size_bytes -= c->size_bytes;
+            free(c);
+            if (!ok) {
+                return false;
+            }
+        }
+        if (q->first != NULL && q->first->due_ns - now_ns < *wait_ns) {
+            *wait_ns = q->first->due_ns - now_ns;
+        }
+    }
+    return true;
+}
+
+/* One-way latency between the domains of both ends. */
+static uint64_t
+latency_us(const Link *l)
+{
+    uint32_t from = third_octet(l->from), to = third_octet(l->route->listen);
+    return from < OCTETS && to < OCTETS ? latencies_us[from][to] : 0;
+}
+
 /* Carries one chunk; false when the link has to end. */
 static bool
 carry(Link *l, bool answer)
@@ -227,8 +313,8 @@
     case MODE_CUT:
         return true;
     case MODE_DELAY:
-        CpStandin_Sleep_ms(r.arg);
-        break;
+        enqueue(l, answer, data, n, r.arg * 1000);
+        return true;
     case MODE_LOSE:
         if (answer) {
             return false;
@@ -253,6 +339,10 @@
         l->answered_bytes += n;
     }
     measure(l, answer, n);
+    if (latency_us(l) > 0 || l->queues[answer].first != NULL) {
+        enqueue(l, answer, data, n, latency_us(l));
+        return true;
+    }
     return put(to, data, n);
 }
 
@@ -327,6 +417,12 @@
     if (strcmp(url, "/meters") == 0) {
         return answer_meters(conn);
     }
+    if (strcmp(url, "/latency") == 0) {
+        uint32_t from = (uint32_t)CpStandin_Number(conn, "from", 0) % OCTETS;
+        uint32_t to = (uint32_t)CpStandin_Number(conn, "to", 0) % OCTETS;
+        latencies_us[from][to] = CpStandin_Number(conn, "us", 0);
+        return CpStandin_Answer(conn, 200, g_strdup("{}\n"));
+    }
     pthread_mutex_lock(&lock);
     if (strcmp(name, "clear") == 0) {
         rule_count = 0;
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "http/http.h"
@@ -48,6 +49,9 @@
     uint64_t cancelled; /* the host closed the connection */
     uint64_t expired;   /* the deadline passed */
     uint64_t last_run_ms;
+    pthread_cond_t freed;
+    uint64_t arrived;          /* requests in order of arrival */
+    uint64_t left;             /* of them; slots + left may run */
     uint64_t foreign[SECONDS]; /* runs a second for other domains */
     uint64_t all[SECONDS];
 } Server;
@@ -59,7 +63,7 @@
     uint64_t size;
     uint64_t cut_at; /* sends an error from this byte on */
     uint64_t upload_bytes;
-    bool held; /* has a slot */
+    bool held; /* has a slot, or waits for one */
     bool started;
 } Request;
 
@@ -88,6 +92,7 @@
 static void release_slot(Request *q);
 static enum MHD_Result run(struct MHD_Connection *conn, Request *q);
 static enum MHD_Result refuse(struct MHD_Connection *conn);
+static bool wait_turn(struct MHD_Connection *conn, Request *q);
 static bool work(struct MHD_Connection *conn, Request *q, uint64_t ms);
 static enum MHD_Result answer(struct MHD_Connection *conn, Request *q,
                               Mode mode);
@@ -136,6 +141,7 @@
         exit(2);
     }
     pthread_mutex_init(&s->lock, NULL);
+    pthread_cond_init(&s->freed, NULL);
     CpStr_Copy(s->address, sizeof(s->address), part[0]);
     CpStr_Copy(s->domain, sizeof(s->domain), part[1]);
     s->slots = strtoull(part[2], NULL, 10);
@@ -204,6 +210,8 @@
     if (q->held) {
         pthread_mutex_lock(&q->server->lock);
         q->server->inflight--;
+        q->server->left++;
+        pthread_cond_broadcast(&q->server->freed);
         pthread_mutex_unlock(&q->server->lock);
         q->held = false;
     }
@@ -236,6 +244,9 @@
     if (mode == MODE_REFUSE) {
         return refuse(conn);
     }
+    if (!wait_turn(conn, q)) {
+        return MHD_NO;
+    }
     count_effect(conn, s);
     if (!work(conn, q, ms) || mode == MODE_LOSE) {
         return MHD_NO;
@@ -254,6 +265,34 @@
     return ok;
 }
 
+/* Requests beyond the slots wait in order; false when the caller left. */
+static bool
+wait_turn(struct MHD_Connection *conn, Request *q)
+{
+    Server *s = q->server;
+    int32_t fd =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    pthread_mutex_lock(&s->lock);
+    uint64_t mine = s->arrived++;
+    while (mine >= s->slots + s->left) {
+        struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+        struct timespec until;
+        clock_gettime(CLOCK_REALTIME, &until);
+        until.tv_nsec += SLICE_MS * CP_NS_PER_MS;
+        until.tv_sec += until.tv_nsec / CP_NS_PER_S;
+        until.tv_nsec %= CP_NS_PER_S;
+        if (poll(&p, 1, 0) > 0) {
+            s->cancelled++;
+            pthread_mutex_unlock(&s->lock);
+            return false;
+        }
+        pthread_cond_timedwait(&s->freed, &s->lock, &until);
+    }
+    pthread_mutex_unlock(&s->lock);
+    return true;
+}
+
 /* Works in slices; false when cancelled or past the deadline. */
 static bool
 work(struct MHD_Connection *conn, Request *q, uint64_t ms)
