Steer by what waiting and travelling cost; do not let doomed requests hold up a queue

In an urgent flood goodput fell to 208 of 1200 requests/s: the first of the queue could not make its deadline on any server, and held up all behind it until it expired. Ruled out: the machine (60% idle in the steady run), the link caps. Change: hosts tell the service time of a pool; a domain is chosen by its wait plus the way there, and after a refused shift the work stays at home. A queued request that no server can answer in time is refused at once; the estimate at the door counts one more service time.

--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -93,6 +93,9 @@
     int running, left;
     r.next_tag = ((uint64_t)t->experiment->seed << 32) +
                  ((uint64_t)t->thread_index << 28);
+    for (uint32_t i = 0; i < t->experiment->flow_count; i++) {
+        r.flow[i].turn = (uint32_t)CpHash(&i, sizeof(i), r.next_tag) % 1024;
+    }
     int64_t end_ns = t->start_ns + t->experiment->seconds * CP_NS_PER_S;
     for (;;) {
         CURLMsg *msg;
--- a/bench/scenario.sh
+++ b/bench/scenario.sh
@@ -48,6 +48,8 @@
     fi
     echo "flows:"
     flows urgent "$U" "$U_RATE" "$U_DL" 300 0 "$2" false
+    ONCE=true
+    [ -z "$BASE" ] || ONCE=false # the baseline knows no tickets
     [ -n "${NEXT_OFF:-}" ] || flows next "$N" "$N_RATE" "$N_DL" 100 0 "$2" "${ONCE:-true}"
     [ -n "${LAST_OFF:-}" ] || flows last "$L" "$L_RATE" "$L_DL" "$L_SIZE" 0 "$2" false
     cat
@@ -62,6 +64,8 @@
             "$(awk -v a="$(load_field "$3" $f ok)" -v b="$sent" 'BEGIN {printf "%.2f", 100 * a / b}')" \
             "$(load_field "$3" $f p50_ms)" "$(load_field "$3" $f p99_ms)" \
             "$(load_field "$3" $f ok_per_s)"
+        sed -n "/\"flow\": \"$f\"/,/}/p" "$W/$3.json" | awk '/reasons/ {on = 1} on' | tr -d '\n{}"' | sed 's/^ *reasons: */    /; s/ \+/ /g'
+        echo
     done
 }
 
@@ -84,8 +88,10 @@
     for side in ours baseline; do
         BASE=""
         [ $side = ours ] || BASE=", round_robin: true"
+        curl -s -X POST "http://$FIRST_SERVER/control?every=1&reset=1" >/dev/null
         "$2" "$1-$side"
         row "$1" $side "$1-$side"
+        echo "    beyond slots $(sum_stat over)"
         quiet_servers
     done
 }
--- a/regress/drive_steer.c
+++ b/regress/drive_steer.c
@@ -84,7 +84,7 @@
                    : strcmp(word, "leaving") == 0 ? CP_MEMBER_LEAVING
                                                   : CP_MEMBER_LIVE;
         h->load_count = s->config->pool_count;
-        h->loads[a] = (CpLoad){b, c, d};
+        h->loads[a] = (CpLoad){b, c, d, 5000};
     }
     else if (sscanf(line, "drained %63s", word) == 1) {
         s->config->domains[CpConfig_Domain(s->config, word)].drained = true;
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -101,7 +101,7 @@
 example(CpFrameType type, CpMemberRow *member, CpLoanRow *loan, CpLoad *load)
 {
     CpFrame f = {.type = type};
-    *load = (CpLoad){1, 70000, 3};
+    *load = (CpLoad){1, 70000, 3, 900};
     *member = (CpMemberRow){.host = "h1",
                             .incarnation = UINT64_MAX,
                             .epoch = 2,
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -73,8 +73,8 @@
 uint32_t CpAdmit_Inflight(const CpAdmit *a, uint32_t server);
 uint32_t CpAdmit_TotalInflight(const CpAdmit *a);
 uint32_t CpAdmit_TotalSlots(const CpAdmit *a);
-/* Expected service time of a rank, in ns. */
-int64_t CpAdmit_Service_ns(const CpAdmit *a, uint32_t rank);
+/* Expected service time of whatever ran last, in ns. */
+int64_t CpAdmit_MeanService_ns(const CpAdmit *a);
 
 /* Units of one resource that this host holds: its own static share less what
  * it lent, plus what it borrowed. */
--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -45,6 +45,7 @@
     RankQueue ranks[CP_RANKS];
     uint32_t queued;
     uint32_t inflight;
+    int64_t service_ns; /* moving average over all ranks */
 };
 
 static void free_slot(CpAdmit *a, uint32_t server);
@@ -68,6 +69,7 @@
 static void insert(CpAdmit *a, CpAdmitItem *item);
 static void unlink_item(CpAdmit *a, CpAdmitItem *item);
 static void start_waiting(CpAdmit *a, int64_t now_ns);
+static int64_t fastest_ns(const CpAdmit *a);
 static uint32_t next_rank(CpAdmit *a);
 static void charge_floor(CpAdmit *a, uint32_t rank);
 static uint32_t choose_server(const CpAdmit *a, const CpAdmitItem *item,
@@ -162,6 +164,8 @@
         s->service_ns =
             s->service_ns ? smooth(s->service_ns, latency_ns) : latency_ns;
         q->service_ns = smooth(q->service_ns, latency_ns);
+        a->service_ns =
+            a->service_ns ? smooth(a->service_ns, latency_ns) : latency_ns;
         s->failures = 0;
         s->rest_until_ns = 0;
     }
@@ -211,9 +215,9 @@
 }
 
 int64_t
-CpAdmit_Service_ns(const CpAdmit *a, uint32_t rank)
+CpAdmit_MeanService_ns(const CpAdmit *a)
 {
-    return a->ranks[rank].service_ns;
+    return a->service_ns;
 }
 
 static void
@@ -281,7 +285,8 @@
     if (a->inflight < slots) {
         return CP_REASON_NONE;
     }
-    if (now_ns + ahead_ns / slots + a->ranks[item->rank].service_ns >
+    /* One more service time: the slots in use do not get free at once. */
+    if (now_ns + ahead_ns / slots + 2 * a->ranks[item->rank].service_ns >
         item->deadline_ns) {
         return CP_REASON_WOULD_MISS_DEADLINE;
     }
@@ -358,6 +363,13 @@
     while (a->queued > 0) {
         uint32_t rank = next_rank(a);
         CpAdmitItem *item = a->ranks[rank].first;
+        if (now_ns + fastest_ns(a) > item->deadline_ns) {
+            /* It would hold up those behind it, which can still make it. */
+            unlink_item(a, item);
+            a->options.refuse(a->options.ctx, item,
+                              CP_REASON_WOULD_MISS_DEADLINE);
+            continue;
+        }
         uint32_t i = choose_server(a, item, now_ns);
         if (i == a->options.server_count) {
             return;
@@ -374,6 +386,20 @@
     }
 }
 
+/* Service time of the fastest server that takes work; 0 if none is known. */
+static int64_t
+fastest_ns(const CpAdmit *a)
+{
+    int64_t best_ns = INT64_MAX;
+    for (uint32_t i = 0; i < a->options.server_count; i++) {
+        const Server *s = &a->servers[i];
+        if (s->open && s->slots > 0 && s->service_ns < best_ns) {
+            best_ns = s->service_ns;
+        }
+    }
+    return best_ns == INT64_MAX ? 0 : best_ns;
+}
+
 /* The most urgent rank that waits, unless a lower one is owed its floor. */
 static uint32_t
 next_rank(CpAdmit *a)
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -9,6 +9,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#define CP_NS_PER_US INT64_C(1000)
 #define CP_NS_PER_MS INT64_C(1000000)
 #define CP_NS_PER_S INT64_C(1000000000)
 #define CP_NAME_BYTES 48 /* longest name of a host, domain, kind; with NUL */
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -109,8 +109,8 @@
     char token[256];
     int64_t started_ns;
     int64_t configured_ns; /* first configuration; of the timer's thread */
-    uint32_t leaving; /* flag */
-    uint32_t fresh;   /* flag: the platform knew no earlier incarnation */
+    uint32_t leaving;      /* flag */
+    uint32_t fresh;        /* flag: the platform knew no earlier incarnation */
 
     CpTimer *timer;
     CpWire *wire;
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -255,10 +255,12 @@
         CpHostPool *p = n->pools[i];
         pthread_mutex_lock(&p->lock);
         if (p->index < CP_MAX_POOLS) {
-            out[p->index] =
-                (CpLoad){.queued = CpAdmit_Queued(p->admit),
-                         .inflight = CpAdmit_TotalInflight(p->admit),
-                         .slots = CpAdmit_TotalSlots(p->admit)};
+            out[p->index] = (CpLoad){
+                .queued = CpAdmit_Queued(p->admit),
+                .inflight = CpAdmit_TotalInflight(p->admit),
+                .slots = CpAdmit_TotalSlots(p->admit),
+                .service_us = (uint32_t)(CpAdmit_MeanService_ns(p->admit) /
+                                         CP_NS_PER_US)};
         }
         pthread_mutex_unlock(&p->lock);
     }
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -122,7 +122,9 @@
         return false;
     }
     if (reason == CP_REASON_SHIFT_CAP) {
-        return true; /* refused at once, and the next place is nearer home */
+        bool first = !ex->home_only;
+        ex->home_only = true;
+        return first; /* costs no retry: it was refused before any work */
     }
     pthread_mutex_lock(&n->budget_lock);
     bool spent = CpRetry_Spend(&n->budget);
@@ -143,6 +145,7 @@
                       .tried = ex->tried,
                       .tried_count = ex->tried_count,
                       .outstanding = n->outstanding,
+                      .home_only = ex->home_only,
                       .random = CpRandom()};
     if (g->self_domain == CP_NO_INDEX) {
         return CP_NO_INDEX;
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -29,6 +29,7 @@
     uint32_t queued;
     uint32_t inflight;
     uint32_t slots;
+    uint32_t service_us; /* moving average */
 } CpLoad;
 
 /* One host as another knows it; this travels. */
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -1,7 +1,7 @@
 /*
- * steer: which failure domain and which host serve a client. Near domains
- * come first; far ones only where near ones have no free slot. Loads are
- * hints: a wrong one costs a hop, never a limit.
+ * steer: which failure domain and which host serve a client: the one where
+ * waiting and travelling cost least, the nearest where they cost alike. Loads
+ * are hints: a wrong one costs a hop, never a limit.
  */
 #ifndef CP_STEER_H
 #define CP_STEER_H
@@ -59,6 +59,7 @@
     /* [host][CP_MAX_POOLS]: what the asking host has sent and not got back;
      * other threads may change it meanwhile */
     const uint32_t *outstanding;
+    bool home_only;     /* other domains refused the work */
     bool allow_drained; /* as a last resort */
     uint64_t random;
 } CpSteerAsk;
--- a/src/steer/steer_choose.c
+++ b/src/steer/steer_choose.c
@@ -6,17 +6,21 @@
 
 #define DOMAIN_LATENCY_US 1000  /* between domains of one region */
 #define REGION_LATENCY_US 50000 /* where no link is configured */
+#define SERVICE_US 5000         /* where no service time is known */
 #define LEAVE_HOME_FACTOR 2     /* a far queue must be this much shorter */
+#define LEAVE_HOME_US 2000      /* what the hop and a stale hint cost */
 
 typedef struct {
     uint32_t slots;
-    uint32_t busy; /* running, waiting, or sent there */
+    uint32_t busy;       /* running, waiting, or sent there */
+    uint64_t service_us; /* weighted by slots */
 } DomainLoad;
 
 static void sort_near(CpTopology *t, uint32_t domain);
 static uint32_t latency(const CpConfig *c, uint32_t a, uint32_t b);
 static DomainLoad domain_load(const CpTopology *t, const CpSteerHost *hosts,
                               const CpSteerAsk *ask, uint32_t domain);
+static uint64_t wait_us(const DomainLoad *load);
 static uint32_t choose_host(const CpTopology *t, const CpSteerHost *hosts,
                             const CpSteerAsk *ask, uint32_t domain);
 static bool usable(const CpSteerHost *h, const CpSteerAsk *ask, uint32_t i);
@@ -68,21 +72,23 @@
                const CpSteerAsk *ask)
 {
     uint32_t n = t->config->domain_count, best = CP_NO_INDEX;
-    uint64_t best_wait = UINT64_MAX;
+    uint64_t best_us = UINT64_MAX;
     for (uint32_t i = 0; i < n; i++) {
         uint32_t d = t->near[ask->domain_index * n + i];
         DomainLoad load = domain_load(t, hosts, ask, d);
-        if (load.slots == 0 || (is_drained(t, d) && !ask->allow_drained)) {
+        bool home = d == ask->domain_index;
+        if (load.slots == 0 || (is_drained(t, d) && !ask->allow_drained) ||
+            (ask->home_only && !home)) {
             continue;
         }
-        if (load.busy < load.slots) {
-            best = d;
-            break;
+        uint64_t us = wait_us(&load);
+        if (!home) {
+            us = us * LEAVE_HOME_FACTOR + LEAVE_HOME_US +
+                 2 * t->latency_us[ask->domain_index * n + d];
         }
-        uint64_t wait = (uint64_t)load.busy * 1000 / load.slots;
-        if (best == CP_NO_INDEX || wait * LEAVE_HOME_FACTOR < best_wait) {
+        if (us < best_us) {
             best = d;
-            best_wait = wait;
+            best_us = us;
         }
     }
     return best == CP_NO_INDEX ? best : choose_host(t, hosts, ask, best);
@@ -213,13 +219,28 @@
     for (uint32_t i = 0; i < t->config->host_count; i++) {
         const CpSteerHost *h = &hosts[i];
         if (h->domain_index == domain && usable(h, ask, i)) {
-            sum.slots += h->loads[ask->pool_index].slots;
+            const CpLoad *load = &h->loads[ask->pool_index];
+            sum.slots += load->slots;
             sum.busy += busy(hosts, ask, i);
+            sum.service_us +=
+                (uint64_t)load->slots *
+                (load->service_us ? load->service_us : SERVICE_US);
         }
     }
     return sum;
 }
 
+/* Expected wait for a slot. */
+static uint64_t
+wait_us(const DomainLoad *load)
+{
+    if (load->busy < load->slots) {
+        return 0;
+    }
+    uint64_t service_us = load->service_us / load->slots;
+    return (load->busy - load->slots + 1) * service_us / load->slots;
+}
+
 /* The less loaded of two hosts taken at random by their slots. */
 static uint32_t
 choose_host(const CpTopology *t, const CpSteerHost *hosts,
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -83,7 +83,8 @@
     U64(CpEndFrame, total_bytes)};
 static const Field cancel_fields[] = {U64(CpIdFrame, id)};
 static const Field load_fields[] = {U32(CpLoad, queued), U32(CpLoad, inflight),
-                                    U32(CpLoad, slots)};
+                                    U32(CpLoad, slots),
+                                    U32(CpLoad, service_us)};
 static const Field member_fields[] = {
     TEXT(CpMemberRow, host),
     U64(CpMemberRow, incarnation),
