--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -52,6 +52,7 @@
     [CP_COUNT_PLATFORM_READS] = {"platform_reads", "Platform reads"},
     [CP_COUNT_PLATFORM_ERRORS] = {"platform_errors",
                                   "Platform calls that failed"},
+    [CP_COUNT_LOAN_BYTES] = {"loan_bytes", "Bytes sent for slot loans"},
     [CP_COUNT_LOANS_TAKEN] = {"loans_taken", "Slot loans received"},
     [CP_COUNT_LOANS_LAPSED] = {"loans_lapsed", "Slot loans that lapsed"},
     [CP_COUNT_PAUSES_SEEN] = {"pauses_seen", "Pauses of this process seen"},
--- a/src/wire/wire_out.c
+++ b/src/wire/wire_out.c
@@ -8,6 +8,7 @@
 
 #include "wire/wire_int.h"
 
+static void count_control(CpFrameType type, uint32_t size_bytes);
 static CpOut *next_out(CpSession *s);
 static CpOut *unlink_first(CpSession *s, uint32_t class_index);
 static void arm_write(CpSession *s, bool on);
@@ -23,6 +24,7 @@
         return st;
     }
     o->class_index = class_index;
+    count_control(frame->type, o->size_bytes);
     o->request_id = frame->type == CP_FRAME_REQUEST ? frame->request.id : 0;
     CpOutQueue *q = &s->out[class_index];
     if (q->last != NULL) {
@@ -132,6 +134,18 @@
     return o;
 }
 
+/* What control costs between hosts, by its kind. */
+static void
+count_control(CpFrameType type, uint32_t size_bytes)
+{
+    if (type == CP_FRAME_PROBE || type == CP_FRAME_PROBE_ACK) {
+        CpCounter_Add(CP_COUNT_MEMBER_BYTES, size_bytes);
+    }
+    if (type == CP_FRAME_LOAN_ASK || type == CP_FRAME_LOAN_GRANT) {
+        CpCounter_Add(CP_COUNT_LOAN_BYTES, size_bytes);
+    }
+}
+
 static void
 arm_write(CpSession *s, bool on)
 {
