Payments earn retries too

Cause: the mutant that repeats payments after 'may have run' stayed clean in 30 schedules: payments earned no retry budget, so nothing was ever repeated. Ruled out: the check itself (it sees doubled keys for three other mutants). Change: every request earns its part of the budget.

--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -40,14 +40,15 @@
         CpExchange_Release(ex);
         return;
     }
-    if (!ex->idempotent) {
-        CpOnce_Submit(n, ex);
-        return;
-    }
     pthread_mutex_lock(&n->budget_lock);
     CpRetry_Earn(&n->budget);
     pthread_mutex_unlock(&n->budget_lock);
-    CpRoute_Run(n, ex);
+    if (ex->idempotent) {
+        CpRoute_Run(n, ex);
+    }
+    else {
+        CpOnce_Submit(n, ex);
+    }
 }
 
 void
