Control work per host: orders once a configuration, look-ups only on change

Each loan round ordered all hosts for every server and peer, and each view rendered all look-ups again. Ruled out: probes (11 KB/s at 63, flat count of 5 a second). Change: a generation keeps each server's order of hosts and the usable slots; peers without a share are not asked; look-up texts are shared until a state changes; the pacer's tick looks at sessions only when one waits.

--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -33,15 +33,27 @@
     size_t text_bytes;
     uint32_t self; /* index of this host, or CP_NO_INDEX */
     uint32_t self_domain;
+    uint32_t *domain_hosts; /* hosts of this domain, as indexes */
+    uint32_t domain_host_count;
+    uint32_t **orders; /* by server of this domain: its order of hosts */
+    uint32_t *slots;   /* by server: usable within the region's limit */
 } CpGeneration;
 
+/* Rendered look-up answers, shared by views until a host's state changes. */
+typedef struct {
+    uint32_t refs;
+    uint32_t count;
+    char **texts; /* [domain][turn] */
+} CpLookups;
+
 /* What steering reads: swapped whole, reclaimed by epochs. */
 typedef struct {
     ck_epoch_entry_t epoch;
     uint32_t refs;
     CpGeneration *generation;
     CpSteerHost *hosts;
-    char **lookups; /* [domain][turn] */
+    CpLookups *lookups;
+    uint32_t changes; /* of members, when the look-ups were rendered */
 } CpView;
 
 /* Who says that a backend server leaves; each may take only its own word
@@ -126,8 +138,8 @@
 
     pthread_mutex_t member_lock; /* of the next 4 */
     CpMember *member;
-    uint32_t members_changed;
-    uint64_t seen_version; /* highest that any host told of */
+    uint32_t member_changes; /* count; atomic */
+    uint64_t seen_version;   /* highest that any host told of */
     char seen_host[CP_NAME_BYTES];
     uint64_t probe_id;
 
@@ -179,6 +191,9 @@
 CpGeneration *CpGeneration_New(CpNode *n, CpConfig *config, char *text,
                                size_t text_bytes, uint64_t version);
 void CpGeneration_Release(CpGeneration *g);
+/* Static share of a server's slots that a host has. */
+uint32_t CpGeneration_Share(const CpGeneration *g, uint32_t server,
+                            uint32_t host);
 char *CpView_Lookup(void *ctx, const char *kind, const char *client,
                     uint32_t *ttl_s);
 void CpView_Origin(void *ctx, const char *client, char out[CP_NAME_BYTES]);
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -180,7 +180,8 @@
 static void
 on_changed(void *ctx, const CpMemberEntry *e, CpMemberState before)
 {
-    (void)ctx;
+    CpNode *n = ctx;
+    __atomic_add_fetch(&n->member_changes, 1, __ATOMIC_RELEASE);
     CpLog(CP_LOG_NOTICE, "host %s: %s (was %s)", e->host,
           CpMemberState_Name(e->state), CpMemberState_Name(before));
 }
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -20,15 +20,13 @@
 static void configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
                            uint32_t pool_index);
 static void configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
-                             const CpServer *s, int64_t work_ns);
-static uint32_t domain_hosts(const CpGeneration *g, const char **out);
-static uint32_t effective_slots(const CpConfig *c, const CpServer *s);
+                             uint32_t server, int64_t work_ns);
 static int64_t longest_work_ns(const CpConfig *c, uint32_t pool_index);
 static bool all_have(CpNode *n, const CpGeneration *g);
 static uint32_t owner_of(CpNode *n, const CpGeneration *g, const char *server);
 static void ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer,
                      int64_t now_ns);
-static void ask_rows(CpHostPool *p, const CpGeneration *g, const char *peer,
+static void ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer,
                      CpLoanRow *rows, uint32_t room, uint32_t *count);
 
 void
@@ -461,9 +459,9 @@
         if (s->domain_index != g->self_domain) {
             continue;
         }
-        p->domain_slots += effective_slots(c, s);
+        p->domain_slots += g->slots[i];
         if (s->pool_index == pool_index) {
-            configure_server(n, p, g, s, work_ns);
+            configure_server(n, p, g, i, work_ns);
         }
     }
     refresh(p, CpClock_Now_ns());
@@ -472,16 +470,13 @@
 
 static void
 configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
-                 const CpServer *s, int64_t work_ns)
+                 uint32_t server, int64_t work_ns)
 {
-    const char **hosts =
-        CpMem_Alloc((g->config->host_count + 1) * sizeof(*hosts));
-    uint32_t count = domain_hosts(g, hosts);
+    const CpServer *s = &g->config->servers[server];
     uint32_t before = p->count;
     uint32_t k = find_server(p, s->name, true);
     CpShare *share = &p->shares[k];
-    uint32_t own = CpShare_Static(s->name, effective_slots(g->config, s),
-                                  hosts, count, n->settings.host);
+    uint32_t own = CpGeneration_Share(g, server, g->self);
     if (k == before) { /* new here: a former process may still use it */
         share->own_from_ns =
             CpAtomic_Load(&n->fresh)
@@ -500,42 +495,6 @@
     share->work_ns = work_ns;
     CpStr_Copy(p->addresses[k], CP_ADDR_BYTES, s->address);
     p->configured[k] = !s->leaving;
-    free(hosts);
-}
-
-/* Names of the hosts of this host's domain. */
-static uint32_t
-domain_hosts(const CpGeneration *g, const char **out)
-{
-    uint32_t n = 0;
-    for (uint32_t i = 0; i < g->config->host_count; i++) {
-        if (g->config->hosts[i].domain_index == g->self_domain) {
-            out[n++] = g->config->hosts[i].name;
-        }
-    }
-    return n;
-}
-
-/* Slots that may be used: where a region's limit is below the sum of its
- * slots, each server gets its part of the limit, so that no steering can
- * overload the region. */
-static uint32_t
-effective_slots(const CpConfig *c, const CpServer *s)
-{
-    uint32_t region = c->domains[s->domain_index].region_index;
-    uint64_t limit = c->regions[region].max_inflight, total = 0, before = 0;
-    for (uint32_t i = 0; i < c->server_count; i++) {
-        const CpServer *o = &c->servers[i];
-        if (c->domains[o->domain_index].region_index == region) {
-            total += o->slots;
-            before += o < s ? o->slots : 0;
-        }
-    }
-    if (limit == 0 || limit >= total) {
-        return s->slots;
-    }
-    return (uint32_t)((before + s->slots) * limit / total -
-                      before * limit / total);
 }
 
 static int64_t
@@ -574,25 +533,21 @@
 static uint32_t
 owner_of(CpNode *n, const CpGeneration *g, const char *server)
 {
-    uint32_t count = g->config->host_count, owner = CP_NO_INDEX;
-    const char **hosts = CpMem_Alloc((count + 1) * sizeof(*hosts));
-    uint32_t *order = CpMem_Alloc((count + 1) * sizeof(*order));
-    uint32_t m = domain_hosts(g, hosts);
-    CpShare_Order(server, hosts, m, order);
+    uint32_t sv = CpConfig_Server(g->config, server), owner = CP_NO_INDEX;
+    const uint32_t *order = sv != CP_NO_INDEX ? g->orders[sv] : NULL;
     pthread_mutex_lock(&n->member_lock);
-    for (uint32_t i = 0; i < m && owner == CP_NO_INDEX; i++) {
-        const char *name = hosts[order[i]];
-        const CpMemberEntry *e = CpMember_Find(n->member, name);
-        bool self = strcmp(name, n->settings.host) == 0;
-        if (self ? !CpAtomic_Load(&n->leaving)
-                 : e != NULL && (e->state == CP_MEMBER_LIVE ||
-                                 e->state == CP_MEMBER_SUSPECT)) {
-            owner = CpConfig_Host(g->config, name);
+    for (uint32_t i = 0; order != NULL && i < g->domain_host_count; i++) {
+        const CpMemberEntry *e = order[i] < CpMember_Count(n->member)
+                                     ? CpMember_At(n->member, order[i])
+                                     : NULL;
+        bool live = e != NULL && (e->state == CP_MEMBER_LIVE ||
+                                  e->state == CP_MEMBER_SUSPECT);
+        if (order[i] == g->self ? !CpAtomic_Load(&n->leaving) : live) {
+            owner = order[i];
+            break;
         }
     }
     pthread_mutex_unlock(&n->member_lock);
-    free(order);
-    free(hosts);
     return owner;
 }
 
@@ -604,8 +559,7 @@
         CpMem_Alloc((g->config->server_count + 1) * sizeof(*rows));
     uint32_t count = 0, pools = CpAtomic_Load(&n->pool_count);
     for (uint32_t i = 0; i < pools; i++) {
-        ask_rows(n->pools[i], g, h->name, rows, g->config->server_count,
-                 &count);
+        ask_rows(n->pools[i], g, peer, rows, g->config->server_count, &count);
     }
     if (count > 0) {
         CpFrame f = {.type = CP_FRAME_LOAN_ASK};
@@ -626,32 +580,25 @@
 /* What to ask a peer for: its share of each server that this host owns, or
  * nothing where it owned one before and all work on the loan has ended. */
 static void
-ask_rows(CpHostPool *p, const CpGeneration *g, const char *peer,
-         CpLoanRow *rows, uint32_t room, uint32_t *count)
+ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer, CpLoanRow *rows,
+         uint32_t room, uint32_t *count)
 {
-    const char **hosts =
-        CpMem_Alloc((g->config->host_count + 1) * sizeof(*hosts));
-    uint32_t m = domain_hosts(g, hosts);
     pthread_mutex_lock(&p->lock);
     for (uint32_t k = 0; k < p->count && *count < room; k++) {
         uint32_t sv = CpConfig_Server(g->config, p->names[k]);
-        if (sv == CP_NO_INDEX) {
+        uint32_t want =
+            sv != CP_NO_INDEX ? CpGeneration_Share(g, sv, peer) : 0;
+        if (want == 0) {
             continue;
         }
-        uint32_t want = CpShare_Static(
-            p->names[k], effective_slots(g->config, &g->config->servers[sv]),
-            hosts, m, peer);
-        if (p->owner[k] && want > 0) {
-            CpStr_Copy(rows[*count].resource, CP_NAME_BYTES, p->names[k]);
-            rows[(*count)++].units = want;
+        bool give_back = !p->owner[k] && p->was_owner[k] &&
+                         CpAdmit_Inflight(p->admit, k) == 0;
+        if (p->owner[k] || give_back) {
+            CpLoanRow *row = &rows[(*count)++];
+            CpStr_Copy(row->resource, CP_NAME_BYTES, p->names[k]);
+            row->units = p->owner[k] ? want : 0;
             p->was_owner[k] = true;
         }
-        else if (!p->owner[k] && p->was_owner[k] &&
-                 CpAdmit_Inflight(p->admit, k) == 0) {
-            CpStr_Copy(rows[*count].resource, CP_NAME_BYTES, p->names[k]);
-            rows[(*count)++].units = 0;
-        }
     }
     pthread_mutex_unlock(&p->lock);
-    free(hosts);
 }
--- a/src/host/host_view.c
+++ b/src/host/host_view.c
@@ -13,7 +13,10 @@
 static void swap_view(CpNode *n, CpView *v);
 static void destroy_view(ck_epoch_entry_t *entry);
 static void fill_hosts(CpNode *n, CpView *v);
-static void render_lookups(CpView *v);
+static CpLookups *render_lookups(const CpView *v);
+static void release_lookups(CpLookups *l);
+static void order_servers(CpGeneration *g);
+static uint32_t effective_slots(const CpConfig *c, uint32_t server);
 static char *render_lookup(const CpView *v, uint32_t domain, uint32_t turn);
 CK_EPOCH_CONTAINER(CpView, epoch, view_of)
 
@@ -31,13 +34,36 @@
     g->text_bytes = text_bytes;
     g->self = CpConfig_Host(config, n->settings.host);
     g->self_domain = CpConfig_Domain(config, n->settings.domain);
+    order_servers(g);
     return g;
 }
 
+uint32_t
+CpGeneration_Share(const CpGeneration *g, uint32_t server, uint32_t host)
+{
+    const uint32_t *order = g->orders[server];
+    uint32_t m = g->domain_host_count, units = g->slots[server];
+    for (uint32_t i = 0; order != NULL && i < m; i++) {
+        if (order[i] == host) {
+            return units / m + (i < units % m);
+        }
+        if (i >= units) {
+            return 0;
+        }
+    }
+    return 0;
+}
+
 void
 CpGeneration_Release(CpGeneration *g)
 {
     if (g != NULL && CpRef_Drop(&g->refs)) {
+        for (uint32_t i = 0; i < g->config->server_count; i++) {
+            free(g->orders[i]);
+        }
+        free(g->orders);
+        free(g->slots);
+        free(g->domain_hosts);
         CpTopology_Free(g->topology);
         CpConfig_Free(g->config);
         free(g->text);
@@ -52,8 +78,17 @@
     v->refs = 1;
     v->generation = g;
     v->hosts = CpMem_Alloc((g->config->host_count + 1) * sizeof(*v->hosts));
+    v->changes = CpAtomic_Load(&n->member_changes);
     fill_hosts(n, v);
-    render_lookups(v);
+    CpView *old = CpView_Acquire(n);
+    if (old != NULL && old->generation == g && old->changes == v->changes) {
+        v->lookups = old->lookups;
+        CpRef_Take(&v->lookups->refs);
+    }
+    else {
+        v->lookups = render_lookups(v);
+    }
+    CpView_Release(old);
     swap_view(n, v);
 }
 
@@ -87,12 +122,8 @@
     if (v == NULL || !CpRef_Drop(&v->refs)) {
         return;
     }
-    uint32_t n = v->generation->config->domain_count * CP_LOOKUP_TURNS;
-    for (uint32_t i = 0; i < n; i++) {
-        free(v->lookups[i]);
-    }
     CpGeneration_Release(v->generation);
-    free(v->lookups);
+    release_lookups(v->lookups);
     free(v->hosts);
     free(v);
 }
@@ -124,7 +155,7 @@
     }
     char *text = NULL;
     if (d != CP_NO_INDEX) {
-        text = CpMem_Dup(v->lookups[d * CP_LOOKUP_TURNS + turn]);
+        text = CpMem_Dup(v->lookups->texts[d * CP_LOOKUP_TURNS + turn]);
     }
     *ttl_s = g->config->lookup_ttl_s;
     CpView_Release(v);
@@ -207,7 +238,12 @@
     const CpConfig *c = v->generation->config;
     pthread_mutex_lock(&n->member_lock);
     for (uint32_t i = 0; i < c->host_count; i++) {
-        const CpMemberEntry *e = CpMember_Find(n->member, c->hosts[i].name);
+        /* The roster of members has the configuration's order. */
+        const CpMemberEntry *e =
+            i < CpMember_Count(n->member) ? CpMember_At(n->member, i) : NULL;
+        if (e == NULL || strcmp(e->host, c->hosts[i].name) != 0) {
+            e = CpMember_Find(n->member, c->hosts[i].name);
+        }
         CpSteerHost *h = &v->hosts[i];
         h->domain_index = c->hosts[i].domain_index;
         if (e != NULL) {
@@ -219,17 +255,85 @@
     pthread_mutex_unlock(&n->member_lock);
 }
 
+static CpLookups *
+render_lookups(const CpView *v)
+{
+    CpLookups *l = CpMem_Alloc(sizeof(*l));
+    l->refs = 1;
+    l->count = v->generation->config->domain_count * CP_LOOKUP_TURNS;
+    l->texts = CpMem_Alloc((l->count + 1) * sizeof(*l->texts));
+    for (uint32_t i = 0; i < l->count; i++) {
+        l->texts[i] =
+            render_lookup(v, i / CP_LOOKUP_TURNS, i % CP_LOOKUP_TURNS);
+    }
+    return l;
+}
+
 static void
-render_lookups(CpView *v)
+release_lookups(CpLookups *l)
 {
-    const CpConfig *c = v->generation->config;
-    v->lookups = CpMem_Alloc((c->domain_count * CP_LOOKUP_TURNS + 1) *
-                             sizeof(*v->lookups));
-    for (uint32_t d = 0; d < c->domain_count; d++) {
-        for (uint32_t t = 0; t < CP_LOOKUP_TURNS; t++) {
-            v->lookups[d * CP_LOOKUP_TURNS + t] = render_lookup(v, d, t);
+    if (!CpRef_Drop(&l->refs)) {
+        return;
+    }
+    for (uint32_t i = 0; i < l->count; i++) {
+        free(l->texts[i]);
+    }
+    free(l->texts);
+    free(l);
+}
+
+/* The order of this domain's hosts for each of its servers, made once. */
+static void
+order_servers(CpGeneration *g)
+{
+    const CpConfig *c = g->config;
+    const char **names = CpMem_Alloc((c->host_count + 1) * sizeof(*names));
+    g->domain_hosts =
+        CpMem_Alloc((c->host_count + 1) * sizeof(*g->domain_hosts));
+    for (uint32_t i = 0; i < c->host_count; i++) {
+        if (c->hosts[i].domain_index == g->self_domain) {
+            names[g->domain_host_count] = c->hosts[i].name;
+            g->domain_hosts[g->domain_host_count++] = i;
         }
     }
+    uint32_t m = g->domain_host_count;
+    g->orders = CpMem_Alloc((c->server_count + 1) * sizeof(*g->orders));
+    g->slots = CpMem_Alloc((c->server_count + 1) * sizeof(*g->slots));
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        if (c->servers[i].domain_index != g->self_domain) {
+            continue;
+        }
+        g->slots[i] = effective_slots(c, i);
+        g->orders[i] = CpMem_Alloc((m + 1) * sizeof(**g->orders));
+        CpShare_Order(c->servers[i].name, names, m, g->orders[i]);
+        for (uint32_t k = 0; k < m; k++) {
+            g->orders[i][k] = g->domain_hosts[g->orders[i][k]];
+        }
+    }
+    free(names);
+}
+
+/* Slots that may be used: where a region's limit is below the sum of its
+ * slots, each server gets its part of the limit, so that no steering can
+ * overload the region. */
+static uint32_t
+effective_slots(const CpConfig *c, uint32_t server)
+{
+    const CpServer *s = &c->servers[server];
+    uint32_t region = c->domains[s->domain_index].region_index;
+    uint64_t limit = c->regions[region].max_inflight, total = 0, before = 0;
+    for (uint32_t i = 0; limit > 0 && i < c->server_count; i++) {
+        const CpServer *o = &c->servers[i];
+        if (c->domains[o->domain_index].region_index == region) {
+            total += o->slots;
+            before += i < server ? o->slots : 0;
+        }
+    }
+    if (limit == 0 || limit >= total) {
+        return s->slots;
+    }
+    return (uint32_t)((before + s->slots) * limit / total -
+                      before * limit / total);
 }
 
 static char *
--- a/src/wire/wire_int.h
+++ b/src/wire/wire_int.h
@@ -76,6 +76,8 @@
     int32_t listen_fd;
     uint32_t shard_count;
     uint32_t stopping;
+    uint32_t paced;     /* flag: some session waits for a link */
+    int64_t checked_ns; /* of the timer's thread */
     CpWireShard *shards;
 };
 
--- a/src/wire/wire_out.c
+++ b/src/wire/wire_out.c
@@ -111,6 +111,7 @@
         }
         if (!cb->on_spend(cb->ctx, s->peer, i, o->size_bytes)) {
             s->paced = true;
+            CpAtomic_Store(&s->wire->paced, 1);
             return NULL;
         }
         return unlink_first(s, i);
--- a/src/wire/wire_session.c
+++ b/src/wire/wire_session.c
@@ -18,6 +18,7 @@
 #define HANDSHAKE_MS 2000
 #define HANDSHAKE_MAX_BYTES 1024
 #define PACE_MS 5
+#define CHECK_MS 250         /* between checks of handshakes */
 #define READ_ROOM_BYTES 4096 /* first size of the input buffer */
 #define USER_TIMEOUT_MS 3000
 
@@ -477,6 +478,11 @@
 on_tick(void *ctx, int64_t now_ns)
 {
     CpWire *w = ctx;
+    bool check = now_ns - w->checked_ns > CHECK_MS * CP_NS_PER_MS;
+    if (__atomic_exchange_n(&w->paced, 0, __ATOMIC_ACQ_REL) == 0 && !check) {
+        return;
+    }
+    w->checked_ns = now_ns;
     for (uint32_t i = 0; i < w->shard_count; i++) {
         CpWireShard *sh = &w->shards[i];
         pthread_mutex_lock(&sh->lock);
