Split loans from pools and whole answers from the front end

Ruled out: behaviour changes: the scripts print the same. Change: host_loan.c, http_answer.c; handlers take frames as they are.

--- a/src/host/host_follow.c
+++ b/src/host/host_follow.c
@@ -60,7 +60,7 @@
 
 /* A host asks for this host's configuration: sends it in chunks. */
 void
-CpFollow_OnGet(CpNode *n, CpSession *s, const CpConfigFrame *f)
+CpFollow_OnGet(CpNode *n, CpSession *s, const CpFrame *f)
 {
     CpView *v = CpView_Acquire(n);
     if (v == NULL) {
@@ -73,7 +73,7 @@
             size = CHUNK_BYTES;
         }
         CpFrame out = {.type = CP_FRAME_CONFIG_CHUNK};
-        out.config = (CpConfigFrame){.id = f->id,
+        out.config = (CpConfigFrame){.id = f->config.id,
                                      .version = g->version,
                                      .offset_bytes = (uint32_t)at,
                                      .total_bytes = (uint32_t)g->text_bytes,
@@ -85,8 +85,9 @@
 }
 
 void
-CpFollow_OnChunk(CpNode *n, CpSession *s, const CpConfigFrame *f)
+CpFollow_OnChunk(CpNode *n, CpSession *s, const CpFrame *frame)
 {
+    const CpConfigFrame *f = &frame->config;
     (void)s;
     char *text = NULL;
     size_t size = 0;
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -216,9 +216,11 @@
 void CpPool_BackendDone(void *ctx, CpExchange *ex,
                         const CpBackendResult *result);
 void CpPool_Tick(void *ctx, int64_t now_ns);
-void CpPool_LoanTick(void *ctx, int64_t now_ns);
-void CpPool_OnAsk(CpNode *n, CpSession *s, const CpLoanFrame *f);
-void CpPool_OnGrant(CpNode *n, CpSession *s, const CpLoanFrame *f);
+/* For the package's other files; the pool's lock is held. */
+uint32_t CpPool_FindServer(const CpHostPool *p, const char *name);
+void CpPool_Refresh(CpHostPool *p, int64_t now_ns);
+/* Unlocks the pool and carries out what decisions were collected. */
+void CpPool_Flush(CpHostPool *p);
 uint32_t CpPool_Loads(CpNode *n, CpLoad *out);
 /* Sets or clears a sign that a backend server leaves; false if it is unknown
  * here. */
@@ -230,6 +232,11 @@
 } CpServerAt;
 uint32_t CpPool_Servers(CpNode *n, CpServerAt **out);
 
+/* loan: who owns a backend server, and the slots that hosts lend */
+void CpLoan_Tick(void *ctx, int64_t now_ns);
+void CpLoan_OnAsk(CpNode *n, CpSession *s, const CpFrame *f);
+void CpLoan_OnGrant(CpNode *n, CpSession *s, const CpFrame *f);
+
 /* stream: requests between hosts */
 void CpStream_Init(CpNode *n);
 void CpStream_Send(CpNode *n, CpExchange *ex, uint32_t host_index,
@@ -260,8 +267,8 @@
 CpStatus CpFollow_Start(CpNode *n);
 void CpFollow_Stop(CpNode *n);
 void CpFollow_Wake(void *ctx, int64_t now_ns);
-void CpFollow_OnGet(CpNode *n, CpSession *s, const CpConfigFrame *f);
-void CpFollow_OnChunk(CpNode *n, CpSession *s, const CpConfigFrame *f);
+void CpFollow_OnGet(CpNode *n, CpSession *s, const CpFrame *f);
+void CpFollow_OnChunk(CpNode *n, CpSession *s, const CpFrame *f);
 
 /* health: what the backend servers themselves say */
 CpStatus CpHealth_Start(CpNode *n);
--- /dev/null
+++ b/src/host/host_loan.c
@@ -0,0 +1,240 @@
+/*
+ * Loans of slots between the hosts of a domain: who owns a backend server by
+ * this host's view, what it asks the others for, and what it lends.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "host/host_int.h"
+
+static bool all_have(CpNode *n, const CpGeneration *g);
+static uint32_t owner_of(CpNode *n, const CpGeneration *g, const char *server);
+static void update_owners(CpNode *n, const CpGeneration *g);
+static uint32_t lend(CpNode *n, const CpGeneration *g, CpSession *s,
+                     uint64_t id, const CpLoanRow *row);
+static void ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer,
+                     int64_t now_ns);
+static void ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer,
+                     CpLoanRow *rows, uint32_t room, uint32_t *count);
+
+void
+CpLoan_Tick(void *ctx, int64_t now_ns)
+{
+    CpNode *n = ctx;
+    CpView *v = CpView_Acquire(n);
+    if (v == NULL) {
+        return;
+    }
+    const CpGeneration *g = v->generation;
+    update_owners(n, g);
+    for (uint32_t i = 0; i < g->config->host_count; i++) {
+        if (i != g->self && v->hosts[i].domain_index == g->self_domain &&
+            (v->hosts[i].state == CP_MEMBER_LIVE ||
+             v->hosts[i].state == CP_MEMBER_LEAVING)) {
+            ask_peer(n, g, i, now_ns);
+        }
+    }
+    CpView_Release(v);
+}
+
+void
+CpLoan_OnAsk(CpNode *n, CpSession *s, const CpFrame *frame)
+{
+    const CpLoanFrame *f = &frame->loan;
+    CpView *v = CpView_Acquire(n);
+    CpFrame out = {.type = CP_FRAME_LOAN_GRANT};
+    if (v == NULL) {
+        return;
+    }
+    CpLoanRow *rows = CpMem_Alloc((f->row_count + 1) * sizeof(*rows));
+    for (uint32_t i = 0; i < f->row_count; i++) {
+        rows[i] = f->rows[i];
+        rows[i].units = lend(n, v->generation, s, f->id, &f->rows[i]);
+    }
+    out.loan = (CpLoanFrame){.id = f->id,
+                             .ttl_ms = CP_LOAN_MS,
+                             .rows = rows,
+                             .row_count = f->row_count};
+    CpSession_Send(s, &out, CP_CLASS_CONTROL);
+    free(rows);
+    CpView_Release(v);
+}
+
+void
+CpLoan_OnGrant(CpNode *n, CpSession *s, const CpFrame *frame)
+{
+    const CpLoanFrame *f = &frame->loan;
+    int64_t asked_ns = 0;
+    pthread_mutex_lock(&n->loan_lock);
+    uint32_t slot = f->id % (sizeof(n->asks) / sizeof(n->asks[0]));
+    if (n->asks[slot].id == f->id) {
+        asked_ns = n->asks[slot].asked_ns;
+    }
+    pthread_mutex_unlock(&n->loan_lock);
+    if (asked_ns == 0) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        for (uint32_t r = 0; r < f->row_count; r++) {
+            uint32_t k = CpPool_FindServer(p, f->rows[r].resource);
+            if (k < p->count && p->owner[k]) {
+                CpShare_Borrow(&p->shares[k], CpSession_Peer(s),
+                               f->rows[r].units, asked_ns);
+                CpCounter_Add(CP_COUNT_LOANS_TAKEN, f->rows[r].units > 0);
+            }
+        }
+        int64_t now_ns = CpClock_Now_ns();
+        CpPool_Refresh(p, now_ns);
+        CpAdmit_Tick(p->admit, now_ns);
+        CpPool_Flush(p);
+    }
+}
+
+/* Brings this host's rights to borrow, and its static shares, up to date. */
+static void
+update_owners(CpNode *n, const CpGeneration *g)
+{
+    bool ready = all_have(n, g);
+    uint32_t count = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < count; i++) {
+        CpHostPool *p = n->pools[i];
+        pthread_mutex_lock(&p->lock);
+        for (uint32_t k = 0; k < p->count; k++) {
+            p->owner[k] = owner_of(n, g, p->names[k]) == g->self;
+            if (!p->owner[k]) {
+                CpShare_DropBorrowed(&p->shares[k]);
+            }
+            if (ready) {
+                p->shares[k].own = p->kept_own[k] = p->next_own[k];
+            }
+        }
+        pthread_mutex_unlock(&p->lock);
+    }
+}
+
+/* Units that the asker gets for one row: none unless this host, too, sees it
+ * as the owner. */
+static uint32_t
+lend(CpNode *n, const CpGeneration *g, CpSession *s, uint64_t id,
+     const CpLoanRow *row)
+{
+    uint32_t sv = CpConfig_Server(g->config, row->resource);
+    uint32_t asker = CpConfig_Host(g->config, CpSession_Peer(s)), units = 0;
+    bool gives_back = row->units == 0;
+    if (sv == CP_NO_INDEX || asker == CP_NO_INDEX ||
+        (!gives_back && owner_of(n, g, row->resource) != asker)) {
+        return 0;
+    }
+    CpHostPool *p = CpPool_Find(n, g->config->servers[sv].pool);
+    if (p == NULL) {
+        return 0;
+    }
+    int64_t now_ns = CpClock_Now_ns();
+    pthread_mutex_lock(&p->lock);
+    uint32_t k = CpPool_FindServer(p, row->resource);
+    if (k < p->count) {
+        units = CpShare_Lend(&p->shares[k], CpSession_Peer(s),
+                             CpSession_PeerIncarnation(s), id, row->units,
+                             CpAdmit_Inflight(p->admit, k), now_ns);
+        CpPool_Refresh(p, now_ns);
+    }
+    pthread_mutex_unlock(&p->lock);
+    return units;
+}
+
+/* Whether every host of the domain is known to have this version. */
+static bool
+all_have(CpNode *n, const CpGeneration *g)
+{
+    bool all = true;
+    pthread_mutex_lock(&n->member_lock);
+    for (uint32_t i = 0; i < g->config->host_count; i++) {
+        const CpHost *h = &g->config->hosts[i];
+        if (h->domain_index != g->self_domain || i == g->self) {
+            continue;
+        }
+        const CpMemberEntry *e = CpMember_Find(n->member, h->name);
+        all = all && e != NULL && e->config_version >= g->version;
+    }
+    pthread_mutex_unlock(&n->member_lock);
+    return all;
+}
+
+/* The first live host in the server's order; it borrows the others' slots.
+ */
+static uint32_t
+owner_of(CpNode *n, const CpGeneration *g, const char *server)
+{
+    uint32_t sv = CpConfig_Server(g->config, server), owner = CP_NO_INDEX;
+    const uint32_t *order = sv != CP_NO_INDEX ? g->orders[sv] : NULL;
+    pthread_mutex_lock(&n->member_lock);
+    for (uint32_t i = 0; order != NULL && i < g->domain_host_count; i++) {
+        const CpMemberEntry *e = order[i] < CpMember_Count(n->member)
+                                     ? CpMember_At(n->member, order[i])
+                                     : NULL;
+        bool live = e != NULL && (e->state == CP_MEMBER_LIVE ||
+                                  e->state == CP_MEMBER_SUSPECT);
+        if (order[i] == g->self ? !CpAtomic_Load(&n->leaving) : live) {
+            owner = order[i];
+            break;
+        }
+    }
+    pthread_mutex_unlock(&n->member_lock);
+    return owner;
+}
+
+static void
+ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer, int64_t now_ns)
+{
+    const CpHost *h = &g->config->hosts[peer];
+    CpLoanRow *rows =
+        CpMem_Alloc((g->config->server_count + 1) * sizeof(*rows));
+    uint32_t count = 0, pools = CpAtomic_Load(&n->pool_count);
+    for (uint32_t i = 0; i < pools; i++) {
+        ask_rows(n->pools[i], g, peer, rows, g->config->server_count, &count);
+    }
+    if (count > 0) {
+        CpFrame f = {.type = CP_FRAME_LOAN_ASK};
+        pthread_mutex_lock(&n->loan_lock);
+        uint64_t id = ++n->ask_id;
+        uint32_t slot = id % (sizeof(n->asks) / sizeof(n->asks[0]));
+        n->asks[slot].id = id;
+        n->asks[slot].asked_ns = now_ns;
+        pthread_mutex_unlock(&n->loan_lock);
+        f.loan = (CpLoanFrame){.id = id, .rows = rows, .row_count = count};
+        CpSession *s = CpWire_Dial(n->wire, h->name, h->inner);
+        CpSession_Send(s, &f, CP_CLASS_CONTROL);
+        CpSession_Release(s);
+    }
+    free(rows);
+}
+
+/* What to ask a peer for: its share of each server that this host owns, or
+ * nothing where it owned one before and all work on the loan has ended. */
+static void
+ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer, CpLoanRow *rows,
+         uint32_t room, uint32_t *count)
+{
+    pthread_mutex_lock(&p->lock);
+    for (uint32_t k = 0; k < p->count && *count < room; k++) {
+        uint32_t sv = CpConfig_Server(g->config, p->names[k]);
+        uint32_t want =
+            sv != CP_NO_INDEX ? CpGeneration_Share(g, sv, peer) : 0;
+        if (want == 0) {
+            continue;
+        }
+        bool give_back = !p->owner[k] && p->was_owner[k] &&
+                         CpAdmit_Inflight(p->admit, k) == 0;
+        if (p->owner[k] || give_back) {
+            CpLoanRow *row = &rows[(*count)++];
+            CpStr_Copy(row->resource, CP_NAME_BYTES, p->names[k]);
+            row->units = p->owner[k] ? want : 0;
+            p->was_owner[k] = true;
+        }
+    }
+    pthread_mutex_unlock(&p->lock);
+}
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -65,7 +65,7 @@
     CpFront_Subscribe(n->front, n->timer);
     CpTimer_Subscribe(n->timer, CP_PROBE_MS, CpPeers_Tick, n);
     CpTimer_Subscribe(n->timer, CP_POOL_TICK_MS, CpPool_Tick, n);
-    CpTimer_Subscribe(n->timer, CP_LOAN_PERIOD_MS, CpPool_LoanTick, n);
+    CpTimer_Subscribe(n->timer, CP_LOAN_PERIOD_MS, CpLoan_Tick, n);
     CpTimer_Subscribe(n->timer, LEDGER_SWEEP_MS, sweep_ledger, n);
     CpStatus st = CpWire_Start(n->wire);
     if (st == CP_OK) {
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -13,21 +13,13 @@
 static void on_start(void *ctx, CpAdmitItem *item);
 static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
 static void on_cancel(void *ctx, CpExchange *ex);
-static void flush(CpHostPool *p);
-static void refresh(CpHostPool *p, int64_t now_ns);
-static uint32_t find_server(CpHostPool *p, const char *name, bool add);
+static uint32_t add_server(CpHostPool *p, const char *name);
 static void grow(CpHostPool *p);
 static void configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
                            uint32_t pool_index);
 static void configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
                              uint32_t server, int64_t work_ns);
 static int64_t longest_work_ns(const CpConfig *c, uint32_t pool_index);
-static bool all_have(CpNode *n, const CpGeneration *g);
-static uint32_t owner_of(CpNode *n, const CpGeneration *g, const char *server);
-static void ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer,
-                     int64_t now_ns);
-static void ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer,
-                     CpLoanRow *rows, uint32_t room, uint32_t *count);
 
 void
 CpPool_Configure(CpNode *n, const CpGeneration *g)
@@ -99,7 +91,7 @@
     else {
         CpAdmit_Submit(p->admit, &ex->item, now_ns);
     }
-    flush(p);
+    CpPool_Flush(p);
 }
 
 void
@@ -111,7 +103,7 @@
     CpAdmit_Done(p->admit, &ex->item, result->outcome, result->latency_ns,
                  CpClock_Now_ns());
     CpExchange_Retain(ex);
-    flush(p);
+    CpPool_Flush(p);
     if (result->reason == CP_REASON_NONE) {
         CpRoute_Done(n, ex);
     }
@@ -128,119 +120,9 @@
     for (uint32_t i = 0; i < count; i++) {
         CpHostPool *p = n->pools[i];
         pthread_mutex_lock(&p->lock);
-        refresh(p, now_ns);
+        CpPool_Refresh(p, now_ns);
         CpAdmit_Tick(p->admit, now_ns);
-        flush(p);
-    }
-}
-
-void
-CpPool_LoanTick(void *ctx, int64_t now_ns)
-{
-    CpNode *n = ctx;
-    CpView *v = CpView_Acquire(n);
-    if (v == NULL) {
-        return;
-    }
-    const CpGeneration *g = v->generation;
-    bool ready = all_have(n, g);
-    uint32_t count = CpAtomic_Load(&n->pool_count);
-    for (uint32_t i = 0; i < count; i++) {
-        CpHostPool *p = n->pools[i];
-        pthread_mutex_lock(&p->lock);
-        for (uint32_t k = 0; k < p->count; k++) {
-            p->owner[k] = owner_of(n, g, p->names[k]) == g->self;
-            if (!p->owner[k]) {
-                CpShare_DropBorrowed(&p->shares[k]);
-            }
-            if (ready) {
-                p->shares[k].own = p->kept_own[k] = p->next_own[k];
-            }
-        }
-        pthread_mutex_unlock(&p->lock);
-    }
-    for (uint32_t i = 0; i < g->config->host_count; i++) {
-        if (i != g->self && v->hosts[i].domain_index == g->self_domain &&
-            (v->hosts[i].state == CP_MEMBER_LIVE ||
-             v->hosts[i].state == CP_MEMBER_LEAVING)) {
-            ask_peer(n, g, i, now_ns);
-        }
-    }
-    CpView_Release(v);
-}
-
-void
-CpPool_OnAsk(CpNode *n, CpSession *s, const CpLoanFrame *f)
-{
-    CpView *v = CpView_Acquire(n);
-    CpFrame out = {.type = CP_FRAME_LOAN_GRANT};
-    if (v == NULL) {
-        return;
-    }
-    CpLoanRow *rows = CpMem_Alloc((f->row_count + 1) * sizeof(*rows));
-    int64_t now_ns = CpClock_Now_ns();
-    uint32_t asker = CpConfig_Host(v->generation->config, CpSession_Peer(s));
-    for (uint32_t i = 0; i < f->row_count; i++) {
-        const CpLoanRow *row = &f->rows[i];
-        uint32_t sv = CpConfig_Server(v->generation->config, row->resource);
-        rows[i] = *row;
-        rows[i].units = 0;
-        if (sv == CP_NO_INDEX || asker == CP_NO_INDEX ||
-            (row->units > 0 &&
-             owner_of(n, v->generation, row->resource) != asker)) {
-            continue;
-        }
-        CpHostPool *p =
-            CpPool_Find(n, v->generation->config->servers[sv].pool);
-        pthread_mutex_lock(&p->lock);
-        uint32_t k = find_server(p, row->resource, false);
-        if (k < p->count) {
-            rows[i].units = CpShare_Lend(
-                &p->shares[k], CpSession_Peer(s), CpSession_PeerIncarnation(s),
-                f->id, row->units, CpAdmit_Inflight(p->admit, k), now_ns);
-            refresh(p, now_ns);
-        }
-        pthread_mutex_unlock(&p->lock);
-    }
-    out.loan = (CpLoanFrame){.id = f->id,
-                             .ttl_ms = CP_LOAN_MS,
-                             .rows = rows,
-                             .row_count = f->row_count};
-    CpSession_Send(s, &out, CP_CLASS_CONTROL);
-    free(rows);
-    CpView_Release(v);
-}
-
-void
-CpPool_OnGrant(CpNode *n, CpSession *s, const CpLoanFrame *f)
-{
-    int64_t asked_ns = 0;
-    pthread_mutex_lock(&n->loan_lock);
-    uint32_t slot = f->id % (sizeof(n->asks) / sizeof(n->asks[0]));
-    if (n->asks[slot].id == f->id) {
-        asked_ns = n->asks[slot].asked_ns;
-    }
-    pthread_mutex_unlock(&n->loan_lock);
-    if (asked_ns == 0) {
-        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
-        return;
-    }
-    uint32_t count = CpAtomic_Load(&n->pool_count);
-    for (uint32_t i = 0; i < count; i++) {
-        CpHostPool *p = n->pools[i];
-        pthread_mutex_lock(&p->lock);
-        for (uint32_t r = 0; r < f->row_count; r++) {
-            uint32_t k = find_server(p, f->rows[r].resource, false);
-            if (k < p->count && p->owner[k]) {
-                CpShare_Borrow(&p->shares[k], CpSession_Peer(s),
-                               f->rows[r].units, asked_ns);
-                CpCounter_Add(CP_COUNT_LOANS_TAKEN, f->rows[r].units > 0);
-            }
-        }
-        int64_t now_ns = CpClock_Now_ns();
-        refresh(p, now_ns);
-        CpAdmit_Tick(p->admit, now_ns);
-        flush(p);
+        CpPool_Flush(p);
     }
 }
 
@@ -273,7 +155,7 @@
     for (uint32_t i = 0; i < count; i++) {
         CpHostPool *p = n->pools[i];
         pthread_mutex_lock(&p->lock);
-        uint32_t k = find_server(p, server, false);
+        uint32_t k = CpPool_FindServer(p, server);
         if (k < p->count) {
             found = true;
             uint32_t before = p->signs[k];
@@ -282,7 +164,7 @@
                 CpLog(CP_LOG_NOTICE, "backend server %s: %s", server,
                       leaving ? "leaving" : "serving");
             }
-            refresh(p, CpClock_Now_ns());
+            CpPool_Refresh(p, CpClock_Now_ns());
         }
         pthread_mutex_unlock(&p->lock);
     }
@@ -351,12 +233,11 @@
                            : CP_REASON_CALLER_GONE;
         on_refuse(p, &ex->item, why);
     }
-    flush(p);
+    CpPool_Flush(p);
 }
 
-/* Unlocks the pool and carries out what was collected. */
-static void
-flush(CpHostPool *p)
+void
+CpPool_Flush(CpHostPool *p)
 {
     CpExchange *started = p->started, *refused = p->refused;
     p->started = p->refused = NULL;
@@ -382,8 +263,8 @@
 }
 
 /* Brings the usable slots of every server up to date. */
-static void
-refresh(CpHostPool *p, int64_t now_ns)
+void
+CpPool_Refresh(CpHostPool *p, int64_t now_ns)
 {
     uint64_t mine = 0;
     for (uint32_t k = 0; k < p->count; k++) {
@@ -397,17 +278,20 @@
         p->domain_slots > 0 ? p->domain_cap_milli * mine / p->domain_slots : 0;
 }
 
-static uint32_t
-find_server(CpHostPool *p, const char *name, bool add)
+uint32_t
+CpPool_FindServer(const CpHostPool *p, const char *name)
 {
     for (uint32_t i = 0; i < p->count; i++) {
         if (strcmp(p->names[i], name) == 0) {
             return i;
         }
     }
-    if (!add) {
-        return p->count;
-    }
+    return p->count;
+}
+
+static uint32_t
+add_server(CpHostPool *p, const char *name)
+{
     if (p->count == p->room) {
         grow(p);
     }
@@ -464,7 +348,7 @@
             configure_server(n, p, g, i, work_ns);
         }
     }
-    refresh(p, CpClock_Now_ns());
+    CpPool_Refresh(p, CpClock_Now_ns());
     pthread_mutex_unlock(&p->lock);
 }
 
@@ -474,7 +358,10 @@
 {
     const CpServer *s = &g->config->servers[server];
     uint32_t before = p->count;
-    uint32_t k = find_server(p, s->name, true);
+    uint32_t k = CpPool_FindServer(p, s->name);
+    if (k == before) {
+        k = add_server(p, s->name);
+    }
     CpShare *share = &p->shares[k];
     uint32_t own = CpGeneration_Share(g, server, g->self);
     if (k == before) { /* new here: a former process may still use it */
@@ -509,96 +396,3 @@
     }
     return (longest_ms + LOAN_WORK_MARGIN_MS) * CP_NS_PER_MS;
 }
-
-/* Whether every host of the domain is known to have this version. */
-static bool
-all_have(CpNode *n, const CpGeneration *g)
-{
-    bool all = true;
-    pthread_mutex_lock(&n->member_lock);
-    for (uint32_t i = 0; i < g->config->host_count; i++) {
-        const CpHost *h = &g->config->hosts[i];
-        if (h->domain_index != g->self_domain || i == g->self) {
-            continue;
-        }
-        const CpMemberEntry *e = CpMember_Find(n->member, h->name);
-        all = all && e != NULL && e->config_version >= g->version;
-    }
-    pthread_mutex_unlock(&n->member_lock);
-    return all;
-}
-
-/* The first live host in the server's order; it borrows the others' slots.
- */
-static uint32_t
-owner_of(CpNode *n, const CpGeneration *g, const char *server)
-{
-    uint32_t sv = CpConfig_Server(g->config, server), owner = CP_NO_INDEX;
-    const uint32_t *order = sv != CP_NO_INDEX ? g->orders[sv] : NULL;
-    pthread_mutex_lock(&n->member_lock);
-    for (uint32_t i = 0; order != NULL && i < g->domain_host_count; i++) {
-        const CpMemberEntry *e = order[i] < CpMember_Count(n->member)
-                                     ? CpMember_At(n->member, order[i])
-                                     : NULL;
-        bool live = e != NULL && (e->state == CP_MEMBER_LIVE ||
-                                  e->state == CP_MEMBER_SUSPECT);
-        if (order[i] == g->self ? !CpAtomic_Load(&n->leaving) : live) {
-            owner = order[i];
-            break;
-        }
-    }
-    pthread_mutex_unlock(&n->member_lock);
-    return owner;
-}
-
-static void
-ask_peer(CpNode *n, const CpGeneration *g, uint32_t peer, int64_t now_ns)
-{
-    const CpHost *h = &g->config->hosts[peer];
-    CpLoanRow *rows =
-        CpMem_Alloc((g->config->server_count + 1) * sizeof(*rows));
-    uint32_t count = 0, pools = CpAtomic_Load(&n->pool_count);
-    for (uint32_t i = 0; i < pools; i++) {
-        ask_rows(n->pools[i], g, peer, rows, g->config->server_count, &count);
-    }
-    if (count > 0) {
-        CpFrame f = {.type = CP_FRAME_LOAN_ASK};
-        pthread_mutex_lock(&n->loan_lock);
-        uint64_t id = ++n->ask_id;
-        uint32_t slot = id % (sizeof(n->asks) / sizeof(n->asks[0]));
-        n->asks[slot].id = id;
-        n->asks[slot].asked_ns = now_ns;
-        pthread_mutex_unlock(&n->loan_lock);
-        f.loan = (CpLoanFrame){.id = id, .rows = rows, .row_count = count};
-        CpSession *s = CpWire_Dial(n->wire, h->name, h->inner);
-        CpSession_Send(s, &f, CP_CLASS_CONTROL);
-        CpSession_Release(s);
-    }
-    free(rows);
-}
-
-/* What to ask a peer for: its share of each server that this host owns, or
- * nothing where it owned one before and all work on the loan has ended. */
-static void
-ask_rows(CpHostPool *p, const CpGeneration *g, uint32_t peer, CpLoanRow *rows,
-         uint32_t room, uint32_t *count)
-{
-    pthread_mutex_lock(&p->lock);
-    for (uint32_t k = 0; k < p->count && *count < room; k++) {
-        uint32_t sv = CpConfig_Server(g->config, p->names[k]);
-        uint32_t want =
-            sv != CP_NO_INDEX ? CpGeneration_Share(g, sv, peer) : 0;
-        if (want == 0) {
-            continue;
-        }
-        bool give_back = !p->owner[k] && p->was_owner[k] &&
-                         CpAdmit_Inflight(p->admit, k) == 0;
-        if (p->owner[k] || give_back) {
-            CpLoanRow *row = &rows[(*count)++];
-            CpStr_Copy(row->resource, CP_NAME_BYTES, p->names[k]);
-            row->units = p->owner[k] ? want : 0;
-            p->was_owner[k] = true;
-        }
-    }
-    pthread_mutex_unlock(&p->lock);
-}
--- a/src/host/host_stream.c
+++ b/src/host/host_stream.c
@@ -11,21 +11,14 @@
 #define CREDIT_STEP_BYTES (CP_PIPE_BYTES / 4)
 #define DEADLINE_MARGIN_MS 3 /* the owner's verdict has to travel back */
 
-static void open_incoming(CpNode *n, CpSession *s, const CpRequestFrame *r);
-static void on_head_frame(CpNode *n, CpSession *s, const CpHeadFrame *h);
-static void on_end_frame(CpNode *n, CpSession *s, const CpEndFrame *e);
-static void on_data_frame(CpNode *n, CpSession *s, const CpFrame *f);
-static void on_credit_frame(CpNode *n, CpSession *s, const CpCreditFrame *c);
-static void on_cancel_frame(CpNode *n, CpSession *s, const CpIdFrame *c);
-static void on_config_get(CpNode *n, CpSession *s, const CpFrame *f);
-static void on_config_chunk(CpNode *n, CpSession *s, const CpFrame *f);
-static void on_loan_ask(CpNode *n, CpSession *s, const CpFrame *f);
-static void on_loan_grant(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_request(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_head(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_end(CpNode *n, CpSession *s, const CpFrame *f);
+static void on_data(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_credit(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_cancel(CpNode *n, CpSession *s, const CpFrame *f);
+static void submit_incoming(CpNode *n, CpExchange *ex, CpPurpose purpose,
+                            CpReason reason);
 static void back_cancel(void *ctx, CpExchange *ex);
 static void front_head(void *ctx, CpExchange *ex);
 static void pump_wake(void *ctx);
@@ -47,18 +40,18 @@
 typedef void (*FrameFn)(CpNode *n, CpSession *s, const CpFrame *f);
 static const FrameFn frame_fns[CP_FRAME_TYPE_COUNT] = {
     [CP_FRAME_REQUEST] = on_request,
-    [CP_FRAME_BODY] = on_data_frame,
+    [CP_FRAME_BODY] = on_data,
     [CP_FRAME_CREDIT] = on_credit,
     [CP_FRAME_HEAD] = on_head,
-    [CP_FRAME_DATA] = on_data_frame,
+    [CP_FRAME_DATA] = on_data,
     [CP_FRAME_END] = on_end,
     [CP_FRAME_CANCEL] = on_cancel,
     [CP_FRAME_PROBE] = CpPeers_OnProbe,
     [CP_FRAME_PROBE_ACK] = CpPeers_OnProbe,
-    [CP_FRAME_LOAN_ASK] = on_loan_ask,
-    [CP_FRAME_LOAN_GRANT] = on_loan_grant,
-    [CP_FRAME_CONFIG_GET] = on_config_get,
-    [CP_FRAME_CONFIG_CHUNK] = on_config_chunk,
+    [CP_FRAME_LOAN_ASK] = CpLoan_OnAsk,
+    [CP_FRAME_LOAN_GRANT] = CpLoan_OnGrant,
+    [CP_FRAME_CONFIG_GET] = CpFollow_OnGet,
+    [CP_FRAME_CONFIG_CHUNK] = CpFollow_OnChunk,
 };
 
 void
@@ -168,64 +161,11 @@
     g_ptr_array_free(mine, TRUE);
 }
 
-static void
-on_request(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    open_incoming(n, s, &f->request);
-}
-
-static void
-on_head(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    on_head_frame(n, s, &f->head);
-}
-
-static void
-on_end(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    on_end_frame(n, s, &f->end);
-}
-
-static void
-on_credit(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    on_credit_frame(n, s, &f->credit);
-}
-
-static void
-on_cancel(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    on_cancel_frame(n, s, &f->cancel);
-}
-
-static void
-on_config_get(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    CpFollow_OnGet(n, s, &f->config);
-}
-
-static void
-on_config_chunk(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    CpFollow_OnChunk(n, s, &f->config);
-}
-
-static void
-on_loan_ask(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    CpPool_OnAsk(n, s, &f->loan);
-}
-
-static void
-on_loan_grant(CpNode *n, CpSession *s, const CpFrame *f)
-{
-    CpPool_OnGrant(n, s, &f->loan);
-}
-
 /* A request from another host: an exchange whose front end is its session. */
 static void
-open_incoming(CpNode *n, CpSession *s, const CpRequestFrame *r)
+on_request(CpNode *n, CpSession *s, const CpFrame *f)
 {
+    const CpRequestFrame *r = &f->request;
     CpKindInfo info;
     CpExchange *ex = CpExchange_New();
     CpReason reason = CpView_Kind(n, r->kind, &info);
@@ -257,22 +197,29 @@
     }
     CpPipe_SetReader(ex->down, pump_wake, st);
     CpExchange_SetFront(ex, front_head, st);
-    CpExchange *held = CpExchange_Retain(ex);
+    submit_incoming(n, CpExchange_Retain(ex), (CpPurpose)r->purpose, reason);
+}
+
+/* Takes over a reference to the exchange. */
+static void
+submit_incoming(CpNode *n, CpExchange *ex, CpPurpose purpose, CpReason reason)
+{
     if (reason != CP_REASON_NONE) {
-        CpExchange_Fail(held, CP_NOT_RUN, reason);
-        CpExchange_Release(held);
+        CpExchange_Fail(ex, CP_NOT_RUN, reason);
+        CpExchange_Release(ex);
     }
-    else if (r->purpose == CP_PURPOSE_TICKET) {
-        CpOnce_Submit(n, held);
+    else if (purpose == CP_PURPOSE_TICKET) {
+        CpOnce_Submit(n, ex);
     }
     else {
-        CpPool_Submit(n, held);
+        CpPool_Submit(n, ex);
     }
 }
 
 static void
-on_head_frame(CpNode *n, CpSession *s, const CpHeadFrame *h)
+on_head(CpNode *n, CpSession *s, const CpFrame *f)
 {
+    const CpHeadFrame *h = &f->head;
     if (h->reason != CP_REASON_NONE) {
         CpStream *st = take(n, s, h->id);
         if (st == NULL) {
@@ -301,8 +248,9 @@
 }
 
 static void
-on_end_frame(CpNode *n, CpSession *s, const CpEndFrame *e)
+on_end(CpNode *n, CpSession *s, const CpFrame *f)
 {
+    const CpEndFrame *e = &f->end;
     CpStream *st = take(n, s, e->id);
     if (st == NULL) {
         CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
@@ -321,7 +269,7 @@
 
 /* DATA goes down to the caller, BODY up to the backend server. */
 static void
-on_data_frame(CpNode *n, CpSession *s, const CpFrame *f)
+on_data(CpNode *n, CpSession *s, const CpFrame *f)
 {
     const CpDataFrame *d = &f->data;
     CpStream *st = find(n, s, d->id);
@@ -346,8 +294,9 @@
 }
 
 static void
-on_credit_frame(CpNode *n, CpSession *s, const CpCreditFrame *c)
+on_credit(CpNode *n, CpSession *s, const CpFrame *f)
 {
+    const CpCreditFrame *c = &f->credit;
     CpStream *st = find(n, s, c->id);
     if (st == NULL) {
         return;
@@ -360,9 +309,9 @@
 }
 
 static void
-on_cancel_frame(CpNode *n, CpSession *s, const CpIdFrame *c)
+on_cancel(CpNode *n, CpSession *s, const CpFrame *f)
 {
-    CpStream *st = find(n, s, c->id);
+    CpStream *st = find(n, s, f->cancel.id);
     if (st == NULL) {
         return;
     }
--- /dev/null
+++ b/src/http/http_answer.c
@@ -0,0 +1,46 @@
+/* Answers that are whole at once: pages, and refusals with their verdict. */
+#include <stdio.h>
+#include <string.h>
+
+#include "http/http_int.h"
+
+enum MHD_Result
+CpAnswer_Text(struct MHD_Connection *conn, uint32_t status, const char *type,
+              char *text)
+{
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(r, "Content-Type", type);
+    enum MHD_Result ok = MHD_queue_response(conn, status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+enum MHD_Result
+CpAnswer_Refusal(struct MHD_Connection *conn, const CpHead *head)
+{
+    char text[512], after[16];
+    uint32_t after_s = CpReason_RetryAfter_s(head->reason);
+    int32_t n =
+        snprintf(text, sizeof(text),
+                 "{\"reason\":\"%s\",\"verdict\":\"%s\","
+                 "\"text\":\"%s\"}\n",
+                 CpReason_Name(head->reason), CpVerdict_Name(head->verdict),
+                 CpReason_Text(head->reason));
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        (size_t)n, text, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    MHD_add_response_header(r, CP_HEADER_VERDICT,
+                            CpVerdict_Name(head->verdict));
+    MHD_add_response_header(r, CP_HEADER_REASON, CpReason_Name(head->reason));
+    if (after_s > 0) {
+        snprintf(after, sizeof(after), "%u", after_s);
+        MHD_add_response_header(r, "Retry-After", after);
+    }
+    if (head->location[0] != '\0') {
+        MHD_add_response_header(r, "Location", head->location);
+    }
+    enum MHD_Result ok = MHD_queue_response(conn, head->status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -11,7 +11,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "http/http.h"
+#include "http/http_int.h"
 
 #define BLOCK_BYTES (32 * 1024)
 #define SWEEP_MS 20
@@ -68,10 +68,6 @@
                          enum MHD_RequestTerminationCode code);
 static enum MHD_Result answer_lookup(CpFront *f, struct MHD_Connection *conn);
 static enum MHD_Result answer_ticket(CpFront *f, struct MHD_Connection *conn);
-static enum MHD_Result answer_text(struct MHD_Connection *conn,
-                                   uint32_t status, char *text);
-static enum MHD_Result answer_refusal(struct MHD_Connection *conn,
-                                      const CpHead *head);
 static enum MHD_Result refuse_early(Call *c);
 static enum MHD_Result answer_head(Call *c);
 static Call *begin_call(CpFront *f, struct MHD_Connection *conn,
@@ -295,7 +291,7 @@
         CpHead head = {.status = 503,
                        .verdict = CP_NOT_RUN,
                        .reason = CP_REASON_NOT_CONFIGURED};
-        return answer_refusal(conn, &head);
+        return CpAnswer_Refusal(conn, &head);
     }
     CpCounter_Add(CP_COUNT_LOOKUPS, 1);
     struct MHD_Response *r = MHD_create_response_from_buffer(
@@ -311,47 +307,8 @@
 static enum MHD_Result
 answer_ticket(CpFront *f, struct MHD_Connection *conn)
 {
-    return answer_text(conn, 200, f->options.ticket(f->options.ctx));
-}
-
-static enum MHD_Result
-answer_text(struct MHD_Connection *conn, uint32_t status, char *text)
-{
-    struct MHD_Response *r = MHD_create_response_from_buffer(
-        strlen(text), text, MHD_RESPMEM_MUST_FREE);
-    MHD_add_response_header(r, "Content-Type", "application/json");
-    enum MHD_Result ok = MHD_queue_response(conn, status, r);
-    MHD_destroy_response(r);
-    return ok;
-}
-
-static enum MHD_Result
-answer_refusal(struct MHD_Connection *conn, const CpHead *head)
-{
-    char text[512], after[16];
-    uint32_t after_s = CpReason_RetryAfter_s(head->reason);
-    int32_t n =
-        snprintf(text, sizeof(text),
-                 "{\"reason\":\"%s\",\"verdict\":\"%s\","
-                 "\"text\":\"%s\"}\n",
-                 CpReason_Name(head->reason), CpVerdict_Name(head->verdict),
-                 CpReason_Text(head->reason));
-    struct MHD_Response *r = MHD_create_response_from_buffer(
-        (size_t)n, text, MHD_RESPMEM_MUST_COPY);
-    MHD_add_response_header(r, "Content-Type", "application/json");
-    MHD_add_response_header(r, CP_HEADER_VERDICT,
-                            CpVerdict_Name(head->verdict));
-    MHD_add_response_header(r, CP_HEADER_REASON, CpReason_Name(head->reason));
-    if (after_s > 0) {
-        snprintf(after, sizeof(after), "%u", after_s);
-        MHD_add_response_header(r, "Retry-After", after);
-    }
-    if (head->location[0] != '\0') {
-        MHD_add_response_header(r, "Location", head->location);
-    }
-    enum MHD_Result ok = MHD_queue_response(conn, head->status, r);
-    MHD_destroy_response(r);
-    return ok;
+    return CpAnswer_Text(conn, 200, "application/json",
+                         f->options.ticket(f->options.ctx));
 }
 
 /* Refuses before anything was submitted, without reading the body. */
@@ -362,7 +319,7 @@
                    .verdict = CP_NOT_RUN,
                    .reason = c->early};
     CpCounter_AddReason(c->early, c->ex->rank);
-    return answer_refusal(c->conn, &head);
+    return CpAnswer_Refusal(c->conn, &head);
 }
 
 static enum MHD_Result
@@ -374,7 +331,7 @@
     pthread_mutex_unlock(&ex->lock);
     count_end(c);
     if (head.reason != CP_REASON_NONE) {
-        return answer_refusal(c->conn, &head);
+        return CpAnswer_Refusal(c->conn, &head);
     }
     uint64_t size = head.length_bytes == CP_LENGTH_UNKNOWN ? MHD_SIZE_UNKNOWN
                                                            : head.length_bytes;
--- a/src/http/http_operator.c
+++ b/src/http/http_operator.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "http/http.h"
+#include "http/http_int.h"
 
 #define TOKEN_BYTES 256
 
@@ -20,8 +20,6 @@
                                   const char *version, const char *data,
                                   size_t *data_bytes, void **state);
 static bool has_token(const CpOperator *o, struct MHD_Connection *conn);
-static enum MHD_Result answer(struct MHD_Connection *conn, uint32_t status,
-                              const char *type, char *text);
 
 CpStatus
 CpOperator_New(const CpOperatorOptions *options, CpOperator **out)
@@ -72,8 +70,8 @@
         return MHD_YES;
     }
     if (!has_token(o, conn)) {
-        return answer(conn, 401, "text/plain",
-                      CpMem_Dup("a token is needed\n"));
+        return CpAnswer_Text(conn, 401, "text/plain",
+                             CpMem_Dup("a token is needed\n"));
     }
     for (const CpOperatorRoute *r = o->options.routes; r->path; r++) {
         if (strcmp(r->path, url) == 0 && strcmp(r->method, method) == 0) {
@@ -82,10 +80,10 @@
                 conn, MHD_GET_ARGUMENT_KIND, "name");
             uint32_t status =
                 r->fn(o->options.ctx, argument ? argument : "", &text);
-            return answer(conn, status, r->content_type, text);
+            return CpAnswer_Text(conn, status, r->content_type, text);
         }
     }
-    return answer(conn, 404, "text/plain", CpMem_Dup("no such page\n"));
+    return CpAnswer_Text(conn, 404, "text/plain", CpMem_Dup("no such page\n"));
 }
 
 /* "Authorization: Bearer TOKEN", compared in constant time. */
@@ -102,15 +100,3 @@
     CpStr_Copy(want, sizeof(want), o->token);
     return sodium_memcmp(given, want, sizeof(want)) == 0;
 }
-
-static enum MHD_Result
-answer(struct MHD_Connection *conn, uint32_t status, const char *type,
-       char *text)
-{
-    struct MHD_Response *r = MHD_create_response_from_buffer(
-        strlen(text), text, MHD_RESPMEM_MUST_FREE);
-    MHD_add_response_header(r, "Content-Type", type);
-    enum MHD_Result ok = MHD_queue_response(conn, status, r);
-    MHD_destroy_response(r);
-    return ok;
-}
