Lend link shares; fresh loads on answers; shifts try two domains, then home

Cause: a link was used to a sixth when one host of six had all the work (static shares); hints were up to 200 ms old; system/shift failed once work that one domain refused went 'home' to the entry host's domain, which is not the origin's (853 of 3996 reads no_host). Ruled out: the drained domain itself (its hosts served what reached them). Change: link shares are lent like slots, in KB/s; an answer tells the load of the pool that served it; a refused shift tries one other domain, then the origin's own; the cap's parts are held by host, not by pool.

--- a/regress/drive_steer.c
+++ b/regress/drive_steer.c
@@ -18,6 +18,8 @@
     CpTopology *topology;
     CpSteerHost hosts[MAX_HOSTS];
     uint32_t outstanding[MAX_HOSTS * CP_MAX_POOLS];
+    uint64_t hints[MAX_HOSTS * CP_MAX_POOLS];
+    int64_t now_ns;
 } Script;
 
 static void step(Script *s, const char *line);
@@ -86,6 +88,13 @@
         h->load_count = s->config->pool_count;
         h->loads[a] = (CpLoad){b, c, d, 5000};
     }
+    else if (sscanf(line, "at %u", &a) == 1) {
+        s->now_ns = a * CP_NS_PER_MS;
+    }
+    else if (sscanf(line, "answer %63s pool %u busy %u", name, &a, &b) == 3) {
+        s->hints[CpConfig_Host(s->config, name) * CP_MAX_POOLS + a] =
+            CpSteer_Hint(b, s->now_ns);
+    }
     else if (sscanf(line, "drained %63s", word) == 1) {
         s->config->domains[CpConfig_Domain(s->config, word)].drained = true;
     }
@@ -146,7 +155,11 @@
     for (uint32_t i = 0; i < times; i++) {
         CpSteerAsk ask = {.domain_index = CpConfig_Domain(s->config, domain),
                           .pool_index = CpConfig_Pool(s->config, pool),
+                          .only_domain = CP_NO_INDEX,
+                          .skip_domain = CP_NO_INDEX,
                           .outstanding = s->outstanding,
+                          .hints = s->hints,
+                          .now_ns = s->now_ns,
                           .random = CpSeed_Next(&r)};
         uint32_t h = CpSteer_Choose(s->topology, s->hosts, &ask);
         counts[h == CP_NO_INDEX ? MAX_HOSTS : h]++;
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -114,6 +114,8 @@
                     int64_t asked_ns);
 /* Forgets what was borrowed; nothing more may start on it. */
 void CpShare_DropBorrowed(CpShare *s);
+/* Units lent to a peer's latest incarnation. */
+uint32_t CpShare_LentTo(const CpShare *s, const char *peer);
 uint32_t CpShare_Borrowed(const CpShare *s, int64_t now_ns);
 
 /* The static share of slot counts: unit k belongs to the k-th host in the
--- a/src/admit/admit_share.c
+++ b/src/admit/admit_share.c
@@ -112,6 +112,17 @@
     return n;
 }
 
+uint32_t
+CpShare_LentTo(const CpShare *s, const char *peer)
+{
+    for (uint32_t i = s->lent_count; i-- > 0;) {
+        if (strcmp(s->lent[i].peer, peer) == 0) {
+            return s->lent[i].units;
+        }
+    }
+    return 0;
+}
+
 uint32_t
 CpShare_Static(const char *resource, uint32_t units, const char *const *hosts,
                uint32_t host_count, const char *host)
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -83,12 +83,20 @@
     uint32_t *signs;     /* CpSign bits, apart from the configuration */
     CpExchange *started; /* collected under the lock, sent after it */
     CpExchange *refused;
-    CpShift shift;
-    uint64_t domain_cap_milli; /* of the whole domain */
-    uint32_t domain_slots;     /* of all its servers */
-    uint32_t index;            /* in the configuration */
+    uint32_t usable; /* slots of all its servers, as last refreshed */
+    uint32_t index;  /* in the configuration */
 } CpHostPool;
 
+/* This host's part of the link to another region; units are KB/s. */
+typedef struct {
+    bool capped;
+    CpPacer pacer;
+    CpShare share;
+    uint64_t spent_bytes; /* since the last round of loans */
+    uint32_t used_kb_s;   /* in the round before */
+    bool waited;          /* something had to wait in this round */
+} CpHostLink;
+
 /* A request that this host sent to another, or got from one. */
 typedef struct {
     uint64_t id;
@@ -151,6 +159,7 @@
     uint64_t next_stream; /* atomic */
     CpStreamShard streams[CP_STREAM_SHARDS];
     uint32_t *outstanding; /* [host][pool], atomic; sized once */
+    uint64_t *hints;       /* [host][pool], atomic: loads that answers told */
 
     pthread_mutex_t loan_lock; /* of asks */
     uint64_t ask_id;
@@ -159,10 +168,14 @@
         int64_t asked_ns;
     } asks[256];
 
-    pthread_mutex_t link_lock;     /* of links */
-    CpPacer links[CP_MAX_REGIONS]; /* by region of the receiver */
-    uint64_t link_cap_bytes_s[CP_MAX_REGIONS];
-    uint32_t link_peers; /* hosts of this region; each has a share */
+    pthread_mutex_t link_lock;        /* of links */
+    CpHostLink links[CP_MAX_REGIONS]; /* by region of the receiver */
+
+    pthread_mutex_t shift_lock; /* of the next 4 */
+    CpShift shift;
+    uint64_t domain_cap_milli; /* growth of foreign work, whole domain */
+    uint32_t domain_slots;     /* of all its servers */
+    uint32_t usable_slots;     /* that this host holds */
 
     pthread_mutex_t budget_lock;
     CpRetryBudget budget;
@@ -216,6 +229,8 @@
 void CpPool_BackendDone(void *ctx, CpExchange *ex,
                         const CpBackendResult *result);
 void CpPool_Tick(void *ctx, int64_t now_ns);
+/* Requests that run or wait in the pool that an exchange ran in. */
+uint32_t CpPool_Busy(CpExchange *ex);
 /* For the package's other files; the pool's lock is held. */
 uint32_t CpPool_FindServer(const CpHostPool *p, const char *name);
 void CpPool_Refresh(CpHostPool *p, int64_t now_ns);
@@ -233,6 +248,9 @@
 uint32_t CpPool_Servers(CpNode *n, CpServerAt **out);
 
 /* loan: who owns a backend server, and the slots that hosts lend */
+/* Sends an ask that OnGrant will know again. */
+void CpLoan_Ask(CpNode *n, const CpHost *peer, CpLoanRow *rows, uint32_t count,
+                int64_t now_ns);
 void CpLoan_Tick(void *ctx, int64_t now_ns);
 void CpLoan_OnAsk(CpNode *n, CpSession *s, const CpFrame *f);
 void CpLoan_OnGrant(CpNode *n, CpSession *s, const CpFrame *f);
@@ -259,10 +277,19 @@
 void CpPeers_Tick(void *ctx, int64_t now_ns);
 void CpPeers_OnProbe(CpNode *n, CpSession *s, const CpFrame *f);
 void CpPeers_OnLost(void *ctx, CpSession *s, bool refused);
-bool CpPeers_OnSpend(void *ctx, const char *peer, uint32_t class_index,
-                     uint32_t size_bytes);
 void CpPeers_Configure(CpNode *n, const CpGeneration *g);
 
+/* link: bytes to other regions, as shares that hosts of a region lend */
+void CpLink_Configure(CpNode *n, const CpGeneration *g);
+bool CpLink_OnSpend(void *ctx, const char *peer, uint32_t class_index,
+                    uint32_t size_bytes);
+void CpLink_Tick(void *ctx, int64_t now_ns);
+/* Handles rows of loans whose resource is a link; false for others. */
+bool CpLink_Lend(CpNode *n, const CpGeneration *g, CpSession *s, uint64_t id,
+                 const CpLoanRow *row, uint32_t *units);
+bool CpLink_Borrow(CpNode *n, const CpGeneration *g, CpSession *s,
+                   const CpLoanRow *row, int64_t asked_ns);
+
 /* follow: the accepted configuration, from the platform or from peers */
 CpStatus CpFollow_Start(CpNode *n);
 void CpFollow_Stop(CpNode *n);
--- a/src/host/host_loan.c
+++ b/src/host/host_loan.c
@@ -37,6 +37,23 @@
     CpView_Release(v);
 }
 
+void
+CpLoan_Ask(CpNode *n, const CpHost *peer, CpLoanRow *rows, uint32_t count,
+           int64_t now_ns)
+{
+    CpFrame f = {.type = CP_FRAME_LOAN_ASK};
+    pthread_mutex_lock(&n->loan_lock);
+    uint64_t id = ++n->ask_id;
+    uint32_t slot = id % (sizeof(n->asks) / sizeof(n->asks[0]));
+    n->asks[slot].id = id;
+    n->asks[slot].asked_ns = now_ns;
+    pthread_mutex_unlock(&n->loan_lock);
+    f.loan = (CpLoanFrame){.id = id, .rows = rows, .row_count = count};
+    CpSession *s = CpWire_Dial(n->wire, peer->name, peer->inner);
+    CpSession_Send(s, &f, CP_CLASS_CONTROL);
+    CpSession_Release(s);
+}
+
 void
 CpLoan_OnAsk(CpNode *n, CpSession *s, const CpFrame *frame)
 {
@@ -75,6 +92,11 @@
         CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
         return;
     }
+    CpView *v = CpView_Acquire(n);
+    for (uint32_t r = 0; v != NULL && r < f->row_count; r++) {
+        CpLink_Borrow(n, v->generation, s, &f->rows[r], asked_ns);
+    }
+    CpView_Release(v);
     uint32_t count = CpAtomic_Load(&n->pool_count);
     for (uint32_t i = 0; i < count; i++) {
         CpHostPool *p = n->pools[i];
@@ -125,6 +147,9 @@
     uint32_t sv = CpConfig_Server(g->config, row->resource);
     uint32_t asker = CpConfig_Host(g->config, CpSession_Peer(s)), units = 0;
     bool gives_back = row->units == 0;
+    if (CpLink_Lend(n, g, s, id, row, &units)) {
+        return units;
+    }
     if (sv == CP_NO_INDEX || asker == CP_NO_INDEX ||
         (!gives_back && owner_of(n, g, row->resource) != asker)) {
         return 0;
@@ -198,17 +223,7 @@
         ask_rows(n->pools[i], g, peer, rows, g->config->server_count, &count);
     }
     if (count > 0) {
-        CpFrame f = {.type = CP_FRAME_LOAN_ASK};
-        pthread_mutex_lock(&n->loan_lock);
-        uint64_t id = ++n->ask_id;
-        uint32_t slot = id % (sizeof(n->asks) / sizeof(n->asks[0]));
-        n->asks[slot].id = id;
-        n->asks[slot].asked_ns = now_ns;
-        pthread_mutex_unlock(&n->loan_lock);
-        f.loan = (CpLoanFrame){.id = id, .rows = rows, .row_count = count};
-        CpSession *s = CpWire_Dial(n->wire, h->name, h->inner);
-        CpSession_Send(s, &f, CP_CLASS_CONTROL);
-        CpSession_Release(s);
+        CpLoan_Ask(n, h, rows, count, now_ns);
     }
     free(rows);
 }
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -32,6 +32,7 @@
     pthread_mutex_init(&n->loan_lock, NULL);
     pthread_mutex_init(&n->link_lock, NULL);
     pthread_mutex_init(&n->budget_lock, NULL);
+    pthread_mutex_init(&n->shift_lock, NULL);
     pthread_mutex_init(&n->follow_lock, NULL);
     pthread_mutex_init(&n->install_lock, NULL);
     pthread_condattr_init(&attr);
@@ -41,6 +42,7 @@
     n->fetch_text = g_string_new(NULL);
     n->outstanding =
         CpMem_Alloc(MAX_HOSTS * CP_MAX_POOLS * sizeof(*n->outstanding));
+    n->hints = CpMem_Alloc(MAX_HOSTS * CP_MAX_POOLS * sizeof(*n->hints));
     ck_epoch_init(&n->epoch);
     CpStream_Init(n);
     CpPeers_Init(n);
@@ -66,6 +68,7 @@
     CpTimer_Subscribe(n->timer, CP_PROBE_MS, CpPeers_Tick, n);
     CpTimer_Subscribe(n->timer, CP_POOL_TICK_MS, CpPool_Tick, n);
     CpTimer_Subscribe(n->timer, CP_LOAN_PERIOD_MS, CpLoan_Tick, n);
+    CpTimer_Subscribe(n->timer, CP_LOAN_PERIOD_MS, CpLink_Tick, n);
     CpTimer_Subscribe(n->timer, LEDGER_SWEEP_MS, sweep_ledger, n);
     CpStatus st = CpWire_Start(n->wire);
     if (st == CP_OK) {
@@ -187,7 +190,7 @@
                           .callbacks = {.on_frame = CpStream_OnFrame,
                                         .on_unsent = CpStream_OnUnsent,
                                         .on_lost = CpPeers_OnLost,
-                                        .on_spend = CpPeers_OnSpend,
+                                        .on_spend = CpLink_OnSpend,
                                         .ctx = n}};
     CpBackendOptions backend = {.threads = s->worker_threads,
                                 .source = s->inner,
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -1,4 +1,4 @@
-/* Adapter of membership to sessions, and the budgets of links to regions. */
+/* Adapter of membership to sessions. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -33,34 +33,13 @@
     const CpConfig *c = g->config;
     const char **names = CpMem_Alloc((c->host_count + 1) * sizeof(*names));
     uint32_t *domains = CpMem_Alloc((c->host_count + 1) * sizeof(*domains));
-    uint32_t peers = 0, self_region = CP_NO_INDEX, mine = 0;
-    if (g->self_domain != CP_NO_INDEX) {
-        self_region = c->domains[g->self_domain].region_index;
-    }
     for (uint32_t i = 0; i < c->host_count; i++) {
-        uint32_t d = c->hosts[i].domain_index;
         names[i] = c->hosts[i].name;
-        domains[i] = d;
-        if (c->domains[d].region_index == self_region) {
-            mine = i == g->self ? peers : mine;
-            peers++;
-        }
+        domains[i] = c->hosts[i].domain_index;
     }
     pthread_mutex_lock(&n->member_lock);
     CpMember_SetRoster(n->member, names, domains, c->host_count);
     pthread_mutex_unlock(&n->member_lock);
-    pthread_mutex_lock(&n->link_lock);
-    n->link_peers = peers;
-    for (uint32_t r = 0; r < c->region_count && r < CP_MAX_REGIONS; r++) {
-        const CpLink *l = CpConfig_Link(c, self_region, r);
-        uint64_t cap = l != NULL ? l->cap_kbit_s * UINT64_C(125) : 0;
-        n->link_cap_bytes_s[r] = cap;
-        if (cap > 0) {
-            CpPacer_SetRate(&n->links[r], cap / (peers ? peers : 1),
-                            CpClock_Now_ns());
-        }
-    }
-    pthread_mutex_unlock(&n->link_lock);
     free(names);
     free(domains);
 }
@@ -124,36 +103,6 @@
     }
 }
 
-bool
-CpPeers_OnSpend(void *ctx, const char *peer, uint32_t class_index,
-                uint32_t size_bytes)
-{
-    CpNode *n = ctx;
-    uint32_t region = CP_NO_INDEX, own = CP_NO_INDEX;
-    CpView *v = CpView_Acquire(n);
-    if (v != NULL) {
-        const CpGeneration *g = v->generation;
-        uint32_t h = CpConfig_Host(g->config, peer);
-        if (h != CP_NO_INDEX && g->self_domain != CP_NO_INDEX) {
-            region = g->config->domains[g->config->hosts[h].domain_index]
-                         .region_index;
-            own = g->config->domains[g->self_domain].region_index;
-        }
-    }
-    CpView_Release(v);
-    if (region == own || region >= CP_MAX_REGIONS) {
-        return true;
-    }
-    pthread_mutex_lock(&n->link_lock);
-    bool ok = n->link_cap_bytes_s[region] == 0 ||
-              CpPacer_Spend(&n->links[region], class_index, size_bytes,
-                            CpClock_Now_ns());
-    pthread_mutex_unlock(&n->link_lock);
-    CpCounter_Add(ok ? CP_COUNT_LINK_BYTES : CP_COUNT_LINK_WAITS,
-                  ok ? size_bytes : 1);
-    return ok;
-}
-
 static void
 send_probe(void *ctx, const CpMemberEntry *to, bool far, CpMemberRow *rows,
            uint32_t row_count)
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -10,11 +10,13 @@
 
 #define LOAN_WORK_MARGIN_MS 200 /* for the end of work past its deadline */
 
+static bool admit_foreign(CpNode *n, int64_t now_ns);
 static void on_start(void *ctx, CpAdmitItem *item);
 static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
 static void on_cancel(void *ctx, CpExchange *ex);
 static uint32_t add_server(CpHostPool *p, const char *name);
 static void grow(CpHostPool *p);
+static void configure_shift(CpNode *n, const CpGeneration *g);
 static void configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
                            uint32_t pool_index);
 static void configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
@@ -24,6 +26,7 @@
 void
 CpPool_Configure(CpNode *n, const CpGeneration *g)
 {
+    configure_shift(n, g);
     for (uint32_t i = 0; i < g->config->pool_count && i < CP_MAX_POOLS; i++) {
         const char *name = g->config->pools[i].name;
         CpHostPool *p = CpPool_Find(n, name);
@@ -85,7 +88,7 @@
         return;
     }
     pthread_mutex_lock(&p->lock);
-    if (foreign && !CpShift_Admit(&p->shift, now_ns)) {
+    if (foreign && !admit_foreign(n, now_ns)) {
         on_refuse(p, &ex->item, CP_REASON_SHIFT_CAP);
     }
     else {
@@ -126,6 +129,19 @@
     }
 }
 
+uint32_t
+CpPool_Busy(CpExchange *ex)
+{
+    CpHostPool *p = ex->pool;
+    uint32_t busy = 0;
+    if (p != NULL) {
+        pthread_mutex_lock(&p->lock);
+        busy = CpAdmit_Queued(p->admit) + CpAdmit_TotalInflight(p->admit);
+        pthread_mutex_unlock(&p->lock);
+    }
+    return busy;
+}
+
 uint32_t
 CpPool_Loads(CpNode *n, CpLoad *out)
 {
@@ -197,6 +213,17 @@
     return used;
 }
 
+/* Foreign work may grow by this host's part of the domain's cap: the part of
+ * the domain's slots that it holds. */
+static bool
+admit_foreign(CpNode *n, int64_t now_ns)
+{
+    pthread_mutex_lock(&n->shift_lock);
+    bool ok = CpShift_Admit(&n->shift, now_ns);
+    pthread_mutex_unlock(&n->shift_lock);
+    return ok;
+}
+
 static void
 on_start(void *ctx, CpAdmitItem *item)
 {
@@ -266,7 +293,7 @@
 void
 CpPool_Refresh(CpHostPool *p, int64_t now_ns)
 {
-    uint64_t mine = 0;
+    uint32_t mine = 0;
     for (uint32_t k = 0; k < p->count; k++) {
         int64_t until_ns;
         uint32_t usable = CpShare_Usable(&p->shares[k], now_ns, &until_ns);
@@ -274,8 +301,15 @@
                           p->configured[k] && p->signs[k] == 0);
         mine += usable;
     }
-    p->shift.cap_milli =
-        p->domain_slots > 0 ? p->domain_cap_milli * mine / p->domain_slots : 0;
+    CpNode *n = p->node;
+    pthread_mutex_lock(&n->shift_lock);
+    n->usable_slots += mine - p->usable;
+    p->usable = mine;
+    n->shift.cap_milli =
+        n->domain_slots > 0
+            ? n->domain_cap_milli * n->usable_slots / n->domain_slots
+            : 0;
+    pthread_mutex_unlock(&n->shift_lock);
 }
 
 uint32_t
@@ -320,6 +354,22 @@
     p->room = room;
 }
 
+static void
+configure_shift(CpNode *n, const CpGeneration *g)
+{
+    const CpConfig *c = g->config;
+    pthread_mutex_lock(&n->shift_lock);
+    n->domain_slots = 0;
+    for (uint32_t i = 0; i < c->server_count; i++) {
+        n->domain_slots += g->slots[i]; /* 0 for those of other domains */
+    }
+    if (g->self_domain != CP_NO_INDEX) {
+        n->domain_cap_milli =
+            c->domains[g->self_domain].shift_cap_per_s * UINT64_C(1000);
+    }
+    pthread_mutex_unlock(&n->shift_lock);
+}
+
 static void
 configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
                uint32_t pool_index)
@@ -328,11 +378,6 @@
     int64_t work_ns = longest_work_ns(c, pool_index);
     pthread_mutex_lock(&p->lock);
     p->index = pool_index;
-    p->domain_slots = 0;
-    if (g->self_domain != CP_NO_INDEX) {
-        p->domain_cap_milli =
-            c->domains[g->self_domain].shift_cap_per_s * UINT64_C(1000);
-    }
     for (uint32_t i = 0; i < p->count; i++) {
         p->configured[i] = false;
         p->next_own[i] = 0;
@@ -343,7 +388,6 @@
         if (s->domain_index != g->self_domain) {
             continue;
         }
-        p->domain_slots += g->slots[i];
         if (s->pool_index == pool_index) {
             configure_server(n, p, g, i, work_ns);
         }
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -4,6 +4,7 @@
 #include "host/host_int.h"
 
 #define MAX_ATTEMPTS 3
+#define MAX_SHIFT_REFUSALS 2 /* two domains, then home */
 
 static CpReason enter(CpNode *n, const CpExchange *ex);
 static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
@@ -123,9 +124,8 @@
         return false;
     }
     if (reason == CP_REASON_SHIFT_CAP) {
-        bool first = !ex->home_only;
-        ex->home_only = true;
-        return first; /* costs no retry: it was refused before any work */
+        /* Costs no retry: it was refused before any work. */
+        return ++ex->shift_refusals <= MAX_SHIFT_REFUSALS;
     }
     pthread_mutex_lock(&n->budget_lock);
     bool spent = CpRetry_Spend(&n->budget);
@@ -146,11 +146,21 @@
                       .tried = ex->tried,
                       .tried_count = ex->tried_count,
                       .outstanding = n->outstanding,
-                      .home_only = ex->home_only,
+                      .hints = n->hints,
+                      .now_ns = CpClock_Now_ns(),
+                      .only_domain = CP_NO_INDEX,
+                      .skip_domain = CP_NO_INDEX,
                       .random = CpRandom()};
     if (g->self_domain == CP_NO_INDEX) {
         return CP_NO_INDEX;
     }
+    if (ex->shift_refusals == 1) { /* another domain may take it */
+        ask.skip_domain = g->config->hosts[ex->tried[0]].domain_index;
+    }
+    if (ex->shift_refusals > 1) { /* home, where it is not foreign */
+        ask.only_domain = CpConfig_Domain(g->config, ex->origin);
+        ask.allow_drained = true;
+    }
     uint32_t host = CpSteer_Choose(g->topology, hosts, &ask);
     if (host == CP_NO_INDEX) {
         ask.allow_drained = true;
--- a/src/host/host_stream.c
+++ b/src/host/host_stream.c
@@ -243,6 +243,9 @@
                    .length_bytes = h->length_bytes};
     CpStr_Copy(head.content_type, sizeof(head.content_type), h->content_type);
     CpStr_Copy(head.server, sizeof(head.server), h->server);
+    __atomic_store_n(&n->hints[st->host * CP_MAX_POOLS + st->pool],
+                     CpSteer_Hint(h->busy, CpClock_Now_ns()),
+                     __ATOMIC_RELAXED);
     CpExchange_Head(st->ex, &head);
     CpExchange_Release(st->ex);
 }
@@ -385,7 +388,8 @@
                            .status = head.status,
                            .verdict = head.verdict,
                            .reason = head.reason,
-                           .length_bytes = head.length_bytes};
+                           .length_bytes = head.length_bytes,
+                           .busy = CpPool_Busy(ex)};
     CpStr_Copy(f.head.content_type, sizeof(f.head.content_type),
                head.content_type);
     CpStr_Copy(f.head.server, sizeof(f.head.server), head.server);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -108,8 +108,8 @@
     uint32_t attempts;
     uint32_t tried[CP_MAX_TRIED]; /* hosts that refused it */
     uint32_t tried_count;
-    bool home_only; /* a traffic shift was refused */
-    bool from_wire; /* another host routed it here */
+    uint32_t shift_refusals; /* traffic shifts at their cap that it met */
+    bool from_wire;          /* another host routed it here */
     int64_t dispatched_ns;
     uint64_t config_version;
 };
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -59,11 +59,19 @@
     /* [host][CP_MAX_POOLS]: what the asking host has sent and not got back;
      * other threads may change it meanwhile */
     const uint32_t *outstanding;
-    bool home_only;     /* other domains refused the work */
-    bool allow_drained; /* as a last resort */
+    /* [host][CP_MAX_POOLS]: CpSteer_Hint() of the last answer from each */
+    const uint64_t *hints;
+    int64_t now_ns;
+    uint32_t only_domain; /* CP_NO_INDEX: any */
+    uint32_t skip_domain; /* CP_NO_INDEX: none */
+    bool allow_drained;   /* as a last resort */
     uint64_t random;
 } CpSteerAsk;
 
+/* What an answer told of a pool's load, and when: newer than a view's. */
+#define CP_HINT_LIFE_NS (250 * CP_NS_PER_MS)
+uint64_t CpSteer_Hint(uint32_t busy, int64_t now_ns);
+
 /* The host that should run a request, or CP_NO_INDEX. `hosts` goes by the
  * configuration's list of hosts. */
 uint32_t CpSteer_Choose(const CpTopology *t, const CpSteerHost *hosts,
--- a/src/steer/steer_choose.c
+++ b/src/steer/steer_choose.c
@@ -6,9 +6,11 @@
 
 #define DOMAIN_LATENCY_US 1000  /* between domains of one region */
 #define REGION_LATENCY_US 50000 /* where no link is configured */
-#define SERVICE_US 5000         /* where no service time is known */
-#define LEAVE_HOME_FACTOR 2     /* a far queue must be this much shorter */
-#define LEAVE_HOME_US 2000      /* what the hop and a stale hint cost */
+#define HINT_BITS 16        /* of a hint hold the load, the rest the time */
+#define HINT_SHIFT 16       /* the time is in 65.5 us */
+#define SERVICE_US 5000     /* where no service time is known */
+#define LEAVE_HOME_FACTOR 2 /* a far queue must be this much shorter */
+#define LEAVE_HOME_US 2000  /* what the hop and a stale hint cost */
 
 typedef struct {
     uint32_t slots;
@@ -28,6 +30,8 @@
                      uint32_t i);
 static bool better(const CpSteerHost *hosts, const CpSteerAsk *ask, uint32_t a,
                    uint32_t b);
+static bool may_serve(const CpTopology *t, const CpSteerAsk *ask,
+                      uint32_t domain);
 static bool is_drained(const CpTopology *t, uint32_t domain);
 
 CpTopology *
@@ -77,8 +81,7 @@
         uint32_t d = t->near[ask->domain_index * n + i];
         DomainLoad load = domain_load(t, hosts, ask, d);
         bool home = d == ask->domain_index;
-        if (load.slots == 0 || (is_drained(t, d) && !ask->allow_drained) ||
-            (ask->home_only && !home)) {
+        if (load.slots == 0 || !may_serve(t, ask, d)) {
             continue;
         }
         uint64_t us = wait_us(&load);
@@ -94,6 +97,14 @@
     return best == CP_NO_INDEX ? best : choose_host(t, hosts, ask, best);
 }
 
+uint64_t
+CpSteer_Hint(uint32_t busy, int64_t now_ns)
+{
+    const uint32_t most = (1u << HINT_BITS) - 1;
+    return (uint64_t)now_ns >> HINT_SHIFT << HINT_BITS |
+           (busy < most ? busy : most);
+}
+
 uint32_t
 CpSteer_Home(const CpTopology *t, const uint8_t *ip, bool v6,
              uint32_t fallback)
@@ -286,6 +297,12 @@
 {
     const CpLoad *load = &hosts[i].loads[ask->pool_index];
     uint32_t told = load->queued + load->inflight;
+    uint64_t hint = __atomic_load_n(
+        &ask->hints[i * CP_MAX_POOLS + ask->pool_index], __ATOMIC_RELAXED);
+    int64_t age_ns = ask->now_ns - (int64_t)(hint >> HINT_BITS << HINT_SHIFT);
+    if (hint != 0 && age_ns < CP_HINT_LIFE_NS) {
+        told = (uint32_t)(hint & ((1u << HINT_BITS) - 1));
+    }
     uint32_t sent =
         CpAtomic_Load(&ask->outstanding[i * CP_MAX_POOLS + ask->pool_index]);
     return told > sent ? told : sent;
@@ -301,6 +318,17 @@
     return x < y;
 }
 
+/* Whether the asker lets a domain serve. */
+static bool
+may_serve(const CpTopology *t, const CpSteerAsk *ask, uint32_t domain)
+{
+    if (ask->only_domain != CP_NO_INDEX && ask->only_domain != domain) {
+        return false;
+    }
+    return ask->skip_domain != domain &&
+           (ask->allow_drained || !is_drained(t, domain));
+}
+
 static bool
 is_drained(const CpTopology *t, uint32_t domain)
 {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -103,6 +103,7 @@
     uint64_t length_bytes;
     char content_type[CP_TYPE_BYTES];
     char server[CP_NAME_BYTES];
+    uint32_t busy; /* running and waiting in the pool that served it */
 } CpHeadFrame;
 
 /* The end of an answer: whole, or failed for `reason`. */
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -77,7 +77,7 @@
     U64(CpHeadFrame, id),           U32(CpHeadFrame, status),
     U32(CpHeadFrame, verdict),      U32(CpHeadFrame, reason),
     U64(CpHeadFrame, length_bytes), TEXT(CpHeadFrame, content_type),
-    TEXT(CpHeadFrame, server)};
+    TEXT(CpHeadFrame, server),      U32(CpHeadFrame, busy)};
 static const Field end_fields[] = {
     U64(CpEndFrame, id), U32(CpEndFrame, verdict), U32(CpEndFrame, reason),
     U64(CpEndFrame, total_bytes)};
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -7,7 +7,6 @@
 # NET: a digit that moves all addresses, so that two clusters can run at once.
 NET=${NET:-}
 PLATFORM=127.${NET}1.0.1:7900
-PIDS=""
 
 # spawn NAME COMMAND...: starts a process; its id is in $W/NAME.pid.
 spawn() {
@@ -15,7 +14,6 @@
     shift
     "$@" >"$W/$spawn_name.out" 2>>"$W/$spawn_name.log" &
     echo $! >"$W/$spawn_name.pid"
-    PIDS="$PIDS $!"
 }
 
 pid_of() { cat "$W/$1.pid"; }
@@ -29,15 +27,14 @@
     exec 2>&9 9>&-
 }
 
+# Ends what this shell started and has not waited for: ids of processes that
+# have ended may belong to somebody else by now.
 cleanup() {
-    for p in $PIDS; do
-        kill -CONT "$p" 2>/dev/null
-        kill -TERM "$p" 2>/dev/null
-    done
-    if [ -n "${FAST_STOP:-1}" ]; then
-        for p in $PIDS; do kill -KILL "$p" 2>/dev/null; done
-    fi
-    for p in $PIDS; do wait "$p" 2>/dev/null; done
+    for p in $(jobs -p); do kill -CONT "$p" 2>/dev/null; done
+    for p in $(jobs -pr); do kill "-${1:-KILL}" "$p" 2>/dev/null; done
+    exec 9>&2 2>/dev/null # the shell would report each of them
+    wait
+    exec 2>&9 9>&-
     [ -n "${KEEP:-}" ] || rm -rf "$W"
     return 0
 }
