--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -55,6 +55,9 @@
 typedef struct CpAdmit CpAdmit;
 CpAdmit *CpAdmit_New(const CpAdmitOptions *options);
 void CpAdmit_Free(CpAdmit *a);
+/* Changes how many may wait, and the ranks' floors. */
+void CpAdmit_SetLimits(CpAdmit *a, uint32_t queue_limit,
+                       const uint32_t floor_percent[CP_RANKS]);
 /* Makes room for more servers, numbered on. */
 void CpAdmit_Grow(CpAdmit *a, uint32_t server_count);
 /* Slots of a server that may be used now, until when, and whether new work
--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -99,6 +99,15 @@
     free(a);
 }
 
+void
+CpAdmit_SetLimits(CpAdmit *a, uint32_t queue_limit,
+                  const uint32_t floor_percent[CP_RANKS])
+{
+    a->options.queue_limit = queue_limit;
+    memcpy(a->options.floor_percent, floor_percent,
+           sizeof(a->options.floor_percent));
+}
+
 void
 CpAdmit_Grow(CpAdmit *a, uint32_t server_count)
 {
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -52,8 +52,6 @@
                            503, 2},
     [CP_REASON_SHIFT_CAP] = {"shift_cap", "the traffic shift is at its cap",
                              503, 1},
-    [CP_REASON_REGION_LIMIT] = {"region_limit", "the region is at its limit",
-                                503, 1},
     [CP_REASON_HOST_BUSY] = {"host_busy",
                              "this host holds too many requests of this rank",
                              503, 1},
@@ -94,8 +92,6 @@
                                 "the session to the owner host was lost", 502,
                                 0},
     [CP_REASON_CALLER_GONE] = {"caller_gone", "the caller went away", 499, 0},
-    [CP_REASON_HOP_LIMIT] = {"hop_limit", "the request was forwarded enough",
-                             503, 1},
 };
 
 CpStatus
--- a/src/config/config_check.c
+++ b/src/config/config_check.c
@@ -6,6 +6,8 @@
 
 #include "config/config_int.h"
 
+#define MAX_POOLS 16 /* CP_MAX_POOLS of hosts */
+
 typedef struct {
     const char *address;
     const char *owner;
@@ -41,6 +43,9 @@
     index_names(label, c, p);
     check_addresses(label, c, p);
     check_floors(label, c, p);
+    if (c->pool_count > MAX_POOLS) {
+        CpProblems_Add(p, "%s: pools: expected at most %d", label, MAX_POOLS);
+    }
     check_blocks(label, c, p);
 }
 
--- a/src/host/host_loan.c
+++ b/src/host/host_loan.c
@@ -68,10 +68,8 @@
         rows[i] = f->rows[i];
         rows[i].units = lend(n, v->generation, s, f->id, &f->rows[i]);
     }
-    out.loan = (CpLoanFrame){.id = f->id,
-                             .ttl_ms = CP_LOAN_MS,
-                             .rows = rows,
-                             .row_count = f->row_count};
+    out.loan =
+        (CpLoanFrame){.id = f->id, .rows = rows, .row_count = f->row_count};
     CpSession_Send(s, &out, CP_CLASS_CONTROL);
     free(rows);
     CpView_Release(v);
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -16,7 +16,10 @@
 static void on_cancel(void *ctx, CpExchange *ex);
 static uint32_t add_server(CpHostPool *p, const char *name);
 static void grow(CpHostPool *p);
+static CpHostPool *add_pool(CpNode *n, const char *name);
 static void configure_shift(CpNode *n, const CpGeneration *g);
+static int64_t start_wait_ns(CpNode *n, const CpGeneration *g,
+                             int64_t work_ns);
 static void configure_pool(CpNode *n, CpHostPool *p, const CpGeneration *g,
                            uint32_t pool_index);
 static void configure_server(CpNode *n, CpHostPool *p, const CpGeneration *g,
@@ -27,29 +30,15 @@
 CpPool_Configure(CpNode *n, const CpGeneration *g)
 {
     configure_shift(n, g);
-    for (uint32_t i = 0; i < g->config->pool_count && i < CP_MAX_POOLS; i++) {
+    for (uint32_t i = 0; i < g->config->pool_count; i++) {
         const char *name = g->config->pools[i].name;
         CpHostPool *p = CpPool_Find(n, name);
         if (p == NULL) {
-            p = CpMem_Alloc(sizeof(*p));
-            pthread_mutex_init(&p->lock, NULL);
-            p->node = n;
-            CpStr_Copy(p->name, sizeof(p->name), name);
-            CpAdmitOptions o = {.queue_limit = g->config->queue_limit,
-                                .breaker = true,
-                                .start = on_start,
-                                .refuse = on_refuse,
-                                .ctx = p};
-            for (uint32_t r = 0; r < g->config->rank_count; r++) {
-                o.floor_percent[r] = g->config->ranks[r].floor_percent;
-            }
-            p->admit = CpAdmit_New(&o);
-            pthread_mutex_lock(&n->pools_lock);
-            n->pools[n->pool_count] = p;
-            CpAtomic_Store(&n->pool_count, n->pool_count + 1);
-            pthread_mutex_unlock(&n->pools_lock);
+            p = add_pool(n, name);
+        }
+        if (p != NULL) {
+            configure_pool(n, p, g, i);
         }
-        configure_pool(n, p, g, i);
     }
 }
 
@@ -354,6 +343,44 @@
     p->room = room;
 }
 
+/* Pools are kept for good, so that threads may hold on to them. */
+static CpHostPool *
+add_pool(CpNode *n, const char *name)
+{
+    CpHostPool *p = NULL;
+    pthread_mutex_lock(&n->pools_lock);
+    if (n->pool_count < CP_MAX_POOLS) {
+        p = CpMem_Alloc(sizeof(*p));
+        CpAdmitOptions o = {
+            .breaker = true, .start = on_start, .refuse = on_refuse, .ctx = p};
+        pthread_mutex_init(&p->lock, NULL);
+        p->node = n;
+        CpStr_Copy(p->name, sizeof(p->name), name);
+        p->admit = CpAdmit_New(&o);
+        n->pools[n->pool_count] = p;
+        CpAtomic_Store(&n->pool_count, n->pool_count + 1);
+    }
+    pthread_mutex_unlock(&n->pools_lock);
+    if (p == NULL) {
+        CpLog(CP_LOG_ERR, "pool %s: more than %d pools since the start", name,
+              CP_MAX_POOLS);
+    }
+    return p;
+}
+
+/* How long a process that starts leaves its shares alone: a former process
+ * of this host may have work and loans out, and hosts with the configuration
+ * before this one may hold more than their part. */
+static int64_t
+start_wait_ns(CpNode *n, const CpGeneration *g, int64_t work_ns)
+{
+    int64_t loan_ns = CP_LOAN_MS * CP_NS_PER_MS;
+    if (!CpAtomic_Load(&n->fresh)) {
+        return loan_ns + work_ns;
+    }
+    return g->version > 1 ? loan_ns : 0;
+}
+
 static void
 configure_shift(CpNode *n, const CpGeneration *g)
 {
@@ -376,7 +403,12 @@
 {
     const CpConfig *c = g->config;
     int64_t work_ns = longest_work_ns(c, pool_index);
+    uint32_t floors[CP_RANKS] = {0};
+    for (uint32_t r = 0; r < c->rank_count; r++) {
+        floors[r] = c->ranks[r].floor_percent;
+    }
     pthread_mutex_lock(&p->lock);
+    CpAdmit_SetLimits(p->admit, c->queue_limit, floors);
     p->index = pool_index;
     for (uint32_t i = 0; i < p->count; i++) {
         p->configured[i] = false;
@@ -408,11 +440,8 @@
     }
     CpShare *share = &p->shares[k];
     uint32_t own = CpGeneration_Share(g, server, g->self);
-    if (k == before) { /* new here: a former process may still use it */
-        share->own_from_ns =
-            CpAtomic_Load(&n->fresh)
-                ? 0
-                : n->started_ns + CP_LOAN_MS * CP_NS_PER_MS + work_ns;
+    if (k == before) {
+        share->own_from_ns = n->started_ns + start_wait_ns(n, g, work_ns);
         share->own = own;
     }
     else if (p->kept_own[k] < own) {
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -120,15 +120,13 @@
 
 typedef struct {
     uint64_t id;
-    uint32_t far; /* between domains */
-    uint64_t config_version;
+    uint32_t far;      /* between domains */
     CpMemberRow *rows; /* the sender's own row first */
     uint32_t row_count;
 } CpProbeFrame;
 
 typedef struct {
     uint64_t id;
-    uint32_t ttl_ms;
     CpLoanRow *rows;
     uint32_t row_count;
 } CpLoanFrame;
@@ -136,7 +134,6 @@
 typedef struct {
     uint64_t id;
     uint64_t version;
-    uint64_t base; /* version that a delta starts from; 0: whole */
     uint32_t offset_bytes;
     uint32_t total_bytes;
     CpBytes data;
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -94,17 +94,16 @@
     ROWS(CpMemberRow, loads, load_count, CpLoad, load_fields)};
 static const Field probe_fields[] = {
     U64(CpProbeFrame, id), U32(CpProbeFrame, far),
-    U64(CpProbeFrame, config_version),
     ROWS(CpProbeFrame, rows, row_count, CpMemberRow, member_fields)};
 static const Field loan_row_fields[] = {TEXT(CpLoanRow, resource),
                                         U32(CpLoanRow, units)};
 static const Field loan_fields[] = {
-    U64(CpLoanFrame, id), U32(CpLoanFrame, ttl_ms),
+    U64(CpLoanFrame, id),
     ROWS(CpLoanFrame, rows, row_count, CpLoanRow, loan_row_fields)};
 static const Field config_fields[] = {
-    U64(CpConfigFrame, id),          U64(CpConfigFrame, version),
-    U64(CpConfigFrame, base),        U32(CpConfigFrame, offset_bytes),
-    U32(CpConfigFrame, total_bytes), BYTES(CpConfigFrame, data)};
+    U64(CpConfigFrame, id), U64(CpConfigFrame, version),
+    U32(CpConfigFrame, offset_bytes), U32(CpConfigFrame, total_bytes),
+    BYTES(CpConfigFrame, data)};
 
 #define FRAME(table)                                                          \
     {                                                                         \
