Refuse frames whose lengths do not fit, before msgpack allocates for them

Cause: under the address sanitizer, regress/wire 'spoil' ended in an attempt to allocate 137 GB: msgpack-c allocates what an array's header claims. A frame of a few bytes is enough, also before the handshake. Ruled out: the frame limit (the frame itself was short). Change: CpFrame_IsSound walks the frame's lengths first; only the types that frames use are let through. Before / after: allocation of 0x2000000008 bytes; then 'cannot be parsed'.

--- a/bench/scenario.sh
+++ b/bench/scenario.sh
@@ -91,6 +91,8 @@
         curl -s -X POST "http://$FIRST_SERVER/control?every=1&reset=1" >/dev/null
         "$2" "$1-$side"
         row "$1" $side "$1-$side"
+        [ -z "${PLOTS:-}" ] || sh bench/plot "$W/$1-$side.csv" \
+            "$DEPLOYMENT, $1, $side: answers a second" >"$PLOTS/$DEPLOYMENT-$1-$side.svg"
         echo "    beyond slots $(sum_stat over)"
         quiet_servers
     done
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -1,5 +1,6 @@
 /* Scripts for wire: frames out and in again, and frames that are spoilt. */
 #include <inttypes.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,7 @@
 
 static void round_trip(FILE *out, CpFrameType type);
 static void spoil(FILE *out, uint64_t seed, uint32_t times);
+static void decode(FILE *out, const char *hex);
 static CpFrame example(CpFrameType type, CpMemberRow *member, CpLoanRow *loan,
                        CpLoad *load);
 
@@ -26,6 +28,9 @@
         else if (sscanf(line, "spoil %" SCNu64 " %u", &seed, &n) == 2) {
             spoil(out, seed, n);
         }
+        else if (strncmp(line, "bytes ", 6) == 0) {
+            decode(out, line + 6);
+        }
         else if (line[0] != '#' && line[0] != '\n') {
             fprintf(out, "not understood: %s", line);
         }
@@ -97,6 +102,19 @@
             refused > times / 4 ? "over a quarter" : "few");
 }
 
+static void
+decode(FILE *out, const char *hex)
+{
+    uint8_t bytes[64];
+    size_t n = 0;
+    CpDecoded d;
+    sodium_hex2bin(bytes, sizeof(bytes), hex, strlen(hex), " \n", &n, NULL);
+    CpStatus st = CpFrame_Decode(bytes, (uint32_t)n, &d);
+    fprintf(out, "%s: %s\n", CpStatus_Name(st),
+            st == CP_OK ? "read" : CpError_Message());
+    CpFrame_Clear(&d);
+}
+
 static CpFrame
 example(CpFrameType type, CpMemberRow *member, CpLoanRow *loan, CpLoad *load)
 {
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "wire/wire.h"
+#include "wire/wire_int.h"
 
 typedef enum {
     FIELD_U32,
@@ -168,7 +168,8 @@
     size_t at = 0;
     msgpack_zone *zone = msgpack_zone_new(1024);
     *out = (CpDecoded){.zone = zone};
-    if (msgpack_unpack((const char *)data, size_bytes, &at, zone, &o) !=
+    if (!CpFrame_IsSound(data, size_bytes) ||
+        msgpack_unpack((const char *)data, size_bytes, &at, zone, &o) !=
             MSGPACK_UNPACK_SUCCESS ||
         at != size_bytes || o.type != MSGPACK_OBJECT_ARRAY ||
         o.via.array.size == 0 ||
--- a/src/wire/wire_int.h
+++ b/src/wire/wire_int.h
@@ -81,6 +81,8 @@
     CpWireShard *shards;
 };
 
+/* Whether every length in an encoded frame fits what is there. */
+bool CpFrame_IsSound(const uint8_t *data, uint32_t size_bytes);
 /* Handles HELLO and PROOF; false ends the session. Takes its lock. */
 bool CpAuth_Handle(CpSession *s, const CpFrame *frame);
 /* Queues this side's HELLO. */
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -20,8 +20,8 @@
 
 # end NAME [SIGNAL]: signals a process and waits for it; sets STATUS.
 end() {
-    kill "-${2:-TERM}" "$(pid_of "$1")" 2>/dev/null
     exec 9>&2 2>/dev/null # the shell would report the kill
+    kill "-${2:-TERM}" "$(pid_of "$1")"
     wait "$(pid_of "$1")"
     STATUS=$?
     exec 2>&9 9>&-
@@ -30,9 +30,9 @@
 # Ends what this shell started and has not waited for: ids of processes that
 # have ended may belong to somebody else by now.
 cleanup() {
-    for p in $(jobs -p); do kill -CONT "$p" 2>/dev/null; done
-    for p in $(jobs -pr); do kill "-${1:-KILL}" "$p" 2>/dev/null; done
     exec 9>&2 2>/dev/null # the shell would report each of them
+    for p in $(jobs -p); do kill -CONT "$p"; done
+    for p in $(jobs -pr); do kill "-${1:-KILL}" "$p"; done
     wait
     exec 2>&9 9>&-
     [ -n "${KEEP:-}" ] || rm -rf "$W"
