--- a/regress/drive_steer.c
+++ b/regress/drive_steer.c
@@ -178,7 +178,7 @@
 {
     uint32_t out[CP_ENTRY_HOSTS];
     uint32_t n = CpSteer_Entry(s->topology, s->hosts,
-                               CpConfig_Domain(s->config, domain), 0, 0, out,
+                               CpConfig_Domain(s->config, domain), 0, out,
                                CP_ENTRY_HOSTS);
     for (uint32_t i = 0; i < n; i++) {
         fprintf(s->out, "%s%s", i ? " " : "", s->config->hosts[out[i]].name);
--- a/src/host/host_view.c
+++ b/src/host/host_view.c
@@ -342,7 +342,7 @@
     const CpGeneration *g = v->generation;
     const CpConfig *c = g->config;
     uint32_t out[CP_ENTRY_HOSTS];
-    uint32_t n = CpSteer_Entry(g->topology, v->hosts, domain, 0, turn, out,
+    uint32_t n = CpSteer_Entry(g->topology, v->hosts, domain, turn, out,
                                CP_ENTRY_HOSTS);
     json_t *list = json_array();
     for (uint32_t i = 0; i < n; i++) {
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -84,8 +84,8 @@
                         uint32_t fallback);
 /* Entry hosts for clients of a domain, best first. Returns their count. */
 uint32_t CpSteer_Entry(const CpTopology *t, const CpSteerHost *hosts,
-                       uint32_t domain_index, uint32_t pool_index,
-                       uint32_t turn, uint32_t *out, uint32_t room);
+                       uint32_t domain_index, uint32_t turn, uint32_t *out,
+                       uint32_t room);
 
 /* What a drain or move would do: slots and share of work by domain. */
 typedef struct {
