--- a/bench/load.c
+++ b/bench/load.c
@@ -36,6 +36,7 @@
     CP_U32_FIELD(CpFlow, deadline_ms, 1, 600000, 1000, "ms"),
     CP_U32_FIELD(CpFlow, repeat_percent, 0, 100, 0, "percent"),
     CP_BOOL_FIELD(CpFlow, once, 0),
+    CP_BOOL_FIELD(CpFlow, repeat_lost, 0),
     CP_BOOL_FIELD(CpFlow, direct, 0),
     CP_BOOL_FIELD(CpFlow, round_robin, 0),
     {0},
--- a/bench/load.h
+++ b/bench/load.h
@@ -26,6 +26,7 @@
     uint32_t deadline_ms;
     uint32_t repeat_percent; /* of once-requests that are sent again too */
     bool once;        /* takes a ticket; repeats it after an unclear outcome */
+    bool repeat_lost; /* idempotent work whose connection was lost */
     bool direct;      /* straight to `entries`, which are backend servers */
     bool round_robin; /* baseline: direct, in turn, with retries */
 } CpFlow;
--- a/bench/scenario.sh
+++ b/bench/scenario.sh
@@ -31,7 +31,7 @@
         else
             client=127.3.$d.2$d
         fi
-        echo "  - {name: $1, kind: $2, client: $client, rate_per_s: $(($3 / 6)), deadline_ms: $4, size_bytes: $5, start_s: $6, end_s: $7, once: $8$BASE}"
+        echo "  - {name: $1, kind: $2, client: $client, rate_per_s: $(($3 / 6)), deadline_ms: $4, size_bytes: $5, start_s: $6, end_s: $7, repeat_lost: true, once: $8$BASE}"
     done
 }
 
