--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -8,7 +8,10 @@
 #define SMOOTHING 8                /* weight of history in moving averages */
 #define TRIAL_NS (1 * CP_NS_PER_S) /* between trials of a slow server */
 #define REST_MIN_NS (100 * CP_NS_PER_MS)
-#define REST_MAX_NS (2 * CP_NS_PER_S)
+#define REST_MAX_NS (2 * CP_NS_PER_S)       /* where nobody answers */
+#define REST_SLOW_MAX_NS (16 * CP_NS_PER_S) /* where answers come late */
+#define REST_FAILURES 3 /* in a row, before a server rests */
+#define REST_SHIFT_MAX 8
 #define FLOOR_FULL 100
 
 typedef struct {
@@ -265,14 +268,17 @@
 static void
 learn_failure(Server *s, CpOutcome outcome, int64_t latency_ns, int64_t now_ns)
 {
-    int64_t rest_ns = REST_MIN_NS << (s->failures < 5 ? s->failures : 5);
+    bool unreachable = outcome == CP_OUTCOME_UNREACHABLE;
+    int64_t most_ns = unreachable ? REST_MAX_NS : REST_SLOW_MAX_NS;
+    int64_t rest_ns = REST_MIN_NS
+                      << (s->failures < REST_SHIFT_MAX ? s->failures
+                                                       : REST_SHIFT_MAX);
     s->failures++;
     if (latency_ns > s->service_ns) {
         s->service_ns = smooth(s->service_ns, latency_ns);
     }
-    if (outcome == CP_OUTCOME_UNREACHABLE || s->failures >= 3) {
-        s->rest_until_ns =
-            now_ns + (rest_ns < REST_MAX_NS ? rest_ns : REST_MAX_NS);
+    if (unreachable || s->failures >= REST_FAILURES) {
+        s->rest_until_ns = now_ns + (rest_ns < most_ns ? rest_ns : most_ns);
     }
 }
 
@@ -478,8 +484,11 @@
 can_take(const CpAdmit *a, const Server *s, int64_t now_ns)
 {
     bool resting = a->options.breaker && now_ns < s->rest_until_ns;
+    /* After a rest one request at a time, until one is answered. */
+    bool trying =
+        a->options.breaker && s->failures >= REST_FAILURES && s->inflight > 0;
     return s->open && s->inflight < s->slots && now_ns < s->until_ns &&
-           !resting;
+           !resting && !trying;
 }
 
 static int64_t
