Hosts that were cut off find each other again, and refute for all

Cause: system/region failed once in two runs of 'make check': 10 s after the cut not all hosts saw each other. A far probe went to a failed host only when three random draws had hit none that was up, and a failed host never heard that it was thought failed, so each pair had to speak itself. Ruled out: sessions (the two domains had some open again). Change: every third far probe goes to a host that is not up; a probe or answer tells its receiver if it is thought suspect or failed, and the receiver's next epoch spreads.

--- a/regress/drive_member.c
+++ b/regress/drive_member.c
@@ -75,6 +75,22 @@
     else if (sscanf(line, "run %u ms", &a) == 1) {
         run(n, a);
     }
+    else if (strstr(line, " domains\n") != NULL) {
+        for (uint32_t i = 0; i < n->count; i++) {
+            for (uint32_t k = 0; k < n->count; k++) {
+                n->cut[i][k] =
+                    line[0] == 'c' && i % n->domains != k % n->domains;
+            }
+        }
+    }
+    else if (sscanf(line, "count %u", &a) == 1) {
+        uint32_t live = 0;
+        for (uint32_t k = 0; k < n->count; k++) {
+            live +=
+                CpMember_At(n->hosts[a].member, k)->state == CP_MEMBER_LIVE;
+        }
+        fprintf(n->out, "h%u sees %u live\n", a, live);
+    }
     else if (sscanf(line, "cut %u %u", &a, &b) == 2) {
         n->cut[a][b] = n->cut[b][a] = true;
     }
@@ -205,7 +221,7 @@
         return;
     }
     CpMember_Receive(h->member, from->name, rows, row_count, n->now_ns);
-    back = CpMember_Rows(h->member, far, &answer);
+    back = CpMember_Rows(h->member, from->name, far, &answer);
     CpMember_Receive(from->member, h->name, answer, back, n->now_ns);
 }
 
--- a/src/host/host_peers.c
+++ b/src/host/host_peers.c
@@ -84,8 +84,8 @@
     if (f->type == CP_FRAME_PROBE) {
         ack.probe.id = p->id;
         ack.probe.far = p->far;
-        ack.probe.row_count =
-            CpMember_Rows(n->member, p->far != 0, &ack.probe.rows);
+        ack.probe.row_count = CpMember_Rows(n->member, CpSession_Peer(s),
+                                            p->far != 0, &ack.probe.rows);
         CpSession_Send(s, &ack, CP_CLASS_CONTROL);
     }
     pthread_mutex_unlock(&n->member_lock);
--- a/src/member/member.h
+++ b/src/member/member.h
@@ -86,9 +86,11 @@
 /* Takes in what a probe or acknowledgement from `from` says. */
 void CpMember_Receive(CpMember *m, const char *from, const CpMemberRow *rows,
                       uint32_t row_count, int64_t now_ns);
-/* Fills rows to answer a probe; returns the count. They live until the next
- * call. */
-uint32_t CpMember_Rows(CpMember *m, bool far, CpMemberRow **rows);
+/* Fills rows for a probe or its answer; returns the count. They live until
+ * the next call. A host that is thought to have failed is told so, that it
+ * may refute it for all. */
+uint32_t CpMember_Rows(CpMember *m, const char *to, bool far,
+                       CpMemberRow **rows);
 /* Any message from a host shows that it lives. */
 void CpMember_Heard(CpMember *m, const char *from, int64_t now_ns);
 /* Nobody listens at the host's address: its process is gone. */
--- a/src/member/member_table.c
+++ b/src/member/member_table.c
@@ -7,6 +7,7 @@
 #define MAX_ROWS_NEAR 8 /* rows on a probe within the domain */
 #define TELL_FACTOR 3   /* a change travels this many times log2(members) */
 #define FAR_ROWS 64
+#define SEEK_LOST_EACH 3 /* far probes; one of them goes to a lost host */
 
 struct CpMember {
     CpMemberOptions options;
@@ -25,7 +26,7 @@
     CpLoad own_loads[CP_MAX_POOLS];
     uint32_t own_load_count;
     int64_t last_tick_ns;
-    CpMemberRow rows[FAR_ROWS + 1];
+    CpMemberRow rows[FAR_ROWS + 2]; /* itself and the receiver besides */
 };
 
 static const char *const state_names[CP_MEMBER_STATE_COUNT] = {
@@ -141,11 +142,15 @@
 }
 
 uint32_t
-CpMember_Rows(CpMember *m, bool far, CpMemberRow **rows)
+CpMember_Rows(CpMember *m, const char *to, bool far, CpMemberRow **rows)
 {
     uint32_t n = 0, domain = own_domain(m);
     uint32_t room = far ? FAR_ROWS : MAX_ROWS_NEAR;
+    CpMemberEntry *receiver = find(m, to);
     fill_self(m, &m->rows[n++]);
+    if (receiver != NULL && receiver->state >= CP_MEMBER_SUSPECT) {
+        fill_row(&m->rows[n++], receiver);
+    }
     for (uint32_t i = 0; i < m->count && n < room; i++) {
         CpMemberEntry *e = &m->entries[i];
         if (i == m->self || e->state == CP_MEMBER_UNKNOWN) {
@@ -317,19 +322,33 @@
     send_probe(m, &m->entries[m->ring[m->ring_at++]], false, now_ns);
 }
 
-/* One host of another domain, preferring those not known to have failed. */
+/* One host of another domain: in turns one that is up, and one that is not,
+ * so that domains which were cut off find each other soon. */
 static void
 probe_far(CpMember *m, int64_t now_ns)
 {
     uint32_t domain = own_domain(m);
-    for (uint32_t tries = 0; tries < 4 && m->count > 0; tries++) {
-        CpMemberEntry *e =
-            &m->entries[m->options.random(m->options.ctx) % m->count];
-        if (e->domain_index != domain &&
-            (e->state != CP_MEMBER_FAILED || tries == 3)) {
+    bool seek_lost = m->far_at++ % SEEK_LOST_EACH == 0;
+    if (m->count == 0) {
+        return;
+    }
+    uint32_t from = (uint32_t)(m->options.random(m->options.ctx) % m->count);
+    CpMemberEntry *second = NULL;
+    for (uint32_t i = 0; i < m->count; i++) {
+        CpMemberEntry *e = &m->entries[(from + i) % m->count];
+        bool lost =
+            e->state == CP_MEMBER_FAILED || e->state == CP_MEMBER_UNKNOWN;
+        if (e->domain_index == domain) {
+            continue;
+        }
+        if (lost == seek_lost) {
             send_probe(m, e, true, now_ns);
             return;
         }
+        second = e;
+    }
+    if (second != NULL) {
+        send_probe(m, second, true, now_ns);
     }
 }
 
@@ -337,7 +356,7 @@
 send_probe(CpMember *m, CpMemberEntry *e, bool far, int64_t now_ns)
 {
     CpMemberRow *rows;
-    uint32_t n = CpMember_Rows(m, far, &rows);
+    uint32_t n = CpMember_Rows(m, e->host, far, &rows);
     if (e->probed_ns == 0) {
         e->probed_ns = now_ns;
     }
