--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -130,6 +130,8 @@
 void CpShare_Order(const char *resource, const char *const *hosts,
                    uint32_t host_count, uint32_t *order);
 
+#define CP_RETRY_START_PERCENT 500 /* five retries in store on start */
+
 /* A budget of retries: each request earns a part, each retry costs one. */
 typedef struct {
     uint32_t percent;
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -32,6 +32,7 @@
     pthread_mutex_init(&n->loan_lock, NULL);
     pthread_mutex_init(&n->link_lock, NULL);
     pthread_mutex_init(&n->budget_lock, NULL);
+    n->budget.tokens_percent = CP_RETRY_START_PERCENT;
     pthread_mutex_init(&n->shift_lock, NULL);
     pthread_mutex_init(&n->follow_lock, NULL);
     pthread_mutex_init(&n->install_lock, NULL);
