--- a/Makefile
+++ b/Makefile
@@ -10,12 +10,12 @@
 CFLAGS ?= -O2 -g
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
         -Wmissing-prototypes -Wvla
-ALL_CFLAGS := -std=c11 -D_GNU_SOURCE -pthread -Isrc $(WARN) \
+ALL_CFLAGS := -std=c11 -D_GNU_SOURCE -pthread -Isrc -I. $(WARN) \
         $(shell pkg-config --cflags $(PKGS)) $(CFLAGS) \
         $(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
 LIBS := $(shell pkg-config --libs $(PKGS)) -lck -lm -pthread
 LIB_SRC := $(filter-out src/daemon/daemon_main.c src/cli/%,\
-        $(sort $(wildcard src/*/*.c)))
+        $(sort $(wildcard src/*/*.c platform/*.c)))
 LIB_OBJ := $(LIB_SRC:%.c=$(B)/%.o)
 CLI_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard src/cli/*.c)))
 LOAD_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard bench/load*.c)))
@@ -24,7 +24,7 @@
 BINS := $(B)/chestnutpaddled $(B)/chestnutpaddle $(B)/standin-platform \
         $(B)/standin-server $(B)/standin-fault $(B)/chestnutpaddle-load
 TESTS := $(B)/regress-run
-C_FILES := $(sort $(wildcard src/*/*.[ch] standin/*.[ch] bench/*.[ch] \
+C_FILES := $(sort $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] \
         regress/*.[ch]))
 
 
@@ -70,7 +70,7 @@
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 	    --enable=warning,portability --suppress=missingIncludeSystem \
 	    '-DCK_EPOCH_CONTAINER(T,M,N)=' \
-	    -Isrc src standin bench regress
+	    -Isrc -I. src platform standin bench regress
 format:
 	clang-format -i $(C_FILES)
 install: all
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -67,6 +67,11 @@
     CP_REASON_ANSWER_TRUNCATED,
     CP_REASON_SESSION_LOST,
     CP_REASON_CALLER_GONE,
+    CP_REASON_WOULD_MISS_GOAL,
+    CP_REASON_WARMING_UP,
+    CP_REASON_NO_ROUTE,
+    CP_REASON_RETRY_BUDGET,
+    CP_REASON_WRONG_SERVER,
     CP_REASON_COUNT
 } CpReason;
 
@@ -164,8 +169,12 @@
 /* Parses IP:port into a struct sockaddr_storage; returns its length, or 0. */
 uint32_t CpAddress_Parse(const char *text, void *sockaddr_storage);
 
+/* Makes a socket notice a silent peer after `idle_s` and `probes` more. */
+CpStatus CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes);
+
 /* Monotonic clock; a paused process sees the whole pause pass at once. */
 int64_t CpClock_Now_ns(void);
+void CpSleep_ms(uint32_t ms);
 /* Wall clock, for expiry times that travel between hosts. */
 int64_t CpClock_Wall_ms(void);
 
--- a/src/base/base_address.c
+++ b/src/base/base_address.c
@@ -1,6 +1,8 @@
 /* Addresses of the form IP:port. */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -32,3 +34,16 @@
     }
     return 0;
 }
+
+CpStatus
+CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes)
+{
+    int32_t on = 1, idle = (int32_t)idle_s, count = (int32_t)probes;
+    if (setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on)) != 0 ||
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle)) != 0 ||
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof(idle)) != 0 ||
+        setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count)) != 0) {
+        return CpError_Set(CP_ERR_IO, "keep-alive: %s", strerror(errno));
+    }
+    return CP_OK;
+}
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -92,6 +92,18 @@
                                 "the session to the owner host was lost", 502,
                                 0},
     [CP_REASON_CALLER_GONE] = {"caller_gone", "the caller went away", 499, 0},
+    [CP_REASON_WOULD_MISS_GOAL] =
+        {"would_miss_goal", "the expected wait exceeds the latency goal", 503,
+         1},
+    [CP_REASON_WARMING_UP] = {"warming_up",
+                              "the servers that are left are warming up", 503,
+                              1},
+    [CP_REASON_NO_ROUTE] = {"no_route", "no route matches", 404, 0},
+    [CP_REASON_RETRY_BUDGET] = {"retry_budget",
+                                "the budget for repeats is spent", 503, 1},
+    [CP_REASON_WRONG_SERVER] = {"wrong_server",
+                                "the address belongs to another server", 503,
+                                1},
 };
 
 CpStatus
--- a/src/base/base_util.c
+++ b/src/base/base_util.c
@@ -69,6 +69,14 @@
     return ts.tv_sec * CP_NS_PER_S + ts.tv_nsec;
 }
 
+void
+CpSleep_ms(uint32_t ms)
+{
+    struct timespec ts = {.tv_sec = ms / 1000,
+                          .tv_nsec = ms % 1000 * CP_NS_PER_MS};
+    nanosleep(&ts, NULL);
+}
+
 int64_t
 CpClock_Wall_ms(void)
 {
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -7,6 +7,7 @@
 #include "base/base.h"
 #include "config/config.h"
 #include "platform/platform.h"
+#include "store/store.h"
 
 /* Exit codes; chestnutpaddle(1) documents them. */
 typedef enum {
--- a/src/cli/cli_change.c
+++ b/src/cli/cli_change.c
@@ -47,13 +47,13 @@
 CpExit
 CpCli_ApplyConfig(const CpCliOptions *o, const CpConfig *c, uint64_t base)
 {
-    CpPlatform *p = CpPlatform_NewHttp(o->platform, PLATFORM_TIMEOUT_MS);
+    CpStore *p = CpPlatform_NewStore(o->platform, PLATFORM_TIMEOUT_MS);
     char *text = CpConfig_Print(c);
     uint64_t version = 0;
     uint32_t have = 0, answered = 0;
-    CpStatus st = CpPlatform_Apply(p, text, strlen(text), base, &version);
+    CpStatus st = CpStore_Apply(p, text, strlen(text), base, &version);
     free(text);
-    CpPlatform_FreeHttp(p);
+    CpPlatform_FreeStore(p);
     if (st != CP_OK) {
         return CpCli_Fail(st);
     }
--- a/src/cli/cli_common.c
+++ b/src/cli/cli_common.c
@@ -174,7 +174,7 @@
 static CpStatus
 from_platform(const CpCliOptions *o, CpConfig **out)
 {
-    CpPlatform *p = CpPlatform_NewHttp(o->platform, PLATFORM_TIMEOUT_MS);
+    CpStore *p = CpPlatform_NewStore(o->platform, PLATFORM_TIMEOUT_MS);
     CpRow row = {.key = CP_HEAD_KEY};
     CpHeadRow head;
     CpProblems problems = {0};
@@ -195,7 +195,7 @@
         (*out)->version = head.version;
     }
     CpProblems_Clear(&problems);
-    CpPlatform_FreeHttp(p);
+    CpPlatform_FreeStore(p);
     return st;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,8 +25,15 @@
     char value[CP_ADDR_BYTES];
 } CpAddress;
 
+/* A failure domain and its region, as settings list them. */
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char region[CP_NAME_BYTES];
+} CpSettingsDomain;
+
 /* What one host is told on start; see chestnutpaddled.yaml(5). */
 typedef struct {
+    char serve[CP_NAME_BYTES]; /* "kinds" (also "") or "routes" */
     char host[CP_NAME_BYTES];
     char domain[CP_NAME_BYTES];
     char caller[CP_ADDR_BYTES];
@@ -40,7 +47,18 @@
     uint32_t worker_threads;
     uint32_t max_requests;
     uint32_t stop_timeout_s;
+    /* For routes only: */
+    char directory[CP_ADDR_BYTES];
+    char ready[CP_ADDR_BYTES];
+    CpSettingsDomain *domains;
+    uint32_t domain_count;
+    uint32_t retry_percent; /* repeats for each hundred requests */
+    uint32_t retry_burst;   /* repeats beyond that, all hosts together */
+    uint32_t retry_window_s;
+    uint32_t directory_ttl_s;
+    uint32_t lapse_ms; /* for lost entries of servers to come back */
 } CpSettings;
+bool CpSettings_ServesRoutes(const CpSettings *s);
 
 typedef struct {
     char name[CP_NAME_BYTES];
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -11,25 +11,42 @@
     {0},
 };
 
+static const CpField domain_fields[] = {
+    CP_TEXT_FIELD(CpSettingsDomain, name, true),
+    CP_TEXT_FIELD(CpSettingsDomain, region, true),
+    {0},
+};
+
 static const CpField settings_fields[] = {
+    CP_TEXT_FIELD(CpSettings, serve, false),
     CP_TEXT_FIELD(CpSettings, host, true),
     CP_TEXT_FIELD(CpSettings, domain, true),
     CP_TEXT_FIELD(CpSettings, caller, true),
     CP_TEXT_FIELD(CpSettings, inner, true),
     CP_TEXT_FIELD(CpSettings, operator_listen, true),
     CP_TEXT_FIELD(CpSettings, platform, true),
-    CP_TEXT_FIELD(CpSettings, key_file, true),
-    CP_TEXT_FIELD(CpSettings, token_file, true),
+    CP_TEXT_FIELD(CpSettings, key_file, false),
+    CP_TEXT_FIELD(CpSettings, token_file, false),
     CP_LIST_FIELD(CpSettings, neighbours, neighbour_count, CpAddress,
                   address_fields, false),
     CP_U32_FIELD(CpSettings, worker_threads, 1, 16, 2, "threads"),
     CP_U32_FIELD(CpSettings, max_requests, 16, 20000, 2000, "requests"),
     CP_U32_FIELD(CpSettings, stop_timeout_s, 1, 3600, 60, "s"),
+    CP_TEXT_FIELD(CpSettings, directory, false),
+    CP_TEXT_FIELD(CpSettings, ready, false),
+    CP_LIST_FIELD(CpSettings, domains, domain_count, CpSettingsDomain,
+                  domain_fields, false),
+    CP_U32_FIELD(CpSettings, retry_percent, 0, 100, 10, "%"),
+    CP_U32_FIELD(CpSettings, retry_burst, 0, 100000, 64, "requests"),
+    CP_U32_FIELD(CpSettings, retry_window_s, 1, 3600, 10, "s"),
+    CP_U32_FIELD(CpSettings, directory_ttl_s, 1, 60, 2, "s"),
+    CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2500, "ms"),
     {0},
 };
 
 static void check_address(const char *path, const char *field,
                           const char *value, CpProblems *p);
+static void check_mode(const char *path, const CpSettings *s, CpProblems *p);
 
 CpStatus
 CpSettings_Load(const char *path, CpSettings *out, CpProblems *p)
@@ -52,6 +69,7 @@
         for (uint32_t i = 0; i < out->neighbour_count; i++) {
             check_address(path, "neighbours", out->neighbours[i].value, p);
         }
+        check_mode(path, out, p);
         if (strncmp(out->platform, "http://", 7) != 0) {
             CpProblems_Add(p, "%s: platform: expected http://IP:port", path);
         }
@@ -63,6 +81,12 @@
     return CP_OK;
 }
 
+bool
+CpSettings_ServesRoutes(const CpSettings *s)
+{
+    return strcmp(s->serve, "routes") == 0;
+}
+
 void
 CpSettings_Clear(CpSettings *s)
 {
@@ -97,3 +121,24 @@
                        value);
     }
 }
+
+/* What only one of the two ways to serve needs. */
+static void
+check_mode(const char *path, const CpSettings *s, CpProblems *p)
+{
+    if (CpSettings_ServesRoutes(s)) {
+        check_address(path, "directory", s->directory, p);
+        check_address(path, "ready", s->ready, p);
+        return;
+    }
+    if (s->serve[0] != '\0' && strcmp(s->serve, "kinds") != 0) {
+        CpProblems_Add(p, "%s: serve: expected kinds or routes, got \"%s\"",
+                       path, s->serve);
+    }
+    if (s->key_file[0] == '\0') {
+        CpProblems_Add(p, "%s: key_file is missing", path);
+    }
+    if (s->token_file[0] == '\0') {
+        CpProblems_Add(p, "%s: token_file is missing", path);
+    }
+}
--- a/src/daemon/daemon_main.c
+++ b/src/daemon/daemon_main.c
@@ -5,13 +5,38 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
+#include "base/event.h"
+#include "entry/entry.h"
 #include "host/host.h"
+#include "platform/platform.h"
 
 #define EXIT_SETTINGS 2
 
-static int run(CpSettings *settings, const char *path);
-static void reload(CpNode *n, const char *path);
+/* One of the two ways to serve, behind the signals. */
+typedef struct {
+    CpStatus (*start)(const CpSettings *settings, void **out);
+    void (*reload)(void *host, const CpSettings *settings);
+    void (*drain)(void *host);
+    void (*free)(void *host);
+} Mode;
+
+static CpStatus start_kinds(const CpSettings *settings, void **out);
+static void reload_kinds(void *host, const CpSettings *settings);
+static void drain_kinds(void *host);
+static void free_kinds(void *host);
+static CpStatus start_routes(const CpSettings *settings, void **out);
+static void reload_routes(void *host, const CpSettings *settings);
+static void drain_routes(void *host);
+static void free_routes(void *host);
+static int run(const CpSettings *settings, const char *path);
+static void reload(const Mode *m, void *host, const char *path);
+
+static const Mode kinds_mode = {start_kinds, reload_kinds, drain_kinds,
+                                free_kinds};
+static const Mode routes_mode = {start_routes, reload_routes, drain_routes,
+                                 free_routes};
 
 int
 main(int argc, char **argv)
@@ -54,9 +79,11 @@
 
 /* Signals are taken by this thread only; the others have them blocked. */
 static int
-run(CpSettings *settings, const char *path)
+run(const CpSettings *settings, const char *path)
 {
-    CpNode *n;
+    const Mode *m =
+        CpSettings_ServesRoutes(settings) ? &routes_mode : &kinds_mode;
+    void *host;
     sigset_t set;
     int sig;
     sigemptyset(&set);
@@ -65,27 +92,25 @@
     sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, NULL);
     signal(SIGPIPE, SIG_IGN);
-    if (CpNode_New(settings, &n) != CP_OK || CpNode_Start(n) != CP_OK) {
+    if (m->start(settings, &host) != CP_OK) {
         CpLog(CP_LOG_ERR, "%s", CpError_Message());
         return EXIT_SETTINGS;
     }
-    CpLog(CP_LOG_NOTICE, "host %s in %s is up", settings->host,
-          settings->domain);
     while (sigwait(&set, &sig) == 0 && sig == SIGHUP) {
-        reload(n, path);
+        reload(m, host, path);
     }
-    CpNode_Drain(n);
-    CpNode_Free(n);
+    m->drain(host);
+    m->free(host);
     return EXIT_SUCCESS;
 }
 
 static void
-reload(CpNode *n, const char *path)
+reload(const Mode *m, void *host, const char *path)
 {
     CpSettings settings;
     CpProblems problems = {0};
     if (CpSettings_Load(path, &settings, &problems) == CP_OK) {
-        CpNode_Reload(n, &settings);
+        m->reload(host, &settings);
         CpSettings_Clear(&settings);
     }
     else {
@@ -93,3 +118,75 @@
     }
     CpProblems_Clear(&problems);
 }
+
+static CpStatus
+start_kinds(const CpSettings *settings, void **out)
+{
+    CpNode *n;
+    CpStatus st = CpNode_New(settings, &n);
+    if (st == CP_OK) {
+        st = CpNode_Start(n);
+    }
+    if (st == CP_OK) {
+        CpLog(CP_LOG_NOTICE, "host %s in %s is up", settings->host,
+              settings->domain);
+    }
+    *out = n;
+    return st;
+}
+
+static void
+reload_kinds(void *host, const CpSettings *settings)
+{
+    CpNode_Reload(host, settings);
+}
+
+static void
+drain_kinds(void *host)
+{
+    CpNode_Drain(host);
+}
+
+static void
+free_kinds(void *host)
+{
+    CpNode_Free(host);
+}
+
+static CpStatus
+start_routes(const CpSettings *settings, void **out)
+{
+    CpEntry *e;
+    CpEntryOptions options = {.settings = settings,
+                              .adapter = &cp_platform_adapter};
+    CpStatus st = CpEvent_Open(
+        &(CpEventOptions){.host = settings->host, .fd = STDOUT_FILENO});
+    if (st == CP_OK) {
+        st = CpEntry_New(&options, &e);
+    }
+    if (st == CP_OK) {
+        *out = e;
+        st = CpEntry_Start(e);
+    }
+    return st;
+}
+
+static void
+reload_routes(void *host, const CpSettings *settings)
+{
+    CpEntry_Reload(host, settings);
+}
+
+static void
+drain_routes(void *host)
+{
+    CpEntry_Drain(host);
+}
+
+/* The process ends at once: a thread may be waiting for the store. */
+static void
+free_routes(void *host)
+{
+    (void)host;
+    CpEvent_Close();
+}
--- /dev/null
+++ b/src/entry/entry_follow.c
@@ -0,0 +1,303 @@
+/*
+ * Follows the tables of the store, each in a thread of its own: a scan first,
+ * then what changes. When the store was away, entries of servers that are
+ * missing may only have lapsed; they stay in use for `lapse_ms`.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry_int.h"
+
+#define FOLLOW_WAIT_MS 10000   /* keep-alive probes find a dead connection */
+#define FOLLOW_TIMEOUT_MS 2000 /* of a scan */
+#define RETRY_FIRST_MS 100
+#define RETRY_MAX_MS 800 /* so that a store that is back is soon used */
+
+static void *follow_thread(void *ctx);
+static CpStatus scan(CpEntryFollower *f, uint64_t *version);
+static void on_row(void *ctx, const CpFeedRow *row);
+static void on_operator_row(CpEntry *e, const CpFeedRow *row);
+static void take_routes(CpEntry *e, const CpFeedRow *row);
+static void on_server_row(CpEntryFollower *f, const CpFeedRow *row);
+static void note_result(CpEntryFollower *f, CpStatus st);
+static bool may_have_lapsed(const CpEntryFollower *f, int64_t now_ns);
+static void back_off(CpEntryFollower *f);
+
+static const char *const table_labels[CP_TABLE_COUNT] = {
+    [CP_TABLE_OPERATOR] = "operator",
+    [CP_TABLE_SERVERS] = "servers",
+    [CP_TABLE_HOSTS] = "hosts",
+};
+
+CpStatus
+CpEntryFollow_Start(CpEntry *e)
+{
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        CpEntryFollower *f = &e->followers[i];
+        f->entry = e;
+        f->table = (CpTable)i;
+        f->store =
+            e->adapter.new_store(e->settings.platform, FOLLOW_TIMEOUT_MS);
+        if (pthread_create(&f->thread, NULL, follow_thread, f) != 0) {
+            return CpError_Set(CP_ERR_IO, "follow: no thread");
+        }
+        f->started = true;
+    }
+    return CP_OK;
+}
+
+/* Threads that wait for the store are left to the end of the process. */
+void
+CpEntryFollow_Stop(CpEntry *e)
+{
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        CpEntryFollower *f = &e->followers[i];
+        if (f->started) {
+            pthread_join(f->thread, NULL);
+        }
+        e->adapter.free_store(f->store);
+    }
+}
+
+CpRoutes *
+CpEntry_Routes(CpEntry *e, int64_t *since_ns)
+{
+    pthread_mutex_lock(&e->routes_lock);
+    CpRoutes *r = CpRoutes_Retain(e->routes);
+    if (since_ns != NULL) {
+        *since_ns = e->routes_ns;
+    }
+    pthread_mutex_unlock(&e->routes_lock);
+    return r;
+}
+
+void
+CpEntryFollow_Tick(void *ctx, int64_t now_ns)
+{
+    CpEntry *e = ctx;
+    CpEntryFollower *f = &e->followers[CP_TABLE_SERVERS];
+    if (!CpAtomic_Load(&f->errors) && f->forget_due &&
+        !may_have_lapsed(f, now_ns)) {
+        f->forget_due = false;
+        uint32_t n = CpFleet_Forget(e->fleet, now_ns);
+        if (n > 0) {
+            CpEvent(CP_EVENT_BELIEF, "servers_forgotten", "s:i", "count",
+                    (int)n);
+        }
+    }
+}
+
+static void *
+follow_thread(void *ctx)
+{
+    CpEntryFollower *f = ctx;
+    CpEntry *e = f->entry;
+    uint64_t version = 0;
+    bool scanned = false;
+    while (!CpAtomic_Load(&e->stopping)) {
+        CpStatus st =
+            scanned ? f->store->follow(f->store->ctx, f->table, FOLLOW_WAIT_MS,
+                                       on_row, f, &version)
+                    : scan(f, &version);
+        if (st == CP_OK) {
+            scanned = true;
+        }
+        if (st == CP_ERR_RANGE) { /* the history is gone: start anew */
+            CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
+                    table_labels[f->table]);
+            scanned = false;
+            continue;
+        }
+        note_result(f, st);
+        if (st != CP_OK) {
+            back_off(f);
+        }
+    }
+    return NULL;
+}
+
+static CpStatus
+scan(CpEntryFollower *f, uint64_t *version)
+{
+    CpEntry *e = f->entry;
+    if (f->table == CP_TABLE_SERVERS) {
+        CpFleet_BeginScan(e->fleet);
+    }
+    if (f->table == CP_TABLE_HOSTS) {
+        CpEntryHosts_BeginScan(e);
+    }
+    CpStatus st = f->store->scan(f->store->ctx, f->table, on_row, f, version);
+    int64_t now_ns = CpClock_Now_ns();
+    if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
+        bool lapsed = may_have_lapsed(f, now_ns);
+        CpFleet_EndScan(e->fleet, lapsed, now_ns);
+        f->forget_due |= lapsed;
+    }
+    if (st == CP_OK && f->table == CP_TABLE_HOSTS) {
+        CpEntryHosts_EndScan(e);
+    }
+    return st;
+}
+
+static void
+on_row(void *ctx, const CpFeedRow *row)
+{
+    CpEntryFollower *f = ctx;
+    switch (f->table) {
+    case CP_TABLE_OPERATOR:
+        on_operator_row(f->entry, row);
+        break;
+    case CP_TABLE_SERVERS:
+        on_server_row(f, row);
+        break;
+    case CP_TABLE_HOSTS:
+        CpEntryHosts_OnRow(f->entry, row);
+        break;
+    default:
+        break;
+    }
+}
+
+static void
+on_operator_row(CpEntry *e, const CpFeedRow *row)
+{
+    char domain[CP_NAME_BYTES];
+    switch (e->adapter.operator_row(row->key, domain)) {
+    case CP_ENTRY_ROW_ROUTES:
+        if (!row->deleted) {
+            take_routes(e, row);
+        }
+        break;
+    case CP_ENTRY_ROW_EVACUATION:
+        CpEvent(CP_EVENT_BELIEF, "evacuation", "s:s,s:b,s:I", "domain", domain,
+                "evacuated", !row->deleted, "row_version",
+                (json_int_t)row->version);
+        CpFleet_SetEvacuated(e->fleet, domain, !row->deleted,
+                             CpClock_Now_ns());
+        break;
+    default:
+        break;
+    }
+}
+
+/* A version that is unusable or older leaves the one in force. */
+static void
+take_routes(CpEntry *e, const CpFeedRow *row)
+{
+    CpRoutes *next;
+    if (e->adapter.decode_routes(row->value, row->value_bytes, &next) !=
+        CP_OK) {
+        CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
+        CpEvent(CP_EVENT_BELIEF, "routes_rejected", "s:I,s:s", "row_version",
+                (json_int_t)row->version, "error", CpError_Message());
+        return;
+    }
+    pthread_mutex_lock(&e->routes_lock);
+    CpRoutes *old = e->routes;
+    bool later = CpRoutes_Supersedes(next, old);
+    uint64_t old_version = old != NULL ? old->version : 0;
+    if (later) {
+        e->routes = CpRoutes_Retain(next);
+        e->routes_ns = CpClock_Now_ns();
+    }
+    pthread_mutex_unlock(&e->routes_lock);
+    if (!later) {
+        if (next->version < old_version) {
+            CpEvent(CP_EVENT_BELIEF, "routes_older", "s:I,s:I", "version",
+                    (json_int_t)next->version, "in_force",
+                    (json_int_t)old_version);
+        }
+        CpRoutes_Release(next);
+        return;
+    }
+    for (uint32_t i = 0; i < next->service_count; i++) {
+        const CpService *s = &next->services[i];
+        CpFleet_SetService(e->fleet, s->name, s->warmup_ms,
+                           s->warmup_per_s_milli);
+    }
+    CpCounter_Add(CP_COUNT_CONFIG_ACCEPTED, 1);
+    CpEvent(CP_EVENT_BELIEF, "routes_in_force", "s:I,s:I,s:i,s:i", "version",
+            (json_int_t)next->version, "before", (json_int_t)old_version,
+            "routes", (int)next->route_count, "services",
+            (int)next->service_count);
+    CpRoutes_Release(old);
+    CpRoutes_Release(next);
+}
+
+static void
+on_server_row(CpEntryFollower *f, const CpFeedRow *row)
+{
+    CpEntry *e = f->entry;
+    CpServerEntry entry;
+    int64_t now_ns = CpClock_Now_ns();
+    if (row->deleted) {
+        bool lapsed = may_have_lapsed(f, now_ns);
+        CpEvent(CP_EVENT_BELIEF, "server_entry_gone", "s:s,s:b,s:I",
+                "instance", row->key, "lapsed", lapsed, "row_version",
+                (json_int_t)row->version);
+        CpFleet_Remove(e->fleet, row->key, lapsed, now_ns);
+        f->forget_due |= lapsed;
+        return;
+    }
+    if (e->adapter.decode_server(row->key, row->value, row->value_bytes,
+                                 &entry) != CP_OK) {
+        CpEvent(CP_EVENT_BELIEF, "server_entry_unusable", "s:s,s:s,s:I",
+                "instance", row->key, "error", CpError_Message(),
+                "row_version", (json_int_t)row->version);
+        return;
+    }
+    CpFleet_Put(e->fleet, &entry, now_ns);
+    CpEvent(CP_EVENT_BELIEF, "server", "s:s,s:s,s:s,s:s,s:b,s:i,s:I",
+            "instance", entry.instance, "service", entry.service, "address",
+            entry.address, "domain", entry.domain, "draining", entry.draining,
+            "warmup_left_ms", (int)entry.warmup_left_ms, "row_version",
+            (json_int_t)row->version);
+}
+
+static void
+note_result(CpEntryFollower *f, CpStatus st)
+{
+    int64_t now_ns = CpClock_Now_ns();
+    if (st == CP_OK) {
+        if (!f->connected) {
+            f->back_ns = now_ns;
+            CpEvent(CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
+                    table_labels[f->table], "away_ms",
+                    (json_int_t)(f->lost_ns == 0
+                                     ? 0
+                                     : (now_ns - f->lost_ns) / CP_NS_PER_MS));
+        }
+        f->connected = true;
+        CpAtomic_Store(&f->errors, 0);
+        return;
+    }
+    CpAtomic_Store(&f->errors, f->errors + 1);
+    if (f->connected || f->errors == 1) {
+        f->lost_ns = now_ns;
+        CpEvent(CP_EVENT_DEPENDENCY, "store_lost", "s:s,s:s", "table",
+                table_labels[f->table], "error", CpError_Message());
+    }
+    f->connected = false;
+}
+
+/* Whether the store was away so lately that a missing entry may return. */
+static bool
+may_have_lapsed(const CpEntryFollower *f, int64_t now_ns)
+{
+    if (f->lost_ns == 0) {
+        return false;
+    }
+    int64_t since_ns = f->connected ? now_ns - f->back_ns : 0;
+    return since_ns < f->entry->settings.lapse_ms * CP_NS_PER_MS;
+}
+
+static void
+back_off(CpEntryFollower *f)
+{
+    uint32_t ms = RETRY_FIRST_MS;
+    for (uint32_t i = 1; i < f->errors && ms < RETRY_MAX_MS; i++) {
+        ms *= 2;
+    }
+    ms = ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS;
+    CpSleep_ms(ms / 2 + (uint32_t)(CpRandom() % (ms / 2 + 1)));
+}
--- /dev/null
+++ b/src/entry/entry_hosts.c
@@ -0,0 +1,233 @@
+/*
+ * Entry hosts find each other through rows of the store: each writes its own
+ * when it starts and takes it back when it leaves.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry_int.h"
+
+#define MAX_ADDRESSES 16   /* enough that some of them work */
+#define MAX_WARMUP_HOSTS 2 /* that share a cold server's rate */
+
+static CpEntryHost *find_host(CpEntry *e, const char *name);
+static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
+static char *encode_host(const CpEntry *e);
+static const char *region_of(const CpEntry *e, const char *domain);
+
+void
+CpEntryHosts_Init(CpEntry *e)
+{
+    e->hosts = g_ptr_array_new_with_free_func(free);
+}
+
+void
+CpEntryHosts_Free(CpEntry *e)
+{
+    g_ptr_array_unref(e->hosts);
+}
+
+/* The row is written again when the store has lost or never had it. */
+void
+CpEntryHosts_Tick(void *ctx, int64_t now_ns)
+{
+    CpEntry *e = ctx;
+    (void)now_ns;
+    if (CpAtomic_Load(&e->leaving)) {
+        return;
+    }
+    pthread_mutex_lock(&e->hosts_lock);
+    const CpEntryHost *self = find_host(e, e->settings.host);
+    bool known = self != NULL && self->incarnation == e->incarnation;
+    pthread_mutex_unlock(&e->hosts_lock);
+    if (known) {
+        return;
+    }
+    char *value = encode_host(e);
+    CpStatus st = e->store->write(e->store->ctx, CP_TABLE_HOSTS,
+                                  e->settings.host, value);
+    if (st != CP_OK) {
+        CpEvent(CP_EVENT_DEPENDENCY, "host_row_not_written", "s:s", "error",
+                CpError_Message());
+    }
+    free(value);
+}
+
+void
+CpEntryHosts_Withdraw(CpEntry *e)
+{
+    if (e->store->write(e->store->ctx, CP_TABLE_HOSTS, e->settings.host,
+                        NULL) != CP_OK) {
+        CpEvent(CP_EVENT_DEPENDENCY, "host_row_not_removed", "s:s", "error",
+                CpError_Message());
+    }
+}
+
+void
+CpEntryHosts_OnRow(CpEntry *e, const CpFeedRow *row)
+{
+    CpEntryHost next;
+    bool usable = !row->deleted && decode_host(row, &next);
+    if (!row->deleted && !usable) {
+        CpEvent(CP_EVENT_BELIEF, "host_row_unusable", "s:s,s:I", "name",
+                row->key, "row_version", (json_int_t)row->version);
+    }
+    pthread_mutex_lock(&e->hosts_lock);
+    CpEntryHost *at = find_host(e, row->key);
+    if (usable && at == NULL) {
+        at = CpMem_Alloc(sizeof(*at));
+        g_ptr_array_add(e->hosts, at);
+    }
+    if (usable) {
+        *at = next;
+    }
+    else if (at != NULL) {
+        g_ptr_array_remove(e->hosts, at);
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    CpEvent(CP_EVENT_BELIEF, usable ? "host" : "host_gone", "s:s,s:I", "name",
+            row->key, "row_version", (json_int_t)row->version);
+}
+
+void
+CpEntryHosts_BeginScan(CpEntry *e)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        ((CpEntryHost *)g_ptr_array_index(e->hosts, i))->unseen = true;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+}
+
+void
+CpEntryHosts_EndScan(CpEntry *e)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = e->hosts->len; i-- > 0;) {
+        if (((CpEntryHost *)g_ptr_array_index(e->hosts, i))->unseen) {
+            g_ptr_array_remove_index(e->hosts, i);
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+}
+
+uint32_t
+CpEntryHosts_Count(CpEntry *e)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    uint32_t n = e->hosts->len;
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n > 0 ? n : 1;
+}
+
+/* Hosts of the server's own domain that come first for it, by rendezvous. */
+bool
+CpEntryHosts_WarmupPart(void *ctx, const char *instance, const char *domain,
+                        uint32_t *parts)
+{
+    CpEntry *e = ctx;
+    uint64_t seed = CpHash_Str(instance, 0);
+    uint64_t own = CpHash_Str(e->settings.host, seed);
+    uint32_t before = 0, all = 0;
+    if (strcmp(domain, e->settings.domain) != 0) {
+        return false;
+    }
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (strcmp(h->domain, domain) == 0) {
+            all++;
+            before += CpHash_Str(h->name, seed) < own;
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    *parts = all < MAX_WARMUP_HOSTS ? (all > 0 ? all : 1) : MAX_WARMUP_HOSTS;
+    return before < MAX_WARMUP_HOSTS;
+}
+
+/* The hosts of the caller's domain; without any, those of its region, and
+ * then all. */
+char *
+CpEntryHosts_Directory(CpEntry *e, const char *domain, const char *region)
+{
+    const char *list[MAX_ADDRESSES];
+    uint32_t count = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (uint32_t near = 0; near < 3 && count == 0; near++) {
+        guint from =
+            e->hosts->len > 0 ? (guint)(CpRandom() % e->hosts->len) : 0;
+        for (guint i = 0; i < e->hosts->len && count < MAX_ADDRESSES; i++) {
+            const CpEntryHost *h =
+                g_ptr_array_index(e->hosts, (from + i) % e->hosts->len);
+            bool fits =
+                near == 2 || (near == 0 && strcmp(h->domain, domain) == 0) ||
+                (near == 1 && strcmp(region_of(e, h->domain), region) == 0);
+            if (fits) {
+                list[count++] = h->caller;
+            }
+        }
+    }
+    char *text = count == 0 ? NULL
+                            : e->adapter.encode_directory(
+                                  list, count, e->settings.directory_ttl_s);
+    pthread_mutex_unlock(&e->hosts_lock);
+    return text;
+}
+
+static CpEntryHost *
+find_host(CpEntry *e, const char *name)
+{
+    for (guint i = 0; i < e->hosts->len; i++) {
+        CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (strcmp(h->name, name) == 0) {
+            return h;
+        }
+    }
+    return NULL;
+}
+
+static bool
+decode_host(const CpFeedRow *row, CpEntryHost *out)
+{
+    const char *domain, *caller, *inner;
+    json_int_t incarnation;
+    json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
+    bool ok = json_unpack(o, "{s:s,s:s,s:s,s:I}", "domain", &domain, "caller",
+                          &caller, "inner", &inner, "incarnation",
+                          &incarnation) == 0;
+    *out = (CpEntryHost){0};
+    if (ok) {
+        CpStr_Copy(out->name, sizeof(out->name), row->key);
+        CpStr_Copy(out->domain, sizeof(out->domain), domain);
+        CpStr_Copy(out->caller, sizeof(out->caller), caller);
+        CpStr_Copy(out->inner, sizeof(out->inner), inner);
+        out->incarnation = (uint64_t)incarnation;
+    }
+    json_decref(o);
+    return ok;
+}
+
+static char *
+encode_host(const CpEntry *e)
+{
+    json_t *o =
+        json_pack("{s:s,s:s,s:s,s:I}", "domain", e->settings.domain, "caller",
+                  e->settings.caller, "inner", e->settings.inner,
+                  "incarnation", (json_int_t)e->incarnation);
+    char *text = json_dumps(o, JSON_COMPACT);
+    json_decref(o);
+    return text;
+}
+
+static const char *
+region_of(const CpEntry *e, const char *domain)
+{
+    for (uint32_t i = 0; i < e->settings.domain_count; i++) {
+        if (strcmp(e->settings.domains[i].name, domain) == 0) {
+            return e->settings.domains[i].region;
+        }
+    }
+    return "";
+}
--- /dev/null
+++ b/src/entry/entry_int.h
@@ -0,0 +1,99 @@
+/* What the files of the entry package share. */
+#ifndef CP_ENTRY_INT_H
+#define CP_ENTRY_INT_H
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "base/event.h"
+#include "entry/entry.h"
+#include "http/http.h"
+
+/* Another entry host, or this one, as its row in the store tells. */
+typedef struct {
+    char name[CP_NAME_BYTES];
+    char domain[CP_NAME_BYTES];
+    char caller[CP_ADDR_BYTES];
+    char inner[CP_ADDR_BYTES];
+    uint64_t incarnation;
+    bool unseen; /* by the scan that is under way */
+} CpEntryHost;
+
+/* One thread that follows one table of the store. */
+typedef struct {
+    CpEntry *entry;
+    CpTable table;
+    CpStore *store;
+    pthread_t thread;
+    bool started;
+    bool connected;
+    int64_t lost_ns; /* when the store was lost; 0: never */
+    int64_t back_ns; /* when it was back */
+    bool forget_due; /* entries that lapsed are dropped at the time above */
+    uint32_t errors; /* in a row */
+} CpEntryFollower;
+
+/* Repeats that this host may still send; in thousandths. */
+typedef struct {
+    int64_t tokens_milli;
+    int64_t filled_ns;
+} CpEntryBudget;
+
+struct CpEntry {
+    CpSettings settings;
+    CpEntryAdapter adapter;
+    uint64_t incarnation;
+    uint32_t leaving;  /* flag */
+    uint32_t stopping; /* flag */
+    CpTimer *timer;
+    CpFleet *fleet;
+    CpProxy *proxy;
+    CpPages *directory;
+    CpPages *ready;
+    CpPages *metrics;
+    CpStore *store; /* for writes */
+    CpEntryFollower followers[CP_TABLE_COUNT];
+
+    pthread_mutex_t routes_lock; /* of the next 2 */
+    CpRoutes *routes;            /* NULL: none in force yet */
+    int64_t routes_ns;           /* when they came into force */
+
+    pthread_mutex_t hosts_lock; /* of the next */
+    GPtrArray *hosts;           /* CpEntryHost */
+
+    pthread_mutex_t budget_lock; /* of the next */
+    CpEntryBudget budget;
+};
+
+/* follow: beliefs from the store */
+CpStatus CpEntryFollow_Start(CpEntry *e);
+void CpEntryFollow_Stop(CpEntry *e);
+/* The routes in force, retained; NULL if there are none. */
+CpRoutes *CpEntry_Routes(CpEntry *e, int64_t *since_ns);
+void CpEntryFollow_Tick(void *ctx, int64_t now_ns);
+
+/* hosts: which entry hosts there are */
+void CpEntryHosts_Init(CpEntry *e);
+void CpEntryHosts_Free(CpEntry *e);
+/* Writes this host's row; a failure is logged and tried again. */
+void CpEntryHosts_Tick(void *ctx, int64_t now_ns);
+void CpEntryHosts_Withdraw(CpEntry *e);
+void CpEntryHosts_OnRow(CpEntry *e, const CpFeedRow *row);
+void CpEntryHosts_BeginScan(CpEntry *e);
+void CpEntryHosts_EndScan(CpEntry *e);
+uint32_t CpEntryHosts_Count(CpEntry *e);
+bool CpEntryHosts_WarmupPart(void *ctx, const char *instance,
+                             const char *domain, uint32_t *parts);
+/* The directory's answer to a caller in a domain; free() it. */
+char *CpEntryHosts_Directory(CpEntry *e, const char *domain,
+                             const char *region);
+
+/* request: what becomes of a request */
+void CpEntryRequest_Policy(CpEntry *e, CpProxyPolicy *out);
+
+/* report: pages */
+extern const CpPage cp_entry_metrics_pages[];
+uint32_t CpEntryReport_Directory(void *ctx, const CpPageQuery *q, char **out);
+uint32_t CpEntryReport_Ready(void *ctx, const CpPageQuery *q, char **out);
+
+#endif
--- /dev/null
+++ b/src/entry/entry_node.c
@@ -0,0 +1,153 @@
+/* Opening, starting, draining and ending an entry host. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry_int.h"
+
+#define STORE_TIMEOUT_MS 2000 /* the slowest answers that are still useful */
+#define TICK_MS 250
+#define DRAIN_STEP_MS 20
+/* Callers keep an answer of the directory up to three times its time to live,
+ * but drop a host that closes their connections. Requests are taken for half
+ * of the stop time-out, and what is in flight has the rest. */
+#define SERVE_SHARE_PERCENT 42
+#define END_MARGIN_MS 300 /* to end the threads within the stop time-out */
+
+static CpStatus open_pages(CpEntry *e);
+
+/* The paths are the adapter's. */
+static CpPage directory_pages[] = {
+    {NULL, "application/json", CpEntryReport_Directory},
+    {0},
+};
+static CpPage ready_pages[] = {
+    {NULL, "text/plain", CpEntryReport_Ready},
+    {0},
+};
+
+CpStatus
+CpEntry_New(const CpEntryOptions *options, CpEntry **out)
+{
+    CpEntry *e = CpMem_Alloc(sizeof(*e));
+    const CpSettings *s = options->settings;
+    char source[CP_ADDR_BYTES];
+    e->settings = *s;
+    e->adapter = *options->adapter;
+    e->incarnation = CpRandom();
+    pthread_mutex_init(&e->routes_lock, NULL);
+    pthread_mutex_init(&e->hosts_lock, NULL);
+    pthread_mutex_init(&e->budget_lock, NULL);
+    CpEntryHosts_Init(e);
+    CpFleetDomain *domains =
+        CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
+    for (uint32_t i = 0; i < s->domain_count; i++) {
+        CpStr_Copy(domains[i].name, CP_NAME_BYTES, s->domains[i].name);
+        CpStr_Copy(domains[i].region, CP_NAME_BYTES, s->domains[i].region);
+    }
+    e->fleet =
+        CpFleet_New(&(CpFleetOptions){.domain = e->settings.domain,
+                                      .domains = domains,
+                                      .domain_count = s->domain_count,
+                                      .warmup_part = CpEntryHosts_WarmupPart,
+                                      .ctx = e});
+    free(domains);
+    e->store = e->adapter.new_store(s->platform, STORE_TIMEOUT_MS);
+    e->timer = CpTimer_New();
+    CpProxyOptions proxy = {.listen = e->settings.caller,
+                            .source = source,
+                            .threads = s->worker_threads,
+                            .connections = s->max_requests,
+                            .headers = e->adapter.headers};
+    CpStr_Copy(source, sizeof(source), s->caller);
+    *strrchr(source, ':') = '\0';
+    CpEntryRequest_Policy(e, &proxy.policy);
+    *out = e;
+    CpStatus st = CpProxy_New(&proxy, &e->proxy);
+    return st == CP_OK ? open_pages(e) : st;
+}
+
+CpStatus
+CpEntry_Start(CpEntry *e)
+{
+    CpTimer_Subscribe(e->timer, TICK_MS, CpEntryFollow_Tick, e);
+    CpTimer_Subscribe(e->timer, TICK_MS, CpEntryHosts_Tick, e);
+    CpStatus st = CpProxy_Start(e->proxy);
+    if (st == CP_OK) {
+        st = CpEntryFollow_Start(e);
+    }
+    if (st == CP_OK) {
+        st = CpTimer_Start(e->timer);
+    }
+    if (st == CP_OK) {
+        CpEvent(CP_EVENT_PROCESS, "started", "s:s,s:s,s:s", "domain",
+                e->settings.domain, "caller", e->settings.caller, "store",
+                e->settings.platform);
+    }
+    return st;
+}
+
+void
+CpEntry_Drain(CpEntry *e)
+{
+    int64_t start_ns = CpClock_Now_ns();
+    int64_t all_ns = e->settings.stop_timeout_s * CP_NS_PER_S;
+    int64_t serve_ns = start_ns + all_ns * SERVE_SHARE_PERCENT / 100;
+    int64_t end_ns = start_ns + all_ns - END_MARGIN_MS * CP_NS_PER_MS;
+    CpAtomic_Store(&e->leaving, 1);
+    CpProxy_CloseAfterAnswers(e->proxy);
+    CpEvent(CP_EVENT_PROCESS, "leaving", "s:i", "active",
+            (int)CpProxy_Active(e->proxy));
+    CpEntryHosts_Withdraw(e);
+    while (CpClock_Now_ns() < serve_ns) {
+        CpSleep_ms(DRAIN_STEP_MS * 5);
+    }
+    CpProxy_Refuse(e->proxy);
+    while (CpProxy_Active(e->proxy) > 0 && CpClock_Now_ns() < end_ns) {
+        CpSleep_ms(DRAIN_STEP_MS);
+    }
+    CpEvent(CP_EVENT_PROCESS, "stopped", "s:i,s:I", "active",
+            (int)CpProxy_Active(e->proxy), "after_ms",
+            (json_int_t)((CpClock_Now_ns() - start_ns) / CP_NS_PER_MS));
+}
+
+void
+CpEntry_Free(CpEntry *e)
+{
+    CpAtomic_Store(&e->stopping, 1);
+    CpTimer_Free(e->timer);
+    CpPages_Free(e->directory);
+    CpPages_Free(e->ready);
+    CpPages_Free(e->metrics);
+    CpEntryFollow_Stop(e);
+    CpProxy_Free(e->proxy);
+    CpFleet_Free(e->fleet);
+    CpRoutes_Release(e->routes);
+    e->adapter.free_store(e->store);
+    CpEntryHosts_Free(e);
+    free(e);
+}
+
+void
+CpEntry_Reload(CpEntry *e, const CpSettings *settings)
+{
+    e->settings.stop_timeout_s = settings->stop_timeout_s;
+    CpEvent(CP_EVENT_PROCESS, "reloaded", "s:i", "stop_timeout_s",
+            (int)settings->stop_timeout_s);
+}
+
+static CpStatus
+open_pages(CpEntry *e)
+{
+    const CpSettings *s = &e->settings;
+    directory_pages[0].path = e->adapter.directory_path;
+    ready_pages[0].path = e->adapter.ready_path;
+    CpStatus st = CpPages_New(s->directory, directory_pages, e, &e->directory);
+    if (st == CP_OK) {
+        st = CpPages_New(s->ready, ready_pages, e, &e->ready);
+    }
+    if (st == CP_OK) {
+        st = CpPages_New(s->operator_listen, cp_entry_metrics_pages, e,
+                         &e->metrics);
+    }
+    return st;
+}
--- /dev/null
+++ b/src/entry/entry_report.c
@@ -0,0 +1,110 @@
+/* Pages of an entry host: directory, readiness, counters. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry_int.h"
+
+static uint32_t metrics(void *ctx, const CpPageQuery *q, char **out);
+static void add_reasons(GString *text);
+static void add_latencies(GString *text);
+static void add_drops(GString *text);
+
+const CpPage cp_entry_metrics_pages[] = {
+    {"/metrics", "text/plain; version=0.0.4", metrics},
+    {0},
+};
+
+uint32_t
+CpEntryReport_Directory(void *ctx, const CpPageQuery *q, char **out)
+{
+    CpEntry *e = ctx;
+    *out = CpEntryHosts_Directory(
+        e, CpPageQuery_Get(q, e->adapter.domain_argument),
+        CpPageQuery_Get(q, e->adapter.region_argument));
+    CpCounter_Add(CP_COUNT_LOOKUPS, 1);
+    return *out != NULL ? 200 : 503;
+}
+
+uint32_t
+CpEntryReport_Ready(void *ctx, const CpPageQuery *q, char **out)
+{
+    CpEntry *e = ctx;
+    CpRoutes *r = CpEntry_Routes(e, NULL);
+    bool ready = r != NULL && !CpAtomic_Load(&e->leaving);
+    (void)q;
+    CpRoutes_Release(r);
+    *out = CpMem_Dup(ready ? "ready\n" : "not ready\n");
+    return ready ? 200 : 503;
+}
+
+static uint32_t
+metrics(void *ctx, const CpPageQuery *q, char **out)
+{
+    CpEntry *e = ctx;
+    GString *text = g_string_new(NULL);
+    CpRoutes *r = CpEntry_Routes(e, NULL);
+    (void)q;
+    for (uint32_t i = 0; i < CP_COUNTER_COUNT; i++) {
+        g_string_append_printf(
+            text,
+            "# TYPE chestnutpaddle_%s_total counter\n"
+            "chestnutpaddle_%s_total %" G_GUINT64_FORMAT "\n",
+            CpCounter_Name(i), CpCounter_Name(i), CpCounter_Get(i));
+    }
+    add_reasons(text);
+    add_latencies(text);
+    add_drops(text);
+    g_string_append_printf(
+        text, "chestnutpaddle_routes_version %" G_GUINT64_FORMAT "\n",
+        r != NULL ? r->version : 0);
+    g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
+                           CpProxy_Active(e->proxy));
+    CpRoutes_Release(r);
+    *out = g_string_free(text, FALSE);
+    return 200;
+}
+
+static void
+add_reasons(GString *text)
+{
+    for (uint32_t i = 1; i < CP_REASON_COUNT; i++) {
+        for (uint32_t rank = 0; rank < CP_RANKS; rank++) {
+            uint64_t n = CpCounter_GetReason(i, rank);
+            if (n > 0) {
+                g_string_append_printf(
+                    text,
+                    "chestnutpaddle_refused_total{reason=\"%s\",rank=\"%u\"} "
+                    "%" G_GUINT64_FORMAT "\n",
+                    CpReason_Name(i), rank, n);
+            }
+        }
+    }
+}
+
+static void
+add_latencies(GString *text)
+{
+    for (uint32_t rank = 0; rank < CP_RANKS; rank++) {
+        uint64_t sum = 0;
+        for (uint32_t i = 0; i < CP_LATENCY_BUCKETS; i++) {
+            sum += CpCounter_GetLatency(rank, i);
+            g_string_append_printf(
+                text,
+                "chestnutpaddle_latency_seconds_bucket{rank=\"%u\",le=\"%g\"} "
+                "%" G_GUINT64_FORMAT "\n",
+                rank, (double)CpCounter_LatencyBound_ns(i) / CP_NS_PER_S, sum);
+        }
+    }
+}
+
+static void
+add_drops(GString *text)
+{
+    for (uint32_t i = 0; i < CP_EVENT_KIND_COUNT; i++) {
+        g_string_append_printf(
+            text,
+            "chestnutpaddle_log_lines_dropped_total{kind=\"%s\"} "
+            "%" G_GUINT64_FORMAT "\n",
+            CpEventKind_Name(i), CpEvent_Dropped(i));
+    }
+}
--- /dev/null
+++ b/src/entry/entry_request.c
@@ -0,0 +1,349 @@
+/*
+ * What becomes of a request: its route and service, the server that gets it,
+ * whether it may be tried again, and the answer where no server gives one.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry/entry_int.h"
+
+#define LEAST_LEFT_MS 20 /* a send with less time than this is pointless */
+#define MAX_UNSENT 3     /* servers that could not be reached, in a row */
+
+/* The policy's state of one request. */
+typedef struct {
+    CpRoutes *routes; /* kept until the request ends */
+    const CpRoute *route;
+    const char *service;
+    int64_t deadline_ns;
+    int64_t goal_ns;
+    int64_t routes_age_ms;
+    uint32_t sent;   /* servers that were sent the request */
+    uint32_t unsent; /* that could not be reached */
+    bool may_have_run;
+    uint32_t tried_count;
+    char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
+    CpFleetPick pick; /* of the attempt under way */
+} State;
+
+static void begin(void *ctx, CpRequest *rq, CpStep *out);
+static void ended(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out);
+static void abandoned(void *ctx, CpRequest *rq, CpAttemptEnd end,
+                      int64_t latency_ns);
+static void finished(void *ctx, CpRequest *rq, const CpFinish *f);
+static void limits(void *ctx, CpRouteLimits *out);
+static void place(CpEntry *e, CpRequest *rq, State *s, CpStep *out);
+static void retry(CpEntry *e, CpRequest *rq, State *s, const CpAttempt *a,
+                  CpStep *out);
+static bool may_pass_on(const CpAttempt *a);
+static void fail(CpEntry *e, CpRequest *rq, const State *s, CpReason reason,
+                 uint32_t retry_after_ms, CpStep *out);
+static void report(CpEntry *e, const State *s, CpAttemptEnd end,
+                   const CpAttempt *a, int64_t latency_ns);
+static void log_attempt(const CpRequest *rq, const State *s);
+static bool spend_repeat(CpEntry *e, int64_t now_ns);
+static void earn_repeat(CpEntry *e, int64_t now_ns);
+static void fill_budget(CpEntry *e, int64_t now_ns);
+
+void
+CpEntryRequest_Policy(CpEntry *e, CpProxyPolicy *out)
+{
+    *out = (CpProxyPolicy){.begin = begin,
+                           .ended = ended,
+                           .abandoned = abandoned,
+                           .finished = finished,
+                           .limits = limits,
+                           .ctx = e};
+}
+
+static void
+begin(void *ctx, CpRequest *rq, CpStep *out)
+{
+    CpEntry *e = ctx;
+    State *s = CpMem_Alloc(sizeof(*s));
+    int64_t now_ns = CpClock_Now_ns(), since_ns;
+    rq->memory = s;
+    s->routes = CpEntry_Routes(e, &since_ns);
+    if (s->routes == NULL) {
+        fail(e, rq, s, CP_REASON_NOT_CONFIGURED, 500, out);
+        return;
+    }
+    s->routes_age_ms = (now_ns - since_ns) / CP_NS_PER_MS;
+    s->route = CpRoutes_Match(s->routes, rq->host, rq->target);
+    if (s->route == NULL) {
+        fail(e, rq, s, CP_REASON_NO_ROUTE, 0, out);
+        return;
+    }
+    uint32_t limit_ms = s->route->timeout_ms;
+    if (rq->timeout_ms > 0 && rq->timeout_ms < limit_ms) {
+        limit_ms = rq->timeout_ms;
+    }
+    s->deadline_ns = rq->started_ns + limit_ms * CP_NS_PER_MS;
+    s->goal_ns = rq->started_ns + s->route->goal_ms * CP_NS_PER_MS;
+    s->service = CpRoutes_Split(s->routes, s->route);
+    earn_repeat(e, now_ns);
+    place(e, rq, s, out);
+}
+
+static void
+ended(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out)
+{
+    CpEntry *e = ctx;
+    State *s = rq->memory;
+    report(e, s, a->end, a, a->latency_ns);
+    if (a->end == CP_ATTEMPT_UNREACHABLE) {
+        s->unsent++;
+        s->sent--;
+    }
+    if (a->verdict != CP_NOT_RUN) {
+        s->may_have_run = true;
+    }
+    if (a->end == CP_ATTEMPT_ANSWERED && may_pass_on(a)) {
+        out->type = CP_STEP_ANSWER;
+        return;
+    }
+    retry(e, rq, s, a, out);
+}
+
+static void
+abandoned(void *ctx, CpRequest *rq, CpAttemptEnd end, int64_t latency_ns)
+{
+    CpEntry *e = ctx;
+    State *s = rq->memory;
+    if (s != NULL && s->pick.instance[0] != '\0') {
+        report(e, s, end, NULL, latency_ns);
+    }
+}
+
+static void
+finished(void *ctx, CpRequest *rq, const CpFinish *f)
+{
+    State *s = rq->memory;
+    (void)ctx;
+    uint32_t rank = s != NULL && s->route != NULL ? s->route->rank : 0;
+    const char *route = s != NULL && s->route != NULL ? s->route->name : "";
+    if (f->answered) {
+        CpCounter_Add(CP_COUNT_ANSWERED, 1);
+        CpCounter_AddLatency(rank, f->latency_ns);
+        CpEvent(CP_EVENT_ANSWERED, "answered", "s:s,s:s,s:i,s:I,s:i",
+                "request", rq->id, "route", route, "status", (int)f->status,
+                "took_ms", (json_int_t)(f->latency_ns / CP_NS_PER_MS),
+                "attempts", (int)(s != NULL ? s->sent : 0));
+    }
+    else {
+        CpCounter_AddReason(f->reason, rank);
+        CpEvent(f->status == 503 || f->status == 404 ? CP_EVENT_REFUSED
+                                                     : CP_EVENT_FAILED,
+                "ended", "s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:b", "request", rq->id,
+                "route", route, "reason", CpReason_Name(f->reason), "status",
+                (int)f->status, "took_ms",
+                (json_int_t)(f->latency_ns / CP_NS_PER_MS), "attempts",
+                (int)(s != NULL ? s->sent : 0), "retry_after_ms",
+                (int)f->retry_after_ms, "may_have_run",
+                (int)(s != NULL && s->may_have_run));
+    }
+    if (s != NULL) {
+        CpRoutes_Release(s->routes);
+    }
+}
+
+static void
+limits(void *ctx, CpRouteLimits *out)
+{
+    CpRoutes *r = CpEntry_Routes(ctx, NULL);
+    *out = r != NULL ? r->limits : (CpRouteLimits){0};
+    if (out->max_body_bytes == 0) { /* not told: the request decides */
+        out->max_body_bytes = UINT32_MAX;
+    }
+    CpRoutes_Release(r);
+}
+
+static void
+place(CpEntry *e, CpRequest *rq, State *s, CpStep *out)
+{
+    int64_t now_ns = CpClock_Now_ns();
+    int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
+    int64_t goal_ms = (s->goal_ns - now_ns) / CP_NS_PER_MS;
+    if (left_ms < LEAST_LEFT_MS) {
+        fail(e, rq, s, CP_REASON_WOULD_MISS_DEADLINE, 0, out);
+        return;
+    }
+    CpFleetAsk ask = {.service = s->service,
+                      .object = s->route->affinity && rq->object[0] != '\0'
+                                    ? rq->object
+                                    : NULL,
+                      .goal_left_ms = goal_ms > 0 ? (uint32_t)goal_ms : 0,
+                      .deadline_left_ms = (uint32_t)left_ms,
+                      .tried_count = s->tried_count,
+                      .home_count = s->route->home_count,
+                      .homes = s->route->homes,
+                      .random = CpRandom()};
+    for (uint32_t i = 0; i < s->tried_count; i++) {
+        ask.tried[i] = s->tried[i];
+    }
+    CpReason reason = CpFleet_Choose(e->fleet, &ask, now_ns, &s->pick);
+    if (reason != CP_REASON_NONE) {
+        fail(e, rq, s, reason, s->pick.retry_after_ms, out);
+        s->pick.instance[0] = '\0';
+        return;
+    }
+    if (s->tried_count < CP_FLEET_MAX_TRIED) {
+        CpStr_Copy(s->tried[s->tried_count++], CP_NAME_BYTES,
+                   s->pick.instance);
+    }
+    s->sent++;
+    CpCounter_Add(CP_COUNT_DISPATCHED, 1);
+    log_attempt(rq, s);
+    out->type = CP_STEP_SEND;
+    CpStr_Copy(out->address, sizeof(out->address), s->pick.address);
+    CpStr_Copy(out->instance, sizeof(out->instance), s->pick.instance);
+    out->idempotent = s->route->idempotent;
+    out->deadline_ns = s->deadline_ns;
+}
+
+/* Another server, where the route allows it: any request that did not run,
+ * and idempotent ones. Otherwise the caller is told. */
+static void
+retry(CpEntry *e, CpRequest *rq, State *s, const CpAttempt *a, CpStep *out)
+{
+    bool not_sent = a->end == CP_ATTEMPT_UNREACHABLE;
+    bool safe = a->verdict == CP_NOT_RUN || s->route->idempotent;
+    bool room =
+        not_sent ? s->unsent <= MAX_UNSENT : s->sent < s->route->max_attempts;
+    bool paid =
+        safe && room && (not_sent || spend_repeat(e, CpClock_Now_ns()));
+    const char *why = !safe   ? "may_have_run"
+                      : !room ? "no_attempts_left"
+                      : !paid ? "no_budget"
+                              : "tried_again";
+    CpEvent(CP_EVENT_RETRY, why, "s:s,s:s,s:s,s:s,s:i,s:i,s:I", "request",
+            rq->id, "instance", s->pick.instance, "end",
+            CpAttemptEnd_Name(a->end), "verdict", CpVerdict_Name(a->verdict),
+            "status", (int)a->status, "attempts", (int)s->sent, "took_ms",
+            (json_int_t)(a->latency_ns / CP_NS_PER_MS));
+    if (paid) {
+        CpCounter_Add(CP_COUNT_RETRIES, 1);
+        place(e, rq, s, out);
+        if (out->type == CP_STEP_SEND) {
+            return;
+        }
+    }
+    else if (safe && room) {
+        CpCounter_Add(CP_COUNT_RETRY_BUDGET_EMPTY, 1);
+    }
+    if (a->end == CP_ATTEMPT_SERVER_ERROR && may_pass_on(a)) {
+        out->type = CP_STEP_ANSWER; /* the server's own failure */
+        return;
+    }
+    if (!paid) {
+        fail(e, rq, s, a->reason, 0, out);
+    }
+}
+
+/* Statuses that promise "not run" are ours to give, where it is true. */
+static bool
+may_pass_on(const CpAttempt *a)
+{
+    switch (a->status) {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+        return false;
+    default:
+        return a->status >= 200;
+    }
+}
+
+/* "Not run" is said only where no attempt may have run. */
+static void
+fail(CpEntry *e, CpRequest *rq, const State *s, CpReason reason,
+     uint32_t retry_after_ms, CpStep *out)
+{
+    (void)e, (void)rq;
+    *out = (CpStep){.type = CP_STEP_FAIL,
+                    .reason = reason,
+                    .status = CpReason_HttpStatus(reason),
+                    .retry_after_ms = retry_after_ms};
+    if (s->may_have_run && out->status == 503) {
+        out->status = 502;
+    }
+    if (out->status == 503 && retry_after_ms == 0) {
+        out->retry_after_ms = CpReason_RetryAfter_s(reason) * 200;
+    }
+}
+
+static void
+report(CpEntry *e, const State *s, CpAttemptEnd end, const CpAttempt *a,
+       int64_t latency_ns)
+{
+    CpFleetReport r = {.service = s->service,
+                       .instance = s->pick.instance,
+                       .end = end,
+                       .place = s->pick.place,
+                       .latency_ns = latency_ns};
+    if (a != NULL) {
+        r.has_load = a->has_load;
+        r.load = a->load;
+        r.warmup_left_ms = a->warmup_left_ms;
+    }
+    CpFleet_Ended(e->fleet, &r, CpClock_Now_ns());
+}
+
+static void
+log_attempt(const CpRequest *rq, const State *s)
+{
+    CpEvent(CP_EVENT_ATTEMPT, "sent",
+            "s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I", "request", rq->id,
+            "route", s->route->name, "service", s->service, "instance",
+            s->pick.instance, "place", (int)s->pick.place, "near",
+            (int)s->pick.nearness, "wait_ms", (int)s->pick.wait_ms,
+            "expected_ms", (int)s->pick.expected_ms, "load_age_ms",
+            s->pick.load_age_ms == UINT32_MAX
+                ? (json_int_t)-1
+                : (json_int_t)s->pick.load_age_ms,
+            "routes_version", (json_int_t)s->routes->version, "routes_age_ms",
+            (json_int_t)s->routes_age_ms);
+}
+
+static bool
+spend_repeat(CpEntry *e, int64_t now_ns)
+{
+    pthread_mutex_lock(&e->budget_lock);
+    fill_budget(e, now_ns);
+    bool may = e->budget.tokens_milli >= 1000;
+    e->budget.tokens_milli -= may ? 1000 : 0;
+    pthread_mutex_unlock(&e->budget_lock);
+    return may;
+}
+
+static void
+earn_repeat(CpEntry *e, int64_t now_ns)
+{
+    pthread_mutex_lock(&e->budget_lock);
+    fill_budget(e, now_ns);
+    e->budget.tokens_milli += e->settings.retry_percent * 10;
+    pthread_mutex_unlock(&e->budget_lock);
+}
+
+/* The burst is shared by all hosts; half of this host's part is there at once
+ * and half is added over a window, so that no window has more than all. */
+static void
+fill_budget(CpEntry *e, int64_t now_ns)
+{
+    CpEntryBudget *b = &e->budget;
+    int64_t part_milli =
+        (int64_t)e->settings.retry_burst * 1000 / CpEntryHosts_Count(e);
+    int64_t most_milli = part_milli / 2;
+    if (b->filled_ns == 0) {
+        b->tokens_milli = most_milli;
+    }
+    else {
+        b->tokens_milli += (now_ns - b->filled_ns) / CP_NS_PER_MS *
+                           most_milli / (e->settings.retry_window_s * 1000);
+    }
+    b->filled_ns = now_ns;
+    if (b->tokens_milli > most_milli) {
+        b->tokens_milli = most_milli;
+    }
+}
--- /dev/null
+++ b/src/fleet/fleet_int.h
@@ -0,0 +1,68 @@
+/* What the files of the fleet package share. */
+#ifndef CP_FLEET_INT_H
+#define CP_FLEET_INT_H
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "fleet/fleet.h"
+
+#define CP_FLEET_SHARDS 8
+#define CP_FLEET_PLACES 3 /* home, second, other */
+
+/* One backend server; the lock is its shard's. */
+typedef struct {
+    CpServerEntry entry;
+    uint64_t hash;
+    uint32_t domain_index; /* CP_FLEET_MAX_DOMAINS: not in the settings */
+    bool lapsed;           /* its entry is missing, perhaps for a time */
+    bool unseen;           /* by the scan that is under way */
+    bool replaced;         /* another instance answered at its address */
+    uint32_t outstanding;  /* sent by this host and not ended */
+    uint32_t others_milli; /* requests of other hosts, as answers told */
+    int64_t loaded_ns;     /* when an answer told the load; 0: never */
+    uint32_t slow_milli;   /* its work over that of its service; 1000: equal */
+    int64_t timed_ns;      /* when that was measured */
+    uint32_t fail_milli;   /* moving share of attempts that failed */
+    int64_t failed_ns;     /* the last of them */
+    uint32_t failures;     /* in a row, that tell of a server that is down */
+    int64_t rest_until_ns;
+    int64_t cold_until_ns;
+    int64_t next_cold_ns; /* when it may get the next request while cold */
+} CpFleetServer;
+
+typedef struct {
+    char name[CP_NAME_BYTES];
+    uint32_t warmup_ms;
+    uint32_t warmup_per_s_milli;
+    GPtrArray *servers;
+    uint32_t work_us[CP_FLEET_PLACES]; /* moving average; 0: unknown */
+} CpFleetService;
+
+typedef struct {
+    pthread_mutex_t lock;
+    GHashTable *services;
+} CpFleetShard;
+
+struct CpFleet {
+    CpFleetOptions options;
+    CpFleetDomain *domains;
+    uint32_t self; /* this host's domain; domain_count: unknown */
+    uint32_t evacuated[CP_FLEET_MAX_DOMAINS]; /* flags, atomic */
+    CpFleetShard shards[CP_FLEET_SHARDS];
+};
+
+/* The shard of a service, locked, and the service, made where it is new. */
+CpFleetShard *CpFleet_Lock(CpFleet *f, const char *service,
+                           CpFleetService **out);
+CpFleetServer *CpFleet_Find(const CpFleetService *s, const char *instance);
+CpNearness CpFleet_Nearness(const CpFleet *f, uint32_t domain_index);
+/* Expected work on an object at a place, and with this server's speed. */
+uint32_t CpFleet_Work_us(const CpFleetService *s, uint32_t place);
+int64_t CpFleet_Slow_milli(const CpFleetServer *v, int64_t now_ns);
+/* Requests in the server: those of this host and of others. */
+uint32_t CpFleet_Inside(const CpFleetServer *v, int64_t now_ns);
+int64_t CpFleet_Wait_us(const CpFleetService *s, const CpFleetServer *v,
+                        int64_t now_ns);
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_learn.c
@@ -0,0 +1,175 @@
+/* What the end of an attempt tells of a server. */
+#include <string.h>
+
+#include "fleet/fleet_int.h"
+
+#define WEIGHT_SHIFT 3 /* moving averages take an eighth of a new value */
+#define MAX_SLOW_MILLI 32000 /* one silent time-out must fade in seconds */
+#define MIN_SLOW_MILLI 500
+#define REST_FIRST_MS 200  /* a restart takes longer than a lost packet */
+#define REST_MAX_SHIFT 4   /* 3.2 s: a server that is back is soon found */
+#define FAILURES_TO_REST 3 /* lost answers in a row; one is no sign */
+
+static const char *const end_names[CP_ATTEMPT_COUNT] = {
+    [CP_ATTEMPT_ANSWERED] = "answered",
+    [CP_ATTEMPT_SERVER_ERROR] = "server_error",
+    [CP_ATTEMPT_REFUSED] = "refused",
+    [CP_ATTEMPT_WRONG_SERVER] = "wrong_server",
+    [CP_ATTEMPT_UNREACHABLE] = "unreachable",
+    [CP_ATTEMPT_BROKEN] = "broken",
+    [CP_ATTEMPT_TIMED_OUT] = "timed_out",
+    [CP_ATTEMPT_CANCELLED] = "cancelled",
+};
+
+static void learn_load(CpFleetServer *v, const CpFleetReport *r,
+                       int64_t now_ns);
+static void learn_time(CpFleetService *s, CpFleetServer *v,
+                       const CpFleetReport *r, int64_t now_ns);
+static void learn_failure(CpFleetServer *v, const CpFleetReport *r,
+                          int64_t now_ns);
+static void rest(CpFleetService *s, CpFleetServer *v, int64_t now_ns);
+static uint32_t average(uint32_t old, uint32_t value);
+
+const char *
+CpAttemptEnd_Name(CpAttemptEnd end)
+{
+    return end_names[end];
+}
+
+void
+CpFleet_Ended(CpFleet *f, const CpFleetReport *r, int64_t now_ns)
+{
+    CpFleetService *s;
+    CpFleetShard *sh = CpFleet_Lock(f, r->service, &s);
+    CpFleetServer *v = CpFleet_Find(s, r->instance);
+    if (v != NULL) {
+        if (v->outstanding > 0) {
+            v->outstanding--;
+        }
+        learn_time(s, v, r, now_ns);
+        learn_load(v, r, now_ns);
+        learn_failure(v, r, now_ns);
+        if (r->end == CP_ATTEMPT_UNREACHABLE ||
+            (r->end == CP_ATTEMPT_BROKEN && v->failures >= FAILURES_TO_REST)) {
+            rest(s, v, now_ns);
+        }
+        if (r->warmup_left_ms > 0) {
+            v->cold_until_ns = now_ns + r->warmup_left_ms * CP_NS_PER_MS;
+        }
+    }
+    pthread_mutex_unlock(&sh->lock);
+}
+
+/* The load counts this host's own requests too. */
+static void
+learn_load(CpFleetServer *v, const CpFleetReport *r, int64_t now_ns)
+{
+    uint32_t others;
+    if (r->end == CP_ATTEMPT_REFUSED && !r->has_load) {
+        others = 2 * v->entry.slots; /* full: no slot and part of a queue */
+    }
+    else if (r->has_load) {
+        uint32_t inside = r->load.running + r->load.waiting;
+        others = inside > v->outstanding ? inside - v->outstanding : 0;
+    }
+    else {
+        return;
+    }
+    v->others_milli = (v->others_milli + others * 1000) / 2;
+    v->loaded_ns = now_ns;
+}
+
+static void
+learn_time(CpFleetService *s, CpFleetServer *v, const CpFleetReport *r,
+           int64_t now_ns)
+{
+    uint32_t took_us = (uint32_t)(r->latency_ns / CP_NS_PER_US);
+    uint32_t place = r->place < CP_FLEET_PLACES ? r->place : 0;
+    uint32_t expected_us = CpFleet_Work_us(s, place);
+    if (r->end == CP_ATTEMPT_TIMED_OUT || r->end == CP_ATTEMPT_CANCELLED) {
+        /* at least this slow, if that is more than was believed */
+        uint64_t slow =
+            expected_us > 0 ? (uint64_t)took_us * 1000 / expected_us : 1000;
+        if (slow > v->slow_milli) {
+            v->slow_milli =
+                average(v->slow_milli, slow < MAX_SLOW_MILLI ? (uint32_t)slow
+                                                             : MAX_SLOW_MILLI);
+            v->timed_ns = now_ns;
+        }
+        return;
+    }
+    if (r->end != CP_ATTEMPT_ANSWERED) {
+        return;
+    }
+    int64_t wait_us = CpFleet_Wait_us(s, v, now_ns);
+    uint32_t work_us = took_us > wait_us ? took_us - (uint32_t)wait_us : 1;
+    if (expected_us > 0) {
+        uint64_t slow = (uint64_t)work_us * 1000 / expected_us;
+        slow = slow > MAX_SLOW_MILLI ? MAX_SLOW_MILLI : slow;
+        v->slow_milli = average(v->slow_milli, (uint32_t)slow);
+        if (v->slow_milli < MIN_SLOW_MILLI) {
+            v->slow_milli = MIN_SLOW_MILLI;
+        }
+        v->timed_ns = now_ns;
+    }
+    /* a slow server tells nothing of the service */
+    if (s->work_us[place] == 0 || work_us < 4 * s->work_us[place]) {
+        s->work_us[place] = average(s->work_us[place], work_us);
+    }
+}
+
+static void
+learn_failure(CpFleetServer *v, const CpFleetReport *r, int64_t now_ns)
+{
+    bool failed = false, down = false;
+    switch (r->end) {
+    case CP_ATTEMPT_ANSWERED:
+        break;
+    case CP_ATTEMPT_SERVER_ERROR:
+    case CP_ATTEMPT_REFUSED:
+        failed = true;
+        break;
+    case CP_ATTEMPT_WRONG_SERVER:
+        v->replaced = true;
+        failed = true;
+        break;
+    case CP_ATTEMPT_UNREACHABLE:
+    case CP_ATTEMPT_BROKEN:
+        failed = down = true;
+        break;
+    case CP_ATTEMPT_TIMED_OUT:
+        failed = true;
+        break;
+    default:
+        return;
+    }
+    v->fail_milli = (v->fail_milli * 7 + (failed ? 1000 : 0)) / 8;
+    if (failed) {
+        v->failed_ns = now_ns;
+    }
+    v->failures = down ? v->failures + 1 : 0;
+}
+
+/* It may come back without the memory that it had. */
+static void
+rest(CpFleetService *s, CpFleetServer *v, int64_t now_ns)
+{
+    uint32_t shift =
+        v->failures < REST_MAX_SHIFT ? v->failures - 1 : REST_MAX_SHIFT;
+    v->rest_until_ns =
+        now_ns + ((int64_t)REST_FIRST_MS << shift) * CP_NS_PER_MS;
+    int64_t cold_ns = v->rest_until_ns + s->warmup_ms * CP_NS_PER_MS;
+    if (cold_ns > v->cold_until_ns) {
+        v->cold_until_ns = cold_ns;
+    }
+}
+
+static uint32_t
+average(uint32_t old, uint32_t value)
+{
+    if (old == 0) {
+        return value;
+    }
+    return (uint32_t)(((uint64_t)old * ((1u << WEIGHT_SHIFT) - 1) + value) >>
+                      WEIGHT_SHIFT);
+}
--- /dev/null
+++ b/src/fleet/fleet_table.c
@@ -0,0 +1,318 @@
+/* Which backend servers there are, as the store and the operator tell. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fleet_int.h"
+
+typedef void (*ServiceFn)(CpFleet *f, CpFleetService *s, void *ctx);
+
+typedef struct {
+    const char *instance;
+    const char *except; /* service that keeps it */
+    bool lapsed;
+    bool found;
+    int64_t now_ns;
+    uint32_t count;
+    uint32_t domain_index;
+} Sweep;
+
+static void each_service(CpFleet *f, ServiceFn fn, void *ctx);
+static void remove_from(CpFleet *f, CpFleetService *s, void *ctx);
+static void begin_scan(CpFleet *f, CpFleetService *s, void *ctx);
+static void end_scan(CpFleet *f, CpFleetService *s, void *ctx);
+static void forget(CpFleet *f, CpFleetService *s, void *ctx);
+static void chill(CpFleet *f, CpFleetService *s, void *ctx);
+static void free_service(void *p);
+static uint32_t domain_index(const CpFleet *f, const char *domain);
+static bool is_older(const CpServerEntry *e, const CpServerEntry *now);
+
+CpFleet *
+CpFleet_New(const CpFleetOptions *options)
+{
+    CpFleet *f = CpMem_Alloc(sizeof(*f));
+    uint32_t n = options->domain_count;
+    f->options = *options;
+    if (n > CP_FLEET_MAX_DOMAINS) {
+        n = f->options.domain_count = CP_FLEET_MAX_DOMAINS;
+    }
+    f->domains = CpMem_Alloc((n + 1) * sizeof(*f->domains));
+    memcpy(f->domains, options->domains, n * sizeof(*f->domains));
+    f->options.domains = f->domains;
+    f->self = domain_index(f, options->domain);
+    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
+        pthread_mutex_init(&f->shards[i].lock, NULL);
+        f->shards[i].services =
+            g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_service);
+    }
+    return f;
+}
+
+void
+CpFleet_Free(CpFleet *f)
+{
+    if (f == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
+        g_hash_table_destroy(f->shards[i].services);
+        pthread_mutex_destroy(&f->shards[i].lock);
+    }
+    free(f->domains);
+    free(f);
+}
+
+void
+CpFleet_Put(CpFleet *f, const CpServerEntry *e, int64_t now_ns)
+{
+    CpFleetService *s;
+    Sweep moved = {
+        .instance = e->instance, .except = e->service, .now_ns = now_ns};
+    each_service(f, remove_from, &moved);
+    CpFleetShard *sh = CpFleet_Lock(f, e->service, &s);
+    CpFleetServer *v = CpFleet_Find(s, e->instance);
+    if (v == NULL) {
+        v = CpMem_Alloc(sizeof(*v));
+        v->hash = CpHash_Str(e->instance, 0);
+        v->slow_milli = 1000;
+        g_ptr_array_add(s->servers, v);
+    }
+    else if (is_older(e, &v->entry)) {
+        v->unseen = v->lapsed = false;
+        pthread_mutex_unlock(&sh->lock);
+        return;
+    }
+    bool restarted = v->entry.born_ms != e->born_ms;
+    if (restarted || strcmp(v->entry.address, e->address) != 0) {
+        uint32_t outstanding = v->outstanding;
+        *v = (CpFleetServer){
+            .hash = v->hash, .slow_milli = 1000, .outstanding = outstanding};
+    }
+    v->entry = *e;
+    v->domain_index = domain_index(f, e->domain);
+    v->unseen = v->lapsed = v->replaced = false;
+    if (e->warmup_left_ms > 0) {
+        int64_t until_ns = now_ns + e->warmup_left_ms * CP_NS_PER_MS;
+        if (until_ns > v->cold_until_ns) {
+            v->cold_until_ns = until_ns;
+        }
+    }
+    pthread_mutex_unlock(&sh->lock);
+}
+
+void
+CpFleet_Remove(CpFleet *f, const char *instance, bool lapsed, int64_t now_ns)
+{
+    Sweep sweep = {.instance = instance, .lapsed = lapsed, .now_ns = now_ns};
+    each_service(f, remove_from, &sweep);
+}
+
+uint32_t
+CpFleet_Forget(CpFleet *f, int64_t now_ns)
+{
+    Sweep sweep = {.now_ns = now_ns};
+    each_service(f, forget, &sweep);
+    return sweep.count;
+}
+
+void
+CpFleet_BeginScan(CpFleet *f)
+{
+    each_service(f, begin_scan, NULL);
+}
+
+void
+CpFleet_EndScan(CpFleet *f, bool lapsed, int64_t now_ns)
+{
+    Sweep sweep = {.lapsed = lapsed, .now_ns = now_ns};
+    each_service(f, end_scan, &sweep);
+}
+
+void
+CpFleet_SetEvacuated(CpFleet *f, const char *domain, bool evacuated,
+                     int64_t now_ns)
+{
+    uint32_t i = domain_index(f, domain);
+    if (i >= f->options.domain_count) {
+        return;
+    }
+    bool was = CpAtomic_Load(&f->evacuated[i]) != 0;
+    if (was && !evacuated) { /* nothing was sent there meanwhile */
+        Sweep sweep = {.domain_index = i, .now_ns = now_ns};
+        each_service(f, chill, &sweep);
+    }
+    CpAtomic_Store(&f->evacuated[i], evacuated);
+}
+
+void
+CpFleet_SetService(CpFleet *f, const char *service, uint32_t warmup_ms,
+                   uint32_t warmup_per_s_milli)
+{
+    CpFleetService *s;
+    CpFleetShard *sh = CpFleet_Lock(f, service, &s);
+    s->warmup_ms = warmup_ms;
+    s->warmup_per_s_milli = warmup_per_s_milli;
+    pthread_mutex_unlock(&sh->lock);
+}
+
+CpFleetShard *
+CpFleet_Lock(CpFleet *f, const char *service, CpFleetService **out)
+{
+    CpFleetShard *sh = &f->shards[CpHash_Str(service, 0) % CP_FLEET_SHARDS];
+    pthread_mutex_lock(&sh->lock);
+    CpFleetService *s = g_hash_table_lookup(sh->services, service);
+    if (s == NULL) {
+        s = CpMem_Alloc(sizeof(*s));
+        CpStr_Copy(s->name, sizeof(s->name), service);
+        s->servers = g_ptr_array_new_with_free_func(free);
+        g_hash_table_insert(sh->services, s->name, s);
+    }
+    *out = s;
+    return sh;
+}
+
+CpFleetServer *
+CpFleet_Find(const CpFleetService *s, const char *instance)
+{
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (strcmp(v->entry.instance, instance) == 0) {
+            return v;
+        }
+    }
+    return NULL;
+}
+
+CpNearness
+CpFleet_Nearness(const CpFleet *f, uint32_t i)
+{
+    if (i == f->self) {
+        return CP_NEAR_DOMAIN;
+    }
+    if (i < f->options.domain_count && f->self < f->options.domain_count &&
+        strcmp(f->domains[i].region, f->domains[f->self].region) == 0) {
+        return CP_NEAR_REGION;
+    }
+    return CP_NEAR_FAR;
+}
+
+static void
+each_service(CpFleet *f, ServiceFn fn, void *ctx)
+{
+    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
+        GHashTableIter it;
+        void *s;
+        pthread_mutex_lock(&f->shards[i].lock);
+        g_hash_table_iter_init(&it, f->shards[i].services);
+        while (g_hash_table_iter_next(&it, NULL, &s)) {
+            fn(f, s, ctx);
+        }
+        pthread_mutex_unlock(&f->shards[i].lock);
+    }
+}
+
+static void
+remove_from(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    Sweep *sweep = ctx;
+    (void)f;
+    if (sweep->except != NULL && strcmp(sweep->except, s->name) == 0) {
+        return;
+    }
+    CpFleetServer *v = CpFleet_Find(s, sweep->instance);
+    if (v == NULL) {
+        return;
+    }
+    /* One that was draining has left; the others may only have lapsed. */
+    if (sweep->lapsed && !v->entry.draining) {
+        v->lapsed = true;
+    }
+    else {
+        g_ptr_array_remove_fast(s->servers, v);
+    }
+}
+
+static void
+begin_scan(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    (void)f, (void)ctx;
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        ((CpFleetServer *)g_ptr_array_index(s->servers, i))->unseen = true;
+    }
+}
+
+static void
+end_scan(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    const Sweep *sweep = ctx;
+    (void)f;
+    for (uint32_t i = s->servers->len; i-- > 0;) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (!v->unseen) {
+            continue;
+        }
+        if (sweep->lapsed && !v->entry.draining) {
+            v->lapsed = true;
+            v->unseen = false;
+        }
+        else {
+            g_ptr_array_remove_index_fast(s->servers, i);
+        }
+    }
+}
+
+static void
+forget(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    Sweep *sweep = ctx;
+    (void)f;
+    for (uint32_t i = s->servers->len; i-- > 0;) {
+        const CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (v->lapsed) {
+            g_ptr_array_remove_index_fast(s->servers, i);
+            sweep->count++;
+        }
+    }
+}
+
+static void
+chill(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    const Sweep *sweep = ctx;
+    (void)f;
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (v->domain_index == sweep->domain_index) {
+            v->cold_until_ns = sweep->now_ns + s->warmup_ms * CP_NS_PER_MS;
+        }
+    }
+}
+
+static void
+free_service(void *p)
+{
+    CpFleetService *s = p;
+    g_ptr_array_unref(s->servers);
+    free(s);
+}
+
+static uint32_t
+domain_index(const CpFleet *f, const char *domain)
+{
+    for (uint32_t i = 0; i < f->options.domain_count; i++) {
+        if (strcmp(f->domains[i].name, domain) == 0) {
+            return i;
+        }
+    }
+    return CP_FLEET_MAX_DOMAINS;
+}
+
+/* A report from before the one that is held: an earlier start, or an earlier
+ * report of the same start. */
+static bool
+is_older(const CpServerEntry *e, const CpServerEntry *now)
+{
+    if (e->born_ms != now->born_ms) {
+        return e->born_ms < now->born_ms;
+    }
+    return e->sequence < now->sequence;
+}
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -11,7 +11,7 @@
 #include "http/http.h"
 #include "member/member.h"
 #include "once/once.h"
-#include "platform/platform.h"
+#include "store/store.h"
 #include "relay/relay.h"
 #include "steer/steer.h"
 #include "wire/wire.h"
@@ -137,7 +137,7 @@
     CpFront *front;
     CpBackend *backend;
     CpOperator *operator_if;
-    CpPlatform *platform;
+    CpStore *platform;
     CpLedger *ledger;
     uint64_t next_ticket;
 
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -5,6 +5,7 @@
 #include <time.h>
 
 #include "host/host_int.h"
+#include "platform/platform.h"
 
 #define PLATFORM_TIMEOUT_MS 800
 #define DRAIN_STEP_MS 50
@@ -16,7 +17,6 @@
 static CpStatus read_token(CpNode *n);
 static CpStatus open_listeners(CpNode *n);
 static void sweep_ledger(void *ctx, int64_t now_ns);
-static void sleep_ms(uint32_t ms);
 static uint32_t lookup_ttl_s(CpNode *n);
 
 CpStatus
@@ -48,7 +48,7 @@
     CpStream_Init(n);
     CpPeers_Init(n);
     n->timer = CpTimer_New();
-    n->platform = CpPlatform_NewHttp(settings->platform, PLATFORM_TIMEOUT_MS);
+    n->platform = CpPlatform_NewStore(settings->platform, PLATFORM_TIMEOUT_MS);
     n->ledger = CpLedger_New(CP_LEDGER_SHARDS, CpOnce_Answer, n);
     CpStatus st = read_key(n);
     if (st == CP_OK) {
@@ -98,7 +98,7 @@
     int64_t until_ns =
         CpClock_Now_ns() + n->settings.stop_timeout_s * CP_NS_PER_S;
     while (CpClock_Now_ns() < quiet_ns && CpClock_Now_ns() < until_ns) {
-        sleep_ms(DRAIN_STEP_MS);
+        CpSleep_ms(DRAIN_STEP_MS);
     }
     CpFront_Quiesce(n->front);
     while (CpClock_Now_ns() < until_ns) {
@@ -111,7 +111,7 @@
         if (busy == 0) {
             break;
         }
-        sleep_ms(DRAIN_STEP_MS);
+        CpSleep_ms(DRAIN_STEP_MS);
     }
     CpLog(CP_LOG_NOTICE, "left");
 }
@@ -128,7 +128,7 @@
     CpBackend_Free(n->backend);
     CpWire_Stop(n->wire);
     CpWire_Free(n->wire);
-    CpPlatform_FreeHttp(n->platform);
+    CpPlatform_FreeStore(n->platform);
     CpLedger_Free(n->ledger);
     CpMember_Free(n->member);
     sodium_memzero(n->key, sizeof(n->key));
@@ -231,14 +231,6 @@
     CpLedger_Sweep(n->ledger, now_ns / CP_NS_PER_MS);
 }
 
-static void
-sleep_ms(uint32_t ms)
-{
-    struct timespec ts = {.tv_sec = ms / 1000,
-                          .tv_nsec = ms % 1000 * CP_NS_PER_MS};
-    nanosleep(&ts, NULL);
-}
-
 static uint32_t
 lookup_ttl_s(CpNode *n)
 {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -81,6 +81,22 @@
 void CpFront_Quiesce(CpFront *f);
 void CpFront_Free(CpFront *f);
 
+/* Pages on an address of their own, each rendered at once. */
+typedef struct CpPageQuery CpPageQuery;
+/* An argument of the query; "" where there is none. */
+const char *CpPageQuery_Get(const CpPageQuery *q, const char *name);
+typedef struct {
+    const char *path;
+    const char *content_type;
+    /* Renders the page; returns the HTTP status. free() *out. */
+    uint32_t (*fn)(void *ctx, const CpPageQuery *q, char **out);
+} CpPage;
+typedef struct CpPages CpPages;
+/* `pages` ends with a NULL path and lives as long as the result. */
+CpStatus CpPages_New(const char *listen, const CpPage *pages, void *ctx,
+                     CpPages **out);
+void CpPages_Free(CpPages *p);
+
 typedef struct CpOperator CpOperator;
 typedef struct {
     const char *method;
--- /dev/null
+++ b/src/http/http_page.c
@@ -0,0 +1,88 @@
+/* Pages that are rendered at once, on an address of their own. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "http/http_int.h"
+
+#define PAGE_CONNECTIONS 256
+#define PAGE_IDLE_S 15
+
+struct CpPageQuery {
+    struct MHD_Connection *conn;
+};
+
+struct CpPages {
+    const CpPage *pages;
+    void *ctx;
+    struct MHD_Daemon *daemon;
+};
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+                                  const char *url, const char *method,
+                                  const char *version, const char *data,
+                                  size_t *data_bytes, void **state);
+
+CpStatus
+CpPages_New(const char *listen, const CpPage *pages, void *ctx, CpPages **out)
+{
+    struct sockaddr_storage sa;
+    CpPages *p = CpMem_Alloc(sizeof(*p));
+    p->pages = pages;
+    p->ctx = ctx;
+    if (CpAddress_Parse(listen, &sa) != 0) {
+        p->daemon = MHD_start_daemon(
+            MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, on_request, p,
+            MHD_OPTION_SOCK_ADDR, &sa, MHD_OPTION_CONNECTION_LIMIT,
+            (unsigned int)PAGE_CONNECTIONS, MHD_OPTION_CONNECTION_TIMEOUT,
+            (unsigned int)PAGE_IDLE_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
+            MHD_OPTION_END);
+    }
+    if (p->daemon == NULL) {
+        free(p);
+        return CpError_Set(CP_ERR_IO, "%s: cannot listen", listen);
+    }
+    *out = p;
+    return CP_OK;
+}
+
+void
+CpPages_Free(CpPages *p)
+{
+    if (p != NULL) {
+        MHD_stop_daemon(p->daemon);
+        free(p);
+    }
+}
+
+const char *
+CpPageQuery_Get(const CpPageQuery *q, const char *name)
+{
+    const char *value =
+        MHD_lookup_connection_value(q->conn, MHD_GET_ARGUMENT_KIND, name);
+    return value != NULL ? value : "";
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_bytes, void **state)
+{
+    static int begun;
+    const CpPages *p = ctx;
+    CpPageQuery q = {.conn = conn};
+    (void)method, (void)version, (void)data;
+    if (*state == NULL) { /* an answer now would end keep-alive */
+        *state = &begun;
+        return MHD_YES;
+    }
+    *data_bytes = 0;
+    for (const CpPage *at = p->pages; at->path != NULL; at++) {
+        if (strcmp(at->path, url) == 0) {
+            char *text = NULL;
+            uint32_t status = at->fn(p->ctx, &q, &text);
+            return CpAnswer_Text(conn, status, at->content_type,
+                                 text != NULL ? text : CpMem_Dup(""));
+        }
+    }
+    return CpAnswer_Text(conn, 404, "text/plain", CpMem_Dup("not found\n"));
+}
--- /dev/null
+++ b/src/proxy/proxy_attempt.c
@@ -0,0 +1,377 @@
+/*
+ * Attempts at backend servers. An answer counts only if it bears the id of
+ * its request, comes with the server's seal where it is a success, and is
+ * whole; it is collected before any of it is passed on, so that one that
+ * breaks off can be tried again.
+ */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "proxy/proxy_int.h"
+
+#define CONNECT_TIMEOUT_MS 400 /* several round trips between regions */
+#define UNACKED_MS 1500        /* a host without power acknowledges nothing */
+#define KEEPALIVE_S 1          /* idle seconds before a probe */
+#define KEEPALIVE_PROBES 2
+#define IDLE_MARGIN_S 2 /* a server's idle time-out may be under way */
+#define MAX_ANSWER_BYTES (64u * 1024 * 1024)
+
+static void set_request(CpCall *c, const CpStep *step, int64_t left_ms);
+static void add_line(CpProxyAttempt *a, const char *name, const char *value);
+static void read_end(CpCall *c, CURLcode code);
+static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
+static void release(CpCall *c);
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static int on_prereq(void *ctx, char *a, char *b, int c, int d);
+static size_t on_header(char *data, size_t size, size_t n, void *ctx);
+static bool keep_header(CpCall *c, const char *name, const char *value);
+static bool is_credible(const CpProxyAttempt *a);
+static size_t on_body(char *data, size_t size, size_t n, void *ctx);
+
+void
+CpProxyAttempt_Start(CpCall *c, const CpStep *step)
+{
+    CpProxyWorker *w = c->worker;
+    CpProxyAttempt *a = &c->attempt;
+    CpProxyAttempt_Clear(c);
+    a->easy =
+        w->spare_count > 0 ? w->spare[--w->spare_count] : curl_easy_init();
+    a->headers = CpHeaderLine_NewList();
+    a->body = g_byte_array_new();
+    a->idempotent = step->idempotent;
+    a->started_ns = CpClock_Now_ns();
+    int64_t left_ms = (step->deadline_ns - a->started_ns) / CP_NS_PER_MS;
+    set_request(c, step, left_ms > 0 ? left_ms : 1);
+    curl_multi_add_handle(w->multi, a->easy);
+}
+
+void
+CpProxyAttempt_Collect(CpProxyWorker *w)
+{
+    CURLMsg *msg;
+    int left;
+    while ((msg = curl_multi_info_read(w->multi, &left)) != NULL) {
+        CpCall *c;
+        CURLcode code = msg->data.result;
+        curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &c);
+        read_end(c, code);
+    }
+}
+
+void
+CpProxyAttempt_Abort(CpCall *c)
+{
+    release(c);
+}
+
+void
+CpProxyAttempt_Clear(CpCall *c)
+{
+    CpProxyAttempt *a = &c->attempt;
+    release(c);
+    if (a->headers != NULL) {
+        g_ptr_array_unref(a->headers);
+    }
+    if (a->body != NULL) {
+        g_byte_array_unref(a->body);
+    }
+    memset(a, 0, sizeof(*a));
+}
+
+static void
+set_request(CpCall *c, const CpStep *step, int64_t left_ms)
+{
+    const CpProxy *p = c->worker->proxy;
+    const CpHeaderNames *names = p->options.headers;
+    CpProxyAttempt *a = &c->attempt;
+    CURL *e = a->easy;
+    char number[24];
+    bool typed = false, accepts = false;
+    snprintf(a->url, sizeof(a->url), "http://%s/", step->address);
+    curl_easy_setopt(e, CURLOPT_URL, a->url);
+    curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->request.target);
+    curl_easy_setopt(e, CURLOPT_PRIVATE, c);
+    curl_easy_setopt(e, CURLOPT_ERRORBUFFER, a->error);
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_INTERFACE, p->interface);
+    curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(
+        e, CURLOPT_CONNECTTIMEOUT_MS,
+        (long)(left_ms < CONNECT_TIMEOUT_MS ? left_ms : CONNECT_TIMEOUT_MS));
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_S);
+    curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_S);
+    uint32_t keep_s = CpAtomic_Load(&p->keep_alive_s);
+    curl_easy_setopt(
+        e, CURLOPT_MAXAGE_CONN,
+        (long)(keep_s > IDLE_MARGIN_S ? keep_s - IDLE_MARGIN_S : 1));
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+    if (!step->idempotent) { /* a kept connection may break unanswered */
+        curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
+    }
+    for (guint i = 0; i < c->headers->len; i++) {
+        const CpHeaderLine *h = g_ptr_array_index(c->headers, i);
+        typed |= strcasecmp(h->name, "Content-Type") == 0;
+        accepts |= strcasecmp(h->name, "Accept") == 0;
+        add_line(a, h->name, h->value);
+    }
+    if (!typed) {
+        a->lines = curl_slist_append(a->lines, "Content-Type:");
+    }
+    if (!accepts) {
+        a->lines = curl_slist_append(a->lines, "Accept:");
+    }
+    a->lines = curl_slist_append(a->lines, "Expect:");
+    add_line(a, "Host", c->request.host);
+    add_line(a, names->instance, step->instance);
+    snprintf(number, sizeof(number), "%lld", (long long)left_ms);
+    add_line(a, names->timeout_ms, number);
+    curl_easy_setopt(e, CURLOPT_HTTPHEADER, a->lines);
+    if (c->body != NULL || strcmp(c->request.method, "POST") == 0 ||
+        strcmp(c->request.method, "PUT") == 0) {
+        curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)(c->body != NULL ? c->body->len : 0));
+        curl_easy_setopt(e, CURLOPT_POSTFIELDS,
+                         c->body != NULL ? (const char *)c->body->data : "");
+    }
+    if (strcmp(c->request.method, "HEAD") == 0) {
+        curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
+    }
+    else {
+        curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, c->request.method);
+    }
+}
+
+/* curl wants an empty value as "Name;". */
+static void
+add_line(CpProxyAttempt *a, const char *name, const char *value)
+{
+    char *line = *value != '\0' ? g_strdup_printf("%s: %s", name, value)
+                                : g_strdup_printf("%s;", name);
+    a->lines = curl_slist_append(a->lines, line);
+    g_free(line);
+}
+
+static void
+read_end(CpCall *c, CURLcode code)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    CpAttempt end;
+    CpStep step = {0};
+    judge(c, code, &end);
+    release(c);
+    p->ended(p->ctx, &c->request, &end, &step);
+    CpProxyFront_Step(c, &step);
+}
+
+/* Whether the request may have run, and what the end tells of the server. */
+static void
+judge(const CpCall *c, CURLcode code, CpAttempt *out)
+{
+    const CpProxyAttempt *a = &c->attempt;
+    *out = (CpAttempt){.latency_ns = CpClock_Now_ns() - a->started_ns,
+                       .status = a->status,
+                       .has_load = a->has_load,
+                       .load = a->load,
+                       .warmup_left_ms = a->warmup_left_ms,
+                       .verdict = CP_MAY_HAVE_RUN,
+                       .end = CP_ATTEMPT_BROKEN,
+                       .reason = CP_REASON_SERVER_FAILED};
+    if (a->sends == 0) {
+        out->verdict = CP_NOT_RUN;
+        out->end = CP_ATTEMPT_UNREACHABLE;
+        out->reason = CP_REASON_CONNECT_FAILED;
+    }
+    else if (a->crossed) {
+        out->reason = CP_REASON_ANSWER_CROSSED;
+    }
+    else if (code != CURLE_OK) {
+        out->reason = a->status != 0 ? CP_REASON_ANSWER_TRUNCATED
+                                     : CP_REASON_SERVER_FAILED;
+    }
+    else if (a->status == 421) {
+        out->verdict = CP_NOT_RUN;
+        out->end = CP_ATTEMPT_WRONG_SERVER;
+        out->reason = CP_REASON_WRONG_SERVER;
+    }
+    else if (a->not_run) {
+        out->verdict = CP_NOT_RUN;
+        out->end = CP_ATTEMPT_REFUSED;
+        out->reason = CP_REASON_SERVER_REFUSED;
+    }
+    else if (a->status >= 500) {
+        out->verdict = CP_RAN;
+        out->end = CP_ATTEMPT_SERVER_ERROR;
+    }
+    else {
+        out->verdict = CP_RAN;
+        out->end = CP_ATTEMPT_ANSWERED;
+        out->reason = CP_REASON_NONE;
+    }
+}
+
+/* Takes the handle off; a transfer that has not ended is broken off. */
+static void
+release(CpCall *c)
+{
+    CpProxyWorker *w = c->worker;
+    CpProxyAttempt *a = &c->attempt;
+    if (a->easy == NULL) {
+        return;
+    }
+    curl_multi_remove_handle(w->multi, a->easy);
+    curl_easy_reset(a->easy);
+    if (w->spare_count < CP_MAX_SPARE) {
+        w->spare[w->spare_count++] = a->easy;
+    }
+    else {
+        curl_easy_cleanup(a->easy);
+    }
+    a->easy = NULL;
+    curl_slist_free_all(a->lines);
+    a->lines = NULL;
+}
+
+static int
+on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+    unsigned int unacked_ms = UNACKED_MS;
+    (void)ctx, (void)purpose;
+    if (CpSocket_SetKeepalive(fd, KEEPALIVE_S, KEEPALIVE_PROBES) != CP_OK ||
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
+                   sizeof(unacked_ms)) != 0) {
+        return CURL_SOCKOPT_ERROR;
+    }
+    return CURL_SOCKOPT_OK;
+}
+
+/* Called right before the first byte is sent: the last place that can still
+ * say "not run". curl sends a request again where a kept connection broke;
+ * one that may run only once is not sent again. */
+static int
+on_prereq(void *ctx, char *local, char *remote, int local_port,
+          int remote_port)
+{
+    CpCall *call = ctx;
+    CpProxyAttempt *at = &call->attempt;
+    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    if (at->sends > 0 && !at->idempotent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    at->sends++;
+    return CURL_PREREQFUNC_OK;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+    CpCall *c = ctx;
+    CpProxyAttempt *a = &c->attempt;
+    n *= size;
+    size_t end = n;
+    while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
+        end--;
+    }
+    if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
+        long status = 0;
+        curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
+        a->status = (uint32_t)status;
+        a->matched = a->crossed = a->sealed = a->not_run = false;
+        g_ptr_array_set_size(a->headers, 0);
+        return n;
+    }
+    if (end == 0) { /* the end of the head */
+        bool final = a->status >= 200;
+        if (final && !is_credible(a)) {
+            a->crossed = true;
+            return 0;
+        }
+        return n;
+    }
+    const char *colon = memchr(data, ':', end);
+    if (colon == NULL) {
+        return n;
+    }
+    const char *value = colon + 1;
+    while (value < data + end && (*value == ' ' || *value == '\t')) {
+        value++;
+    }
+    size_t before = a->headers->len;
+    CpHeaderLine_Add(a->headers, data, (size_t)(colon - data), value,
+                     (size_t)(data + end - value));
+    const CpHeaderLine *h = g_ptr_array_index(a->headers, before);
+    if (!keep_header(c, h->name, h->value)) {
+        g_ptr_array_remove_index(a->headers, (guint)before);
+    }
+    return n;
+}
+
+/* Reads what concerns this host; false for headers that end here. */
+static bool
+keep_header(CpCall *c, const char *name, const char *value)
+{
+    CpProxy *p = c->worker->proxy;
+    const CpHeaderNames *names = p->options.headers;
+    CpProxyAttempt *a = &c->attempt;
+    if (strcasecmp(name, names->request_id) == 0) {
+        a->matched = strcmp(value, c->request.id) == 0;
+        a->crossed = !a->matched;
+    }
+    else if (strcasecmp(name, names->seal) == 0) {
+        a->sealed = value[0] != '\0';
+    }
+    else if (strcasecmp(name, names->not_run) == 0) {
+        a->not_run = true;
+    }
+    else if (strcasecmp(name, names->load) == 0) {
+        a->has_load = names->decode_load(value, &a->load);
+    }
+    else if (strcasecmp(name, names->warmup_left) == 0) {
+        a->warmup_left_ms = (uint32_t)strtoul(value, NULL, 10);
+    }
+    else if (strcasecmp(name, "Keep-Alive") == 0) {
+        const char *at = strstr(value, "timeout=");
+        uint32_t s = at != NULL ? (uint32_t)strtoul(at + 8, NULL, 10) : 0;
+        if (s > 0 && s < CpAtomic_Load(&p->keep_alive_s)) {
+            CpAtomic_Store(&p->keep_alive_s, s);
+        }
+    }
+    return !CpHeader_IsHop(name);
+}
+
+/* A refusal may come from before the server read the request's id. */
+static bool
+is_credible(const CpProxyAttempt *a)
+{
+    if (a->crossed) {
+        return false;
+    }
+    if (a->status == 421 || a->not_run) {
+        return true;
+    }
+    return a->matched && (a->sealed || a->status >= 300);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *ctx)
+{
+    CpCall *c = ctx;
+    n *= size;
+    if (c->attempt.body->len + n > MAX_ANSWER_BYTES) {
+        return 0;
+    }
+    g_byte_array_append(c->attempt.body, (const guint8 *)data, (guint)n);
+    return n;
+}
--- /dev/null
+++ b/src/proxy/proxy_front.c
@@ -0,0 +1,436 @@
+/*
+ * Callers. A connection whose request is in flight is suspended in the daemon
+ * and watched for the caller's leaving; the answer resumes it.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "proxy/proxy_int.h"
+
+#define CONNECTION_MEMORY_BYTES                                               \
+    (64 * 1024)           /* head of a request, and buffers */
+#define DEFAULT_IDLE_S 30 /* until limits are in force */
+#define LATE_SLACK_MS 5   /* the answer arrives when the caller still waits */
+
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+                                  const char *url, const char *method,
+                                  const char *version, const char *data,
+                                  size_t *data_bytes, void **state);
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+                         enum MHD_RequestTerminationCode code);
+static bool read_head(CpCall *c, const char *method);
+static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
+                                 const char *name, const char *value);
+static void begin(CpCall *c);
+static void refuse(CpCall *c, CpReason reason, uint32_t status);
+static enum MHD_Result queue_answer(CpCall *c);
+static struct MHD_Response *server_answer(CpCall *c);
+static struct MHD_Response *own_answer(CpCall *c);
+static void resume(CpCall *c);
+static void finish(CpCall *c, bool sent);
+
+static const char *const hop_headers[] = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authenticate",
+    "Proxy-Authorization",
+    "TE",
+    "Trailer",
+    "Transfer-Encoding",
+    "Upgrade",
+    "Content-Length",
+    "Expect",
+    "Host",
+    "Date",
+    NULL,
+};
+
+CpStatus
+CpProxyFront_Open(CpProxyWorker *w)
+{
+    const CpProxyOptions *o = &w->proxy->options;
+    w->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
+        MHD_OPTION_LISTEN_SOCKET, w->proxy->listen_fd,
+        MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)(o->connections / o->threads + 1),
+        MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)DEFAULT_IDLE_S,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+        MHD_OPTION_URI_LOG_CALLBACK, on_uri, w, MHD_OPTION_NOTIFY_COMPLETED,
+        on_completed, w, MHD_OPTION_END);
+    const union MHD_DaemonInfo *info =
+        w->daemon != NULL
+            ? MHD_get_daemon_info(w->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+            : NULL;
+    if (info == NULL) {
+        return CpError_Set(CP_ERR_IO, "%s: cannot serve callers", o->listen);
+    }
+    w->daemon_fd = info->epoll_fd;
+    return CP_OK;
+}
+
+void
+CpProxyFront_Step(CpCall *c, const CpStep *step)
+{
+    CpProxyWorker *w = c->worker;
+    c->step = *step;
+    if (step->type == CP_STEP_SEND) {
+        c->deadline_ns = step->deadline_ns - LATE_SLACK_MS * CP_NS_PER_MS;
+        if (c->deadline_ns < w->next_deadline_ns) {
+            w->next_deadline_ns = c->deadline_ns;
+        }
+        CpProxyAttempt_Start(c, step);
+        return;
+    }
+    c->decided = true;
+    resume(c);
+}
+
+void
+CpProxyFront_Gone(CpCall *c)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    if (c->decided) {
+        return;
+    }
+    c->gone = c->decided = true;
+    if (c->attempt.easy != NULL) {
+        p->abandoned(p->ctx, &c->request, CP_ATTEMPT_CANCELLED,
+                     CpClock_Now_ns() - c->attempt.started_ns);
+    }
+    CpProxyAttempt_Abort(c);
+    resume(c);
+}
+
+void
+CpProxyFront_Late(CpCall *c)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    bool sent = c->attempt.sends > 0;
+    p->abandoned(p->ctx, &c->request, CP_ATTEMPT_TIMED_OUT,
+                 CpClock_Now_ns() - c->attempt.started_ns);
+    CpProxyAttempt_Abort(c);
+    c->decided = true;
+    refuse(c, sent ? CP_REASON_DEADLINE_PASSED : CP_REASON_CONNECT_FAILED, 0);
+    resume(c);
+}
+
+void
+CpHeaderLine_Free(void *line)
+{
+    CpHeaderLine *h = line;
+    free(h->name);
+    free(h->value);
+    free(h);
+}
+
+GPtrArray *
+CpHeaderLine_NewList(void)
+{
+    return g_ptr_array_new_with_free_func(CpHeaderLine_Free);
+}
+
+void
+CpHeaderLine_Add(GPtrArray *list, const char *name, size_t name_bytes,
+                 const char *value, size_t value_bytes)
+{
+    CpHeaderLine *h = CpMem_Alloc(sizeof(*h));
+    h->name = g_strndup(name, name_bytes);
+    h->value = g_strndup(value, value_bytes);
+    g_ptr_array_add(list, h);
+}
+
+bool
+CpHeader_IsHop(const char *name)
+{
+    for (const char *const *at = hop_headers; *at != NULL; at++) {
+        if (strcasecmp(name, *at) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The library decodes the path; this is the only place that has it as sent.
+ */
+static void *
+on_uri(void *ctx, const char *uri, struct MHD_Connection *conn)
+{
+    CpProxyWorker *w = ctx;
+    const union MHD_ConnectionInfo *info =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+    CpCall *c = CpMem_Alloc(sizeof(*c));
+    c->worker = w;
+    c->conn = conn;
+    c->fd = info->connect_fd;
+    c->headers = CpHeaderLine_NewList();
+    c->request.target = CpMem_Dup(uri);
+    return c;
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_bytes, void **state)
+{
+    CpCall *c = *state;
+    (void)ctx, (void)conn, (void)url, (void)version;
+    if (!c->headed) {
+        c->headed = true;
+        return read_head(c, method) ? MHD_YES : queue_answer(c);
+    }
+    if (*data_bytes > 0) {
+        if (c->body == NULL) {
+            c->body = g_byte_array_new();
+        }
+        if (c->body->len + *data_bytes > c->max_body_bytes) {
+            refuse(c, CP_REASON_BODY_TOO_LARGE, 0);
+        }
+        if (!c->decided) {
+            g_byte_array_append(c->body, (const guint8 *)data,
+                                (guint)*data_bytes);
+        }
+        *data_bytes = 0;
+        return MHD_YES;
+    }
+    if (!c->begun) {
+        begin(c);
+    }
+    if (c->gone) {
+        return MHD_NO;
+    }
+    return c->decided ? queue_answer(c) : MHD_YES;
+}
+
+static void
+on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    CpProxyWorker *w = ctx;
+    CpCall *c = *state;
+    (void)conn;
+    if (c == NULL) {
+        return;
+    }
+    *state = NULL;
+    CpProxyWorker_Unwatch(w, c);
+    CpProxyAttempt_Abort(c);
+    if (c->begun) {
+        pthread_mutex_lock(&w->lock);
+        if (c->prev != NULL) {
+            c->prev->next = c->next;
+        }
+        else {
+            w->calls = c->next;
+        }
+        if (c->next != NULL) {
+            c->next->prev = c->prev;
+        }
+        w->active--;
+        pthread_mutex_unlock(&w->lock);
+        finish(c, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    }
+    CpProxyAttempt_Clear(c);
+    g_ptr_array_unref(c->headers);
+    if (c->body != NULL) {
+        g_byte_array_unref(c->body);
+    }
+    free(c->request.target);
+    free(c->request.memory);
+    free(c);
+}
+
+/* False where the request is answered without reading its body. */
+static bool
+read_head(CpCall *c, const char *method)
+{
+    const CpProxyOptions *o = &c->worker->proxy->options;
+    CpRequest *rq = &c->request;
+    CpRouteLimits limits = {0};
+    const char *host =
+        MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND, "Host");
+    const char *id = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                                 o->headers->request_id);
+    const char *timeout = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                                      o->headers->timeout_ms);
+    const char *object = MHD_lookup_connection_value(
+        c->conn, MHD_COOKIE_KIND, o->headers->object_cookie);
+    const char *length = MHD_lookup_connection_value(c->conn, MHD_HEADER_KIND,
+                                                     "Content-Length");
+    rq->started_ns = CpClock_Now_ns();
+    o->policy.limits(o->policy.ctx, &limits);
+    c->max_body_bytes = limits.max_body_bytes;
+    if (limits.idle_timeout_ms > 0) {
+        MHD_set_connection_option(
+            c->conn, MHD_CONNECTION_OPTION_TIMEOUT,
+            (unsigned int)((limits.idle_timeout_ms + 999) / 1000));
+    }
+    if (host == NULL || id == NULL || strlen(id) >= sizeof(rq->id) ||
+        strlen(host) >= sizeof(rq->host) ||
+        strlen(method) >= sizeof(rq->method)) {
+        refuse(c, CP_REASON_BAD_REQUEST, 0);
+        return false;
+    }
+    CpStr_Copy(rq->id, sizeof(rq->id), id);
+    CpStr_Copy(rq->host, sizeof(rq->host), host);
+    CpStr_Copy(rq->method, sizeof(rq->method), method);
+    CpStr_Copy(rq->object, sizeof(rq->object), object != NULL ? object : "");
+    rq->timeout_ms =
+        timeout != NULL ? (uint32_t)strtoul(timeout, NULL, 10) : 0;
+    MHD_get_connection_values(c->conn, MHD_HEADER_KIND, on_header, c);
+    if (length != NULL && strtoull(length, NULL, 10) > limits.max_body_bytes) {
+        refuse(c, CP_REASON_BODY_TOO_LARGE, 0);
+        return false;
+    }
+    return true;
+}
+
+static enum MHD_Result
+on_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+          const char *value)
+{
+    CpCall *c = ctx;
+    const CpHeaderNames *h = c->worker->proxy->options.headers;
+    (void)kind;
+    if (!CpHeader_IsHop(name) && strcasecmp(name, h->timeout_ms) != 0 &&
+        strcasecmp(name, h->instance) != 0) {
+        CpHeaderLine_Add(c->headers, name, strlen(name), value, strlen(value));
+    }
+    return MHD_YES;
+}
+
+static void
+begin(CpCall *c)
+{
+    CpProxyWorker *w = c->worker;
+    const CpProxyPolicy *p = &w->proxy->options.policy;
+    c->begun = true;
+    pthread_mutex_lock(&w->lock);
+    c->next = w->calls;
+    if (c->next != NULL) {
+        c->next->prev = c;
+    }
+    w->calls = c;
+    w->active++;
+    pthread_mutex_unlock(&w->lock);
+    CpCounter_Add(CP_COUNT_REQUESTS, 1);
+    if (c->decided) { /* the body was too large */
+        return;
+    }
+    if (CpAtomic_Load(&w->proxy->refusing)) {
+        refuse(c, CP_REASON_HOST_LEAVING, 0);
+        c->step.retry_after_ms = 1;
+        return;
+    }
+    CpStep step = {0};
+    p->begin(p->ctx, &c->request, &step);
+    if (step.type == CP_STEP_SEND) {
+        c->suspended = true;
+        MHD_suspend_connection(c->conn);
+        CpProxyWorker_Watch(w, c);
+    }
+    CpProxyFront_Step(c, &step);
+}
+
+static void
+refuse(CpCall *c, CpReason reason, uint32_t status)
+{
+    c->decided = true;
+    c->step =
+        (CpStep){.type = CP_STEP_FAIL, .reason = reason, .status = status};
+}
+
+static enum MHD_Result
+queue_answer(CpCall *c)
+{
+    struct MHD_Response *r =
+        c->step.type == CP_STEP_ANSWER ? server_answer(c) : own_answer(c);
+    if (CpAtomic_Load(&c->worker->proxy->closing)) {
+        MHD_add_response_header(r, "Connection", "close");
+    }
+    uint32_t status =
+        c->step.type == CP_STEP_ANSWER ? c->attempt.status : c->step.status;
+    c->queued = true;
+    enum MHD_Result ok = MHD_queue_response(c->conn, status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static struct MHD_Response *
+server_answer(CpCall *c)
+{
+    CpProxyAttempt *a = &c->attempt;
+    guint n = a->body->len;
+    guint8 *body = g_byte_array_free(a->body, FALSE);
+    a->body = NULL;
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        n, body,
+        body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+    for (guint i = 0; i < a->headers->len; i++) {
+        const CpHeaderLine *h = g_ptr_array_index(a->headers, i);
+        MHD_add_response_header(r, h->name, h->value);
+    }
+    return r;
+}
+
+static struct MHD_Response *
+own_answer(CpCall *c)
+{
+    char text[256], after[24];
+    CpStep *s = &c->step;
+    if (s->status == 0) {
+        s->status = CpReason_HttpStatus(s->reason);
+    }
+    int n =
+        snprintf(text, sizeof(text), "{\"reason\":\"%s\",\"text\":\"%s\"}\n",
+                 CpReason_Name(s->reason), CpReason_Text(s->reason));
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        (size_t)n, text, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    if (c->request.id[0] != '\0') {
+        MHD_add_response_header(
+            r, c->worker->proxy->options.headers->request_id, c->request.id);
+    }
+    if (s->retry_after_ms > 0 && s->status == 503) {
+        snprintf(after, sizeof(after), "%u.%03u", s->retry_after_ms / 1000,
+                 s->retry_after_ms % 1000);
+        MHD_add_response_header(r, "Retry-After", after);
+    }
+    return r;
+}
+
+static void
+resume(CpCall *c)
+{
+    CpProxyWorker_Unwatch(c->worker, c);
+    if (c->suspended) {
+        c->suspended = false;
+        c->worker->resumed = true;
+        MHD_resume_connection(c->conn);
+    }
+}
+
+static void
+finish(CpCall *c, bool sent)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    const CpStep *s = &c->step;
+    CpFinish f = {.latency_ns = CpClock_Now_ns() - c->request.started_ns,
+                  .retry_after_ms = s->retry_after_ms};
+    if (c->gone || !c->queued || !sent) {
+        f.reason = CP_REASON_CALLER_GONE;
+    }
+    else if (s->type == CP_STEP_ANSWER) {
+        f.answered = true;
+        f.status = c->attempt.status;
+    }
+    else {
+        f.reason = s->reason;
+        f.status = s->status;
+    }
+    p->finished(p->ctx, &c->request, &f);
+}
--- /dev/null
+++ b/src/proxy/proxy_int.h
@@ -0,0 +1,122 @@
+/* What the files of the proxy package share. */
+#ifndef CP_PROXY_INT_H
+#define CP_PROXY_INT_H
+
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <pthread.h>
+
+#include "proxy/proxy.h"
+
+#define CP_MAX_SPARE 64 /* easy handles that a worker keeps */
+
+typedef struct CpProxyWorker CpProxyWorker;
+
+/* One attempt at a server; belongs to its call. */
+typedef struct {
+    CURL *easy;
+    struct curl_slist *lines;
+    char error[CURL_ERROR_SIZE];
+    char url[CP_ADDR_BYTES + 16];
+    bool idempotent;
+    uint32_t sends; /* times that the request's first byte was due */
+    bool matched;   /* the answer bears the request's id */
+    bool crossed;   /* it bears another one */
+    bool sealed;
+    bool not_run;
+    bool has_load;
+    uint32_t status;
+    uint32_t warmup_left_ms;
+    CpServerLoad load;
+    int64_t started_ns;
+    GPtrArray *headers; /* CpHeaderLine of the answer */
+    GByteArray *body;   /* of the answer */
+} CpProxyAttempt;
+
+struct CpCall {
+    CpRequest request; /* first: the policy's view */
+    CpProxyWorker *worker;
+    CpCall *next; /* among the worker's calls that were begun */
+    CpCall *prev;
+    struct MHD_Connection *conn;
+    int32_t fd;         /* of the caller's connection */
+    GPtrArray *headers; /* CpHeaderLine, to be forwarded */
+    GByteArray *body;
+    uint64_t max_body_bytes;
+    int64_t deadline_ns; /* 0: not sent yet */
+    bool headed;         /* the request's head has been read */
+    bool begun;
+    bool suspended;
+    bool watched; /* the connection is watched for the caller's leaving */
+    bool decided; /* `step` is final */
+    bool gone;    /* the caller went away */
+    bool queued;  /* an answer was queued */
+    CpStep step;
+    CpProxyAttempt attempt;
+};
+
+struct CpProxyWorker {
+    CpProxy *proxy;
+    uint32_t index;
+    pthread_t thread;
+    bool started;
+    int32_t epoll_fd;
+    int32_t wake_fd;
+    struct MHD_Daemon *daemon;
+    int32_t daemon_fd;
+    CURLM *multi;
+    int64_t curl_due_ns;  /* INT64_MAX: none */
+    GHashTable *by_fd;    /* callers' connections that are watched */
+    pthread_mutex_t lock; /* of the calls */
+    CpCall *calls;
+    uint32_t active;
+    int64_t next_deadline_ns;
+    bool resumed; /* the daemon has connections to go on with */
+    CURL *spare[CP_MAX_SPARE];
+    uint32_t spare_count;
+};
+
+struct CpProxy {
+    CpProxyOptions options;
+    int32_t listen_fd;
+    char interface[CP_ADDR_BYTES + 8];
+    uint32_t closing;      /* flag: answers close their connections */
+    uint32_t refusing;     /* flag: new requests are refused */
+    uint32_t stopping;     /* flag */
+    uint32_t keep_alive_s; /* of idle connections at servers, as they told */
+    CpProxyWorker *workers;
+};
+
+/* worker: the event loop */
+void *CpProxyWorker_Run(void *worker);
+void CpProxyWorker_Wake(CpProxyWorker *w);
+/* Watches a caller's connection while its request is in flight. */
+void CpProxyWorker_Watch(CpProxyWorker *w, CpCall *c);
+void CpProxyWorker_Unwatch(CpProxyWorker *w, CpCall *c);
+int CpProxyWorker_OnSocket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+                           void *socket_ctx);
+int CpProxyWorker_OnTimer(CURLM *multi, long timeout_ms, void *ctx);
+
+/* front: callers */
+CpStatus CpProxyFront_Open(CpProxyWorker *w);
+/* Carries a decided step out: another attempt, or the caller's answer. */
+void CpProxyFront_Step(CpCall *c, const CpStep *step);
+/* The caller went away, or the deadline passed. */
+void CpProxyFront_Gone(CpCall *c);
+void CpProxyFront_Late(CpCall *c);
+void CpHeaderLine_Free(void *line);
+GPtrArray *CpHeaderLine_NewList(void);
+void CpHeaderLine_Add(GPtrArray *list, const char *name, size_t name_bytes,
+                      const char *value, size_t value_bytes);
+/* Whether a header concerns one connection only, or is set anew. */
+bool CpHeader_IsHop(const char *name);
+
+/* attempt: backend servers */
+void CpProxyAttempt_Start(CpCall *c, const CpStep *step);
+/* Reads the ends of attempts off the multi handle. */
+void CpProxyAttempt_Collect(CpProxyWorker *w);
+/* Breaks the connection off. */
+void CpProxyAttempt_Abort(CpCall *c);
+void CpProxyAttempt_Clear(CpCall *c);
+
+#endif
--- /dev/null
+++ b/src/proxy/proxy_worker.c
@@ -0,0 +1,353 @@
+/* The workers and their event loops. */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "proxy/proxy_int.h"
+
+#define LISTEN_BACKLOG 1024
+#define MAX_EVENTS 64
+#define MAX_WAIT_MS 1000     /* a missed wake-up costs no more than this */
+#define IDLE_CONNECTIONS 256 /* to servers, kept by each worker */
+#define KEEP_ALIVE_S 10      /* until servers tell their own */
+
+/* What an event is about; in the upper half of its data, the file in the
+ * lower. */
+typedef enum {
+    EVENT_WAKE = 1,
+    EVENT_DAEMON,
+    EVENT_SERVER,
+    EVENT_CALLER
+} EventType;
+
+static CpStatus open_worker(CpProxy *p, uint32_t index);
+static void close_worker(CpProxyWorker *w);
+static void watch(CpProxyWorker *w, int32_t fd, EventType type,
+                  uint32_t events);
+static void handle(CpProxyWorker *w, const struct epoll_event *e);
+static void run_due(CpProxyWorker *w, int64_t now_ns);
+static int wait_ms(CpProxyWorker *w, int64_t now_ns);
+
+CpStatus
+CpProxy_New(const CpProxyOptions *options, CpProxy **out)
+{
+    struct sockaddr_storage sa;
+    int32_t one = 1;
+    CpProxy *p = CpMem_Alloc(sizeof(*p));
+    p->options = *options;
+    p->keep_alive_s = KEEP_ALIVE_S;
+    p->workers = CpMem_Alloc(options->threads * sizeof(*p->workers));
+    CpStr_Copy(p->interface, sizeof(p->interface), "host!");
+    g_strlcat(p->interface, options->source, sizeof(p->interface));
+    *out = p;
+    uint32_t n = CpAddress_Parse(options->listen, &sa);
+    p->listen_fd = n == 0
+                       ? -1
+                       : socket(sa.ss_family,
+                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (p->listen_fd < 0 ||
+        setsockopt(p->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one,
+                   sizeof(one)) != 0 ||
+        bind(p->listen_fd, (struct sockaddr *)&sa, n) != 0 ||
+        listen(p->listen_fd, LISTEN_BACKLOG) != 0) {
+        return CpError_Set(CP_ERR_IO, "%s: %s", options->listen,
+                           strerror(errno));
+    }
+    for (uint32_t i = 0; i < options->threads; i++) {
+        CpStatus st = open_worker(p, i);
+        if (st != CP_OK) {
+            return st;
+        }
+    }
+    return CP_OK;
+}
+
+CpStatus
+CpProxy_Start(CpProxy *p)
+{
+    for (uint32_t i = 0; i < p->options.threads; i++) {
+        CpProxyWorker *w = &p->workers[i];
+        if (pthread_create(&w->thread, NULL, CpProxyWorker_Run, w) != 0) {
+            return CpError_Set(CP_ERR_IO, "proxy: no thread");
+        }
+        w->started = true;
+    }
+    return CP_OK;
+}
+
+uint32_t
+CpProxy_Active(CpProxy *p)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < p->options.threads; i++) {
+        pthread_mutex_lock(&p->workers[i].lock);
+        n += p->workers[i].active;
+        pthread_mutex_unlock(&p->workers[i].lock);
+    }
+    return n;
+}
+
+void
+CpProxy_CloseAfterAnswers(CpProxy *p)
+{
+    CpAtomic_Store(&p->closing, 1);
+}
+
+void
+CpProxy_Refuse(CpProxy *p)
+{
+    CpAtomic_Store(&p->refusing, 1);
+    for (uint32_t i = 0; i < p->options.threads; i++) {
+        CpProxyWorker_Wake(&p->workers[i]);
+    }
+}
+
+void
+CpProxy_Free(CpProxy *p)
+{
+    if (p == NULL) {
+        return;
+    }
+    CpAtomic_Store(&p->stopping, 1);
+    for (uint32_t i = 0; i < p->options.threads; i++) {
+        CpProxyWorker *w = &p->workers[i];
+        if (w->started) {
+            CpProxyWorker_Wake(w);
+            pthread_join(w->thread, NULL);
+        }
+        close_worker(w);
+    }
+    if (p->listen_fd >= 0) {
+        close(p->listen_fd);
+    }
+    free(p->workers);
+    free(p);
+}
+
+void *
+CpProxyWorker_Run(void *worker)
+{
+    CpProxyWorker *w = worker;
+    struct epoll_event events[MAX_EVENTS];
+    bool quiesced = false;
+    while (!CpAtomic_Load(&w->proxy->stopping)) {
+        int n = epoll_wait(w->epoll_fd, events, MAX_EVENTS,
+                           wait_ms(w, CpClock_Now_ns()));
+        for (int i = 0; i < n; i++) {
+            handle(w, &events[i]);
+        }
+        run_due(w, CpClock_Now_ns());
+        CpProxyAttempt_Collect(w);
+        do { /* answers that are ready go out before the next wait */
+            w->resumed = false;
+            MHD_run(w->daemon);
+            CpProxyAttempt_Collect(w);
+        } while (w->resumed);
+        if (!quiesced && CpAtomic_Load(&w->proxy->refusing)) {
+            quiesced = true;
+            MHD_quiesce_daemon(w->daemon);
+        }
+    }
+    return NULL;
+}
+
+void
+CpProxyWorker_Wake(CpProxyWorker *w)
+{
+    uint64_t one = 1;
+    if (write(w->wake_fd, &one, sizeof(one)) < 0) {
+        CpLog(CP_LOG_WARNING, "proxy: wake: %s", strerror(errno));
+    }
+}
+
+void
+CpProxyWorker_Watch(CpProxyWorker *w, CpCall *c)
+{
+    if (!c->watched) {
+        c->watched = true;
+        g_hash_table_insert(w->by_fd, GINT_TO_POINTER(c->fd), c);
+        watch(w, c->fd, EVENT_CALLER, EPOLLRDHUP | EPOLLONESHOT);
+    }
+}
+
+void
+CpProxyWorker_Unwatch(CpProxyWorker *w, CpCall *c)
+{
+    if (c->watched) {
+        c->watched = false;
+        g_hash_table_remove(w->by_fd, GINT_TO_POINTER(c->fd));
+        epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, c->fd, NULL);
+    }
+}
+
+int
+CpProxyWorker_OnSocket(CURL *easy, curl_socket_t fd, int what, void *ctx,
+                       void *socket_ctx)
+{
+    CpProxyWorker *w = ctx;
+    (void)easy, (void)socket_ctx;
+    if (what == CURL_POLL_REMOVE) {
+        epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+        return 0;
+    }
+    watch(w, fd, EVENT_SERVER,
+          ((what & CURL_POLL_IN) ? EPOLLIN : 0u) |
+              ((what & CURL_POLL_OUT) ? EPOLLOUT : 0u));
+    return 0;
+}
+
+int
+CpProxyWorker_OnTimer(CURLM *multi, long timeout_ms, void *ctx)
+{
+    CpProxyWorker *w = ctx;
+    (void)multi;
+    w->curl_due_ns = timeout_ms < 0
+                         ? INT64_MAX
+                         : CpClock_Now_ns() + timeout_ms * CP_NS_PER_MS;
+    return 0;
+}
+
+static CpStatus
+open_worker(CpProxy *p, uint32_t index)
+{
+    CpProxyWorker *w = &p->workers[index];
+    w->proxy = p;
+    w->index = index;
+    w->curl_due_ns = w->next_deadline_ns = INT64_MAX;
+    w->by_fd = g_hash_table_new(g_direct_hash, g_direct_equal);
+    pthread_mutex_init(&w->lock, NULL);
+    w->epoll_fd = epoll_create1(EPOLL_CLOEXEC);
+    w->wake_fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (w->epoll_fd < 0 || w->wake_fd < 0) {
+        return CpError_Set(CP_ERR_IO, "proxy: %s", strerror(errno));
+    }
+    w->multi = curl_multi_init();
+    curl_multi_setopt(w->multi, CURLMOPT_SOCKETFUNCTION,
+                      CpProxyWorker_OnSocket);
+    curl_multi_setopt(w->multi, CURLMOPT_SOCKETDATA, w);
+    curl_multi_setopt(w->multi, CURLMOPT_TIMERFUNCTION, CpProxyWorker_OnTimer);
+    curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
+    curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS);
+    CpStatus st = CpProxyFront_Open(w);
+    if (st == CP_OK) {
+        watch(w, w->wake_fd, EVENT_WAKE, EPOLLIN);
+        watch(w, w->daemon_fd, EVENT_DAEMON, EPOLLIN);
+    }
+    return st;
+}
+
+static void
+close_worker(CpProxyWorker *w)
+{
+    for (CpCall *c = w->calls; c != NULL; c = c->next) {
+        CpProxyAttempt_Abort(c);
+        if (c->suspended) { /* the daemon must not stop with these */
+            c->suspended = false;
+            c->gone = true;
+            MHD_resume_connection(c->conn);
+        }
+    }
+    if (w->daemon != NULL) {
+        MHD_run(w->daemon);
+        MHD_stop_daemon(w->daemon);
+    }
+    for (uint32_t i = 0; i < w->spare_count; i++) {
+        curl_easy_cleanup(w->spare[i]);
+    }
+    if (w->multi != NULL) {
+        curl_multi_cleanup(w->multi);
+        g_hash_table_destroy(w->by_fd);
+        close(w->epoll_fd);
+        close(w->wake_fd);
+        pthread_mutex_destroy(&w->lock);
+    }
+}
+
+static void
+watch(CpProxyWorker *w, int32_t fd, EventType type, uint32_t events)
+{
+    struct epoll_event e = {.events = events,
+                            .data.u64 = (uint64_t)type << 32 | (uint32_t)fd};
+    if (epoll_ctl(w->epoll_fd, EPOLL_CTL_MOD, fd, &e) != 0 &&
+        epoll_ctl(w->epoll_fd, EPOLL_CTL_ADD, fd, &e) != 0) {
+        CpLog(CP_LOG_WARNING, "proxy: watch: %s", strerror(errno));
+    }
+}
+
+static void
+handle(CpProxyWorker *w, const struct epoll_event *e)
+{
+    int32_t fd = (int32_t)(uint32_t)e->data.u64;
+    int running, flags = 0;
+    uint64_t count;
+    CpCall *c;
+    switch ((EventType)(e->data.u64 >> 32)) {
+    case EVENT_WAKE:
+        while (read(fd, &count, sizeof(count)) > 0) {
+        }
+        break;
+    case EVENT_DAEMON: /* the loop runs the daemon each time */
+        break;
+    case EVENT_SERVER:
+        flags |= (e->events & EPOLLIN) ? CURL_CSELECT_IN : 0;
+        flags |= (e->events & EPOLLOUT) ? CURL_CSELECT_OUT : 0;
+        flags |= (e->events & (EPOLLERR | EPOLLHUP)) ? CURL_CSELECT_ERR : 0;
+        curl_multi_socket_action(w->multi, fd, flags, &running);
+        break;
+    case EVENT_CALLER:
+        c = g_hash_table_lookup(w->by_fd, GINT_TO_POINTER(fd));
+        if (c != NULL) {
+            CpProxyFront_Gone(c);
+        }
+        break;
+    }
+}
+
+static void
+run_due(CpProxyWorker *w, int64_t now_ns)
+{
+    int running;
+    if (w->curl_due_ns <= now_ns) {
+        w->curl_due_ns = INT64_MAX;
+        curl_multi_socket_action(w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    }
+    if (w->next_deadline_ns > now_ns) {
+        return;
+    }
+    w->next_deadline_ns = INT64_MAX;
+    for (CpCall *c = w->calls, *next; c != NULL; c = next) {
+        next = c->next;
+        if (c->decided || c->deadline_ns == 0) {
+            continue;
+        }
+        if (c->deadline_ns <= now_ns) {
+            CpProxyFront_Late(c);
+        }
+        else if (c->deadline_ns < w->next_deadline_ns) {
+            w->next_deadline_ns = c->deadline_ns;
+        }
+    }
+}
+
+static int
+wait_ms(CpProxyWorker *w, int64_t now_ns)
+{
+    unsigned MHD_LONG_LONG daemon_ms;
+    int64_t ms = MAX_WAIT_MS;
+    int64_t due_ns = w->curl_due_ns < w->next_deadline_ns
+                         ? w->curl_due_ns
+                         : w->next_deadline_ns;
+    if (MHD_get_timeout(w->daemon, &daemon_ms) == MHD_YES &&
+        daemon_ms < MAX_WAIT_MS) {
+        ms = (int64_t)daemon_ms;
+    }
+    if (due_ns <= now_ns) {
+        return 0;
+    }
+    int64_t due_ms = (due_ns - now_ns + CP_NS_PER_MS - 1) / CP_NS_PER_MS;
+    return (int)(due_ms < ms ? due_ms : ms);
+}
--- /dev/null
+++ b/src/route/route_table.c
@@ -0,0 +1,213 @@
+/* Routes by host name and longest prefix, and weighted splits. */
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "route/route.h"
+
+/* 2^32 over the golden ratio: consecutive multiples spread evenly. */
+#define GOLDEN_STEP UINT32_C(2654435769)
+
+struct CpRouteIndex {
+    GHashTable *hosts; /* name -> GPtrArray of routes, longest prefix first */
+};
+
+static CpStatus check_route(const CpRoutes *r, const CpRoute *route);
+static gint by_prefix(gconstpointer a, gconstpointer b);
+static void free_index(CpRouteIndex *index);
+
+CpRoutes *
+CpRoutes_New(uint32_t route_count, uint32_t service_count)
+{
+    CpRoutes *r = CpMem_Alloc(sizeof(*r));
+    r->refs = 1;
+    r->route_count = route_count;
+    r->service_count = service_count;
+    r->routes = CpMem_Alloc((route_count + 1) * sizeof(*r->routes));
+    r->services = CpMem_Alloc((service_count + 1) * sizeof(*r->services));
+    r->turns = CpMem_Alloc((route_count + 1) * sizeof(*r->turns));
+    return r;
+}
+
+CpRoutes *
+CpRoutes_Retain(CpRoutes *r)
+{
+    if (r != NULL) {
+        CpRef_Take(&r->refs);
+    }
+    return r;
+}
+
+void
+CpRoutes_Release(CpRoutes *r)
+{
+    if (r != NULL && CpRef_Drop(&r->refs)) {
+        free_index(r->index);
+        free(r->routes);
+        free(r->services);
+        free(r->turns);
+        free(r);
+    }
+}
+
+CpStatus
+CpRoutes_Check(CpRoutes *r)
+{
+    if (r->version == 0) {
+        return CpError_Set(CP_ERR_RANGE, "no version");
+    }
+    for (uint32_t i = 0; i < r->route_count; i++) {
+        CpStatus st = check_route(r, &r->routes[i]);
+        if (st != CP_OK) {
+            return st;
+        }
+    }
+    r->index = CpMem_Alloc(sizeof(*r->index));
+    r->index->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_ptr_array_unref);
+    for (uint32_t i = 0; i < r->route_count; i++) {
+        gchar *host = g_ascii_strdown(r->routes[i].host, -1);
+        GPtrArray *list = g_hash_table_lookup(r->index->hosts, host);
+        if (list == NULL) {
+            list = g_ptr_array_new();
+            g_hash_table_insert(r->index->hosts, g_strdup(host), list);
+        }
+        g_ptr_array_add(list, &r->routes[i]);
+        g_free(host);
+    }
+    GHashTableIter it;
+    void *list;
+    g_hash_table_iter_init(&it, r->index->hosts);
+    while (g_hash_table_iter_next(&it, NULL, &list)) {
+        g_ptr_array_sort(list, by_prefix);
+    }
+    return CP_OK;
+}
+
+bool
+CpRoutes_Supersedes(const CpRoutes *next, const CpRoutes *now)
+{
+    return now == NULL || next->version > now->version;
+}
+
+const CpRoute *
+CpRoutes_Match(const CpRoutes *r, const char *host, const char *path)
+{
+    char name[CP_ROUTE_HOST_BYTES];
+    size_t n = strcspn(host, ":"), path_bytes = strcspn(path, "?");
+    if (n >= sizeof(name)) {
+        return NULL;
+    }
+    for (size_t i = 0; i < n; i++) {
+        name[i] = g_ascii_tolower(host[i]);
+    }
+    name[n] = '\0';
+    const GPtrArray *list = g_hash_table_lookup(r->index->hosts, name);
+    for (uint32_t i = 0; list != NULL && i < list->len; i++) {
+        const CpRoute *route = g_ptr_array_index(list, i);
+        size_t m = strlen(route->prefix);
+        if (m <= path_bytes && strncmp(path, route->prefix, m) == 0) {
+            return route;
+        }
+    }
+    return NULL;
+}
+
+const CpService *
+CpRoutes_Service(const CpRoutes *r, const char *name)
+{
+    for (uint32_t i = 0; i < r->service_count; i++) {
+        if (strcmp(r->services[i].name, name) == 0) {
+            return &r->services[i];
+        }
+    }
+    return NULL;
+}
+
+const char *
+CpRoutes_Split(CpRoutes *r, const CpRoute *route)
+{
+    uint32_t *turn = &r->turns[route - r->routes];
+    return CpRoute_SplitAt(route,
+                           __atomic_fetch_add(turn, 1, __ATOMIC_RELAXED));
+}
+
+const char *
+CpRoute_SplitAt(const CpRoute *route, uint32_t turn)
+{
+    uint64_t total = 0, sum = 0;
+    for (uint32_t i = 0; i < route->split_count; i++) {
+        total += route->splits[i].weight;
+    }
+    uint64_t at = ((uint64_t)(turn * GOLDEN_STEP) * total) >> 32;
+    for (uint32_t i = 0; i < route->split_count; i++) {
+        sum += route->splits[i].weight;
+        if (at < sum) {
+            return route->splits[i].service;
+        }
+    }
+    return route->splits[0].service;
+}
+
+bool
+CpRoute_MayRunIn(const CpRoute *route, const char *region)
+{
+    for (uint32_t i = 0; i < route->home_count; i++) {
+        if (strcmp(route->homes[i], region) == 0) {
+            return true;
+        }
+    }
+    return route->home_count == 0;
+}
+
+static CpStatus
+check_route(const CpRoutes *r, const CpRoute *route)
+{
+    uint64_t total = 0;
+    size_t n = strlen(route->prefix);
+    if (route->host[0] == '\0') {
+        return CpError_Set(CP_ERR_RANGE, "route %s: no host name",
+                           route->name);
+    }
+    if (n == 0 || route->prefix[0] != '/' || route->prefix[n - 1] != '/') {
+        return CpError_Set(CP_ERR_RANGE,
+                           "route %s: prefix \"%s\" must begin and end with "
+                           "a slash",
+                           route->name, route->prefix);
+    }
+    if (route->timeout_ms == 0 || route->max_attempts == 0) {
+        return CpError_Set(CP_ERR_RANGE,
+                           "route %s: time-out and attempts must be positive",
+                           route->name);
+    }
+    for (uint32_t i = 0; i < route->split_count; i++) {
+        total += route->splits[i].weight;
+        if (CpRoutes_Service(r, route->splits[i].service) == NULL) {
+            return CpError_Set(CP_ERR_RANGE, "route %s: unknown service %s",
+                               route->name, route->splits[i].service);
+        }
+    }
+    if (total == 0) {
+        return CpError_Set(CP_ERR_RANGE, "route %s: no service with a weight",
+                           route->name);
+    }
+    return CP_OK;
+}
+
+static gint
+by_prefix(gconstpointer a, gconstpointer b)
+{
+    const CpRoute *x = *(const CpRoute *const *)a;
+    const CpRoute *y = *(const CpRoute *const *)b;
+    size_t m = strlen(x->prefix), n = strlen(y->prefix);
+    return m > n ? -1 : m < n;
+}
+
+static void
+free_index(CpRouteIndex *index)
+{
+    if (index != NULL) {
+        g_hash_table_destroy(index->hosts);
+        free(index);
+    }
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,78 @@
+/*
+ * store: the users' transactional table and object store, as callbacks, and
+ * the head row of the accepted configuration. A call can fail after its
+ * effect has happened: CP_ERR_UNKNOWN_EFFECT. Who speaks to a real store
+ * fills in a CpStore.
+ */
+#ifndef CP_STORE_H
+#define CP_STORE_H
+
+#include "base/base.h"
+
+#define CP_KEY_BYTES 201    /* longest key with NUL */
+#define CP_VALUE_BYTES 4096 /* of a row of this project's own tables */
+#define CP_MAX_ROWS 8       /* rows in one read or transaction */
+
+/* A row of this project's own table. */
+typedef struct {
+    char key[CP_KEY_BYTES];
+    char value[CP_VALUE_BYTES];
+    uint64_t version; /* 0: no such row */
+} CpRow;
+
+/* Tables that are followed. */
+typedef enum {
+    CP_TABLE_OPERATOR = 0, /* the operator's configuration and requests */
+    CP_TABLE_SERVERS,      /* backend servers, by instance */
+    CP_TABLE_HOSTS,        /* entry hosts, by name; this project's own */
+    CP_TABLE_COUNT
+} CpTable;
+
+/* A row as a scan or a feed tells it; valid during the call only. */
+typedef struct {
+    const char *key;
+    const char *value; /* NUL-ended */
+    size_t value_bytes;
+    uint64_t version;
+    bool deleted;
+} CpFeedRow;
+typedef void (*CpFeedFn)(void *ctx, const CpFeedRow *row);
+
+typedef struct {
+    /* Reads rows by key in one go; fills value and version. */
+    CpStatus (*read)(void *ctx, CpRow *rows, uint32_t count);
+    /* Writes all rows if each still has its `version`; 0: must not exist.
+     * CP_ERR_CONFLICT when one has another. */
+    CpStatus (*commit)(void *ctx, const CpRow *rows, uint32_t count);
+    /* Fetches an object; free() *data. */
+    CpStatus (*get)(void *ctx, const char *name, char **data,
+                    size_t *size_bytes);
+    CpStatus (*put)(void *ctx, const char *name, const char *data,
+                    size_t size_bytes);
+    /* Tells every row of a table as of one moment, and its version. */
+    CpStatus (*scan)(void *ctx, CpTable table, CpFeedFn fn, void *fn_ctx,
+                     uint64_t *version);
+    /* Tells what changed after *version, waiting up to `wait_ms` for it, and
+     * moves *version on. CP_ERR_RANGE: that history is gone, scan again. */
+    CpStatus (*follow)(void *ctx, CpTable table, uint32_t wait_ms, CpFeedFn fn,
+                       void *fn_ctx, uint64_t *version);
+    /* Writes a row whatever it held; NULL removes it. */
+    CpStatus (*write)(void *ctx, CpTable table, const char *key,
+                      const char *value);
+    void *ctx;
+} CpStore;
+
+/* The accepted configuration: a head row that points to an object. */
+#define CP_HEAD_KEY "head"
+typedef struct {
+    uint64_t version;
+    char object[CP_KEY_BYTES];
+    char change_id[CP_NAME_BYTES];
+} CpHeadRow;
+bool CpHeadRow_Parse(const CpRow *row, CpHeadRow *out);
+/* Puts the text and moves the head from `base` by compare-and-set; a lost
+ * answer is resolved by reading. CP_ERR_CONFLICT: another change won. */
+CpStatus CpStore_Apply(const CpStore *p, const char *text, size_t text_bytes,
+                       uint64_t base, uint64_t *version);
+
+#endif
--- a/src/platform/platform_head.c
+++ b/src/store/store_head.c
@@ -3,11 +3,11 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "platform/platform.h"
+#include "store/store.h"
 
 #define TRIES 5
 
-static CpStatus resolve(const CpPlatform *p, const char *change_key,
+static CpStatus resolve(const CpStore *p, const char *change_key,
                         bool *happened);
 
 bool
@@ -15,13 +15,13 @@
 {
     *out = (CpHeadRow){0};
     return row->version > 0 &&
-           sscanf(row->value, "%" SCNu64 " %127s %47s", &out->version,
+           sscanf(row->value, "%" SCNu64 " %200s %47s", &out->version,
                   out->object, out->change_id) == 3;
 }
 
 CpStatus
-CpPlatform_Apply(const CpPlatform *p, const char *text, size_t text_bytes,
-                 uint64_t base, uint64_t *version)
+CpStore_Apply(const CpStore *p, const char *text, size_t text_bytes,
+              uint64_t base, uint64_t *version)
 {
     CpRow rows[2] = {{.key = CP_HEAD_KEY}};
     CpHeadRow head;
@@ -32,7 +32,7 @@
         return st;
     }
     if (!CpHeadRow_Parse(&rows[0], &head) && rows[0].version != 0) {
-        return CpError_Set(CP_ERR_PARSE, "platform: malformed head row");
+        return CpError_Set(CP_ERR_PARSE, "store: malformed head row");
     }
     if (head.version != base) {
         return CpError_Set(CP_ERR_CONFLICT,
@@ -78,7 +78,7 @@
 }
 
 static CpStatus
-resolve(const CpPlatform *p, const char *change_key, bool *happened)
+resolve(const CpStore *p, const char *change_key, bool *happened)
 {
     CpRow row = {0};
     CpStr_Copy(row.key, sizeof(row.key), change_key);
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -77,6 +77,19 @@
 
 platform_mode() { curl -s -X POST "http://$PLATFORM/control?mode=$1&ms=${2:-0}" >/dev/null; }
 
+# store_row TABLE KEY VALUE: writes a row of the store, whatever it held.
+store_row() {
+    printf '{"precondition":[],"writes":[{"table":"%s","part":"","key":"%s","value":"%s"}],"remove":[]}' \
+        "$1" "$2" "$(printf %s "$3" | base64 -w0)" |
+        curl -s -X POST --data-binary @- "http://$PLATFORM/rows-tx" >/dev/null
+}
+
+# drop_row TABLE KEY: removes a row of the store.
+drop_row() {
+    printf '{"precondition":[],"writes":[],"remove":[{"table":"%s","part":"","key":"%s"}]}' "$1" "$2" |
+        curl -s -X POST --data-binary @- "http://$PLATFORM/rows-tx" >/dev/null
+}
+
 # Fields of a list in the generated configuration, one item a line.
 servers_of_config() {
     awk '/^servers:/ {on = 1; next} /^[a-z]/ {on = 0}
@@ -154,6 +167,8 @@
         start_hosts && cp_cli apply "$W/config.yaml" >"$W/apply.out" &&
         wait_slots "$(total_slots)" && wait_for 10 all_live
 }
+# Look-ups are rendered from the membership every 200 ms, so they may lag it.
+LOOKUP_LAG_S=0.5
 # Whether each host sees all of them live.
 all_live() {
     while read -r live_host _; do
@@ -161,6 +176,7 @@
         [ "$live_count" = $(($(wc -l <"$W/hostlist") + 1)) ] || return 1
         curl -s "http://$(caller_of "$live_host")/none" >/dev/null || return 1
     done <"$W/hostlist"
+    sleep "$LOOKUP_LAG_S"
 }
 
 # --- the same with a fault proxy between callers, hosts and servers ---------
