Objects have homes; a domain keeps what its servers can carry

Change: fleet_place gives each object a home by rendezvous and by what its domain can carry; leaving it costs a fixed part of the mean work; only servers that stand out count as slow.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -76,6 +76,7 @@
 {
     CpEntry *e = ctx;
     CpEntryFollower *f = &e->followers[CP_TABLE_SERVERS];
+    CpFleet_Tick(e->fleet, CpEntryHosts_InDomain(e), now_ns);
     if (!CpAtomic_Load(&f->errors) && f->forget_due &&
         !may_have_lapsed(f, now_ns)) {
         f->forget_due = false;
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -122,6 +122,19 @@
     return n > 0 ? n : 1;
 }
 
+uint32_t
+CpEntryHosts_InDomain(CpEntry *e)
+{
+    uint32_t n = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        n += strcmp(h->domain, e->settings.domain) == 0;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n > 0 ? n : 1;
+}
+
 /* Hosts of the server's own domain that come first for it, by rendezvous. */
 bool
 CpEntryHosts_WarmupPart(void *ctx, const char *instance, const char *domain,
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -5,7 +5,6 @@
 #include "entry/entry_int.h"
 
 #define STORE_TIMEOUT_MS 2000 /* the slowest answers that are still useful */
-#define TICK_MS 250
 #define DRAIN_STEP_MS 20
 /* Callers keep an answer of the directory up to three times its time to live,
  * but drop a host that closes their connections. Requests are taken for half
@@ -69,8 +68,8 @@
 CpStatus
 CpEntry_Start(CpEntry *e)
 {
-    CpTimer_Subscribe(e->timer, TICK_MS, CpEntryFollow_Tick, e);
-    CpTimer_Subscribe(e->timer, TICK_MS, CpEntryHosts_Tick, e);
+    CpTimer_Subscribe(e->timer, CP_FLEET_TICK_MS, CpEntryFollow_Tick, e);
+    CpTimer_Subscribe(e->timer, CP_FLEET_TICK_MS, CpEntryHosts_Tick, e);
     CpStatus st = CpProxy_Start(e->proxy);
     if (st == CP_OK) {
         st = CpEntryFollow_Start(e);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -140,6 +140,11 @@
 } CpFleetReport;
 void CpFleet_Ended(CpFleet *f, const CpFleetReport *r, int64_t now_ns);
 
+/* Adjusts how many objects are at home in this domain, by what its servers
+ * can carry; `hosts` are the entry hosts that share the domain's callers. */
+#define CP_FLEET_TICK_MS 250
+void CpFleet_Tick(CpFleet *f, uint32_t hosts, int64_t now_ns);
+
 /* Servers of a service that may get new work now. */
 uint32_t CpFleet_Usable(CpFleet *f, const char *service, int64_t now_ns);
 
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -1,5 +1,4 @@
 /* Places requests by object, refuses what would wait too long. */
-#include <math.h>
 #include <string.h>
 
 #include "fleet/fleet_int.h"
@@ -13,26 +12,28 @@
     [CP_NEAR_FAR] = 120 * 1000,
 };
 
+/* What a server costs that has not handled the object lately, in thousandths
+ * of the mean work; by place. The second server has it now and then. */
+static const int64_t unfamiliar_milli[] = {0, 700, 1500};
+
+/* An object that a server does not remember takes up to 3.3 times the work of
+ * one that it does, so that less than this is no sign of a slow server. */
+#define STANDS_OUT_MILLI 4000
+#define SLOW_HALVING_NS (3 * CP_NS_PER_S)
 #define FAIL_COST 3             /* a failed attempt costs this many works */
 #define MIN_RETRY_AFTER_MS 100  /* a shorter one would only add traffic */
 #define MAX_RETRY_AFTER_MS 2000 /* callers honour a third of their time */
-#define PARTS_UNKNOWN 1
 
 typedef struct {
     const CpFleet *fleet;
     const CpFleetService *service;
     const CpFleetAsk *ask;
     int64_t now_ns;
-    uint64_t object_hash;
-    CpNearness home_near; /* nearest class with servers of the service */
-    const CpFleetServer *home;
-    const CpFleetServer *second;
+    CpFleetHomes homes;
     bool warming; /* a server was passed over since it is cold */
 } Search;
 
-static void find_homes(Search *q);
-static double rendezvous(const Search *q, const CpFleetServer *v);
-static bool is_listed(const Search *q, const CpFleetServer *v);
+static bool fits_route(void *ctx, const CpFleetServer *v);
 static bool may_use(Search *q, const CpFleetServer *v);
 static bool warmup_allows(const Search *q, const CpFleetServer *v,
                           uint32_t *parts);
@@ -49,17 +50,13 @@
 {
     CpFleetService *s;
     CpFleetShard *sh = CpFleet_Lock(f, ask->service, &s);
-    Search q = {.fleet = f,
-                .service = s,
-                .ask = ask,
-                .now_ns = now_ns,
-                .object_hash =
-                    ask->object != NULL ? CpHash_Str(ask->object, 1) : 0};
+    Search q = {.fleet = f, .service = s, .ask = ask, .now_ns = now_ns};
     CpFleetServer *best = NULL;
     int64_t best_us = INT64_MAX, best_wait_us = 0;
     CpReason reason = CP_REASON_NONE;
     memset(out, 0, sizeof(*out));
-    find_homes(&q);
+    s->asked++;
+    CpFleet_FindHomes(f, s, ask->object, fits_route, &q, &q.homes);
     for (uint32_t i = 0; i < s->servers->len; i++) {
         CpFleetServer *v = g_ptr_array_index(s->servers, i);
         int64_t wait_us;
@@ -107,30 +104,13 @@
     return n;
 }
 
-uint32_t
-CpFleet_Work_us(const CpFleetService *s, uint32_t place)
-{
-    for (uint32_t i = place; i < CP_FLEET_PLACES; i++) {
-        if (s->work_us[i] > 0) {
-            return s->work_us[i];
-        }
-    }
-    for (uint32_t i = place; i-- > 0;) {
-        if (s->work_us[i] > 0) {
-            return s->work_us[i];
-        }
-    }
-    return 0;
-}
-
 /* A server that is avoided is not measured, so what was measured fades. */
 int64_t
 CpFleet_Slow_milli(const CpFleetServer *v, int64_t now_ns)
 {
-    int64_t age_ns = now_ns - v->timed_ns;
-    int64_t over = (int64_t)v->slow_milli - 1000;
-    int64_t halvings = age_ns / (3 * CP_NS_PER_S);
-    return 1000 + (halvings < 16 ? over / (INT64_C(1) << halvings) : 0);
+    int64_t halvings = (now_ns - v->timed_ns) / SLOW_HALVING_NS;
+    int64_t slow = halvings < 16 ? (int64_t)v->slow_milli >> halvings : 0;
+    return slow >= STANDS_OUT_MILLI ? slow : 1000;
 }
 
 uint32_t
@@ -151,68 +131,17 @@
     if (inside < slots) {
         return 0;
     }
-    return (int64_t)(inside - slots + 1) * CpFleet_Work_us(s, 0) *
+    return (int64_t)(inside - slots + 1) * s->work_us *
            CpFleet_Slow_milli(v, now_ns) / 1000 / slots;
 }
 
-/* The object's home and second server, among all that are listed near, also
- * those that rest: a short rest moves no object for good. */
-static void
-find_homes(Search *q)
-{
-    double first = INFINITY, second = INFINITY;
-    q->home_near = CP_NEAR_COUNT;
-    for (uint32_t i = 0; i < q->service->servers->len; i++) {
-        const CpFleetServer *v = g_ptr_array_index(q->service->servers, i);
-        CpNearness near = CpFleet_Nearness(q->fleet, v->domain_index);
-        if (is_listed(q, v) && near < q->home_near) {
-            q->home_near = near;
-        }
-    }
-    if (q->ask->object == NULL) {
-        return;
-    }
-    for (uint32_t i = 0; i < q->service->servers->len; i++) {
-        const CpFleetServer *v = g_ptr_array_index(q->service->servers, i);
-        if (!is_listed(q, v) ||
-            CpFleet_Nearness(q->fleet, v->domain_index) != q->home_near) {
-            continue;
-        }
-        double score = rendezvous(q, v);
-        if (score < first) {
-            second = first;
-            q->second = q->home;
-            first = score;
-            q->home = v;
-        }
-        else if (score < second) {
-            second = score;
-            q->second = v;
-        }
-    }
-}
-
-/* Weighted rendezvous hashing: the lowest score wins, in proportion to the
- * slots (Schindelhauer and Schomaker, SPAA 2005). */
-static double
-rendezvous(const Search *q, const CpFleetServer *v)
-{
-    uint64_t key[2] = {v->hash, q->object_hash};
-    uint64_t h = CpHash(key, sizeof(key), 2);
-    double u = ((double)(h >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
-    return -log(u) / (v->entry.slots > 0 ? v->entry.slots : 1);
-}
-
-/* Whether the server takes new work of this route at all. */
+/* Whether the server takes new work, and in a region where it may run. */
 static bool
-is_listed(const Search *q, const CpFleetServer *v)
+fits_route(void *ctx, const CpFleetServer *v)
 {
+    const Search *q = ctx;
     const CpFleet *f = q->fleet;
-    if (v->entry.draining || v->replaced) {
-        return false;
-    }
-    if (v->domain_index < f->options.domain_count &&
-        CpAtomic_Load(&f->evacuated[v->domain_index])) {
+    if (!CpFleet_IsListed(f, v)) {
         return false;
     }
     const char *region = v->domain_index < f->options.domain_count
@@ -230,7 +159,7 @@
 may_use(Search *q, const CpFleetServer *v)
 {
     uint32_t parts;
-    if (!is_listed(q, v) || v->rest_until_ns > q->now_ns) {
+    if (!fits_route(q, v) || v->rest_until_ns > q->now_ns) {
         return false;
     }
     if (v->failures > 0 && v->outstanding > 0) {
@@ -252,7 +181,7 @@
 warmup_allows(const Search *q, const CpFleetServer *v, uint32_t *parts)
 {
     const CpFleetOptions *o = &q->fleet->options;
-    *parts = PARTS_UNKNOWN;
+    *parts = 1;
     if (v->cold_until_ns <= q->now_ns) {
         return true;
     }
@@ -266,19 +195,27 @@
 static uint32_t
 place_of(const Search *q, const CpFleetServer *v)
 {
-    return v == q->home ? 0 : v == q->second ? 1 : 2;
+    if (q->ask->object == NULL) {
+        return 0;
+    }
+    return v == q->homes.home ? 0 : v == q->homes.second ? 1 : 2;
 }
 
 static int64_t
 cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
         int64_t *wait_us)
 {
-    int64_t work_us = (int64_t)CpFleet_Work_us(q->service, place) *
-                      CpFleet_Slow_milli(v, q->now_ns) / 1000;
+    int64_t work_us = q->service->work_us;
+    int64_t slow_us = work_us * CpFleet_Slow_milli(v, q->now_ns) / 1000;
     *wait_us = CpFleet_Wait_us(q->service, v, q->now_ns);
-    return *wait_us + work_us +
-           distance_us[CpFleet_Nearness(q->fleet, v->domain_index)] +
-           work_us * FAIL_COST * v->fail_milli / 1000;
+    int64_t us = *wait_us + slow_us +
+                 work_us * unfamiliar_milli[place] / 1000 +
+                 work_us * FAIL_COST * v->fail_milli / 1000;
+    /* An object that lives abroad is served there as a matter of course. */
+    if (place == 0 && q->homes.abroad) {
+        return us;
+    }
+    return us + distance_us[CpFleet_Nearness(q->fleet, v->domain_index)];
 }
 
 static void
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -8,7 +8,6 @@
 #include "fleet/fleet.h"
 
 #define CP_FLEET_SHARDS 8
-#define CP_FLEET_PLACES 3 /* home, second, other */
 
 /* One backend server; the lock is its shard's. */
 typedef struct {
@@ -36,7 +35,12 @@
     uint32_t warmup_ms;
     uint32_t warmup_per_s_milli;
     GPtrArray *servers;
-    uint32_t work_us[CP_FLEET_PLACES]; /* moving average; 0: unknown */
+    uint32_t work_us;    /* moving average of a request's work; 0: unknown */
+    uint32_t asked;      /* requests since the last tick */
+    uint32_t rate_milli; /* of this host, requests/s, moving average */
+    uint32_t keep_milli; /* part of the objects at home in this domain */
+    bool keep_known;
+    int64_t ticked_ns;
 } CpFleetService;
 
 typedef struct {
@@ -57,12 +61,26 @@
                            CpFleetService **out);
 CpFleetServer *CpFleet_Find(const CpFleetService *s, const char *instance);
 CpNearness CpFleet_Nearness(const CpFleet *f, uint32_t domain_index);
-/* Expected work on an object at a place, and with this server's speed. */
-uint32_t CpFleet_Work_us(const CpFleetService *s, uint32_t place);
+/* How much slower than its service a server is; 1000 unless it stands out. */
 int64_t CpFleet_Slow_milli(const CpFleetServer *v, int64_t now_ns);
 /* Requests in the server: those of this host and of others. */
 uint32_t CpFleet_Inside(const CpFleetServer *v, int64_t now_ns);
 int64_t CpFleet_Wait_us(const CpFleetService *s, const CpFleetServer *v,
                         int64_t now_ns);
+/* Whether the server takes new work at all: neither leaving, nor evacuated,
+ * nor replaced. */
+bool CpFleet_IsListed(const CpFleet *f, const CpFleetServer *v);
+
+/* An object's home and second server among those that `fits` accepts; either
+ * may be NULL. */
+typedef struct {
+    CpFleetServer *home;
+    CpFleetServer *second;
+    bool abroad; /* the home is in another domain */
+} CpFleetHomes;
+typedef bool (*CpFleetFitsFn)(void *ctx, const CpFleetServer *v);
+void CpFleet_FindHomes(const CpFleet *f, const CpFleetService *s,
+                       const char *object, CpFleetFitsFn fits, void *ctx,
+                       CpFleetHomes *out);
 
 #endif
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -5,10 +5,9 @@
 
 #define WEIGHT_SHIFT 3 /* moving averages take an eighth of a new value */
 #define MAX_SLOW_MILLI 32000 /* one silent time-out must fade in seconds */
-#define MIN_SLOW_MILLI 500
-#define REST_FIRST_MS 200  /* a restart takes longer than a lost packet */
-#define REST_MAX_SHIFT 4   /* 3.2 s: a server that is back is soon found */
-#define FAILURES_TO_REST 3 /* lost answers in a row; one is no sign */
+#define REST_FIRST_MS 200    /* a restart takes longer than a lost packet */
+#define REST_MAX_SHIFT 4     /* 3.2 s: a server that is back is soon found */
+#define FAILURES_TO_REST 3   /* lost answers in a row; one is no sign */
 
 static const char *const end_names[CP_ATTEMPT_COUNT] = {
     [CP_ATTEMPT_ANSWERED] = "answered",
@@ -84,37 +83,27 @@
            int64_t now_ns)
 {
     uint32_t took_us = (uint32_t)(r->latency_ns / CP_NS_PER_US);
-    uint32_t place = r->place < CP_FLEET_PLACES ? r->place : 0;
-    uint32_t expected_us = CpFleet_Work_us(s, place);
-    if (r->end == CP_ATTEMPT_TIMED_OUT || r->end == CP_ATTEMPT_CANCELLED) {
-        /* at least this slow, if that is more than was believed */
-        uint64_t slow =
-            expected_us > 0 ? (uint64_t)took_us * 1000 / expected_us : 1000;
-        if (slow > v->slow_milli) {
-            v->slow_milli =
-                average(v->slow_milli, slow < MAX_SLOW_MILLI ? (uint32_t)slow
-                                                             : MAX_SLOW_MILLI);
-            v->timed_ns = now_ns;
-        }
-        return;
-    }
-    if (r->end != CP_ATTEMPT_ANSWERED) {
+    bool ended =
+        r->end == CP_ATTEMPT_ANSWERED || r->end == CP_ATTEMPT_SERVER_ERROR;
+    bool silent =
+        r->end == CP_ATTEMPT_TIMED_OUT || r->end == CP_ATTEMPT_CANCELLED;
+    if (!ended && !silent) {
         return;
     }
     int64_t wait_us = CpFleet_Wait_us(s, v, now_ns);
     uint32_t work_us = took_us > wait_us ? took_us - (uint32_t)wait_us : 1;
-    if (expected_us > 0) {
-        uint64_t slow = (uint64_t)work_us * 1000 / expected_us;
+    if (s->work_us > 0) {
+        uint64_t slow = (uint64_t)work_us * 1000 / s->work_us;
         slow = slow > MAX_SLOW_MILLI ? MAX_SLOW_MILLI : slow;
-        v->slow_milli = average(v->slow_milli, (uint32_t)slow);
-        if (v->slow_milli < MIN_SLOW_MILLI) {
-            v->slow_milli = MIN_SLOW_MILLI;
+        /* one that is silent is at least this slow */
+        if (ended || slow > v->slow_milli) {
+            v->slow_milli = average(v->slow_milli, (uint32_t)slow);
+            v->timed_ns = now_ns;
         }
-        v->timed_ns = now_ns;
     }
-    /* a slow server tells nothing of the service */
-    if (s->work_us[place] == 0 || work_us < 4 * s->work_us[place]) {
-        s->work_us[place] = average(s->work_us[place], work_us);
+    /* a server that stands out tells nothing of the service */
+    if (ended && (s->work_us == 0 || work_us < 4 * s->work_us)) {
+        s->work_us = average(s->work_us, work_us);
     }
 }
 
--- /dev/null
+++ b/src/fleet/fleet_place.c
@@ -0,0 +1,196 @@
+/*
+ * Homes of objects. A domain keeps the objects that its servers can carry;
+ * the others have their home in another domain for good, so that what does
+ * not fit goes there steadily rather than by overflow. Every host comes to
+ * the same homes without asking.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "fleet/fleet_int.h"
+
+#define TARGET_LOAD_MILLI 600 /* of a domain's slots; waves need the rest */
+#define KEEP_STEP_MILLI 8     /* a tick; 6% in 2 s, below a shift's cap */
+#define RATE_SHIFT 4          /* moving average over 16 ticks, 4 s */
+#define FULL_MILLI 1000
+
+/* Slots of a service, all and by domain. */
+typedef struct {
+    uint32_t all;
+    uint32_t domains; /* that have any */
+    uint32_t of[CP_FLEET_MAX_DOMAINS + 1];
+} Slots;
+
+typedef struct {
+    double score;
+    CpFleetServer *server;
+} Candidate;
+
+static void count_slots(const CpFleet *f, const CpFleetService *s,
+                        CpFleetFitsFn fits, void *ctx, Slots *out);
+static bool is_listed(void *ctx, const CpFleetServer *v);
+static uint32_t weight(const CpFleet *f, const CpFleetServer *v, bool abroad,
+                       const Slots *slots);
+static uint32_t fair_keep_milli(const CpFleet *f, const Slots *slots);
+static void offer(Candidate *best, Candidate *next, double score,
+                  CpFleetServer *v);
+static double draw(uint64_t a, uint64_t b);
+
+void
+CpFleet_FindHomes(const CpFleet *f, const CpFleetService *s,
+                  const char *object, CpFleetFitsFn fits, void *ctx,
+                  CpFleetHomes *out)
+{
+    Candidate best = {.score = INFINITY}, next = {.score = INFINITY};
+    Slots slots;
+    *out = (CpFleetHomes){0};
+    if (object == NULL) {
+        return;
+    }
+    uint64_t hash = CpHash_Str(object, 1);
+    count_slots(f, s, fits, ctx, &slots);
+    uint32_t own = f->self < f->options.domain_count ? slots.of[f->self] : 0;
+    uint32_t keep_milli =
+        s->keep_known ? s->keep_milli : fair_keep_milli(f, &slots);
+    out->abroad = own == 0 || (own < slots.all &&
+                               draw(hash, 3) * FULL_MILLI >= keep_milli);
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (!fits(ctx, v) || (v->domain_index == f->self) == out->abroad) {
+            continue;
+        }
+        /* Weighted rendezvous hashing: the lowest score wins, in proportion
+         * to the weight (Schindelhauer and Schomaker, SPAA 2005). */
+        double score =
+            -log(draw(v->hash, hash)) / weight(f, v, out->abroad, &slots);
+        offer(&best, &next, score, v);
+    }
+    out->home = best.server;
+    out->second = next.server;
+}
+
+void
+CpFleet_Tick(CpFleet *f, uint32_t hosts, int64_t now_ns)
+{
+    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
+        GHashTableIter it;
+        void *p;
+        pthread_mutex_lock(&f->shards[i].lock);
+        g_hash_table_iter_init(&it, f->shards[i].services);
+        while (g_hash_table_iter_next(&it, NULL, &p)) {
+            CpFleetService *s = p;
+            Slots slots;
+            int64_t past_ms = (now_ns - s->ticked_ns) / CP_NS_PER_MS;
+            count_slots(f, s, is_listed, f, &slots);
+            if (s->ticked_ns > 0 && past_ms > 0) {
+                int64_t rate = (int64_t)s->asked * 1000 * 1000 / past_ms;
+                int64_t old = s->rate_milli;
+                s->rate_milli =
+                    (uint32_t)(old + (rate - old) / (1 << RATE_SHIFT));
+            }
+            s->ticked_ns = now_ns;
+            s->asked = 0;
+            if (!s->keep_known) {
+                s->keep_milli = fair_keep_milli(f, &slots);
+                s->keep_known = slots.all > 0 && s->rate_milli > 0;
+                continue;
+            }
+            int64_t need_milli =
+                (int64_t)s->rate_milli * hosts * s->work_us / 1000 / 1000;
+            uint32_t own =
+                f->self < f->options.domain_count ? slots.of[f->self] : 0;
+            int64_t keep = need_milli > 0 ? (int64_t)own * TARGET_LOAD_MILLI *
+                                                FULL_MILLI / need_milli
+                                          : FULL_MILLI;
+            int64_t step = keep - s->keep_milli;
+            step = step > KEEP_STEP_MILLI    ? KEEP_STEP_MILLI
+                   : step < -KEEP_STEP_MILLI ? -KEEP_STEP_MILLI
+                                             : step;
+            keep = s->keep_milli + step;
+            s->keep_milli = keep > FULL_MILLI ? FULL_MILLI : (uint32_t)keep;
+        }
+        pthread_mutex_unlock(&f->shards[i].lock);
+    }
+}
+
+bool
+CpFleet_IsListed(const CpFleet *f, const CpFleetServer *v)
+{
+    if (v->entry.draining || v->replaced) {
+        return false;
+    }
+    return v->domain_index >= f->options.domain_count ||
+           !CpAtomic_Load(&f->evacuated[v->domain_index]);
+}
+
+static void
+count_slots(const CpFleet *f, const CpFleetService *s, CpFleetFitsFn fits,
+            void *ctx, Slots *out)
+{
+    (void)f;
+    memset(out, 0, sizeof(*out));
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        const CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (fits(ctx, v)) {
+            out->all += v->entry.slots;
+            out->domains += out->of[v->domain_index] == 0;
+            out->of[v->domain_index] += v->entry.slots;
+        }
+    }
+}
+
+static bool
+is_listed(void *ctx, const CpFleetServer *v)
+{
+    return CpFleet_IsListed(ctx, v);
+}
+
+/* At home a server counts by its slots. Abroad it counts by its part of what
+ * its domain has beyond a fair part, for those that are short send there. */
+static uint32_t
+weight(const CpFleet *f, const CpFleetServer *v, bool abroad,
+       const Slots *slots)
+{
+    uint32_t own = slots->of[v->domain_index];
+    uint32_t fair =
+        slots->all /
+        (f->options.domain_count > 0 ? f->options.domain_count : 1);
+    uint32_t milli = v->entry.slots * FULL_MILLI;
+    if (abroad && own > fair) {
+        return milli + 10 * milli * (own - fair) / own;
+    }
+    return milli > 0 ? milli : 1;
+}
+
+/* The part of its objects that a domain keeps if all have as much work. */
+static uint32_t
+fair_keep_milli(const CpFleet *f, const Slots *slots)
+{
+    if (f->self >= f->options.domain_count || slots->all == 0) {
+        return FULL_MILLI;
+    }
+    uint64_t milli = (uint64_t)slots->of[f->self] * f->options.domain_count *
+                     FULL_MILLI / slots->all;
+    return milli < FULL_MILLI ? (uint32_t)milli : FULL_MILLI;
+}
+
+static void
+offer(Candidate *best, Candidate *next, double score, CpFleetServer *v)
+{
+    if (score < best->score) {
+        *next = *best;
+        *best = (Candidate){score, v};
+    }
+    else if (score < next->score) {
+        *next = (Candidate){score, v};
+    }
+}
+
+/* A number in (0, 1) that both arguments determine. */
+static double
+draw(uint64_t a, uint64_t b)
+{
+    uint64_t key[2] = {a, b};
+    uint64_t h = CpHash(key, sizeof(key), 2);
+    return ((double)(h >> 11) + 0.5) / (double)(UINT64_C(1) << 53);
+}
