Followers find a silent store within seconds and come back together

Ruled out: a version that went back (versions only grow). Change: waits of 2 s, and one table probes for the others.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -5,13 +5,15 @@
  */
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "entry/entry_int.h"
 
-#define FOLLOW_WAIT_MS 10000   /* keep-alive probes find a dead connection */
-#define FOLLOW_TIMEOUT_MS 2000 /* of a scan */
+#define SCAN_TIMEOUT_MS 1200 /* hundreds of rows at the slowest useful rate   \
+                              */
 #define RETRY_FIRST_MS 100
-#define RETRY_MAX_MS 800 /* so that a store that is back is soon used */
+#define RETRY_MAX_MS 400  /* so that a store that is back is soon used */
+#define LEAD_WAIT_MS 1000 /* for the table that finds out */
 
 static void *follow_thread(void *ctx);
 static CpStatus scan(CpEntryFollower *f, uint64_t *version);
@@ -20,13 +22,21 @@
 static void take_routes(CpEntry *e, const CpFeedRow *row);
 static void on_server_row(CpEntryFollower *f, const CpFeedRow *row);
 static void note_result(CpEntryFollower *f, CpStatus st);
+static void note_back(CpEntryFollower *f, int64_t now_ns);
 static bool may_have_lapsed(const CpEntryFollower *f, int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 
-static const char *const table_labels[CP_TABLE_COUNT] = {
-    [CP_TABLE_OPERATOR] = "operator",
-    [CP_TABLE_SERVERS] = "servers",
-    [CP_TABLE_HOSTS] = "hosts",
+typedef struct {
+    const char *label;
+    /* Longest wait for a change. A store that falls silent shows only after
+     * it, and must be found well before a configuration is due. */
+    uint32_t wait_ms;
+} TableRow;
+
+static const TableRow tables[CP_TABLE_COUNT] = {
+    [CP_TABLE_OPERATOR] = {"operator", 2000},
+    [CP_TABLE_SERVERS] = {"servers", 2000},
+    [CP_TABLE_HOSTS] = {"hosts", 5000},
 };
 
 CpStatus
@@ -36,8 +46,7 @@
         CpEntryFollower *f = &e->followers[i];
         f->entry = e;
         f->table = (CpTable)i;
-        f->store =
-            e->adapter.new_store(e->settings.platform, FOLLOW_TIMEOUT_MS);
+        f->store = e->adapter.new_store(e->settings.platform, SCAN_TIMEOUT_MS);
         if (pthread_create(&f->thread, NULL, follow_thread, f) != 0) {
             return CpError_Set(CP_ERR_IO, "follow: no thread");
         }
@@ -96,16 +105,16 @@
     uint64_t version = 0;
     bool scanned = false;
     while (!CpAtomic_Load(&e->stopping)) {
-        CpStatus st =
-            scanned ? f->store->follow(f->store->ctx, f->table, FOLLOW_WAIT_MS,
-                                       on_row, f, &version)
-                    : scan(f, &version);
+        CpStatus st = scanned ? f->store->follow(f->store->ctx, f->table,
+                                                 tables[f->table].wait_ms,
+                                                 on_row, f, &version)
+                              : scan(f, &version);
         if (st == CP_OK) {
             scanned = true;
         }
         if (st == CP_ERR_RANGE) { /* the history is gone: start anew */
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
-                    table_labels[f->table]);
+                    tables[f->table].label);
             scanned = false;
             continue;
         }
@@ -261,9 +270,9 @@
     int64_t now_ns = CpClock_Now_ns();
     if (st == CP_OK) {
         if (!f->connected) {
-            f->back_ns = now_ns;
+            note_back(f, now_ns);
             CpEvent(CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
-                    table_labels[f->table], "away_ms",
+                    tables[f->table].label, "away_ms",
                     (json_int_t)(f->lost_ns == 0
                                      ? 0
                                      : (now_ns - f->lost_ns) / CP_NS_PER_MS));
@@ -275,12 +284,30 @@
     CpAtomic_Store(&f->errors, f->errors + 1);
     if (f->connected || f->errors == 1) {
         f->lost_ns = now_ns;
+        pthread_mutex_lock(&f->entry->store_lock);
+        f->entry->store_up = false;
+        pthread_mutex_unlock(&f->entry->store_lock);
         CpEvent(CP_EVENT_DEPENDENCY, "store_lost", "s:s,s:s", "table",
-                table_labels[f->table], "error", CpError_Message());
+                tables[f->table].label, "error", CpError_Message());
     }
     f->connected = false;
 }
 
+/* The first table that is read again tells when the store was back. */
+static void
+note_back(CpEntryFollower *f, int64_t now_ns)
+{
+    CpEntry *e = f->entry;
+    pthread_mutex_lock(&e->store_lock);
+    if (!e->store_up) {
+        e->store_up = true;
+        e->store_back_ns = now_ns;
+        pthread_cond_broadcast(&e->store_wake);
+    }
+    f->back_ns = e->store_back_ns;
+    pthread_mutex_unlock(&e->store_lock);
+}
+
 /* Whether the store was away so lately that a missing entry may return. */
 static bool
 may_have_lapsed(const CpEntryFollower *f, int64_t now_ns)
@@ -292,13 +319,29 @@
     return since_ns < f->entry->settings.lapse_ms * CP_NS_PER_MS;
 }
 
+/* One table finds out when the store is back; the others wait for it. */
 static void
 back_off(CpEntryFollower *f)
 {
+    CpEntry *e = f->entry;
     uint32_t ms = RETRY_FIRST_MS;
     for (uint32_t i = 1; i < f->errors && ms < RETRY_MAX_MS; i++) {
         ms *= 2;
     }
     ms = ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS;
-    CpSleep_ms(ms / 2 + (uint32_t)(CpRandom() % (ms / 2 + 1)));
+    ms = ms / 2 + (uint32_t)(CpRandom() % (ms / 2 + 1));
+    if (f->table == CP_TABLE_OPERATOR) {
+        CpSleep_ms(ms);
+        return;
+    }
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    int64_t ns = until.tv_nsec + (LEAD_WAIT_MS + ms) * CP_NS_PER_MS;
+    until.tv_sec += ns / CP_NS_PER_S;
+    until.tv_nsec = ns % CP_NS_PER_S;
+    pthread_mutex_lock(&e->store_lock);
+    if (!e->store_up) {
+        pthread_cond_timedwait(&e->store_wake, &e->store_lock, &until);
+    }
+    pthread_mutex_unlock(&e->store_lock);
 }
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -54,6 +54,11 @@
     CpStore *store; /* for writes */
     CpEntryFollower followers[CP_TABLE_COUNT];
 
+    pthread_mutex_t store_lock; /* of the next 2 */
+    pthread_cond_t store_wake;  /* when it is back */
+    bool store_up;
+    int64_t store_back_ns; /* when it was back */
+
     pthread_mutex_t routes_lock; /* of the next 2 */
     CpRoutes *routes;            /* NULL: none in force yet */
     int64_t routes_ns;           /* when they came into force */
