Hosts tell each other what they have sent; unfamiliar objects go where half is free

Cause: a host knew the queue of a server only from its own answers. Ruled out: too little memory in servers (18 objects a server, 24 a region); work of the proxy (0.002 of a core). Change: reports by datagram with whole counts, at once to those that share a server and every 500 ms; servers that handled an object lately count as familiar; unfamiliar work only where half of the slots are free. The reports also tell that a host lives, for the directory.

--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -127,6 +127,7 @@
                             .config_version = 1000,
                             .loads = load,
                             .load_count = 1};
+    static CpReportRow report[] = {{.server = 9, .count = 3}, {.server = 10}};
     *loan = (CpLoanRow){.resource = "lookup-1", .units = 3};
     switch (type) {
     case CP_FRAME_HELLO:
@@ -165,6 +166,14 @@
     case CP_FRAME_CONFIG_CHUNK:
         f.config = (CpConfigFrame){.version = 5, .data = {"yaml", 4}};
         break;
+    case CP_FRAME_REPORT:
+        f.report = (CpReportFrame){.host = "north-a-1",
+                                   .incarnation = 7,
+                                   .number = 8,
+                                   .whole = 1,
+                                   .rows = report,
+                                   .row_count = 2};
+        break;
     default:
         f.cancel.id = 12;
         break;
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -58,6 +58,8 @@
     [CP_COUNT_PAUSES_SEEN] = {"pauses_seen", "Pauses of this process seen"},
     [CP_COUNT_LINK_BYTES] = {"link_bytes", "Bytes sent to other regions"},
     [CP_COUNT_LINK_WAITS] = {"link_waits", "Sends that waited for a link"},
+    [CP_COUNT_REPORTS_UNSENT] = {"reports_unsent",
+                                 "Reports to hosts that could not be sent"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -9,8 +9,9 @@
 
 #include "entry/entry_int.h"
 
-#define SCAN_TIMEOUT_MS 1200 /* hundreds of rows at the slowest useful rate   \
-                              */
+#define SCAN_TIMEOUT_MS                                                       \
+    1200 /* hundreds of rows at the slowest useful rate                       \
+          */
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 400  /* so that a store that is back is soon used */
 #define LEAD_WAIT_MS 1000 /* for the table that finds out */
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -9,10 +9,16 @@
 
 #include "entry/entry_int.h"
 
-#define MAX_ADDRESSES 16   /* enough that some of them work */
-#define MAX_WARMUP_HOSTS 2 /* that share a cold server's rate */
+#define MAX_ADDRESSES 16                 /* enough that some of them work */
+#define MAX_WARMUP_HOSTS 2               /* that share a cold server's rate */
+#define NEAR_SILENT_NS (2 * CP_NS_PER_S) /* four reports in this domain */
+#define FAR_SILENT_NS (5 * CP_NS_PER_S)  /* each host of a domain has a turn  \
+                                          */
+#define SETTLE_NS (5 * CP_NS_PER_S)      /* for the first report of a host */
 
 static CpEntryHost *find_host(CpEntry *e, const char *name);
+static const CpEntryHost *nth_of(const CpEntry *e, const char *domain,
+                                 uint32_t turn);
 static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
 static char *encode_host(const CpEntry *e);
 static const char *region_of(const CpEntry *e, const char *domain);
@@ -81,6 +87,10 @@
         g_ptr_array_add(e->hosts, at);
     }
     if (usable) {
+        bool same = at->incarnation == next.incarnation;
+        next.number = same ? at->number : 0;
+        next.heard_ns = same ? at->heard_ns : 0;
+        next.known_ns = CpClock_Now_ns();
         *at = next;
     }
     else if (at != NULL) {
@@ -135,6 +145,97 @@
     return n > 0 ? n : 1;
 }
 
+bool
+CpEntryHosts_OnReport(CpEntry *e, const char *name, uint64_t incarnation,
+                      uint64_t number, bool leaving, int64_t now_ns)
+{
+    bool later = false;
+    pthread_mutex_lock(&e->hosts_lock);
+    CpEntryHost *h = find_host(e, name);
+    if (h != NULL) {
+        later = incarnation != h->incarnation || number > h->number;
+        if (later) {
+            h->incarnation = incarnation;
+            h->number = number;
+            h->leaving = leaving;
+            h->heard_ns = now_ns;
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return later;
+}
+
+void
+CpEntryHosts_Judge(CpEntry *e, int64_t now_ns)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        bool near = strcmp(h->domain, e->settings.domain) == 0;
+        int64_t since_ns = h->heard_ns > 0 ? h->heard_ns : h->known_ns;
+        int64_t limit_ns = h->heard_ns == 0 ? SETTLE_NS
+                           : near           ? NEAR_SILENT_NS
+                                            : FAR_SILENT_NS;
+        bool silent = strcmp(h->name, e->settings.host) != 0 &&
+                      now_ns - since_ns > limit_ns;
+        if (silent != h->silent) {
+            h->silent = silent;
+            CpEvent(CP_EVENT_BELIEF, silent ? "host_silent" : "host_heard",
+                    "s:s,s:I", "name", h->name, "heard_ms_ago",
+                    (json_int_t)((now_ns - since_ns) / CP_NS_PER_MS));
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+}
+
+uint32_t
+CpEntryHosts_Sharing(CpEntry *e, const CpFleetUse *use, CpEntryAddress *out,
+                     uint32_t room)
+{
+    uint32_t n = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len && n < room; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        bool shares = strcmp(h->domain, use->domain) == 0 ||
+                      strcmp(h->domain, e->settings.domain) == 0;
+        uint64_t hash = shares ? 0 : CpHash_Str(h->name, 0);
+        for (uint32_t k = 0; !shares && k < use->peer_count; k++) {
+            shares = use->peers[k] == hash;
+        }
+        if (shares && !h->silent && strcmp(h->name, e->settings.host) != 0) {
+            CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n;
+}
+
+uint32_t
+CpEntryHosts_Neighbours(CpEntry *e, bool far, CpEntryAddress *out,
+                        uint32_t room)
+{
+    uint32_t n = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len && n < room; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (strcmp(h->domain, e->settings.domain) == 0 &&
+            strcmp(h->name, e->settings.host) != 0) {
+            CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
+        }
+    }
+    for (uint32_t d = 0; far && d < e->settings.domain_count && n < room;
+         d++) {
+        const char *domain = e->settings.domains[d].name;
+        const CpEntryHost *h = nth_of(e, domain, e->far_turn);
+        if (h != NULL && strcmp(domain, e->settings.domain) != 0) {
+            CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
+        }
+    }
+    e->far_turn += far;
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n;
+}
+
 /* Hosts of the server's own domain that come first for it, by rendezvous. */
 bool
 CpEntryHosts_WarmupPart(void *ctx, const char *instance, const char *domain,
@@ -201,6 +302,24 @@
     return NULL;
 }
 
+/* The host of a domain whose turn it is; NULL if it has none. */
+static const CpEntryHost *
+nth_of(const CpEntry *e, const char *domain, uint32_t turn)
+{
+    uint32_t count = 0;
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        count += strcmp(h->domain, domain) == 0;
+    }
+    for (guint i = 0, k = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (strcmp(h->domain, domain) == 0 && k++ == turn % count) {
+            return h;
+        }
+    }
+    return NULL;
+}
+
 static bool
 decode_host(const CpFeedRow *row, CpEntryHost *out)
 {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -17,8 +17,17 @@
     char inner[CP_ADDR_BYTES];
     uint64_t incarnation;
     bool unseen; /* by the scan that is under way */
+    bool leaving;
+    bool silent;      /* no report came for too long */
+    uint64_t number;  /* of its last report */
+    int64_t known_ns; /* when its row was read */
+    int64_t heard_ns; /* its last report; 0: never */
 } CpEntryHost;
 
+typedef struct {
+    char value[CP_ADDR_BYTES];
+} CpEntryAddress;
+
 /* One thread that follows one table of the store. */
 typedef struct {
     CpEntry *entry;
@@ -66,6 +75,13 @@
     pthread_mutex_t hosts_lock; /* of the next */
     GPtrArray *hosts;           /* CpEntryHost */
 
+    int32_t peers_fd;
+    pthread_t peers_thread;
+    bool peers_started;
+    uint32_t peers_ticks;
+    uint64_t peers_number; /* of reports; atomic */
+    uint32_t far_turn;     /* which host of each other domain is told next */
+
     pthread_mutex_t budget_lock; /* of the next */
     CpEntryBudget budget;
 };
@@ -95,6 +111,28 @@
 char *CpEntryHosts_Directory(CpEntry *e, const char *domain,
                              const char *region);
 
+/* Takes in that a host lives; false for a report that is overtaken. */
+bool CpEntryHosts_OnReport(CpEntry *e, const char *name, uint64_t incarnation,
+                           uint64_t number, bool leaving, int64_t now_ns);
+/* Takes hosts that are silent out of the directory's answers. */
+void CpEntryHosts_Judge(CpEntry *e, int64_t now_ns);
+/* Where reports go: to hosts that use a server too, or whose domain has it;
+ * to those of this domain, with one of each other domain if `far`. */
+uint32_t CpEntryHosts_Sharing(CpEntry *e, const CpFleetUse *use,
+                              CpEntryAddress *out, uint32_t room);
+uint32_t CpEntryHosts_Neighbours(CpEntry *e, bool far, CpEntryAddress *out,
+                                 uint32_t room);
+
+/* peers: what hosts tell each other */
+#define CP_ENTRY_REPORT_MS 500 /* between two whole reports */
+CpStatus CpEntryPeers_Open(CpEntry *e);
+CpStatus CpEntryPeers_Start(CpEntry *e);
+void CpEntryPeers_Stop(CpEntry *e);
+void CpEntryPeers_Tick(void *ctx, int64_t now_ns);
+/* Tells the hosts that share a server what this one has there now. */
+void CpEntryPeers_TellUse(CpEntry *e, const char *service,
+                          const char *instance);
+
 /* request: what becomes of a request */
 void CpEntryRequest_Policy(CpEntry *e, CpProxyPolicy *out);
 
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -68,6 +68,9 @@
     CpEntryRequest_Policy(e, &proxy.policy);
     *out = e;
     CpStatus st = CpProxy_New(&proxy, &e->proxy);
+    if (st == CP_OK) {
+        st = CpEntryPeers_Open(e);
+    }
     return st == CP_OK ? open_pages(e) : st;
 }
 
@@ -76,10 +79,14 @@
 {
     CpTimer_Subscribe(e->timer, CP_FLEET_TICK_MS, CpEntryFollow_Tick, e);
     CpTimer_Subscribe(e->timer, CP_FLEET_TICK_MS, CpEntryHosts_Tick, e);
+    CpTimer_Subscribe(e->timer, CP_ENTRY_REPORT_MS, CpEntryPeers_Tick, e);
     CpStatus st = CpProxy_Start(e->proxy);
     if (st == CP_OK) {
         st = CpEntryFollow_Start(e);
     }
+    if (st == CP_OK) {
+        st = CpEntryPeers_Start(e);
+    }
     if (st == CP_OK) {
         st = CpTimer_Start(e->timer);
     }
@@ -102,6 +109,7 @@
     CpProxy_CloseAfterAnswers(e->proxy);
     CpEvent(CP_EVENT_PROCESS, "leaving", "s:i", "active",
             (int)CpProxy_Active(e->proxy));
+    CpEntryPeers_Tick(e, start_ns); /* hosts near by learn it first */
     CpEntryHosts_Withdraw(e);
     while (CpClock_Now_ns() < serve_ns) {
         CpSleep_ms(DRAIN_STEP_MS * 5);
@@ -124,6 +132,7 @@
     CpPages_Free(e->ready);
     CpPages_Free(e->metrics);
     CpEntryFollow_Stop(e);
+    CpEntryPeers_Stop(e);
     CpProxy_Free(e->proxy);
     CpFleet_Free(e->fleet);
     CpRoutes_Release(e->routes);
--- /dev/null
+++ b/src/entry/entry_peers.c
@@ -0,0 +1,164 @@
+/*
+ * Entry hosts tell each other by datagrams what they have sent to backend
+ * servers, at once to those that use the same servers, and from time to time
+ * that they live.
+ */
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "entry/entry_int.h"
+#include "wire/wire.h"
+
+#define MAX_USES 64        /* servers in one report */
+#define MAX_RECIPIENTS 32  /* of one report */
+#define RECEIVE_WAIT_S 1   /* so that the thread sees the end */
+#define FAR_REPORT_TICKS 3 /* a host of another domain is told so often */
+
+static void *receive_thread(void *ctx);
+static void take_report(CpEntry *e, const CpReportFrame *r);
+static void send_report(CpEntry *e, const CpReportFrame *r,
+                        const CpEntryAddress *to, uint32_t count);
+
+CpStatus
+CpEntryPeers_Open(CpEntry *e)
+{
+    struct sockaddr_storage sa;
+    struct timeval wait = {.tv_sec = RECEIVE_WAIT_S};
+    uint32_t n = CpAddress_Parse(e->settings.inner, &sa);
+    e->peers_fd =
+        n == 0 ? -1 : socket(sa.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    if (e->peers_fd < 0 ||
+        setsockopt(e->peers_fd, SOL_SOCKET, SO_RCVTIMEO, &wait,
+                   sizeof(wait)) != 0 ||
+        bind(e->peers_fd, (struct sockaddr *)&sa, n) != 0) {
+        return CpError_Set(CP_ERR_IO, "%s: %s", e->settings.inner,
+                           strerror(errno));
+    }
+    return CP_OK;
+}
+
+CpStatus
+CpEntryPeers_Start(CpEntry *e)
+{
+    if (pthread_create(&e->peers_thread, NULL, receive_thread, e) != 0) {
+        return CpError_Set(CP_ERR_IO, "peers: no thread");
+    }
+    e->peers_started = true;
+    return CP_OK;
+}
+
+void
+CpEntryPeers_Stop(CpEntry *e)
+{
+    if (e->peers_started) {
+        pthread_join(e->peers_thread, NULL);
+    }
+    if (e->peers_fd >= 0) {
+        close(e->peers_fd);
+    }
+}
+
+void
+CpEntryPeers_TellUse(CpEntry *e, const char *service, const char *instance)
+{
+    CpFleetUse use;
+    CpEntryAddress to[MAX_RECIPIENTS];
+    if (!CpFleet_Use(e->fleet, service, instance, CpClock_Now_ns(), &use)) {
+        return;
+    }
+    CpReportRow row = {.server = use.server, .count = use.count};
+    CpReportFrame r = {.rows = &row, .row_count = 1};
+    uint32_t n = CpEntryHosts_Sharing(e, &use, to, MAX_RECIPIENTS);
+    send_report(e, &r, to, n);
+}
+
+/* A whole report to the hosts of this domain, and now and then to one of each
+ * other domain, so that others know that this host lives. */
+void
+CpEntryPeers_Tick(void *ctx, int64_t now_ns)
+{
+    CpEntry *e = ctx;
+    CpFleetUse uses[MAX_USES];
+    CpReportRow rows[MAX_USES];
+    CpEntryAddress to[MAX_RECIPIENTS];
+    uint32_t n = CpFleet_Uses(e->fleet, uses, MAX_USES);
+    for (uint32_t i = 0; i < n; i++) {
+        rows[i] =
+            (CpReportRow){.server = uses[i].server, .count = uses[i].count};
+    }
+    CpReportFrame r = {.whole = 1, .rows = rows, .row_count = n};
+    bool far = e->peers_ticks++ % FAR_REPORT_TICKS == 0;
+    uint32_t count = CpEntryHosts_Neighbours(e, far, to, MAX_RECIPIENTS);
+    send_report(e, &r, to, count);
+    CpEntryHosts_Judge(e, now_ns);
+}
+
+static void *
+receive_thread(void *ctx)
+{
+    CpEntry *e = ctx;
+    uint8_t data[CP_DATAGRAM_MAX_BYTES];
+    while (!CpAtomic_Load(&e->stopping)) {
+        CpDecoded d;
+        ssize_t n = recv(e->peers_fd, data, sizeof(data), 0);
+        if (n <= 0) {
+            continue; /* nothing came for a while */
+        }
+        if (CpDatagram_Decode(data, (uint32_t)n, &d) != CP_OK) {
+            CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
+            continue;
+        }
+        take_report(e, &d.frame.report);
+        CpFrame_Clear(&d);
+    }
+    return NULL;
+}
+
+static void
+take_report(CpEntry *e, const CpReportFrame *r)
+{
+    int64_t now_ns = CpClock_Now_ns();
+    uint64_t peer = CpHash_Str(r->host, 0);
+    if (!CpEntryHosts_OnReport(e, r->host, r->incarnation, r->number,
+                               r->leaving != 0, now_ns)) {
+        return; /* overtaken by a later one */
+    }
+    if (r->whole) {
+        CpFleet_PeerBegin(e->fleet, peer);
+    }
+    for (uint32_t i = 0; i < r->row_count; i++) {
+        CpFleet_PeerLoad(e->fleet, peer, r->rows[i].server, r->rows[i].count,
+                         now_ns);
+    }
+}
+
+/* A datagram that cannot be sent is like one that is lost. */
+static void
+send_report(CpEntry *e, const CpReportFrame *r, const CpEntryAddress *to,
+            uint32_t count)
+{
+    uint8_t data[CP_DATAGRAM_MAX_BYTES];
+    uint32_t n;
+    CpFrame f = {.type = CP_FRAME_REPORT, .report = *r};
+    CpStr_Copy(f.report.host, sizeof(f.report.host), e->settings.host);
+    f.report.incarnation = e->incarnation;
+    f.report.number =
+        __atomic_add_fetch(&e->peers_number, 1, __ATOMIC_RELAXED);
+    f.report.leaving = CpAtomic_Load(&e->leaving);
+    if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
+        return;
+    }
+    for (uint32_t i = 0; i < count; i++) {
+        struct sockaddr_storage sa;
+        uint32_t size = CpAddress_Parse(to[i].value, &sa);
+        if (size == 0 || sendto(e->peers_fd, data, n, MSG_DONTWAIT,
+                                (struct sockaddr *)&sa, size) < 0) {
+            CpCounter_Add(CP_COUNT_REPORTS_UNSENT, 1);
+            continue;
+        }
+        CpCounter_Add(CP_COUNT_MEMBER_BYTES, n);
+    }
+}
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -192,6 +192,7 @@
                    s->pick.instance);
     }
     s->sent++;
+    CpEntryPeers_TellUse(e, s->service, s->pick.instance);
     CpCounter_Add(CP_COUNT_DISPATCHED, 1);
     log_attempt(rq, s);
     out->type = CP_STEP_SEND;
@@ -288,22 +289,23 @@
         r.warmup_left_ms = a->warmup_left_ms;
     }
     CpFleet_Ended(e->fleet, &r, CpClock_Now_ns());
+    CpEntryPeers_TellUse(e, s->service, s->pick.instance);
 }
 
 static void
 log_attempt(const CpRequest *rq, const State *s)
 {
-    CpEvent(CP_EVENT_ATTEMPT, "sent",
-            "s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I", "request", rq->id,
-            "route", s->route->name, "service", s->service, "instance",
-            s->pick.instance, "place", (int)s->pick.place, "near",
-            (int)s->pick.nearness, "wait_ms", (int)s->pick.wait_ms,
-            "expected_ms", (int)s->pick.expected_ms, "load_age_ms",
-            s->pick.load_age_ms == UINT32_MAX
-                ? (json_int_t)-1
-                : (json_int_t)s->pick.load_age_ms,
-            "routes_version", (json_int_t)s->routes->version, "routes_age_ms",
-            (json_int_t)s->routes_age_ms);
+    CpEvent(
+        CP_EVENT_ATTEMPT, "sent",
+        "s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I", "request", rq->id,
+        "object", rq->object, "route", s->route->name, "service", s->service,
+        "instance", s->pick.instance, "place", (int)s->pick.place, "near",
+        (int)s->pick.nearness, "wait_ms", (int)s->pick.wait_ms, "expected_ms",
+        (int)s->pick.expected_ms, "load_age_ms",
+        s->pick.load_age_ms == UINT32_MAX ? (json_int_t)-1
+                                          : (json_int_t)s->pick.load_age_ms,
+        "routes_version", (json_int_t)s->routes->version, "routes_age_ms",
+        (json_int_t)s->routes_age_ms);
 }
 
 static bool
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -7,7 +7,8 @@
  * second one, and leaves them only when waiting there costs more than starting
  * cold elsewhere. A request that would wait past its goal is refused at once
  * rather than queued behind others; one that is late anyway runs only where a
- * slot is free.
+ * slot is free. Hosts tell each other at once what they have sent, so that
+ * each knows the queues of the servers that they share.
  */
 #ifndef CP_FLEET_H
 #define CP_FLEET_H
@@ -145,6 +146,26 @@
 #define CP_FLEET_TICK_MS 250
 void CpFleet_Tick(CpFleet *f, uint32_t hosts, int64_t now_ns);
 
+/* Requests that another host has at a server, by the hashes of both names. */
+void CpFleet_PeerLoad(CpFleet *f, uint64_t peer, uint64_t server,
+                      uint32_t count, int64_t now_ns);
+/* A whole report of a host begins: servers that it does not name have none. */
+void CpFleet_PeerBegin(CpFleet *f, uint64_t peer);
+
+/* Requests that this host has at a server, and who else uses it. */
+#define CP_FLEET_MAX_PEERS 16
+typedef struct {
+    uint64_t server;
+    uint32_t count;
+    char domain[CP_NAME_BYTES];
+    uint32_t peer_count;
+    uint64_t peers[CP_FLEET_MAX_PEERS];
+} CpFleetUse;
+bool CpFleet_Use(CpFleet *f, const char *service, const char *instance,
+                 int64_t now_ns, CpFleetUse *out);
+/* All servers that this host has requests at; returns how many were told. */
+uint32_t CpFleet_Uses(CpFleet *f, CpFleetUse *out, uint32_t room);
+
 /* Servers of a service that may get new work now. */
 uint32_t CpFleet_Usable(CpFleet *f, const char *service, int64_t now_ns);
 
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -12,25 +12,30 @@
     [CP_NEAR_FAR] = 120 * 1000,
 };
 
-/* What a server costs that has not handled the object lately, in thousandths
- * of the mean work; by place. The second server has it now and then. */
-static const int64_t unfamiliar_milli[] = {0, 700, 1500};
+/* The work on an object that a server does not remember, beyond that on one
+ * that it does, in thousandths of the mean. The second server of an object is
+ * preferred to others, so that it remembers what was sent there before. */
+#define UNFAMILIAR_MILLI 1500
+#define SECOND_MILLI 1200
+#define AWAY_MILLI 50 /* a server that remembers it, but is not its home */
 
 /* An object that a server does not remember takes up to 3.3 times the work of
  * one that it does, so that less than this is no sign of a slow server. */
 #define STANDS_OUT_MILLI 4000
 #define SLOW_HALVING_NS (3 * CP_NS_PER_S)
+#define OTHERS_HALVING_NS (150 * CP_NS_PER_MS) /* about one request's work */
 #define FAIL_COST 3             /* a failed attempt costs this many works */
 #define MIN_RETRY_AFTER_MS 100  /* a shorter one would only add traffic */
 #define MAX_RETRY_AFTER_MS 2000 /* callers honour a third of their time */
 
 typedef struct {
     const CpFleet *fleet;
-    const CpFleetService *service;
+    CpFleetService *service;
     const CpFleetAsk *ask;
     int64_t now_ns;
     CpFleetHomes homes;
     bool warming; /* a server was passed over since it is cold */
+    bool busy;    /* or since it had no room for an unfamiliar object */
 } Search;
 
 static bool fits_route(void *ctx, const CpFleetServer *v);
@@ -38,6 +43,9 @@
 static bool warmup_allows(const Search *q, const CpFleetServer *v,
                           uint32_t *parts);
 static uint32_t place_of(const Search *q, const CpFleetServer *v);
+static int64_t unfamiliar_milli(const Search *q, const CpFleetServer *v,
+                                uint32_t place);
+static bool has_room_for_unfamiliar(const Search *q, const CpFleetServer *v);
 static int64_t cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
                        int64_t *wait_us);
 static void take(Search *q, CpFleetServer *v, uint32_t place, int64_t wait_us,
@@ -63,7 +71,13 @@
         if (!may_use(&q, v)) {
             continue;
         }
-        int64_t us = cost_us(&q, v, place_of(&q, v), &wait_us);
+        uint32_t place = place_of(&q, v);
+        if (unfamiliar_milli(&q, v, place) > AWAY_MILLI &&
+            !has_room_for_unfamiliar(&q, v)) {
+            q.busy = true;
+            continue;
+        }
+        int64_t us = cost_us(&q, v, place, &wait_us);
         if (us < best_us) {
             best = v;
             best_us = us;
@@ -71,7 +85,9 @@
         }
     }
     if (best == NULL) {
-        reason = q.warming ? CP_REASON_WARMING_UP : CP_REASON_NO_SERVER;
+        reason = q.busy      ? CP_REASON_WOULD_MISS_GOAL
+                 : q.warming ? CP_REASON_WARMING_UP
+                             : CP_REASON_NO_SERVER;
     }
     else if (best_wait_us > ask->deadline_left_ms * INT64_C(1000)) {
         reason = CP_REASON_WOULD_MISS_DEADLINE;
@@ -116,10 +132,11 @@
 uint32_t
 CpFleet_Inside(const CpFleetServer *v, int64_t now_ns)
 {
-    int64_t age_ms = (now_ns - v->loaded_ns) / CP_NS_PER_MS;
-    uint32_t halvings = age_ms < 0 ? 0 : (uint32_t)(age_ms / 400);
+    int64_t halvings = (now_ns - v->loaded_ns) / OTHERS_HALVING_NS;
+    uint32_t told = CpFleet_PeerCount(v, now_ns);
     uint32_t others = halvings < 16 ? v->others_milli >> halvings : 0;
-    return v->outstanding + (others + 500) / 1000;
+    others = (others + 500) / 1000;
+    return v->outstanding + (told > others ? told : others);
 }
 
 int64_t
@@ -201,6 +218,27 @@
     return v == q->homes.home ? 0 : v == q->homes.second ? 1 : 2;
 }
 
+static int64_t
+unfamiliar_milli(const Search *q, const CpFleetServer *v, uint32_t place)
+{
+    if (place == 0) {
+        return 0;
+    }
+    if (CpFleet_IsFamiliar(q->service, q->ask->object, v->hash, q->now_ns)) {
+        return AWAY_MILLI;
+    }
+    return place == 1 ? SECOND_MILLI : UNFAMILIAR_MILLI;
+}
+
+/* Work on an unfamiliar object takes a slot for several times as long, so it
+ * goes only where half of the slots are free: otherwise a server that is busy
+ * with it makes the next requests leave their homes, too. */
+static bool
+has_room_for_unfamiliar(const Search *q, const CpFleetServer *v)
+{
+    return 2 * (CpFleet_Inside(v, q->now_ns) + 1) <= v->entry.slots + 1;
+}
+
 static int64_t
 cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
         int64_t *wait_us)
@@ -209,7 +247,7 @@
     int64_t slow_us = work_us * CpFleet_Slow_milli(v, q->now_ns) / 1000;
     *wait_us = CpFleet_Wait_us(q->service, v, q->now_ns);
     int64_t us = *wait_us + slow_us +
-                 work_us * unfamiliar_milli[place] / 1000 +
+                 work_us * unfamiliar_milli(q, v, place) / 1000 +
                  work_us * FAIL_COST * v->fail_milli / 1000;
     /* An object that lives abroad is served there as a matter of course. */
     if (place == 0 && q->homes.abroad) {
@@ -230,6 +268,9 @@
                                           q->service->warmup_per_s_milli;
     }
     v->outstanding++;
+    if (q->ask->object != NULL) {
+        CpFleet_NoteFamiliar(q->service, q->ask->object, v->hash, q->now_ns);
+    }
     CpStr_Copy(out->instance, sizeof(out->instance), v->entry.instance);
     CpStr_Copy(out->address, sizeof(out->address), v->entry.address);
     out->nearness = CpFleet_Nearness(q->fleet, v->domain_index);
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -9,6 +9,21 @@
 
 #define CP_FLEET_SHARDS 8
 
+#define CP_FLEET_MAX_FAMILIAR 4 /* servers that an object is known to */
+
+/* What another host has at a server. */
+typedef struct {
+    uint64_t peer;
+    uint32_t count;
+    int64_t heard_ns;
+} CpFleetPeer;
+
+/* Servers that have handled an object lately, as this host saw. */
+typedef struct {
+    uint64_t servers[CP_FLEET_MAX_FAMILIAR];
+    int64_t at_ns[CP_FLEET_MAX_FAMILIAR];
+} CpFleetFamiliar;
+
 /* One backend server; the lock is its shard's. */
 typedef struct {
     CpServerEntry entry;
@@ -18,6 +33,7 @@
     bool unseen;           /* by the scan that is under way */
     bool replaced;         /* another instance answered at its address */
     uint32_t outstanding;  /* sent by this host and not ended */
+    CpFleetPeer peers[CP_FLEET_MAX_PEERS];
     uint32_t others_milli; /* requests of other hosts, as answers told */
     int64_t loaded_ns;     /* when an answer told the load; 0: never */
     uint32_t slow_milli;   /* its work over that of its service; 1000: equal */
@@ -40,6 +56,7 @@
     uint32_t rate_milli; /* of this host, requests/s, moving average */
     uint32_t keep_milli; /* part of the objects at home in this domain */
     bool keep_known;
+    GHashTable *familiar; /* object -> CpFleetFamiliar */
     int64_t ticked_ns;
 } CpFleetService;
 
@@ -67,6 +84,14 @@
 uint32_t CpFleet_Inside(const CpFleetServer *v, int64_t now_ns);
 int64_t CpFleet_Wait_us(const CpFleetService *s, const CpFleetServer *v,
                         int64_t now_ns);
+/* Requests of other hosts, as they told. */
+uint32_t CpFleet_PeerCount(const CpFleetServer *v, int64_t now_ns);
+/* Whether the server has handled the object lately, as far as this host
+ * knows; and that it does now. */
+bool CpFleet_IsFamiliar(const CpFleetService *s, const char *object,
+                        uint64_t server, int64_t now_ns);
+void CpFleet_NoteFamiliar(CpFleetService *s, const char *object,
+                          uint64_t server, int64_t now_ns);
 /* Whether the server takes new work at all: neither leaving, nor evacuated,
  * nor replaced. */
 bool CpFleet_IsListed(const CpFleet *f, const CpFleetServer *v);
--- /dev/null
+++ b/src/fleet/fleet_peers.c
@@ -0,0 +1,202 @@
+/* Loads that entry hosts tell each other, and what servers remember. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/fleet_int.h"
+
+#define PEER_LIFE_NS (1500 * CP_NS_PER_MS)  /* three reports of a host */
+#define FAMILIAR_LIFE_NS (20 * CP_NS_PER_S) /* servers forget in time */
+#define MAX_OBJECTS 65536 /* a service; all are forgotten beyond that */
+
+typedef void (*ServerFn)(CpFleetService *s, CpFleetServer *v, void *ctx);
+
+typedef struct {
+    uint64_t peer;
+    uint64_t server;
+    uint32_t count;
+    int64_t now_ns;
+    CpFleetUse *out;
+    uint32_t room;
+    uint32_t told;
+} Visit;
+
+static void each_server(CpFleet *f, ServerFn fn, void *ctx);
+static void set_count(CpFleetService *s, CpFleetServer *v, void *ctx);
+static void clear_count(CpFleetService *s, CpFleetServer *v, void *ctx);
+static void add_use(CpFleetService *s, CpFleetServer *v, void *ctx);
+static CpFleetPeer *peer_slot(CpFleetServer *v, uint64_t peer, int64_t now_ns);
+static void describe(const CpFleetServer *v, int64_t now_ns, CpFleetUse *out);
+
+void
+CpFleet_PeerLoad(CpFleet *f, uint64_t peer, uint64_t server, uint32_t count,
+                 int64_t now_ns)
+{
+    Visit visit = {
+        .peer = peer, .server = server, .count = count, .now_ns = now_ns};
+    each_server(f, set_count, &visit);
+}
+
+void
+CpFleet_PeerBegin(CpFleet *f, uint64_t peer)
+{
+    Visit visit = {.peer = peer};
+    each_server(f, clear_count, &visit);
+}
+
+bool
+CpFleet_Use(CpFleet *f, const char *service, const char *instance,
+            int64_t now_ns, CpFleetUse *out)
+{
+    CpFleetService *s;
+    CpFleetShard *sh = CpFleet_Lock(f, service, &s);
+    const CpFleetServer *v = CpFleet_Find(s, instance);
+    if (v != NULL) {
+        describe(v, now_ns, out);
+    }
+    pthread_mutex_unlock(&sh->lock);
+    return v != NULL;
+}
+
+uint32_t
+CpFleet_Uses(CpFleet *f, CpFleetUse *out, uint32_t room)
+{
+    Visit visit = {.out = out, .room = room};
+    each_server(f, add_use, &visit);
+    return visit.told;
+}
+
+bool
+CpFleet_IsFamiliar(const CpFleetService *s, const char *object,
+                   uint64_t server, int64_t now_ns)
+{
+    const CpFleetFamiliar *a = g_hash_table_lookup(s->familiar, object);
+    for (uint32_t i = 0; a != NULL && i < CP_FLEET_MAX_FAMILIAR; i++) {
+        if (a->servers[i] == server) {
+            return now_ns - a->at_ns[i] < FAMILIAR_LIFE_NS;
+        }
+    }
+    return false;
+}
+
+void
+CpFleet_NoteFamiliar(CpFleetService *s, const char *object, uint64_t server,
+                     int64_t now_ns)
+{
+    CpFleetFamiliar *a = g_hash_table_lookup(s->familiar, object);
+    uint32_t at = 0;
+    if (a == NULL) {
+        if (g_hash_table_size(s->familiar) >= MAX_OBJECTS) {
+            g_hash_table_remove_all(s->familiar);
+        }
+        a = CpMem_Alloc(sizeof(*a));
+        g_hash_table_insert(s->familiar, g_strdup(object), a);
+    }
+    for (uint32_t i = 0; i < CP_FLEET_MAX_FAMILIAR; i++) {
+        if (a->servers[i] == server) {
+            at = i;
+            break;
+        }
+        if (a->at_ns[i] < a->at_ns[at]) {
+            at = i; /* the one that is longest ago */
+        }
+    }
+    a->servers[at] = server;
+    a->at_ns[at] = now_ns;
+}
+
+static void
+each_server(CpFleet *f, ServerFn fn, void *ctx)
+{
+    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
+        GHashTableIter it;
+        void *p;
+        pthread_mutex_lock(&f->shards[i].lock);
+        g_hash_table_iter_init(&it, f->shards[i].services);
+        while (g_hash_table_iter_next(&it, NULL, &p)) {
+            CpFleetService *s = p;
+            for (uint32_t k = 0; k < s->servers->len; k++) {
+                fn(s, g_ptr_array_index(s->servers, k), ctx);
+            }
+        }
+        pthread_mutex_unlock(&f->shards[i].lock);
+    }
+}
+
+static void
+set_count(CpFleetService *s, CpFleetServer *v, void *ctx)
+{
+    const Visit *visit = ctx;
+    (void)s;
+    if (v->hash == visit->server) {
+        CpFleetPeer *p = peer_slot(v, visit->peer, visit->now_ns);
+        if (p != NULL) {
+            *p = (CpFleetPeer){visit->peer, visit->count, visit->now_ns};
+        }
+    }
+}
+
+static void
+clear_count(CpFleetService *s, CpFleetServer *v, void *ctx)
+{
+    const Visit *visit = ctx;
+    (void)s;
+    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+        if (v->peers[i].peer == visit->peer) {
+            v->peers[i].count = 0;
+        }
+    }
+}
+
+static void
+add_use(CpFleetService *s, CpFleetServer *v, void *ctx)
+{
+    Visit *visit = ctx;
+    (void)s;
+    if (v->outstanding > 0 && visit->told < visit->room) {
+        describe(v, INT64_MAX, &visit->out[visit->told++]);
+    }
+}
+
+/* The peer's place, or one that nobody used lately. */
+static CpFleetPeer *
+peer_slot(CpFleetServer *v, uint64_t peer, int64_t now_ns)
+{
+    CpFleetPeer *old = NULL;
+    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+        CpFleetPeer *p = &v->peers[i];
+        if (p->peer == peer) {
+            return p;
+        }
+        if (now_ns - p->heard_ns >= PEER_LIFE_NS &&
+            (old == NULL || p->heard_ns < old->heard_ns)) {
+            old = p;
+        }
+    }
+    return old;
+}
+
+static void
+describe(const CpFleetServer *v, int64_t now_ns, CpFleetUse *out)
+{
+    *out = (CpFleetUse){.server = v->hash, .count = v->outstanding};
+    CpStr_Copy(out->domain, sizeof(out->domain), v->entry.domain);
+    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+        const CpFleetPeer *p = &v->peers[i];
+        if (p->heard_ns > 0 && now_ns - p->heard_ns < PEER_LIFE_NS) {
+            out->peers[out->peer_count++] = p->peer;
+        }
+    }
+}
+
+uint32_t
+CpFleet_PeerCount(const CpFleetServer *v, int64_t now_ns)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+        const CpFleetPeer *p = &v->peers[i];
+        if (p->heard_ns > 0 && now_ns - p->heard_ns < PEER_LIFE_NS) {
+            n += p->count;
+        }
+    }
+    return n;
+}
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -164,6 +164,8 @@
         s = CpMem_Alloc(sizeof(*s));
         CpStr_Copy(s->name, sizeof(s->name), service);
         s->servers = g_ptr_array_new_with_free_func(free);
+        s->familiar =
+            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
         g_hash_table_insert(sh->services, s->name, s);
     }
     *out = s;
@@ -292,6 +294,7 @@
 {
     CpFleetService *s = p;
     g_ptr_array_unref(s->servers);
+    g_hash_table_destroy(s->familiar);
     free(s);
 }
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -39,6 +39,7 @@
     CP_FRAME_LOAN_GRANT,
     CP_FRAME_CONFIG_GET,
     CP_FRAME_CONFIG_CHUNK,
+    CP_FRAME_REPORT, /* as a datagram, never in a session */
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -139,6 +140,24 @@
     CpBytes data;
 } CpConfigFrame;
 
+/* Requests that the sender has at one backend server now. */
+typedef struct {
+    uint64_t server; /* hash of the instance */
+    uint32_t count;
+} CpReportRow;
+
+/* What one entry host tells others of itself, again and again; each report
+ * holds whole values, so that a lost one does no harm. */
+typedef struct {
+    char host[CP_NAME_BYTES];
+    uint64_t incarnation;
+    uint64_t number; /* grows with each report of an incarnation */
+    uint32_t leaving;
+    uint32_t whole; /* no row means no request there */
+    CpReportRow *rows;
+    uint32_t row_count;
+} CpReportFrame;
+
 typedef struct {
     CpFrameType type;
     union {
@@ -153,6 +172,7 @@
         CpProbeFrame probe;
         CpLoanFrame loan;
         CpConfigFrame config;
+        CpReportFrame report;
     };
 } CpFrame;
 
@@ -171,6 +191,14 @@
                         CpDecoded *out);
 void CpFrame_Clear(CpDecoded *d);
 
+/* A frame as a datagram, which needs no prefix. */
+#define CP_DATAGRAM_MAX_BYTES 1200 /* within the smallest usual path limit */
+CpStatus CpDatagram_Encode(const CpFrame *frame,
+                           uint8_t out[CP_DATAGRAM_MAX_BYTES],
+                           uint32_t *out_bytes);
+CpStatus CpDatagram_Decode(const uint8_t *data, uint32_t size_bytes,
+                           CpDecoded *out);
+
 typedef struct CpWire CpWire;
 typedef struct CpSession CpSession;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -105,6 +105,16 @@
     U32(CpConfigFrame, offset_bytes), U32(CpConfigFrame, total_bytes),
     BYTES(CpConfigFrame, data)};
 
+static const Field report_row_fields[] = {U64(CpReportRow, server),
+                                          U32(CpReportRow, count)};
+static const Field report_fields[] = {
+    TEXT(CpReportFrame, host),
+    U64(CpReportFrame, incarnation),
+    U64(CpReportFrame, number),
+    U32(CpReportFrame, leaving),
+    U32(CpReportFrame, whole),
+    ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
+
 #define FRAME(table)                                                          \
     {                                                                         \
         (table), sizeof(table) / sizeof((table)[0])                           \
@@ -125,6 +135,7 @@
     [CP_FRAME_LOAN_GRANT] = FRAME(loan_fields),
     [CP_FRAME_CONFIG_GET] = FRAME(config_fields),
     [CP_FRAME_CONFIG_CHUNK] = FRAME(config_fields),
+    [CP_FRAME_REPORT] = FRAME(report_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
@@ -161,6 +172,39 @@
     return CP_OK;
 }
 
+CpStatus
+CpDatagram_Encode(const CpFrame *frame, uint8_t out[CP_DATAGRAM_MAX_BYTES],
+                  uint32_t *out_bytes)
+{
+    uint8_t *data;
+    uint32_t n;
+    CpStatus st = CpFrame_Encode(frame, &data, &n);
+    if (st != CP_OK) {
+        return st;
+    }
+    n -= CP_PREFIX_BYTES;
+    if (n > CP_DATAGRAM_MAX_BYTES) {
+        st = CpError_Set(CP_ERR_RANGE, "datagram of %u bytes", n);
+    }
+    else {
+        memcpy(out, data + CP_PREFIX_BYTES, n);
+        *out_bytes = n;
+    }
+    free(data);
+    return st;
+}
+
+CpStatus
+CpDatagram_Decode(const uint8_t *data, uint32_t size_bytes, CpDecoded *out)
+{
+    CpStatus st = CpFrame_Decode(data, size_bytes, out);
+    if (st == CP_OK && out->frame.type != CP_FRAME_REPORT) {
+        CpFrame_Clear(out);
+        return CpError_Set(CP_ERR_PARSE, "not a frame for datagrams");
+    }
+    return st;
+}
+
 CpStatus
 CpFrame_Decode(const uint8_t *data, uint32_t size_bytes, CpDecoded *out)
 {
