--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -12,9 +12,10 @@
 #define MAX_ADDRESSES 16                 /* enough that some of them work */
 #define MAX_WARMUP_HOSTS 2               /* that share a cold server's rate */
 #define NEAR_SILENT_NS (2 * CP_NS_PER_S) /* four reports in this domain */
-#define FAR_SILENT_NS (5 * CP_NS_PER_S)  /* each host of a domain has a turn  \
-                                          */
-#define SETTLE_NS (5 * CP_NS_PER_S)      /* for the first report of a host */
+#define FAR_SILENT_NS                                                         \
+    (5 * CP_NS_PER_S)               /* each host of a domain has a turn       \
+                                     */
+#define SETTLE_NS (5 * CP_NS_PER_S) /* for the first report of a host */
 
 static CpEntryHost *find_host(CpEntry *e, const char *name);
 static const CpEntryHost *nth_of(const CpEntry *e, const char *domain,
