Objects are at home in a region; late work leaves slots to work in time

Cause: homes by domain made each object cold in both domains of a region, and late requests took the slots that became free under overload. Change: homes span the region unless answers are large; beyond 70% of the near slots, late work needs half of a server's slots free. Tests: routes, fleet decisions, played loads, the platform's rows.

--- /dev/null
+++ b/regress/drive_route.c
@@ -0,0 +1,232 @@
+/* Scripts for route: matching against a linear scan, splits, checks. */
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "regress.h"
+#include "route/route.h"
+
+#define MAX_ROUTES 512
+#define MAX_SERVICES 16
+
+typedef struct {
+    FILE *out;
+    CpRoute routes[MAX_ROUTES];
+    uint32_t route_count;
+    CpService services[MAX_SERVICES];
+    uint32_t service_count;
+    uint64_t version;
+    CpRoutes *now;
+} Script;
+
+static void step(Script *s, const char *line);
+static void add_route(Script *s, const char *name, const char *host,
+                      const char *prefix, const char *splits);
+static void build(Script *s);
+static void split(Script *s, const char *name, uint32_t times);
+static void random_match(Script *s, uint64_t seed, uint32_t count);
+static const CpRoute *scan(const CpRoutes *r, const char *host,
+                           const char *path);
+
+void
+CpDrive_Route(FILE *in, FILE *out)
+{
+    Script *s = CpMem_Alloc(sizeof(*s));
+    char line[512];
+    s->out = out;
+    while (fgets(line, sizeof(line), in) != NULL) {
+        line[strcspn(line, "\n")] = '\0';
+        if (line[0] != '#' && line[0] != '\0') {
+            step(s, line);
+        }
+    }
+    CpRoutes_Release(s->now);
+    free(s);
+}
+
+static void
+step(Script *s, const char *line)
+{
+    char a[128], b[128], c[128], d[128];
+    uint64_t seed;
+    uint32_t n;
+    if (sscanf(line, "service %127s", a) == 1) {
+        CpStr_Copy(s->services[s->service_count++].name, CP_NAME_BYTES, a);
+    }
+    else if (sscanf(line, "route %127s %127s %127s %127s", a, b, c, d) == 4) {
+        add_route(s, a, b, c, d);
+    }
+    else if (sscanf(line, "attempts %u", &n) == 1) {
+        s->routes[s->route_count - 1].max_attempts = n;
+    }
+    else if (sscanf(line, "home %127s", a) == 1) {
+        CpRoute *r = &s->routes[s->route_count - 1];
+        CpStr_Copy(r->homes[r->home_count++], CP_NAME_BYTES, a);
+    }
+    else if (sscanf(line, "version %" SCNu64, &s->version) == 1) {
+        build(s);
+    }
+    else if (strcmp(line, "clear") == 0) {
+        s->route_count = s->service_count = 0;
+    }
+    else if (sscanf(line, "match %127s %127s", a, b) == 2) {
+        const CpRoute *r = CpRoutes_Match(s->now, a, b);
+        fprintf(s->out, "%s %s: %s\n", a, b, r != NULL ? r->name : "none");
+    }
+    else if (sscanf(line, "may run %127s in %127s", a, b) == 2) {
+        for (uint32_t i = 0; i < s->now->route_count; i++) {
+            if (strcmp(s->now->routes[i].name, a) == 0) {
+                fprintf(s->out, "%s in %s: %s\n", a, b,
+                        CpRoute_MayRunIn(&s->now->routes[i], b) ? "yes"
+                                                                : "no");
+            }
+        }
+    }
+    else if (sscanf(line, "split %127s %u times", a, &n) == 2) {
+        split(s, a, n);
+    }
+    else if (sscanf(line, "random match %" SCNu64 " %u", &seed, &n) == 2) {
+        random_match(s, seed, n);
+    }
+    else {
+        fprintf(s->out, "not understood: %s\n", line);
+    }
+}
+
+/* `splits` is service:weight[,service:weight]. */
+static void
+add_route(Script *s, const char *name, const char *host, const char *prefix,
+          const char *splits)
+{
+    CpRoute *r = &s->routes[s->route_count++];
+    char text[128], *save = NULL;
+    *r = (CpRoute){.timeout_ms = 1000, .max_attempts = 2};
+    CpStr_Copy(r->name, sizeof(r->name), name);
+    CpStr_Copy(r->host, sizeof(r->host), strcmp(host, "-") == 0 ? "" : host);
+    CpStr_Copy(r->prefix, sizeof(r->prefix), prefix);
+    CpStr_Copy(text, sizeof(text), splits);
+    for (char *at = strtok_r(text, ",", &save); at != NULL;
+         at = strtok_r(NULL, ",", &save)) {
+        CpRouteSplit *p = &r->splits[r->split_count++];
+        char *colon = strchr(at, ':');
+        *colon = '\0';
+        CpStr_Copy(p->service, sizeof(p->service), at);
+        p->weight = (uint32_t)atoi(colon + 1);
+    }
+}
+
+/* What was written becomes a configuration; it is taken if it is usable and
+ * later. */
+static void
+build(Script *s)
+{
+    CpRoutes *r = CpRoutes_New(s->route_count, s->service_count);
+    memcpy(r->routes, s->routes, s->route_count * sizeof(*r->routes));
+    memcpy(r->services, s->services, s->service_count * sizeof(*r->services));
+    r->version = s->version;
+    if (CpRoutes_Check(r) != CP_OK) {
+        fprintf(s->out, "version %" PRIu64 ": %s\n", s->version,
+                CpError_Message());
+        CpRoutes_Release(r);
+    }
+    else if (!CpRoutes_Supersedes(r, s->now)) {
+        fprintf(s->out, "version %" PRIu64 ": %" PRIu64 " stays\n", s->version,
+                s->now->version);
+        CpRoutes_Release(r);
+    }
+    else {
+        fprintf(s->out, "version %" PRIu64 ": in force\n", s->version);
+        CpRoutes_Release(s->now);
+        s->now = r;
+    }
+}
+
+/* Prints the parts of all turns, and the worst part of any hundred. */
+static void
+split(Script *s, const char *name, uint32_t times)
+{
+    CpRoute *r = NULL;
+    for (uint32_t i = 0; i < s->now->route_count; i++) {
+        if (strcmp(s->now->routes[i].name, name) == 0) {
+            r = &s->now->routes[i];
+        }
+    }
+    if (r == NULL) {
+        fprintf(s->out, "no route %s\n", name);
+        return;
+    }
+    for (uint32_t k = 0; k < r->split_count; k++) {
+        uint32_t all = 0, least = UINT32_MAX, most = 0;
+        for (uint32_t from = 0; from + 100 <= times; from++) {
+            uint32_t n = 0;
+            for (uint32_t t = from; t < from + 100; t++) {
+                n += strcmp(CpRoute_SplitAt(r, t), r->splits[k].service) == 0;
+            }
+            least = n < least ? n : least;
+            most = n > most ? n : most;
+        }
+        for (uint32_t t = 0; t < times; t++) {
+            all += strcmp(CpRoute_SplitAt(r, t), r->splits[k].service) == 0;
+        }
+        fprintf(s->out, "%s: %u of %u, %u to %u in any 100\n",
+                r->splits[k].service, all, times, least, most);
+    }
+}
+
+static void
+random_match(Script *s, uint64_t seed, uint32_t count)
+{
+    CpSeed r = {seed};
+    static const char *const parts[] = {"a/", "b/", "ab/", "c/"};
+    uint32_t same = 0, found = 0;
+    s->route_count = 0;
+    for (uint32_t i = 0; i < 300; i++) {
+        char name[16], host[16], prefix[64] = "/";
+        snprintf(name, sizeof(name), "r%u", i);
+        snprintf(host, sizeof(host), "h%u", CpSeed_Below(&r, 5));
+        for (uint32_t k = CpSeed_Below(&r, 4); k > 0; k--) {
+            strcat(prefix, parts[CpSeed_Below(&r, 4)]);
+        }
+        bool doubled = false;
+        for (uint32_t k = 0; k < s->route_count; k++) {
+            doubled |= strcmp(s->routes[k].host, host) == 0 &&
+                       strcmp(s->routes[k].prefix, prefix) == 0;
+        }
+        if (!doubled) {
+            add_route(s, name, host, prefix, "s:1");
+        }
+    }
+    s->version = s->now != NULL ? s->now->version + 1 : 1;
+    build(s);
+    for (uint32_t i = 0; i < count; i++) {
+        char host[16], path[128] = "/";
+        snprintf(host, sizeof(host), "H%u:80", CpSeed_Below(&r, 6));
+        for (uint32_t k = CpSeed_Below(&r, 6); k > 0; k--) {
+            strcat(path, parts[CpSeed_Below(&r, 4)]);
+        }
+        strcat(path, CpSeed_Below(&r, 2) ? "x?a/b/" : "");
+        const CpRoute *got = CpRoutes_Match(s->now, host, path);
+        same += got == scan(s->now, host, path);
+        found += got != NULL;
+    }
+    fprintf(s->out, "seed %" PRIu64 ": %u of %u as the scan, %u matched\n",
+            seed, same, count, found);
+}
+
+static const CpRoute *
+scan(const CpRoutes *r, const char *host, const char *path)
+{
+    const CpRoute *best = NULL;
+    size_t n = strcspn(path, "?");
+    for (uint32_t i = 0; i < r->route_count; i++) {
+        const CpRoute *at = &r->routes[i];
+        size_t m = strlen(at->prefix);
+        if (strlen(at->host) == strcspn(host, ":") &&
+            strncasecmp(at->host, host, strlen(at->host)) == 0 && m <= n &&
+            strncmp(at->prefix, path, m) == 0 &&
+            (best == NULL || m > strlen(best->prefix))) {
+            best = at;
+        }
+    }
+    return best;
+}
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -10,8 +10,11 @@
 
 void CpDrive_Admit(FILE *in, FILE *out);
 void CpDrive_Config(FILE *in, FILE *out);
+void CpDrive_Fleet(FILE *in, FILE *out);
 void CpDrive_Member(FILE *in, FILE *out);
 void CpDrive_Once(FILE *in, FILE *out);
+void CpDrive_Platform(FILE *in, FILE *out);
+void CpDrive_Route(FILE *in, FILE *out);
 void CpDrive_Steer(FILE *in, FILE *out);
 void CpDrive_Wire(FILE *in, FILE *out);
 
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -86,7 +86,9 @@
 {
     CpEntry *e = ctx;
     CpEntryFollower *f = &e->followers[CP_TABLE_SERVERS];
-    CpFleet_Tick(e->fleet, CpEntryHosts_InDomain(e), now_ns);
+    CpFleetHosts hosts;
+    CpEntryHosts_Sharers(e, &hosts);
+    CpFleet_Tick(e->fleet, &hosts, now_ns);
     if (!CpAtomic_Load(&f->errors) && f->forget_due &&
         !may_have_lapsed(f, now_ns)) {
         f->forget_due = false;
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -133,17 +133,22 @@
     return n > 0 ? n : 1;
 }
 
-uint32_t
-CpEntryHosts_InDomain(CpEntry *e)
+void
+CpEntryHosts_Sharers(CpEntry *e, CpFleetHosts *out)
 {
-    uint32_t n = 0;
+    const char *region = region_of(e, e->settings.domain);
+    *out = (CpFleetHosts){0};
     pthread_mutex_lock(&e->hosts_lock);
     for (guint i = 0; i < e->hosts->len; i++) {
         const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
-        n += strcmp(h->domain, e->settings.domain) == 0;
+        if (!h->silent) {
+            out->in_domain += strcmp(h->domain, e->settings.domain) == 0;
+            out->in_region += strcmp(region_of(e, h->domain), region) == 0;
+        }
     }
     pthread_mutex_unlock(&e->hosts_lock);
-    return n > 0 ? n : 1;
+    out->in_domain += out->in_domain == 0;
+    out->in_region += out->in_region == 0;
 }
 
 bool
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -103,8 +103,8 @@
 void CpEntryHosts_BeginScan(CpEntry *e);
 void CpEntryHosts_EndScan(CpEntry *e);
 uint32_t CpEntryHosts_Count(CpEntry *e);
-/* Those that share this host's callers. */
-uint32_t CpEntryHosts_InDomain(CpEntry *e);
+/* Those that share this host's callers and servers. */
+void CpEntryHosts_Sharers(CpEntry *e, CpFleetHosts *out);
 bool CpEntryHosts_WarmupPart(void *ctx, const char *instance,
                              const char *domain, uint32_t *parts);
 /* The directory's answer to a caller in a domain; free() it. */
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -287,6 +287,7 @@
         r.has_load = a->has_load;
         r.load = a->load;
         r.warmup_left_ms = a->warmup_left_ms;
+        r.answer_bytes = a->answer_bytes;
     }
     CpFleet_Ended(e->fleet, &r, CpClock_Now_ns());
     CpEntryPeers_TellUse(e, s->service, s->pick.instance);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -138,13 +138,18 @@
     bool has_load;
     CpServerLoad load;
     uint32_t warmup_left_ms; /* as the answer told; 0: warm or untold */
+    uint64_t answer_bytes;
 } CpFleetReport;
 void CpFleet_Ended(CpFleet *f, const CpFleetReport *r, int64_t now_ns);
 
-/* Adjusts how many objects are at home in this domain, by what its servers
- * can carry; `hosts` are the entry hosts that share the domain's callers. */
+/* Entry hosts, this one among them, that share its callers or its servers. */
+typedef struct {
+    uint32_t in_domain;
+    uint32_t in_region;
+} CpFleetHosts;
+/* Adjusts how many objects are kept near, by what the servers there carry. */
 #define CP_FLEET_TICK_MS 250
-void CpFleet_Tick(CpFleet *f, uint32_t hosts, int64_t now_ns);
+void CpFleet_Tick(CpFleet *f, const CpFleetHosts *hosts, int64_t now_ns);
 
 /* Requests that another host has at a server, by the hashes of both names. */
 void CpFleet_PeerLoad(CpFleet *f, uint64_t peer, uint64_t server,
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -24,6 +24,7 @@
 #define STANDS_OUT_MILLI 4000
 #define SLOW_HALVING_NS (3 * CP_NS_PER_S)
 #define OTHERS_HALVING_NS (150 * CP_NS_PER_MS) /* about one request's work */
+#define PRESSED_MILLI 700       /* of the slots: later, queues grow */
 #define FAIL_COST 3             /* a failed attempt costs this many works */
 #define MIN_RETRY_AFTER_MS 100  /* a shorter one would only add traffic */
 #define MAX_RETRY_AFTER_MS 2000 /* callers honour a third of their time */
@@ -45,7 +46,8 @@
 static uint32_t place_of(const Search *q, const CpFleetServer *v);
 static int64_t unfamiliar_milli(const Search *q, const CpFleetServer *v,
                                 uint32_t place);
-static bool has_room_for_unfamiliar(const Search *q, const CpFleetServer *v);
+static bool has_spare_slots(const Search *q, const CpFleetServer *v);
+static bool is_pressed(const Search *q);
 static int64_t cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
                        int64_t *wait_us);
 static void take(Search *q, CpFleetServer *v, uint32_t place, int64_t wait_us,
@@ -73,7 +75,7 @@
         }
         uint32_t place = place_of(&q, v);
         if (unfamiliar_milli(&q, v, place) > AWAY_MILLI &&
-            !has_room_for_unfamiliar(&q, v)) {
+            !has_spare_slots(&q, v)) {
             q.busy = true;
             continue;
         }
@@ -92,7 +94,9 @@
     else if (best_wait_us > ask->deadline_left_ms * INT64_C(1000)) {
         reason = CP_REASON_WOULD_MISS_DEADLINE;
     }
-    else if (best_wait_us > 0 && best_us > ask->goal_left_ms * INT64_C(1000)) {
+    else if (best_us > ask->goal_left_ms * INT64_C(1000) &&
+             (best_wait_us > 0 ||
+              (is_pressed(&q) && !has_spare_slots(&q, best)))) {
         reason = CP_REASON_WOULD_MISS_GOAL;
     }
     if (reason == CP_REASON_NONE) {
@@ -234,11 +238,27 @@
  * goes only where half of the slots are free: otherwise a server that is busy
  * with it makes the next requests leave their homes, too. */
 static bool
-has_room_for_unfamiliar(const Search *q, const CpFleetServer *v)
+has_spare_slots(const Search *q, const CpFleetServer *v)
 {
     return 2 * (CpFleet_Inside(v, q->now_ns) + 1) <= v->entry.slots + 1;
 }
 
+/* Whether most slots that are not far are taken. */
+static bool
+is_pressed(const Search *q)
+{
+    uint32_t inside = 0, slots = 0;
+    for (uint32_t i = 0; i < q->service->servers->len; i++) {
+        const CpFleetServer *v = g_ptr_array_index(q->service->servers, i);
+        if (CpFleet_IsListed(q->fleet, v) &&
+            CpFleet_Nearness(q->fleet, v->domain_index) != CP_NEAR_FAR) {
+            inside += CpFleet_Inside(v, q->now_ns);
+            slots += v->entry.slots;
+        }
+    }
+    return inside * 1000 >= slots * PRESSED_MILLI;
+}
+
 static int64_t
 cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
         int64_t *wait_us)
@@ -249,8 +269,8 @@
     int64_t us = *wait_us + slow_us +
                  work_us * unfamiliar_milli(q, v, place) / 1000 +
                  work_us * FAIL_COST * v->fail_milli / 1000;
-    /* An object that lives abroad is served there as a matter of course. */
-    if (place == 0 && q->homes.abroad) {
+    /* An object is served at its home as a matter of course. */
+    if (place == 0 && q->ask->object != NULL) {
         return us;
     }
     return us + distance_us[CpFleet_Nearness(q->fleet, v->domain_index)];
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -51,10 +51,11 @@
     uint32_t warmup_ms;
     uint32_t warmup_per_s_milli;
     GPtrArray *servers;
-    uint32_t work_us;    /* moving average of a request's work; 0: unknown */
-    uint32_t asked;      /* requests since the last tick */
-    uint32_t rate_milli; /* of this host, requests/s, moving average */
-    uint32_t keep_milli; /* part of the objects at home in this domain */
+    uint32_t work_us;      /* moving average of a request's work; 0: unknown */
+    uint32_t answer_bytes; /* moving average */
+    uint32_t asked;        /* requests since the last tick */
+    uint32_t rate_milli;   /* of this host, requests/s, moving average */
+    uint32_t keep_milli;   /* part of the objects that are kept near */
     bool keep_known;
     GHashTable *familiar; /* object -> CpFleetFamiliar */
     int64_t ticked_ns;
@@ -101,7 +102,7 @@
 typedef struct {
     CpFleetServer *home;
     CpFleetServer *second;
-    bool abroad; /* the home is in another domain */
+    bool abroad; /* the home is beyond what is near */
 } CpFleetHomes;
 typedef bool (*CpFleetFitsFn)(void *ctx, const CpFleetServer *v);
 void CpFleet_FindHomes(const CpFleet *f, const CpFleetService *s,
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -101,6 +101,11 @@
             v->timed_ns = now_ns;
         }
     }
+    if (r->end == CP_ATTEMPT_ANSWERED) {
+        uint64_t bytes =
+            r->answer_bytes < UINT32_MAX ? r->answer_bytes : UINT32_MAX;
+        s->answer_bytes = average(s->answer_bytes, (uint32_t)bytes);
+    }
     /* a server that stands out tells nothing of the service */
     if (ended && (s->work_us == 0 || work_us < 4 * s->work_us)) {
         s->work_us = average(s->work_us, work_us);
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -1,8 +1,9 @@
 /*
- * Homes of objects. A domain keeps the objects that its servers can carry;
- * the others have their home in another domain for good, so that what does
- * not fit goes there steadily rather than by overflow. Every host comes to
- * the same homes without asking.
+ * Homes of objects. A region keeps the objects that its servers can carry;
+ * the others have their home in another region for good, so that what does
+ * not fit goes there steadily rather than by overflow. Where answers are
+ * large the same holds for a domain, for bytes between domains are dear.
+ * Every host comes to the same homes without asking.
  */
 #include <math.h>
 #include <string.h>
@@ -13,11 +14,15 @@
 #define KEEP_STEP_MILLI 8     /* a tick; 6% in 2 s, below a shift's cap */
 #define RATE_SHIFT 4          /* moving average over 16 ticks, 4 s */
 #define FULL_MILLI 1000
+#define LARGE_ANSWER_BYTES (16 * 1024) /* beyond it bytes outweigh work */
 
-/* Slots of a service, all and by domain. */
+/* Slots of a service: all, those where this host's objects may be at home,
+ * and by domain. */
 typedef struct {
     uint32_t all;
-    uint32_t domains; /* that have any */
+    uint32_t own;
+    uint32_t own_domains; /* whether or not they have any */
+    uint32_t region;      /* of this host */
     uint32_t of[CP_FLEET_MAX_DOMAINS + 1];
 } Slots;
 
@@ -29,6 +34,10 @@
 static void count_slots(const CpFleet *f, const CpFleetService *s,
                         CpFleetFitsFn fits, void *ctx, Slots *out);
 static bool is_listed(void *ctx, const CpFleetServer *v);
+static CpNearness reach(const CpFleetService *s);
+static bool fits_scope(const CpFleet *f, const CpFleetService *s,
+                       const CpFleetServer *v, bool abroad,
+                       const Slots *slots);
 static uint32_t weight(const CpFleet *f, const CpFleetServer *v, bool abroad,
                        const Slots *slots);
 static uint32_t fair_keep_milli(const CpFleet *f, const Slots *slots);
@@ -49,14 +58,13 @@
     }
     uint64_t hash = CpHash_Str(object, 1);
     count_slots(f, s, fits, ctx, &slots);
-    uint32_t own = f->self < f->options.domain_count ? slots.of[f->self] : 0;
     uint32_t keep_milli =
         s->keep_known ? s->keep_milli : fair_keep_milli(f, &slots);
-    out->abroad = own == 0 || (own < slots.all &&
-                               draw(hash, 3) * FULL_MILLI >= keep_milli);
+    out->abroad = slots.own == 0 || (slots.own < slots.all &&
+                                     draw(hash, 3) * FULL_MILLI >= keep_milli);
     for (uint32_t i = 0; i < s->servers->len; i++) {
         CpFleetServer *v = g_ptr_array_index(s->servers, i);
-        if (!fits(ctx, v) || (v->domain_index == f->self) == out->abroad) {
+        if (!fits(ctx, v) || !fits_scope(f, s, v, out->abroad, &slots)) {
             continue;
         }
         /* Weighted rendezvous hashing: the lowest score wins, in proportion
@@ -70,7 +78,7 @@
 }
 
 void
-CpFleet_Tick(CpFleet *f, uint32_t hosts, int64_t now_ns)
+CpFleet_Tick(CpFleet *f, const CpFleetHosts *hosts, int64_t now_ns)
 {
     for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
         GHashTableIter it;
@@ -95,13 +103,14 @@
                 s->keep_known = slots.all > 0 && s->rate_milli > 0;
                 continue;
             }
+            uint32_t sharing = reach(s) == CP_NEAR_DOMAIN ? hosts->in_domain
+                                                          : hosts->in_region;
             int64_t need_milli =
-                (int64_t)s->rate_milli * hosts * s->work_us / 1000 / 1000;
-            uint32_t own =
-                f->self < f->options.domain_count ? slots.of[f->self] : 0;
-            int64_t keep = need_milli > 0 ? (int64_t)own * TARGET_LOAD_MILLI *
-                                                FULL_MILLI / need_milli
-                                          : FULL_MILLI;
+                (int64_t)s->rate_milli * sharing * s->work_us / 1000 / 1000;
+            int64_t keep = need_milli > 0
+                               ? (int64_t)slots.own * TARGET_LOAD_MILLI *
+                                     FULL_MILLI / need_milli
+                               : FULL_MILLI;
             int64_t step = keep - s->keep_milli;
             step = step > KEEP_STEP_MILLI    ? KEEP_STEP_MILLI
                    : step < -KEEP_STEP_MILLI ? -KEEP_STEP_MILLI
@@ -127,16 +136,43 @@
 count_slots(const CpFleet *f, const CpFleetService *s, CpFleetFitsFn fits,
             void *ctx, Slots *out)
 {
-    (void)f;
     memset(out, 0, sizeof(*out));
     for (uint32_t i = 0; i < s->servers->len; i++) {
         const CpFleetServer *v = g_ptr_array_index(s->servers, i);
         if (fits(ctx, v)) {
+            CpNearness near = CpFleet_Nearness(f, v->domain_index);
             out->all += v->entry.slots;
-            out->domains += out->of[v->domain_index] == 0;
+            out->own += near <= reach(s) ? v->entry.slots : 0;
+            out->region += near <= CP_NEAR_REGION ? v->entry.slots : 0;
             out->of[v->domain_index] += v->entry.slots;
         }
     }
+    for (uint32_t i = 0; i < f->options.domain_count; i++) {
+        out->own_domains += CpFleet_Nearness(f, i) <= reach(s);
+    }
+}
+
+/* How far away objects are still at home. */
+static CpNearness
+reach(const CpFleetService *s)
+{
+    return s->answer_bytes > LARGE_ANSWER_BYTES ? CP_NEAR_DOMAIN
+                                                : CP_NEAR_REGION;
+}
+
+/* What leaves its domain stays in the region where that has servers. */
+static bool
+fits_scope(const CpFleet *f, const CpFleetService *s, const CpFleetServer *v,
+           bool abroad, const Slots *slots)
+{
+    CpNearness near = CpFleet_Nearness(f, v->domain_index);
+    if (!abroad) {
+        return near <= reach(s);
+    }
+    if (reach(s) == CP_NEAR_DOMAIN && slots->region > slots->own) {
+        return near == CP_NEAR_REGION;
+    }
+    return near > reach(s);
 }
 
 static bool
@@ -162,15 +198,15 @@
     return milli > 0 ? milli : 1;
 }
 
-/* The part of its objects that a domain keeps if all have as much work. */
+/* The part of its objects that is kept if all domains have as much work. */
 static uint32_t
 fair_keep_milli(const CpFleet *f, const Slots *slots)
 {
-    if (f->self >= f->options.domain_count || slots->all == 0) {
+    if (slots->all == 0 || slots->own_domains == 0) {
         return FULL_MILLI;
     }
-    uint64_t milli = (uint64_t)slots->of[f->self] * f->options.domain_count *
-                     FULL_MILLI / slots->all;
+    uint64_t milli = (uint64_t)slots->own * f->options.domain_count *
+                     FULL_MILLI / slots->all / slots->own_domains;
     return milli < FULL_MILLI ? (uint32_t)milli : FULL_MILLI;
 }
 
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -78,6 +78,7 @@
     bool has_load;
     CpServerLoad load;
     uint32_t warmup_left_ms;
+    uint64_t answer_bytes;
 } CpAttempt;
 
 /* How a request ended for its caller. */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -186,6 +186,7 @@
                        .has_load = a->has_load,
                        .load = a->load,
                        .warmup_left_ms = a->warmup_left_ms,
+                       .answer_bytes = a->body->len,
                        .verdict = CP_MAY_HAVE_RUN,
                        .end = CP_ATTEMPT_BROKEN,
                        .reason = CP_REASON_SERVER_FAILED};
