One host of a domain finds out when the store falls silent; longer waits

Change: waits of 10 and 20 s; one host of a domain waits 2 s; reports carry the version that a host has read, and one that is behind asks anew; short probes while the store is lost. Far hosts are silent after their turns, not before.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -13,10 +13,22 @@
     1200 /* hundreds of rows at the slowest useful rate                       \
           */
 #define RETRY_FIRST_MS 100
-#define RETRY_MAX_MS 400  /* so that a store that is back is soon used */
-#define LEAD_WAIT_MS 1000 /* for the table that finds out */
+#define RETRY_MAX_MS 400   /* so that a store that is back is soon used */
+#define LEAD_WAIT_MS 1000  /* for the table that finds out */
+#define WATCH_WAIT_MS 2000 /* of the host that finds out */
+#define PROBE_WAIT_MS 100  /* while the store is lost */
+#define LEAST_WAIT_NS (800 * CP_NS_PER_MS) /* a fair chance to answer */
+#define BEHIND_NS (400 * CP_NS_PER_MS) /* until a change reaches all hosts */
+
+typedef struct {
+    const char *label;
+    uint32_t wait_ms;  /* longest wait for a change */
+    uint32_t pause_ms; /* after a change, for more to come with the next */
+} TableRow;
 
 static void *follow_thread(void *ctx);
+static uint32_t wait_of(const CpEntryFollower *f);
+static bool give_up(void *ctx);
 static CpStatus scan(CpEntryFollower *f, uint64_t *version);
 static void on_row(void *ctx, const CpFeedRow *row);
 static void on_operator_row(CpEntry *e, const CpFeedRow *row);
@@ -27,17 +39,13 @@
 static bool may_have_lapsed(const CpEntryFollower *f, int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 
-typedef struct {
-    const char *label;
-    /* Longest wait for a change. A store that falls silent shows only after
-     * it, and must be found well before a configuration is due. */
-    uint32_t wait_ms;
-} TableRow;
-
+/* A store that falls silent shows only when a wait ends. One host of a domain
+ * waits for the operator's table briefly; the others hear from it that they
+ * are behind. */
 static const TableRow tables[CP_TABLE_COUNT] = {
-    [CP_TABLE_OPERATOR] = {"operator", 2000},
-    [CP_TABLE_SERVERS] = {"servers", 2000},
-    [CP_TABLE_HOSTS] = {"hosts", 5000},
+    [CP_TABLE_OPERATOR] = {"operator", 10000, 0},
+    [CP_TABLE_SERVERS] = {"servers", 10000, 200},
+    [CP_TABLE_HOSTS] = {"hosts", 20000, 400},
 };
 
 CpStatus
@@ -48,6 +56,8 @@
         f->entry = e;
         f->table = (CpTable)i;
         f->store = e->adapter.new_store(e->settings.platform, SCAN_TIMEOUT_MS);
+        f->store->give_up = give_up;
+        f->store->give_up_ctx = f;
         if (pthread_create(&f->thread, NULL, follow_thread, f) != 0) {
             return CpError_Set(CP_ERR_IO, "follow: no thread");
         }
@@ -56,7 +66,6 @@
     return CP_OK;
 }
 
-/* Threads that wait for the store are left to the end of the process. */
 void
 CpEntryFollow_Stop(CpEntry *e)
 {
@@ -108,13 +117,12 @@
     uint64_t version = 0;
     bool scanned = false;
     while (!CpAtomic_Load(&e->stopping)) {
-        CpStatus st = scanned ? f->store->follow(f->store->ctx, f->table,
-                                                 tables[f->table].wait_ms,
-                                                 on_row, f, &version)
-                              : scan(f, &version);
-        if (st == CP_OK) {
-            scanned = true;
-        }
+        uint64_t before = version;
+        f->asked_ns = CpClock_Now_ns();
+        CpStatus st = scanned
+                          ? f->store->follow(f->store->ctx, f->table,
+                                             wait_of(f), on_row, f, &version)
+                          : scan(f, &version);
         if (st == CP_ERR_RANGE) { /* the history is gone: start anew */
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
                     tables[f->table].label);
@@ -124,11 +132,76 @@
         note_result(f, st);
         if (st != CP_OK) {
             back_off(f);
+            continue;
+        }
+        scanned = true;
+        __atomic_store_n(&f->read_version, version, __ATOMIC_RELAXED);
+        if (version >= __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED)) {
+            __atomic_store_n(&f->behind_ns, 0, __ATOMIC_RELAXED);
+        }
+        if (version != before && tables[f->table].pause_ms > 0) {
+            CpSleep_ms(tables[f->table].pause_ms);
         }
     }
     return NULL;
 }
 
+static uint32_t
+wait_of(const CpEntryFollower *f)
+{
+    CpEntry *e = f->entry;
+    pthread_mutex_lock(&e->store_lock);
+    bool up = e->store_up;
+    pthread_mutex_unlock(&e->store_lock);
+    if (!up) { /* any answer shows that it is back */
+        return PROBE_WAIT_MS;
+    }
+    return f->table == CP_TABLE_OPERATOR && CpEntryHosts_IsWatch(e)
+               ? WATCH_WAIT_MS
+               : tables[f->table].wait_ms;
+}
+
+/* Others have read a later version for a while, or the table that finds out
+ * has lost the store: this wait will bring nothing. */
+static bool
+give_up(void *ctx)
+{
+    CpEntryFollower *f = ctx;
+    CpEntry *e = f->entry;
+    int64_t behind_ns = __atomic_load_n(&f->behind_ns, __ATOMIC_RELAXED);
+    if (CpAtomic_Load(&e->stopping)) {
+        return true;
+    }
+    pthread_mutex_lock(&e->store_lock);
+    bool lost = !e->store_up && f->table != CP_TABLE_OPERATOR;
+    pthread_mutex_unlock(&e->store_lock);
+    int64_t now_ns = CpClock_Now_ns();
+    bool behind = behind_ns != 0 && now_ns - behind_ns > BEHIND_NS;
+    return (lost || behind) && now_ns - f->asked_ns > LEAST_WAIT_NS;
+}
+
+void
+CpEntryFollow_Heard(CpEntry *e, CpTable table, uint64_t version,
+                    int64_t now_ns)
+{
+    CpEntryFollower *f = &e->followers[table];
+    if (version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)) {
+        return;
+    }
+    if (version > __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED)) {
+        __atomic_store_n(&f->seen_version, version, __ATOMIC_RELAXED);
+    }
+    if (__atomic_load_n(&f->behind_ns, __ATOMIC_RELAXED) == 0) {
+        __atomic_store_n(&f->behind_ns, now_ns, __ATOMIC_RELAXED);
+    }
+}
+
+uint64_t
+CpEntryFollow_Version(CpEntry *e, CpTable table)
+{
+    return __atomic_load_n(&e->followers[table].version, __ATOMIC_RELAXED);
+}
+
 static CpStatus
 scan(CpEntryFollower *f, uint64_t *version)
 {
@@ -156,6 +229,9 @@
 on_row(void *ctx, const CpFeedRow *row)
 {
     CpEntryFollower *f = ctx;
+    if (row->version > __atomic_load_n(&f->version, __ATOMIC_RELAXED)) {
+        __atomic_store_n(&f->version, row->version, __ATOMIC_RELAXED);
+    }
     switch (f->table) {
     case CP_TABLE_OPERATOR:
         on_operator_row(f->entry, row);
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -9,13 +9,12 @@
 
 #include "entry/entry_int.h"
 
-#define MAX_ADDRESSES 16                 /* enough that some of them work */
-#define MAX_WARMUP_HOSTS 2               /* that share a cold server's rate */
-#define NEAR_SILENT_NS (2 * CP_NS_PER_S) /* four reports in this domain */
-#define FAR_SILENT_NS                                                         \
-    (5 * CP_NS_PER_S)               /* each host of a domain has a turn       \
-                                     */
-#define SETTLE_NS (5 * CP_NS_PER_S) /* for the first report of a host */
+#define MAX_ADDRESSES 16   /* enough that some of them work */
+#define MAX_WARMUP_HOSTS 2 /* that share a cold server's rate */
+/* Four reports in this domain. */
+#define NEAR_SILENT_NS (2 * CP_NS_PER_S)
+/* For the first report of a host. */
+#define SETTLE_NS (5 * CP_NS_PER_S)
 
 static CpEntryHost *find_host(CpEntry *e, const char *name);
 static const CpEntryHost *nth_of(const CpEntry *e, const char *domain,
@@ -133,6 +132,23 @@
     return n > 0 ? n : 1;
 }
 
+bool
+CpEntryHosts_IsWatch(CpEntry *e)
+{
+    bool first = true;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (!h->silent && !h->leaving &&
+            strcmp(h->domain, e->settings.domain) == 0 &&
+            strcmp(h->name, e->settings.host) < 0) {
+            first = false;
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return first;
+}
+
 void
 CpEntryHosts_Sharers(CpEntry *e, CpFleetHosts *out)
 {
@@ -174,6 +190,12 @@
 void
 CpEntryHosts_Judge(CpEntry *e, int64_t now_ns)
 {
+    CpFleetHosts sharers;
+    CpEntryHosts_Sharers(e, &sharers);
+    /* A far host tells those of this domain in turn; one may be lost. */
+    int64_t far_ns = CP_ENTRY_FAR_REPORT_MS * CP_NS_PER_MS *
+                         (2 * sharers.in_domain + 1) / 2 +
+                     NEAR_SILENT_NS;
     pthread_mutex_lock(&e->hosts_lock);
     for (guint i = 0; i < e->hosts->len; i++) {
         CpEntryHost *h = g_ptr_array_index(e->hosts, i);
@@ -181,7 +203,7 @@
         int64_t since_ns = h->heard_ns > 0 ? h->heard_ns : h->known_ns;
         int64_t limit_ns = h->heard_ns == 0 ? SETTLE_NS
                            : near           ? NEAR_SILENT_NS
-                                            : FAR_SILENT_NS;
+                                            : far_ns;
         bool silent = strcmp(h->name, e->settings.host) != 0 &&
                       now_ns - since_ns > limit_ns;
         if (silent != h->silent) {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -36,10 +36,15 @@
     pthread_t thread;
     bool started;
     bool connected;
-    int64_t lost_ns; /* when the store was lost; 0: never */
-    int64_t back_ns; /* when it was back */
-    bool forget_due; /* entries that lapsed are dropped at the time above */
-    uint32_t errors; /* in a row */
+    int64_t lost_ns;  /* when the store was lost; 0: never */
+    int64_t back_ns;  /* when it was back */
+    int64_t asked_ns; /* when the call under way began */
+    bool forget_due;  /* entries that lapsed are dropped at the time above */
+    uint32_t errors;  /* in a row */
+    uint64_t version; /* of the last row that was read; atomic */
+    uint64_t read_version; /* up to which there is nothing else; atomic */
+    uint64_t seen_version; /* that another host has read; atomic */
+    int64_t behind_ns;     /* since when that is later; 0: it is not; atomic */
 } CpEntryFollower;
 
 /* Repeats that this host may still send; in thousandths. */
@@ -92,6 +97,10 @@
 /* The routes in force, retained; NULL if there are none. */
 CpRoutes *CpEntry_Routes(CpEntry *e, int64_t *since_ns);
 void CpEntryFollow_Tick(void *ctx, int64_t now_ns);
+/* Another host has read a table up to a version. */
+void CpEntryFollow_Heard(CpEntry *e, CpTable table, uint64_t version,
+                         int64_t now_ns);
+uint64_t CpEntryFollow_Version(CpEntry *e, CpTable table);
 
 /* hosts: which entry hosts there are */
 void CpEntryHosts_Init(CpEntry *e);
@@ -103,6 +112,9 @@
 void CpEntryHosts_BeginScan(CpEntry *e);
 void CpEntryHosts_EndScan(CpEntry *e);
 uint32_t CpEntryHosts_Count(CpEntry *e);
+/* Whether this host is the first of the live ones of its domain: the one that
+ * finds out for the others when the store falls silent. */
+bool CpEntryHosts_IsWatch(CpEntry *e);
 /* Those that share this host's callers and servers. */
 void CpEntryHosts_Sharers(CpEntry *e, CpFleetHosts *out);
 bool CpEntryHosts_WarmupPart(void *ctx, const char *instance,
@@ -124,7 +136,8 @@
                                  uint32_t room);
 
 /* peers: what hosts tell each other */
-#define CP_ENTRY_REPORT_MS 500 /* between two whole reports */
+#define CP_ENTRY_REPORT_MS 500      /* between two whole reports */
+#define CP_ENTRY_FAR_REPORT_MS 1000 /* between two to another domain */
 CpStatus CpEntryPeers_Open(CpEntry *e);
 CpStatus CpEntryPeers_Start(CpEntry *e);
 void CpEntryPeers_Stop(CpEntry *e);
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -12,10 +12,9 @@
 #include "entry/entry_int.h"
 #include "wire/wire.h"
 
-#define MAX_USES 64        /* servers in one report */
-#define MAX_RECIPIENTS 32  /* of one report */
-#define RECEIVE_WAIT_S 1   /* so that the thread sees the end */
-#define FAR_REPORT_TICKS 3 /* a host of another domain is told so often */
+#define MAX_USES 64       /* servers in one report */
+#define MAX_RECIPIENTS 32 /* of one report */
+#define RECEIVE_WAIT_S 1  /* so that the thread sees the end */
 
 static void *receive_thread(void *ctx);
 static void take_report(CpEntry *e, const CpReportFrame *r);
@@ -90,7 +89,8 @@
             (CpReportRow){.server = uses[i].server, .count = uses[i].count};
     }
     CpReportFrame r = {.whole = 1, .rows = rows, .row_count = n};
-    bool far = e->peers_ticks++ % FAR_REPORT_TICKS == 0;
+    bool far =
+        e->peers_ticks++ % (CP_ENTRY_FAR_REPORT_MS / CP_ENTRY_REPORT_MS) == 0;
     uint32_t count = CpEntryHosts_Neighbours(e, far, to, MAX_RECIPIENTS);
     send_report(e, &r, to, count);
     CpEntryHosts_Judge(e, now_ns);
@@ -126,6 +126,8 @@
                                r->leaving != 0, now_ns)) {
         return; /* overtaken by a later one */
     }
+    CpEntryFollow_Heard(e, CP_TABLE_OPERATOR, r->operator_version, now_ns);
+    CpEntryFollow_Heard(e, CP_TABLE_SERVERS, r->servers_version, now_ns);
     if (r->whole) {
         CpFleet_PeerBegin(e->fleet, peer);
     }
@@ -148,6 +150,8 @@
     f.report.number =
         __atomic_add_fetch(&e->peers_number, 1, __ATOMIC_RELAXED);
     f.report.leaving = CpAtomic_Load(&e->leaving);
+    f.report.operator_version = CpEntryFollow_Version(e, CP_TABLE_OPERATOR);
+    f.report.servers_version = CpEntryFollow_Version(e, CP_TABLE_SERVERS);
     if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
         return;
     }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -56,6 +56,10 @@
      * moves *version on. CP_ERR_RANGE: that history is gone, scan again. */
     CpStatus (*follow)(void *ctx, CpTable table, uint32_t wait_ms, CpFeedFn fn,
                        void *fn_ctx, uint64_t *version);
+    /* Asks about once a second during follow() whether to give it up; NULL:
+     * never. Set it before the first call. */
+    bool (*give_up)(void *give_up_ctx);
+    void *give_up_ctx;
     /* Writes a row whatever it held; NULL removes it. */
     CpStatus (*write)(void *ctx, CpTable table, const char *key,
                       const char *value);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -153,7 +153,9 @@
     uint64_t incarnation;
     uint64_t number; /* grows with each report of an incarnation */
     uint32_t leaving;
-    uint32_t whole; /* no row means no request there */
+    uint32_t whole;            /* no row means no request there */
+    uint64_t operator_version; /* of the tables, as the sender has read them */
+    uint64_t servers_version;
     CpReportRow *rows;
     uint32_t row_count;
 } CpReportFrame;
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -113,6 +113,8 @@
     U64(CpReportFrame, number),
     U32(CpReportFrame, leaving),
     U32(CpReportFrame, whole),
+    U64(CpReportFrame, operator_version),
+    U64(CpReportFrame, servers_version),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
 #define FRAME(table)                                                          \
