--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 STANDIN_COMMON := $(B)/standin/standin_http.o
 REGRESS_OBJ := $(patsubst %.c,$(B)/%.o,$(sort $(wildcard regress/*.c)))
 BINS := $(B)/chestnutpaddled $(B)/chestnutpaddle $(B)/standin-platform \
-        $(B)/standin-server $(B)/standin-fault $(B)/chestnutpaddle-load
+        $(B)/standin-server $(B)/standin-routed \
+        $(B)/standin-fault $(B)/chestnutpaddle-load
 TESTS := $(B)/regress-run
 C_FILES := $(sort $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] \
         regress/*.[ch]))
--- /dev/null
+++ b/standin/standin_routed.c
@@ -0,0 +1,316 @@
+/*
+ * Stand-in of backend servers that speak the platform's messages: one
+ * process, many listeners. Each argument is IP:port,INSTANCE,SLOTS,MS. What
+ * all of them saw is at /stats on any of them; /control?mode=M&ms=N changes
+ * how one answers, and /ran?id=ID tells how often a request ran.
+ */
+#include <glib.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "standin.h"
+
+#define SLICE_MS 5
+#define MAX_SERVERS 64
+#define BODY_TEXT "answer to "
+
+typedef enum {
+    MODE_OK = 0,
+    MODE_REFUSE,   /* says that it did not run */
+    MODE_ERROR,    /* runs and fails */
+    MODE_LOSE,     /* runs and closes the connection */
+    MODE_CROSS,    /* runs and answers with another request's id */
+    MODE_SHORT,    /* runs and breaks the body off */
+    MODE_UNSEALED, /* runs and leaves the seal out */
+    MODE_EXTRA,    /* sends a second answer behind the first */
+    MODE_COUNT
+} Mode;
+
+typedef struct {
+    char address[CP_ADDR_BYTES];
+    char instance[CP_NAME_BYTES];
+    uint64_t slots;
+    uint64_t service_ms;
+    Mode mode;
+    uint64_t running;
+} Server;
+
+typedef struct {
+    GString *body;
+    int32_t fd;
+    bool extra;
+} Upload;
+
+static const char *const mode_names[MODE_COUNT] = {
+    [MODE_OK] = "ok",
+    [MODE_REFUSE] = "refuse",
+    [MODE_ERROR] = "error",
+    [MODE_LOSE] = "lose",
+    [MODE_CROSS] = "cross",
+    [MODE_SHORT] = "short",
+    [MODE_UNSEALED] = "unsealed",
+    [MODE_EXTRA] = "extra",
+};
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* of all below */
+static Server servers[MAX_SERVERS];
+static GHashTable *ran; /* request id -> times */
+static uint64_t arrived, runs, refused, wrong, cancelled, longest_ms, over;
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+                                  const char *url, const char *method,
+                                  const char *version, const char *data,
+                                  size_t *data_bytes, void **state);
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+                         enum MHD_RequestTerminationCode code);
+static enum MHD_Result control(struct MHD_Connection *conn, Server *s);
+static enum MHD_Result stats(struct MHD_Connection *conn);
+static enum MHD_Result run(struct MHD_Connection *conn, Server *s, Upload *u,
+                           const char *url, const char *method);
+static enum MHD_Result refuse(struct MHD_Connection *conn, const Server *s,
+                              uint32_t status);
+static bool work(Server *s, int32_t fd, uint64_t limit_ms);
+static ssize_t on_short(void *ctx, uint64_t pos, char *out, size_t room);
+
+int
+main(int argc, char **argv)
+{
+    struct MHD_Daemon *daemons[MAX_SERVERS];
+    CpStandin_BlockSignals();
+    ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int i = 1; i < argc && i < MAX_SERVERS; i++) {
+        char **part = g_strsplit(argv[i], ",", 4);
+        Server *s = &servers[i];
+        CpStr_Copy(s->address, sizeof(s->address), part[0]);
+        CpStr_Copy(s->instance, sizeof(s->instance), part[1]);
+        s->slots = strtoull(part[2], NULL, 10);
+        s->service_ms = strtoull(part[3], NULL, 10);
+        g_strfreev(part);
+        daemons[i] = CpStandin_Listen(s->address, on_request, s, on_completed);
+    }
+    CpStandin_WaitForStop();
+    for (int i = 1; i < argc && i < MAX_SERVERS; i++) {
+        MHD_stop_daemon(daemons[i]);
+    }
+    return 0;
+}
+
+static enum MHD_Result
+on_request(void *ctx, struct MHD_Connection *conn, const char *url,
+           const char *method, const char *version, const char *data,
+           size_t *data_bytes, void **state)
+{
+    Upload *u = *state;
+    (void)version;
+    if (u == NULL) {
+        u = CpMem_Alloc(sizeof(*u));
+        u->body = g_string_new(NULL);
+        u->fd =
+            MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+                ->connect_fd;
+        *state = u;
+        return MHD_YES;
+    }
+    if (*data_bytes > 0) {
+        g_string_append_len(u->body, data, (gssize)*data_bytes);
+        *data_bytes = 0;
+        return MHD_YES;
+    }
+    if (strcmp(url, "/control") == 0) {
+        return control(conn, ctx);
+    }
+    if (strcmp(url, "/stats") == 0) {
+        return stats(conn);
+    }
+    if (strcmp(url, "/ran") == 0) {
+        pthread_mutex_lock(&lock);
+        uint32_t n = GPOINTER_TO_UINT(
+            g_hash_table_lookup(ran, CpStandin_Text(conn, "id", "")));
+        pthread_mutex_unlock(&lock);
+        return CpStandin_Answer(conn, 200, g_strdup_printf("%u\n", n));
+    }
+    return run(conn, ctx, u, url, method);
+}
+
+/* Bytes behind a whole answer, where the next one is expected. */
+static void
+on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+             enum MHD_RequestTerminationCode code)
+{
+    static const char extra[] =
+        "HTTP/1.1 200 OK\r\nChestnutpaddle-Attempt-Id: stale\r\n"
+        "Chestnutpaddle-Response-Seal: stale\r\nContent-Length: "
+        "5\r\n\r\nstale";
+    Upload *u = *state;
+    (void)ctx, (void)conn, (void)code;
+    if (u != NULL) {
+        if (u->extra &&
+            send(u->fd, extra, sizeof(extra) - 1, MSG_NOSIGNAL) < 0) {
+            fprintf(stderr, "standin: no extra bytes\n");
+        }
+        g_string_free(u->body, TRUE);
+        free(u);
+        *state = NULL;
+    }
+}
+
+static enum MHD_Result
+control(struct MHD_Connection *conn, Server *s)
+{
+    const char *name = CpStandin_Text(conn, "mode", "");
+    pthread_mutex_lock(&lock);
+    for (uint32_t i = 0; i < MODE_COUNT; i++) {
+        if (strcmp(name, mode_names[i]) == 0) {
+            s->mode = i;
+        }
+    }
+    s->service_ms = CpStandin_Number(conn, "ms", s->service_ms);
+    const char *instance = CpStandin_Text(conn, "instance", s->instance);
+    CpStr_Copy(s->instance, sizeof(s->instance), instance);
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Answer(conn, 200, g_strdup("{}\n"));
+}
+
+static enum MHD_Result
+stats(struct MHD_Connection *conn)
+{
+    GHashTableIter it;
+    void *times;
+    uint32_t doubled = 0;
+    pthread_mutex_lock(&lock);
+    g_hash_table_iter_init(&it, ran);
+    while (g_hash_table_iter_next(&it, NULL, &times)) {
+        doubled += GPOINTER_TO_UINT(times) > 1;
+    }
+    char *text = g_strdup_printf(
+        "{\"arrived\":%llu,\"runs\":%llu,\"refused\":%llu,\"wrong\":%llu,"
+        "\"cancelled\":%llu,\"longest_ms\":%llu,\"over\":%llu,"
+        "\"doubled\":%u}\n",
+        (unsigned long long)arrived, (unsigned long long)runs,
+        (unsigned long long)refused, (unsigned long long)wrong,
+        (unsigned long long)cancelled, (unsigned long long)longest_ms,
+        (unsigned long long)over, doubled);
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Answer(conn, 200, text);
+}
+
+static enum MHD_Result
+run(struct MHD_Connection *conn, Server *s, Upload *u, const char *url,
+    const char *method)
+{
+    const char *id = CpStandin_Header(conn, "Chestnutpaddle-Attempt-Id");
+    const char *want =
+        CpStandin_Header(conn, "Chestnutpaddle-Target-Instance");
+    const char *limit = CpStandin_Header(conn, "Chestnutpaddle-Timeout-Ms");
+    uint64_t limit_ms = limit != NULL ? strtoull(limit, NULL, 10) : 0;
+    char load[64], seal[CP_NAME_BYTES + 8];
+    if (id == NULL) {
+        return refuse(conn, s, 400);
+    }
+    pthread_mutex_lock(&lock);
+    arrived++;
+    longest_ms = limit_ms > longest_ms ? limit_ms : longest_ms;
+    Mode mode = s->mode;
+    bool other = want != NULL && strcmp(want, s->instance) != 0;
+    bool full = s->running >= s->slots;
+    wrong += other;
+    refused += !other && (full || mode == MODE_REFUSE);
+    over += full;
+    if (!other && !full && mode != MODE_REFUSE) {
+        s->running++;
+        runs++;
+        uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(ran, id));
+        g_hash_table_replace(ran, g_strdup(id), GUINT_TO_POINTER(n + 1));
+    }
+    pthread_mutex_unlock(&lock);
+    if (other) {
+        return refuse(conn, s, 421);
+    }
+    if (full || mode == MODE_REFUSE) {
+        return refuse(conn, s, 503);
+    }
+    bool stayed = work(s, u->fd, limit_ms);
+    pthread_mutex_lock(&lock);
+    s->running--;
+    cancelled += !stayed;
+    snprintf(load, sizeof(load), "%llu,0,%llu", (unsigned long long)s->running,
+             (unsigned long long)s->slots);
+    snprintf(seal, sizeof(seal), "seal-%s", s->instance);
+    pthread_mutex_unlock(&lock);
+    if (!stayed || mode == MODE_LOSE) {
+        return MHD_NO;
+    }
+    char *text =
+        g_strdup_printf(BODY_TEXT "%s %s %s\n", method, url, u->body->str);
+    size_t n = strlen(text);
+    struct MHD_Response *r =
+        mode == MODE_SHORT
+            ? MHD_create_response_from_callback(n + 100, 256, on_short, text,
+                                                g_free)
+            : MHD_create_response_from_buffer(n, text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(r, "Chestnutpaddle-Attempt-Id",
+                            mode == MODE_CROSS ? "another" : id);
+    MHD_add_response_header(r, "Chestnutpaddle-Server-Load", load);
+    if (mode != MODE_UNSEALED) {
+        MHD_add_response_header(r, "Chestnutpaddle-Response-Seal", seal);
+    }
+    u->extra = mode == MODE_EXTRA;
+    enum MHD_Result ok =
+        MHD_queue_response(conn, mode == MODE_ERROR ? 500 : 200, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+static enum MHD_Result
+refuse(struct MHD_Connection *conn, const Server *s, uint32_t status)
+{
+    static char text[] = "{}\n";
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
+    if (status == 421) {
+        MHD_add_response_header(r, "Chestnutpaddle-Instance-Id", s->instance);
+    }
+    else {
+        MHD_add_response_header(r, "Chestnutpaddle-Not-Executed", "1");
+    }
+    enum MHD_Result ok = MHD_queue_response(conn, status, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+/* False when the caller went away meanwhile. */
+static bool
+work(Server *s, int32_t fd, uint64_t limit_ms)
+{
+    pthread_mutex_lock(&lock);
+    uint64_t ms = s->service_ms;
+    pthread_mutex_unlock(&lock);
+    ms = limit_ms > 0 && limit_ms < ms ? limit_ms : ms;
+    for (uint64_t past = 0; past < ms; past += SLICE_MS) {
+        struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+        if (poll(&p, 1, 0) > 0) {
+            return false;
+        }
+        CpStandin_Sleep_ms(SLICE_MS);
+    }
+    return true;
+}
+
+/* The text, and then an end that is too early. */
+static ssize_t
+on_short(void *ctx, uint64_t pos, char *out, size_t room)
+{
+    const char *text = ctx;
+    size_t n = strlen(text);
+    if (pos >= n) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    n -= pos;
+    n = n < room ? n : room;
+    memcpy(out, text + pos, n);
+    return (ssize_t)n;
+}
--- /dev/null
+++ b/tools/routes.sh
@@ -0,0 +1,100 @@
+# Shell functions for a cluster that serves routes, against the stand-ins that
+# speak the platform's messages. Sourced after tools/cluster.sh.
+
+# Two regions: north with na, nb and west with wa. One host in each of them,
+# and a second one in na.
+ROUTE_DOMAINS="na:north nb:north wa:west"
+ROUTE_HOSTS="na-1 na-2 nb-1 wa-1"
+ip_of_host() {
+    case $1 in
+    na-1) echo "127.${NET}1.1.1" ;; na-2) echo "127.${NET}1.1.2" ;;
+    nb-1) echo "127.${NET}1.2.1" ;; wa-1) echo "127.${NET}1.3.1" ;;
+    esac
+}
+
+host_settings() { # NAME
+    ip=$(ip_of_host "$1")
+    mkdir -p "$W/hosts"
+    cat >"$W/hosts/$1.yaml" <<X
+serve: routes
+host: "$1"
+domain: "${1%-*}"
+caller: "$ip:7000"
+directory: "$ip:7001"
+ready: "$ip:7002"
+inner: "$ip:7100"
+operator_listen: "$ip:7003"
+platform: "http://$PLATFORM"
+worker_threads: 2
+stop_timeout_s: 4
+domains:
+$(for d in $ROUTE_DOMAINS; do printf '  - name: "%s"\n    region: "%s"\n' "${d%:*}" "${d#*:}"; done)
+X
+}
+
+# server_row INSTANCE SERVICE ADDRESS DOMAIN SLOTS STATE SEQUENCE [WARMUP-MS]
+server_row() {
+    store_row servers "$1" "{\"serviceName\":\"$2\",\"address\":\"$3\",\"zone\":\"$4\",\"configVersion\":\"v1\",\"slots\":$5,\"state\":\"$6\",\"warmupLeftMs\":${8:-0},\"sequence\":$7}"
+}
+
+# route_json NAME HOST PREFIX TYPE TIMEOUT-MS SERVICE
+route_json() {
+    printf '{"resourceKind":"routes","metadata":{"name":"%s"},"spec":{"hostname":"%s","prefix":"%s","routeType":"%s","timeoutMs":%s,"latencyGoalMs":500,"priority":0,"serviceName":"%s","maxAttempts":2,"sessionAffinity":true,"homeRegions":[]}}' "$@"
+}
+service_json() {
+    printf '{"resourceKind":"services","metadata":{"name":"%s"},"spec":{"healthPath":"/health","maxConnections":660,"protocol":"h1","tls":false,"warmupS":1.0,"warmupPerS":10}}' "$1"
+}
+# put_config VERSION [RESOURCE...]: the usual routes and what else is given.
+put_config() {
+    version=$1
+    shift
+    all="$(route_json read a.example /read/ idempotent 1500 s1),$(route_json pay a.example /pay/ non_idempotent 1500 s1),$(service_json s1),$(service_json s2)"
+    for r in "$@"; do all="$all,$r"; done
+    store_row op config "{\"configVersion\":$version,\"baseVersion\":1,\"resources\":[$all,{\"resourceKind\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1000,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}]}"
+}
+
+S1=127.${NET}2.1.1:8000 S2=127.${NET}2.1.2:8000 S3=127.${NET}2.3.1:8000
+start_routed_servers() {
+    spawn routed "$B/standin-routed" "$S1,i-1,4,20" "$S2,i-2,4,20" "$S3,i-3,4,20"
+    wait_for 5 curl -s "http://$S1/stats"
+    server_row i-1 s1 "$S1" na 4 ready 1
+    server_row i-2 s1 "$S2" nb 4 ready 1
+    server_row i-3 s1 "$S3" wa 4 ready 1
+}
+
+start_route_hosts() {
+    for h in $ROUTE_HOSTS; do host_settings "$h"; start_host "$h"; done
+    for h in $ROUTE_HOSTS; do
+        wait_for 10 curl -s "http://$(ip_of_host "$h"):7003/metrics" || return 1
+    done
+}
+
+is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(ip_of_host "$1"):7002/ready")" = 200 ]; }
+all_ready() { for h in $ROUTE_HOSTS; do is_ready "$h" || return 1; done; }
+# Whether every host names a caller's own hosts, of which all are known then.
+all_known() {
+    for h in $ROUTE_HOSTS; do
+        for z in na nb wa; do
+            curl -s "http://$(ip_of_host "$h"):7001/resolve?name=a.example&region=x&zone=$z" |
+                grep -q "$(ip_of_host "$z-1"):7000" || return 1
+        done
+    done
+}
+metric() { curl -s "http://$(ip_of_host "$1"):7003/metrics" | awk -v n="$2" '$1 == n {print $2}'; }
+has_version() { [ "$(metric "$1" chestnutpaddle_routes_version)" = "$2" ]; }
+all_have() { for h in $ROUTE_HOSTS; do has_version "$h" "$1" || return 1; done; }
+
+# ask HOST ID METHOD PATH [CURL ARGUMENTS]: status, body and what was promised.
+ask() {
+    ask_host=$(ip_of_host "$1") ask_id=$2 ask_method=$3 ask_path=$4
+    shift 4
+    curl -s -m 5 -D "$W/head" -o "$W/body" -w '%{http_code}' -X "$ask_method" \
+        -H "Host: ${ASK_NAME:-a.example}" -H "Chestnutpaddle-Attempt-Id: $ask_id" \
+        -H 'Chestnutpaddle-Timeout-Ms: 3000' \
+        -H 'Cookie: Chestnutpaddle-Affinity-Key=7' "$@" \
+        "http://$ask_host:7000$ask_path"
+    echo " $(tr -d '\r\n' <"$W/body" | cut -c1-60)"
+}
+modes() { for s in "$S1" "$S2" "$S3"; do curl -s "http://$s/control?mode=$1${2:+&ms=$2}" >/dev/null; done; }
+ran() { curl -s "http://$S1/ran?id=$1"; }
+route_stat() { curl -s "http://$S1/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
