--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -3,7 +3,7 @@
  * transactions, ranges and feeds, and objects. POST /control?mode=M&ms=N
  * changes how it answers: "down" closes connections, "slow" waits, "stale"
  * reads rows from the state at the time of the call, "lose" closes the
- * connection after the effect, "busy" refuses with 503, "silent" answers
+ * connection after a transaction, "busy" refuses with 503, "silent" answers
  * nothing for N ms. POST /control?compact=1 forgets the history of changes.
  */
 #include <glib.h>
@@ -222,7 +222,7 @@
         if (strncmp(url, c->path, n) == 0 && strcmp(method, c->method) == 0) {
             *(c->writes ? &writes : &reads) += 1;
             status = c->fn(conn, url + n, body, &text);
-            lose = c->writes && mode == MODE_LOSE;
+            lose = c->fn == transact && mode == MODE_LOSE;
             break;
         }
     }
--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -28,13 +28,14 @@
 }
 
 # Ends what this shell started and has not waited for: ids of processes that
-# have ended may belong to somebody else by now.
+# have ended may belong to somebody else by now. It is the last thing that a
+# script does, so the shell's reports of the kills, which may come late, are
+# dropped to the end.
 cleanup() {
-    exec 9>&2 2>/dev/null # the shell would report each of them
+    exec 2>/dev/null
     for p in $(jobs -p); do kill -CONT "$p"; done
     for p in $(jobs -pr); do kill "-${1:-KILL}" "$p"; done
     wait
-    exec 2>&9 9>&-
     [ -n "${KEEP:-}" ] || rm -rf "$W"
     return 0
 }
