Silent servers are given up where a repeat is paid for; explain; servers' standing is logged

Change: an idempotent request leaves a server that is silent for four times what was expected, at least two goals, while half of its time is left and the budget has a repeat; explain follows a request through logs; refusals log what they were decided by.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -47,6 +47,7 @@
 CpExit CpCli_Plan(const CpCliOptions *o, int argc, char **argv);
 CpExit CpCli_Status(const CpCliOptions *o, int argc, char **argv);
 CpExit CpCli_Watch(const CpCliOptions *o, int argc, char **argv);
+CpExit CpCli_Explain(const CpCliOptions *o, int argc, char **argv);
 CpExit CpCli_Lookup(const CpCliOptions *o, int argc, char **argv);
 
 /* A call to a host; free() *out. CP_ERR_UNAVAILABLE without an answer. */
--- a/src/cli/cli_main.c
+++ b/src/cli/cli_main.c
@@ -27,6 +27,8 @@
     {"plan", CpCli_Plan,
      "plan drain X | plan move FROM TO PERCENT: what it would do"},
     {"watch", CpCli_Watch, "watch: latency, headroom, refusals by rank"},
+    {"explain", CpCli_Explain,
+     "explain ID [LOG...]: what became of a request, from the hosts' logs"},
     {0},
 };
 
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -13,6 +13,8 @@
 #define END_MARGIN_MS 300 /* to end the threads within the stop time-out */
 
 static CpStatus open_pages(CpEntry *e);
+static void note_server(void *ctx, const char *instance, const char *what,
+                        uint32_t ms);
 
 /* The paths are the adapter's. */
 static CpPage directory_pages[] = {
@@ -54,6 +56,7 @@
                                       .domains = domains,
                                       .domain_count = s->domain_count,
                                       .warmup_part = CpEntryHosts_WarmupPart,
+                                      .noted = note_server,
                                       .ctx = e});
     free(domains);
     e->store = e->adapter.new_store(s->platform, STORE_TIMEOUT_MS);
@@ -165,3 +168,11 @@
     }
     return st;
 }
+
+static void
+note_server(void *ctx, const char *instance, const char *what, uint32_t ms)
+{
+    (void)ctx;
+    CpEvent(CP_EVENT_SERVER, what, "s:s,s:i", "instance", instance, "ms",
+            (int)ms);
+}
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -8,7 +8,12 @@
 #include "entry/entry_int.h"
 
 #define LEAST_LEFT_MS 20 /* a send with less time than this is pointless */
-#define MAX_UNSENT 3     /* servers that could not be reached, in a row */
+/* A request that may be repeated is given up at a server that is silent for
+ * this many times what was expected, at least for two latency goals, where
+ * half of its time is left for another one. */
+#define SILENT_FACTOR 4
+#define SILENT_GOALS 2
+#define MAX_UNSENT 3 /* servers that could not be reached, in a row */
 
 /* The policy's state of one request. */
 typedef struct {
@@ -21,6 +26,8 @@
     uint32_t sent;   /* servers that were sent the request */
     uint32_t unsent; /* that could not be reached */
     bool may_have_run;
+    bool was_silent; /* a server: from now on late is better than never */
+    bool paid;       /* for the next repeat */
     uint32_t tried_count;
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     CpFleetPick pick; /* of the attempt under way */
@@ -28,11 +35,13 @@
 
 static void begin(void *ctx, CpRequest *rq, CpStep *out);
 static void ended(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out);
+static bool give_up(void *ctx, CpRequest *rq);
 static void abandoned(void *ctx, CpRequest *rq, CpAttemptEnd end,
                       int64_t latency_ns);
 static void finished(void *ctx, CpRequest *rq, const CpFinish *f);
 static void limits(void *ctx, CpRouteLimits *out);
 static void place(CpEntry *e, CpRequest *rq, State *s, CpStep *out);
+static int64_t attempt_deadline_ns(const State *s, int64_t now_ns);
 static void retry(CpEntry *e, CpRequest *rq, State *s, const CpAttempt *a,
                   CpStep *out);
 static bool may_pass_on(const CpAttempt *a);
@@ -50,6 +59,7 @@
 {
     *out = (CpProxyPolicy){.begin = begin,
                            .ended = ended,
+                           .give_up = give_up,
                            .abandoned = abandoned,
                            .finished = finished,
                            .limits = limits,
@@ -98,6 +108,9 @@
     if (a->verdict != CP_NOT_RUN) {
         s->may_have_run = true;
     }
+    if (a->end == CP_ATTEMPT_TIMED_OUT) {
+        s->was_silent = true;
+    }
     if (a->end == CP_ATTEMPT_ANSWERED && may_pass_on(a)) {
         out->type = CP_STEP_ANSWER;
         return;
@@ -105,12 +118,24 @@
     retry(e, rq, s, a, out);
 }
 
+/* Only where another try is paid for; otherwise the answer may still come. */
+static bool
+give_up(void *ctx, CpRequest *rq)
+{
+    CpEntry *e = ctx;
+    State *s = rq->memory;
+    s->paid = CpFleet_Usable(e->fleet, s->service, CpClock_Now_ns()) > 1 &&
+              spend_repeat(e, CpClock_Now_ns());
+    return s->paid;
+}
+
 static void
 abandoned(void *ctx, CpRequest *rq, CpAttemptEnd end, int64_t latency_ns)
 {
     CpEntry *e = ctx;
     State *s = rq->memory;
     if (s != NULL && s->pick.instance[0] != '\0') {
+        s->may_have_run = true; /* as far as is known here */
         report(e, s, end, NULL, latency_ns);
     }
 }
@@ -172,7 +197,9 @@
                       .object = s->route->affinity && rq->object[0] != '\0'
                                     ? rq->object
                                     : NULL,
-                      .goal_left_ms = goal_ms > 0 ? (uint32_t)goal_ms : 0,
+                      .goal_left_ms = s->was_silent ? (uint32_t)left_ms
+                                      : goal_ms > 0 ? (uint32_t)goal_ms
+                                                    : 0,
                       .deadline_left_ms = (uint32_t)left_ms,
                       .tried_count = s->tried_count,
                       .home_count = s->route->home_count,
@@ -183,6 +210,15 @@
     }
     CpReason reason = CpFleet_Choose(e->fleet, &ask, now_ns, &s->pick);
     if (reason != CP_REASON_NONE) {
+        CpEvent(CP_EVENT_REFUSED, "not_placed",
+                "s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:i,s:I", "request",
+                rq->id, "reason", CpReason_Name(reason), "service", s->service,
+                "object", rq->object, "goal_left_ms", (json_int_t)goal_ms,
+                "left_ms", (json_int_t)left_ms, "wait_ms",
+                (int)s->pick.wait_ms, "expected_ms", (int)s->pick.expected_ms,
+                "usable", (int)CpFleet_Usable(e->fleet, s->service, now_ns),
+                "retry_after_ms", (int)s->pick.retry_after_ms,
+                "routes_version", (json_int_t)s->routes->version);
         fail(e, rq, s, reason, s->pick.retry_after_ms, out);
         s->pick.instance[0] = '\0';
         return;
@@ -200,6 +236,19 @@
     CpStr_Copy(out->instance, sizeof(out->instance), s->pick.instance);
     out->idempotent = s->route->idempotent;
     out->deadline_ns = s->deadline_ns;
+    out->attempt_deadline_ns = attempt_deadline_ns(s, now_ns);
+}
+
+static int64_t
+attempt_deadline_ns(const State *s, int64_t now_ns)
+{
+    int64_t limit_ms = (int64_t)s->pick.expected_ms * SILENT_FACTOR;
+    int64_t least_ms = (int64_t)s->route->goal_ms * SILENT_GOALS;
+    limit_ms = limit_ms > least_ms ? limit_ms : least_ms;
+    int64_t end_ns = now_ns + limit_ms * CP_NS_PER_MS;
+    bool again = s->route->idempotent && s->sent < s->route->max_attempts &&
+                 s->deadline_ns - end_ns >= (s->deadline_ns - now_ns) / 2;
+    return again ? end_ns : 0;
 }
 
 /* Another server, where the route allows it: any request that did not run,
@@ -211,8 +260,9 @@
     bool safe = a->verdict == CP_NOT_RUN || s->route->idempotent;
     bool room =
         not_sent ? s->unsent <= MAX_UNSENT : s->sent < s->route->max_attempts;
-    bool paid =
-        safe && room && (not_sent || spend_repeat(e, CpClock_Now_ns()));
+    bool paid = safe && room &&
+                (not_sent || s->paid || spend_repeat(e, CpClock_Now_ns()));
+    s->paid = false;
     const char *why = !safe   ? "may_have_run"
                       : !room ? "no_attempts_left"
                       : !paid ? "no_budget"
@@ -305,7 +355,8 @@
         (int)s->pick.expected_ms, "load_age_ms",
         s->pick.load_age_ms == UINT32_MAX ? (json_int_t)-1
                                           : (json_int_t)s->pick.load_age_ms,
-        "routes_version", (json_int_t)s->routes->version, "routes_age_ms",
+        "entry_age_ms", (int)s->pick.entry_age_ms, "routes_version",
+        (json_int_t)s->routes->version, "routes_age_ms",
         (json_int_t)s->routes_age_ms);
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -51,6 +51,10 @@
      * the server's warm-up rate is divided. NULL: it alone. */
     bool (*warmup_part)(void *ctx, const char *instance, const char *domain,
                         uint32_t *parts);
+    /* A server's standing changed: "rests", "answers_again", "replaced",
+     * "stands_out_slow"; with a time where one belongs to it. May be NULL. */
+    void (*noted)(void *ctx, const char *instance, const char *what,
+                  uint32_t ms);
     void *ctx;
 } CpFleetOptions;
 
@@ -102,16 +106,18 @@
     char instance[CP_NAME_BYTES];
     char address[CP_ADDR_BYTES];
     CpNearness nearness;
-    uint32_t place;       /* 0: the object's home, 1: its second, 2: other */
-    uint32_t wait_ms;     /* expected in the server's queue */
-    uint32_t expected_ms; /* until the answer */
-    uint32_t load_age_ms; /* of the load behind it; UINT32_MAX: never told */
+    uint32_t place;        /* 0: the object's home, 1: its second, 2: other */
+    uint32_t wait_ms;      /* expected in the server's queue */
+    uint32_t expected_ms;  /* until the answer */
+    uint32_t load_age_ms;  /* of the load behind it; UINT32_MAX: never told */
+    uint32_t entry_age_ms; /* since the server's entry was read */
     bool cold;
     uint32_t retry_after_ms; /* where the request is refused */
 } CpFleetPick;
 
 /* Chooses a server and counts the request as sent to it, until
- * CpFleet_Ended(). Otherwise the reason why it has to be refused. */
+ * CpFleet_Ended(). Otherwise the reason why it has to be refused; wait_ms and
+ * expected_ms are then those of the server that was nearest to taking it. */
 CpReason CpFleet_Choose(CpFleet *f, const CpFleetAsk *ask, int64_t now_ns,
                         CpFleetPick *out);
 
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -19,9 +19,6 @@
 #define SECOND_MILLI 1200
 #define AWAY_MILLI 50 /* a server that remembers it, but is not its home */
 
-/* An object that a server does not remember takes up to 3.3 times the work of
- * one that it does, so that less than this is no sign of a slow server. */
-#define STANDS_OUT_MILLI 4000
 #define SLOW_HALVING_NS (3 * CP_NS_PER_S)
 #define OTHERS_HALVING_NS (150 * CP_NS_PER_MS) /* about one request's work */
 #define PRESSED_MILLI 700       /* of the slots: later, queues grow */
@@ -103,6 +100,8 @@
         take(&q, best, place_of(&q, best), best_wait_us, best_us, out);
     }
     else {
+        out->wait_ms = (uint32_t)(best_wait_us / 1000);
+        out->expected_ms = best != NULL ? (uint32_t)(best_us / 1000) : 0;
         out->retry_after_ms = retry_after_ms(ask, best_wait_us);
     }
     pthread_mutex_unlock(&sh->lock);
@@ -130,7 +129,7 @@
 {
     int64_t halvings = (now_ns - v->timed_ns) / SLOW_HALVING_NS;
     int64_t slow = halvings < 16 ? (int64_t)v->slow_milli >> halvings : 0;
-    return slow >= STANDS_OUT_MILLI ? slow : 1000;
+    return slow >= CP_FLEET_STANDS_OUT_MILLI ? slow : 1000;
 }
 
 uint32_t
@@ -293,6 +292,7 @@
     }
     CpStr_Copy(out->instance, sizeof(out->instance), v->entry.instance);
     CpStr_Copy(out->address, sizeof(out->address), v->entry.address);
+    out->entry_age_ms = (uint32_t)((q->now_ns - v->entry_ns) / CP_NS_PER_MS);
     out->nearness = CpFleet_Nearness(q->fleet, v->domain_index);
     out->place = place;
     out->wait_ms = (uint32_t)(wait_us / 1000);
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -9,6 +9,9 @@
 
 #define CP_FLEET_SHARDS 8
 
+/* An object that a server does not remember takes up to 3.3 times the work of
+ * one that it does, so that less than this is no sign of a slow server. */
+#define CP_FLEET_STANDS_OUT_MILLI 4000
 #define CP_FLEET_MAX_FAMILIAR 4 /* servers that an object is known to */
 
 /* What another host has at a server. */
@@ -29,6 +32,7 @@
     CpServerEntry entry;
     uint64_t hash;
     uint32_t domain_index; /* CP_FLEET_MAX_DOMAINS: not in the settings */
+    int64_t entry_ns;      /* when the entry was read */
     bool lapsed;           /* its entry is missing, perhaps for a time */
     bool unseen;           /* by the scan that is under way */
     bool replaced;         /* another instance answered at its address */
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -22,11 +22,14 @@
 
 static void learn_load(CpFleetServer *v, const CpFleetReport *r,
                        int64_t now_ns);
-static void learn_time(CpFleetService *s, CpFleetServer *v,
+static void learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
                        const CpFleetReport *r, int64_t now_ns);
-static void learn_failure(CpFleetServer *v, const CpFleetReport *r,
-                          int64_t now_ns);
-static void rest(CpFleetService *s, CpFleetServer *v, int64_t now_ns);
+static void learn_failure(const CpFleet *f, CpFleetServer *v,
+                          const CpFleetReport *r, int64_t now_ns);
+static void rest(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
+                 int64_t now_ns);
+static void note(const CpFleet *f, const CpFleetServer *v, const char *what,
+                 uint32_t ms);
 static uint32_t average(uint32_t old, uint32_t value);
 
 const char *
@@ -45,12 +48,12 @@
         if (v->outstanding > 0) {
             v->outstanding--;
         }
-        learn_time(s, v, r, now_ns);
+        learn_time(f, s, v, r, now_ns);
         learn_load(v, r, now_ns);
-        learn_failure(v, r, now_ns);
+        learn_failure(f, v, r, now_ns);
         if (r->end == CP_ATTEMPT_UNREACHABLE ||
             (r->end == CP_ATTEMPT_BROKEN && v->failures >= FAILURES_TO_REST)) {
-            rest(s, v, now_ns);
+            rest(f, s, v, now_ns);
         }
         if (r->warmup_left_ms > 0) {
             v->cold_until_ns = now_ns + r->warmup_left_ms * CP_NS_PER_MS;
@@ -79,8 +82,8 @@
 }
 
 static void
-learn_time(CpFleetService *s, CpFleetServer *v, const CpFleetReport *r,
-           int64_t now_ns)
+learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
+           const CpFleetReport *r, int64_t now_ns)
 {
     uint32_t took_us = (uint32_t)(r->latency_ns / CP_NS_PER_US);
     bool ended =
@@ -97,8 +100,13 @@
         slow = slow > MAX_SLOW_MILLI ? MAX_SLOW_MILLI : slow;
         /* one that is silent is at least this slow */
         if (ended || slow > v->slow_milli) {
+            uint32_t before = v->slow_milli;
             v->slow_milli = average(v->slow_milli, (uint32_t)slow);
             v->timed_ns = now_ns;
+            if (before < CP_FLEET_STANDS_OUT_MILLI &&
+                v->slow_milli >= CP_FLEET_STANDS_OUT_MILLI) {
+                note(f, v, "stands_out_slow", work_us / 1000);
+            }
         }
     }
     if (r->end == CP_ATTEMPT_ANSWERED) {
@@ -113,7 +121,8 @@
 }
 
 static void
-learn_failure(CpFleetServer *v, const CpFleetReport *r, int64_t now_ns)
+learn_failure(const CpFleet *f, CpFleetServer *v, const CpFleetReport *r,
+              int64_t now_ns)
 {
     bool failed = false, down = false;
     switch (r->end) {
@@ -125,6 +134,7 @@
         break;
     case CP_ATTEMPT_WRONG_SERVER:
         v->replaced = true;
+        note(f, v, "replaced", 0);
         failed = true;
         break;
     case CP_ATTEMPT_UNREACHABLE:
@@ -141,23 +151,35 @@
     if (failed) {
         v->failed_ns = now_ns;
     }
+    if (!down && v->failures > 0) {
+        note(f, v, "answers_again", 0);
+    }
     v->failures = down ? v->failures + 1 : 0;
 }
 
 /* It may come back without the memory that it had. */
 static void
-rest(CpFleetService *s, CpFleetServer *v, int64_t now_ns)
+rest(const CpFleet *f, CpFleetService *s, CpFleetServer *v, int64_t now_ns)
 {
     uint32_t shift =
         v->failures < REST_MAX_SHIFT ? v->failures - 1 : REST_MAX_SHIFT;
     v->rest_until_ns =
         now_ns + ((int64_t)REST_FIRST_MS << shift) * CP_NS_PER_MS;
+    note(f, v, "rests", REST_FIRST_MS << shift);
     int64_t cold_ns = v->rest_until_ns + s->warmup_ms * CP_NS_PER_MS;
     if (cold_ns > v->cold_until_ns) {
         v->cold_until_ns = cold_ns;
     }
 }
 
+static void
+note(const CpFleet *f, const CpFleetServer *v, const char *what, uint32_t ms)
+{
+    if (f->options.noted != NULL) {
+        f->options.noted(f->options.ctx, v->entry.instance, what, ms);
+    }
+}
+
 static uint32_t
 average(uint32_t old, uint32_t value)
 {
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -88,6 +88,7 @@
             .hash = v->hash, .slow_milli = 1000, .outstanding = outstanding};
     }
     v->entry = *e;
+    v->entry_ns = now_ns;
     v->domain_index = domain_index(f, e->domain);
     v->unseen = v->lapsed = v->replaced = false;
     if (e->warmup_left_ms > 0) {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -62,9 +62,10 @@
     char address[CP_ADDR_BYTES]; /* SEND: of the server */
     char instance[CP_NAME_BYTES];
     bool idempotent;
-    int64_t deadline_ns; /* of the request */
-    CpReason reason;     /* FAIL */
-    uint32_t status;     /* FAIL; 0: as the reason tells */
+    int64_t deadline_ns;         /* of the request */
+    int64_t attempt_deadline_ns; /* the attempt is given up then; 0: never */
+    CpReason reason;             /* FAIL */
+    uint32_t status;             /* FAIL; 0: as the reason tells */
     uint32_t retry_after_ms;
 } CpStep;
 
@@ -96,6 +97,8 @@
     void (*begin)(void *ctx, CpRequest *rq, CpStep *out);
     /* An attempt ended; not called when the caller went away meanwhile. */
     void (*ended)(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out);
+    /* The time of an attempt is over: whether to give it up. */
+    bool (*give_up)(void *ctx, CpRequest *rq);
     /* The caller went away, or the deadline passed, during an attempt. */
     void (*abandoned)(void *ctx, CpRequest *rq, CpAttemptEnd end,
                       int64_t latency_ns);
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -63,6 +63,25 @@
     }
 }
 
+void
+CpProxyAttempt_GiveUp(CpCall *c)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    CpAttempt end;
+    CpStep step = {0};
+    c->step.attempt_deadline_ns = 0;
+    if (!p->give_up(p->ctx, &c->request)) {
+        return;
+    }
+    judge(c, CURLE_OPERATION_TIMEDOUT, &end);
+    if (c->attempt.sends > 0) {
+        end.end = CP_ATTEMPT_TIMED_OUT;
+    }
+    release(c);
+    p->ended(p->ctx, &c->request, &end, &step);
+    CpProxyFront_Step(c, &step);
+}
+
 void
 CpProxyAttempt_Abort(CpCall *c)
 {
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -80,9 +80,7 @@
     c->step = *step;
     if (step->type == CP_STEP_SEND) {
         c->deadline_ns = step->deadline_ns - LATE_SLACK_MS * CP_NS_PER_MS;
-        if (c->deadline_ns < w->next_deadline_ns) {
-            w->next_deadline_ns = c->deadline_ns;
-        }
+        CpProxyWorker_Remind(w, c);
         CpProxyAttempt_Start(c, step);
         return;
     }
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -93,6 +93,8 @@
 /* Watches a caller's connection while its request is in flight. */
 void CpProxyWorker_Watch(CpProxyWorker *w, CpCall *c);
 void CpProxyWorker_Unwatch(CpProxyWorker *w, CpCall *c);
+/* Looks at the call again when its next deadline passes. */
+void CpProxyWorker_Remind(CpProxyWorker *w, const CpCall *c);
 int CpProxyWorker_OnSocket(CURL *easy, curl_socket_t fd, int what, void *ctx,
                            void *socket_ctx);
 int CpProxyWorker_OnTimer(CURLM *multi, long timeout_ms, void *ctx);
@@ -104,6 +106,8 @@
 /* The caller went away, or the deadline passed. */
 void CpProxyFront_Gone(CpCall *c);
 void CpProxyFront_Late(CpCall *c);
+/* The time of an attempt, not of its request, is over. */
+void CpProxyAttempt_GiveUp(CpCall *c);
 void CpHeaderLine_Free(void *line);
 GPtrArray *CpHeaderLine_NewList(void);
 void CpHeaderLine_Add(GPtrArray *list, const char *name, size_t name_bytes,
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -184,6 +184,18 @@
     }
 }
 
+void
+CpProxyWorker_Remind(CpProxyWorker *w, const CpCall *c)
+{
+    int64_t attempt_ns = c->step.attempt_deadline_ns;
+    int64_t due_ns = attempt_ns > 0 && attempt_ns < c->deadline_ns
+                         ? attempt_ns
+                         : c->deadline_ns;
+    if (!c->decided && due_ns < w->next_deadline_ns) {
+        w->next_deadline_ns = due_ns;
+    }
+}
+
 int
 CpProxyWorker_OnSocket(CURL *easy, curl_socket_t fd, int what, void *ctx,
                        void *socket_ctx)
@@ -324,12 +336,15 @@
         if (c->decided || c->deadline_ns == 0) {
             continue;
         }
+        int64_t attempt_ns = c->step.attempt_deadline_ns;
         if (c->deadline_ns <= now_ns) {
             CpProxyFront_Late(c);
+            continue;
         }
-        else if (c->deadline_ns < w->next_deadline_ns) {
-            w->next_deadline_ns = c->deadline_ns;
+        if (attempt_ns > 0 && attempt_ns <= now_ns) {
+            CpProxyAttempt_GiveUp(c); /* sets the next step */
         }
+        CpProxyWorker_Remind(w, c);
     }
 }
 
