--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,13 @@
 	$(MAKE) check SANITIZE=thread
 soak: all
 	BUILD=$(B) bash regress/system/soak $(or $(SEED),1) $(or $(RUNS),500)
+# Names of the users' platform stand in platform/ only.
+PLATFORM_NAMES := rows-tx|rows-get|rows-feed|blob-(put|get|drop)|Attempt-Id|\
+Affinity-Key|Target-Instance|Not-Executed|Response-Seal|Server-Load|\
+Warmup-Remaining|warmupLeftMs|serviceName|configVersion|latencyGoalMs|\
+trafficSplit|routeType|sessionAffinity
 lint:
+	! grep -rnE '$(PLATFORM_NAMES)' src
 	clang-format --dry-run -Werror $(C_FILES)
 	cppcheck --quiet --error-exitcode=1 --std=c11 --inline-suppr \
 	    --enable=warning,portability --suppress=missingIncludeSystem \
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -26,6 +26,7 @@
     MODE_CROSS,    /* runs and answers with another request's id */
     MODE_SHORT,    /* runs and breaks the body off */
     MODE_UNSEALED, /* runs and leaves the seal out */
+    MODE_SILENT,   /* runs and never answers */
     MODE_EXTRA,    /* sends a second answer behind the first */
     MODE_COUNT
 } Mode;
@@ -53,6 +54,7 @@
     [MODE_CROSS] = "cross",
     [MODE_SHORT] = "short",
     [MODE_UNSEALED] = "unsealed",
+    [MODE_SILENT] = "silent",
     [MODE_EXTRA] = "extra",
 };
 
@@ -234,6 +236,10 @@
         return refuse(conn, s, 503);
     }
     bool stayed = work(s, u->fd, limit_ms);
+    while (stayed && mode == MODE_SILENT) {
+        struct pollfd p = {.fd = u->fd, .events = POLLRDHUP};
+        stayed = poll(&p, 1, SLICE_MS) == 0;
+    }
     pthread_mutex_lock(&lock);
     s->running--;
     cancelled += !stayed;
