What did not run is no attempt; settings are read again when the file changes

Change: refusals and wrong servers do not count against a route's attempts, at most three of them; hosts without routes say so in their reports; the settings file is looked at each second.

--- a/src/daemon/daemon_main.c
+++ b/src/daemon/daemon_main.c
@@ -5,6 +5,8 @@
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/stat.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "base/event.h"
@@ -13,6 +15,7 @@
 #include "platform/platform.h"
 
 #define EXIT_SETTINGS 2
+#define SETTINGS_CHECK_S 1 /* between two looks at the settings file */
 
 /* One of the two ways to serve, behind the signals. */
 typedef struct {
@@ -32,6 +35,7 @@
 static void free_routes(void *host);
 static int run(const CpSettings *settings, const char *path);
 static void reload(const Mode *m, void *host, const char *path);
+static bool has_changed(const char *path, struct stat *seen);
 
 static const Mode kinds_mode = {start_kinds, reload_kinds, drain_kinds,
                                 free_kinds};
@@ -85,6 +89,7 @@
         CpSettings_ServesRoutes(settings) ? &routes_mode : &kinds_mode;
     void *host;
     sigset_t set;
+    struct stat seen = {0};
     int sig;
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
@@ -96,9 +101,14 @@
         CpLog(CP_LOG_ERR, "%s", CpError_Message());
         return EXIT_SETTINGS;
     }
-    while (sigwait(&set, &sig) == 0 && sig == SIGHUP) {
-        reload(m, host, path);
-    }
+    has_changed(path, &seen);
+    do {
+        const struct timespec wait = {.tv_sec = SETTINGS_CHECK_S};
+        sig = sigtimedwait(&set, NULL, &wait);
+        if (has_changed(path, &seen) || sig == SIGHUP) {
+            reload(m, host, path);
+        }
+    } while (sig < 0 || sig == SIGHUP);
     m->drain(host);
     m->free(host);
     return EXIT_SUCCESS;
@@ -119,6 +129,21 @@
     CpProblems_Clear(&problems);
 }
 
+/* The file may change without a signal; a missing one changes nothing. */
+static bool
+has_changed(const char *path, struct stat *seen)
+{
+    struct stat now;
+    if (stat(path, &now) != 0) {
+        return false;
+    }
+    bool changed = now.st_mtim.tv_sec != seen->st_mtim.tv_sec ||
+                   now.st_mtim.tv_nsec != seen->st_mtim.tv_nsec ||
+                   now.st_size != seen->st_size || now.st_ino != seen->st_ino;
+    *seen = now;
+    return changed;
+}
+
 static CpStatus
 start_kinds(const CpSettings *settings, void **out)
 {
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -90,6 +90,15 @@
     return r;
 }
 
+bool
+CpEntry_IsReady(CpEntry *e)
+{
+    pthread_mutex_lock(&e->routes_lock);
+    bool known = e->routes != NULL;
+    pthread_mutex_unlock(&e->routes_lock);
+    return known && !CpAtomic_Load(&e->leaving);
+}
+
 void
 CpEntryFollow_Tick(void *ctx, int64_t now_ns)
 {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -96,6 +96,8 @@
 void CpEntryFollow_Stop(CpEntry *e);
 /* The routes in force, retained; NULL if there are none. */
 CpRoutes *CpEntry_Routes(CpEntry *e, int64_t *since_ns);
+/* Whether this host takes requests: it has routes and does not leave. */
+bool CpEntry_IsReady(CpEntry *e);
 void CpEntryFollow_Tick(void *ctx, int64_t now_ns);
 /* Another host has read a table up to a version. */
 void CpEntryFollow_Heard(CpEntry *e, CpTable table, uint64_t version,
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -149,7 +149,7 @@
     f.report.incarnation = e->incarnation;
     f.report.number =
         __atomic_add_fetch(&e->peers_number, 1, __ATOMIC_RELAXED);
-    f.report.leaving = CpAtomic_Load(&e->leaving);
+    f.report.leaving = !CpEntry_IsReady(e);
     f.report.operator_version = CpEntryFollow_Version(e, CP_TABLE_OPERATOR);
     f.report.servers_version = CpEntryFollow_Version(e, CP_TABLE_SERVERS);
     if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -28,11 +28,8 @@
 uint32_t
 CpEntryReport_Ready(void *ctx, const CpPageQuery *q, char **out)
 {
-    CpEntry *e = ctx;
-    CpRoutes *r = CpEntry_Routes(e, NULL);
-    bool ready = r != NULL && !CpAtomic_Load(&e->leaving);
+    bool ready = CpEntry_IsReady(ctx);
     (void)q;
-    CpRoutes_Release(r);
     *out = CpMem_Dup(ready ? "ready\n" : "not ready\n");
     return ready ? 200 : 503;
 }
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -13,7 +13,8 @@
  * half of its time is left for another one. */
 #define SILENT_FACTOR 4
 #define SILENT_GOALS 2
-#define MAX_UNSENT 3 /* servers that could not be reached, in a row */
+/* Servers that did not run a request do not count as its attempts. */
+#define MAX_NOT_RUN 3
 
 /* The policy's state of one request. */
 typedef struct {
@@ -23,8 +24,8 @@
     int64_t deadline_ns;
     int64_t goal_ns;
     int64_t routes_age_ms;
-    uint32_t sent;   /* servers that were sent the request */
-    uint32_t unsent; /* that could not be reached */
+    uint32_t sent;    /* servers that were sent the request */
+    uint32_t not_run; /* that could not be reached, or refused */
     bool may_have_run;
     bool was_silent; /* a server: from now on late is better than never */
     bool paid;       /* for the next repeat */
@@ -101,11 +102,11 @@
     CpEntry *e = ctx;
     State *s = rq->memory;
     report(e, s, a->end, a, a->latency_ns);
-    if (a->end == CP_ATTEMPT_UNREACHABLE) {
-        s->unsent++;
+    if (a->verdict == CP_NOT_RUN) {
+        s->not_run++;
         s->sent--;
     }
-    if (a->verdict != CP_NOT_RUN) {
+    else {
         s->may_have_run = true;
     }
     if (a->end == CP_ATTEMPT_TIMED_OUT) {
@@ -258,8 +259,7 @@
 {
     bool not_sent = a->end == CP_ATTEMPT_UNREACHABLE;
     bool safe = a->verdict == CP_NOT_RUN || s->route->idempotent;
-    bool room =
-        not_sent ? s->unsent <= MAX_UNSENT : s->sent < s->route->max_attempts;
+    bool room = s->not_run <= MAX_NOT_RUN && s->sent < s->route->max_attempts;
     bool paid = safe && room &&
                 (not_sent || s->paid || spend_repeat(e, CpClock_Now_ns()));
     s->paid = false;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -151,9 +151,9 @@
 typedef struct {
     char host[CP_NAME_BYTES];
     uint64_t incarnation;
-    uint64_t number; /* grows with each report of an incarnation */
-    uint32_t leaving;
-    uint32_t whole;            /* no row means no request there */
+    uint64_t number;  /* grows with each report of an incarnation */
+    uint32_t leaving; /* or not ready yet: callers are sent elsewhere */
+    uint32_t whole;   /* no row means no request there */
     uint64_t operator_version; /* of the tables, as the sender has read them */
     uint64_t servers_version;
     CpReportRow *rows;
