--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -9,9 +9,8 @@
 
 #include "entry/entry_int.h"
 
-#define SCAN_TIMEOUT_MS                                                       \
-    1200 /* hundreds of rows at the slowest useful rate                       \
-          */
+/* Hundreds of rows at the slowest useful rate. */
+#define SCAN_TIMEOUT_MS 1200
 #define RETRY_FIRST_MS 100
 #define RETRY_MAX_MS 400   /* so that a store that is back is soon used */
 #define LEAD_WAIT_MS 1000  /* for the table that finds out */
@@ -30,13 +29,8 @@
 static uint32_t wait_of(const CpEntryFollower *f);
 static bool give_up(void *ctx);
 static CpStatus scan(CpEntryFollower *f, uint64_t *version);
-static void on_row(void *ctx, const CpFeedRow *row);
-static void on_operator_row(CpEntry *e, const CpFeedRow *row);
-static void take_routes(CpEntry *e, const CpFeedRow *row);
-static void on_server_row(CpEntryFollower *f, const CpFeedRow *row);
 static void note_result(CpEntryFollower *f, CpStatus st);
 static void note_back(CpEntryFollower *f, int64_t now_ns);
-static bool may_have_lapsed(const CpEntryFollower *f, int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 
 /* A store that falls silent shows only when a wait ends. One host of a domain
@@ -108,7 +102,7 @@
     CpEntryHosts_Sharers(e, &hosts);
     CpFleet_Tick(e->fleet, &hosts, now_ns);
     if (!CpAtomic_Load(&f->errors) && f->forget_due &&
-        !may_have_lapsed(f, now_ns)) {
+        !CpEntryFollow_MayHaveLapsed(f, now_ns)) {
         f->forget_due = false;
         uint32_t n = CpFleet_Forget(e->fleet, now_ns);
         if (n > 0) {
@@ -128,10 +122,10 @@
     while (!CpAtomic_Load(&e->stopping)) {
         uint64_t before = version;
         f->asked_ns = CpClock_Now_ns();
-        CpStatus st = scanned
-                          ? f->store->follow(f->store->ctx, f->table,
-                                             wait_of(f), on_row, f, &version)
-                          : scan(f, &version);
+        CpStatus st =
+            scanned ? f->store->follow(f->store->ctx, f->table, wait_of(f),
+                                       CpEntryFollow_OnRow, f, &version)
+                    : scan(f, &version);
         if (st == CP_ERR_RANGE) { /* the history is gone: start anew */
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
                     tables[f->table].label);
@@ -221,10 +215,11 @@
     if (f->table == CP_TABLE_HOSTS) {
         CpEntryHosts_BeginScan(e);
     }
-    CpStatus st = f->store->scan(f->store->ctx, f->table, on_row, f, version);
+    CpStatus st = f->store->scan(f->store->ctx, f->table, CpEntryFollow_OnRow,
+                                 f, version);
     int64_t now_ns = CpClock_Now_ns();
     if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
-        bool lapsed = may_have_lapsed(f, now_ns);
+        bool lapsed = CpEntryFollow_MayHaveLapsed(f, now_ns);
         CpFleet_EndScan(e->fleet, lapsed, now_ns);
         f->forget_due |= lapsed;
     }
@@ -234,124 +229,6 @@
     return st;
 }
 
-static void
-on_row(void *ctx, const CpFeedRow *row)
-{
-    CpEntryFollower *f = ctx;
-    if (row->version > __atomic_load_n(&f->version, __ATOMIC_RELAXED)) {
-        __atomic_store_n(&f->version, row->version, __ATOMIC_RELAXED);
-    }
-    switch (f->table) {
-    case CP_TABLE_OPERATOR:
-        on_operator_row(f->entry, row);
-        break;
-    case CP_TABLE_SERVERS:
-        on_server_row(f, row);
-        break;
-    case CP_TABLE_HOSTS:
-        CpEntryHosts_OnRow(f->entry, row);
-        break;
-    default:
-        break;
-    }
-}
-
-static void
-on_operator_row(CpEntry *e, const CpFeedRow *row)
-{
-    char domain[CP_NAME_BYTES];
-    switch (e->adapter.operator_row(row->key, domain)) {
-    case CP_ENTRY_ROW_ROUTES:
-        if (!row->deleted) {
-            take_routes(e, row);
-        }
-        break;
-    case CP_ENTRY_ROW_EVACUATION:
-        CpEvent(CP_EVENT_BELIEF, "evacuation", "s:s,s:b,s:I", "domain", domain,
-                "evacuated", !row->deleted, "row_version",
-                (json_int_t)row->version);
-        CpFleet_SetEvacuated(e->fleet, domain, !row->deleted,
-                             CpClock_Now_ns());
-        break;
-    default:
-        break;
-    }
-}
-
-/* A version that is unusable or older leaves the one in force. */
-static void
-take_routes(CpEntry *e, const CpFeedRow *row)
-{
-    CpRoutes *next;
-    if (e->adapter.decode_routes(row->value, row->value_bytes, &next) !=
-        CP_OK) {
-        CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
-        CpEvent(CP_EVENT_BELIEF, "routes_rejected", "s:I,s:s", "row_version",
-                (json_int_t)row->version, "error", CpError_Message());
-        return;
-    }
-    pthread_mutex_lock(&e->routes_lock);
-    CpRoutes *old = e->routes;
-    bool later = CpRoutes_Supersedes(next, old);
-    uint64_t old_version = old != NULL ? old->version : 0;
-    if (later) {
-        e->routes = CpRoutes_Retain(next);
-        e->routes_ns = CpClock_Now_ns();
-    }
-    pthread_mutex_unlock(&e->routes_lock);
-    if (!later) {
-        if (next->version < old_version) {
-            CpEvent(CP_EVENT_BELIEF, "routes_older", "s:I,s:I", "version",
-                    (json_int_t)next->version, "in_force",
-                    (json_int_t)old_version);
-        }
-        CpRoutes_Release(next);
-        return;
-    }
-    for (uint32_t i = 0; i < next->service_count; i++) {
-        const CpService *s = &next->services[i];
-        CpFleet_SetService(e->fleet, s->name, s->warmup_ms,
-                           s->warmup_per_s_milli);
-    }
-    CpCounter_Add(CP_COUNT_CONFIG_ACCEPTED, 1);
-    CpEvent(CP_EVENT_BELIEF, "routes_in_force", "s:I,s:I,s:i,s:i", "version",
-            (json_int_t)next->version, "before", (json_int_t)old_version,
-            "routes", (int)next->route_count, "services",
-            (int)next->service_count);
-    CpRoutes_Release(old);
-    CpRoutes_Release(next);
-}
-
-static void
-on_server_row(CpEntryFollower *f, const CpFeedRow *row)
-{
-    CpEntry *e = f->entry;
-    CpServerEntry entry;
-    int64_t now_ns = CpClock_Now_ns();
-    if (row->deleted) {
-        bool lapsed = may_have_lapsed(f, now_ns);
-        CpEvent(CP_EVENT_BELIEF, "server_entry_gone", "s:s,s:b,s:I",
-                "instance", row->key, "lapsed", lapsed, "row_version",
-                (json_int_t)row->version);
-        CpFleet_Remove(e->fleet, row->key, lapsed, now_ns);
-        f->forget_due |= lapsed;
-        return;
-    }
-    if (e->adapter.decode_server(row->key, row->value, row->value_bytes,
-                                 &entry) != CP_OK) {
-        CpEvent(CP_EVENT_BELIEF, "server_entry_unusable", "s:s,s:s,s:I",
-                "instance", row->key, "error", CpError_Message(),
-                "row_version", (json_int_t)row->version);
-        return;
-    }
-    CpFleet_Put(e->fleet, &entry, now_ns);
-    CpEvent(CP_EVENT_BELIEF, "server", "s:s,s:s,s:s,s:s,s:b,s:i,s:I",
-            "instance", entry.instance, "service", entry.service, "address",
-            entry.address, "domain", entry.domain, "draining", entry.draining,
-            "warmup_left_ms", (int)entry.warmup_left_ms, "row_version",
-            (json_int_t)row->version);
-}
-
 static void
 note_result(CpEntryFollower *f, CpStatus st)
 {
@@ -396,9 +273,8 @@
     pthread_mutex_unlock(&e->store_lock);
 }
 
-/* Whether the store was away so lately that a missing entry may return. */
-static bool
-may_have_lapsed(const CpEntryFollower *f, int64_t now_ns)
+bool
+CpEntryFollow_MayHaveLapsed(const CpEntryFollower *f, int64_t now_ns)
 {
     if (f->lost_ns == 0) {
         return false;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -104,6 +104,12 @@
                          int64_t now_ns);
 uint64_t CpEntryFollow_Version(CpEntry *e, CpTable table);
 
+/* Whether the store was away so lately that a missing entry may return. */
+bool CpEntryFollow_MayHaveLapsed(const CpEntryFollower *f, int64_t now_ns);
+
+/* rows: what the rows of the tables say; `ctx` is a CpEntryFollower */
+void CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row);
+
 /* hosts: which entry hosts there are */
 void CpEntryHosts_Init(CpEntry *e);
 void CpEntryHosts_Free(CpEntry *e);
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -81,6 +81,9 @@
 /* The shard of a service, locked, and the service, made where it is new. */
 CpFleetShard *CpFleet_Lock(CpFleet *f, const char *service,
                            CpFleetService **out);
+/* Calls fn for each service, under its shard's lock. */
+typedef void (*CpFleetServiceFn)(CpFleet *f, CpFleetService *s, void *ctx);
+void CpFleet_EachService(CpFleet *f, CpFleetServiceFn fn, void *ctx);
 CpFleetServer *CpFleet_Find(const CpFleetService *s, const char *instance);
 CpNearness CpFleet_Nearness(const CpFleet *f, uint32_t domain_index);
 /* How much slower than its service a server is; 1000 unless it stands out. */
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -8,8 +8,6 @@
 #define FAMILIAR_LIFE_NS (20 * CP_NS_PER_S) /* servers forget in time */
 #define MAX_OBJECTS 65536 /* a service; all are forgotten beyond that */
 
-typedef void (*ServerFn)(CpFleetService *s, CpFleetServer *v, void *ctx);
-
 typedef struct {
     uint64_t peer;
     uint64_t server;
@@ -20,10 +18,9 @@
     uint32_t told;
 } Visit;
 
-static void each_server(CpFleet *f, ServerFn fn, void *ctx);
-static void set_count(CpFleetService *s, CpFleetServer *v, void *ctx);
-static void clear_count(CpFleetService *s, CpFleetServer *v, void *ctx);
-static void add_use(CpFleetService *s, CpFleetServer *v, void *ctx);
+static void set_count(CpFleet *f, CpFleetService *s, void *ctx);
+static void clear_count(CpFleet *f, CpFleetService *s, void *ctx);
+static void add_use(CpFleet *f, CpFleetService *s, void *ctx);
 static CpFleetPeer *peer_slot(CpFleetServer *v, uint64_t peer, int64_t now_ns);
 static void describe(const CpFleetServer *v, int64_t now_ns, CpFleetUse *out);
 
@@ -33,14 +30,14 @@
 {
     Visit visit = {
         .peer = peer, .server = server, .count = count, .now_ns = now_ns};
-    each_server(f, set_count, &visit);
+    CpFleet_EachService(f, set_count, &visit);
 }
 
 void
 CpFleet_PeerBegin(CpFleet *f, uint64_t peer)
 {
     Visit visit = {.peer = peer};
-    each_server(f, clear_count, &visit);
+    CpFleet_EachService(f, clear_count, &visit);
 }
 
 bool
@@ -61,7 +58,7 @@
 CpFleet_Uses(CpFleet *f, CpFleetUse *out, uint32_t room)
 {
     Visit visit = {.out = out, .room = room};
-    each_server(f, add_use, &visit);
+    CpFleet_EachService(f, add_use, &visit);
     return visit.told;
 }
 
@@ -105,30 +102,15 @@
 }
 
 static void
-each_server(CpFleet *f, ServerFn fn, void *ctx)
-{
-    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
-        GHashTableIter it;
-        void *p;
-        pthread_mutex_lock(&f->shards[i].lock);
-        g_hash_table_iter_init(&it, f->shards[i].services);
-        while (g_hash_table_iter_next(&it, NULL, &p)) {
-            CpFleetService *s = p;
-            for (uint32_t k = 0; k < s->servers->len; k++) {
-                fn(s, g_ptr_array_index(s->servers, k), ctx);
-            }
-        }
-        pthread_mutex_unlock(&f->shards[i].lock);
-    }
-}
-
-static void
-set_count(CpFleetService *s, CpFleetServer *v, void *ctx)
+set_count(CpFleet *f, CpFleetService *s, void *ctx)
 {
     const Visit *visit = ctx;
-    (void)s;
-    if (v->hash == visit->server) {
-        CpFleetPeer *p = peer_slot(v, visit->peer, visit->now_ns);
+    (void)f;
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        CpFleetPeer *p = v->hash == visit->server
+                             ? peer_slot(v, visit->peer, visit->now_ns)
+                             : NULL;
         if (p != NULL) {
             *p = (CpFleetPeer){visit->peer, visit->count, visit->now_ns};
         }
@@ -136,24 +118,30 @@
 }
 
 static void
-clear_count(CpFleetService *s, CpFleetServer *v, void *ctx)
+clear_count(CpFleet *f, CpFleetService *s, void *ctx)
 {
     const Visit *visit = ctx;
-    (void)s;
-    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
-        if (v->peers[i].peer == visit->peer) {
-            v->peers[i].count = 0;
+    (void)f;
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        for (uint32_t k = 0; k < CP_FLEET_MAX_PEERS; k++) {
+            if (v->peers[k].peer == visit->peer) {
+                v->peers[k].count = 0;
+            }
         }
     }
 }
 
 static void
-add_use(CpFleetService *s, CpFleetServer *v, void *ctx)
+add_use(CpFleet *f, CpFleetService *s, void *ctx)
 {
     Visit *visit = ctx;
-    (void)s;
-    if (v->outstanding > 0 && visit->told < visit->room) {
-        describe(v, INT64_MAX, &visit->out[visit->told++]);
+    (void)f;
+    for (uint32_t i = 0; i < s->servers->len; i++) {
+        const CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        if (v->outstanding > 0 && visit->told < visit->room) {
+            describe(v, INT64_MAX, &visit->out[visit->told++]);
+        }
     }
 }
 
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -26,6 +26,11 @@
     uint32_t of[CP_FLEET_MAX_DOMAINS + 1];
 } Slots;
 
+typedef struct {
+    const CpFleetHosts *hosts;
+    int64_t now_ns;
+} Tick;
+
 typedef struct {
     double score;
     CpFleetServer *server;
@@ -38,6 +43,8 @@
 static bool fits_scope(const CpFleet *f, const CpFleetService *s,
                        const CpFleetServer *v, bool abroad,
                        const Slots *slots);
+static void tick_service(CpFleet *f, CpFleetService *s, void *ctx);
+static void learn_rate(CpFleetService *s, int64_t now_ns);
 static uint32_t weight(const CpFleet *f, const CpFleetServer *v, bool abroad,
                        const Slots *slots);
 static uint32_t fair_keep_milli(const CpFleet *f, const Slots *slots);
@@ -80,46 +87,8 @@
 void
 CpFleet_Tick(CpFleet *f, const CpFleetHosts *hosts, int64_t now_ns)
 {
-    for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
-        GHashTableIter it;
-        void *p;
-        pthread_mutex_lock(&f->shards[i].lock);
-        g_hash_table_iter_init(&it, f->shards[i].services);
-        while (g_hash_table_iter_next(&it, NULL, &p)) {
-            CpFleetService *s = p;
-            Slots slots;
-            int64_t past_ms = (now_ns - s->ticked_ns) / CP_NS_PER_MS;
-            count_slots(f, s, is_listed, f, &slots);
-            if (s->ticked_ns > 0 && past_ms > 0) {
-                int64_t rate = (int64_t)s->asked * 1000 * 1000 / past_ms;
-                int64_t old = s->rate_milli;
-                s->rate_milli =
-                    (uint32_t)(old + (rate - old) / (1 << RATE_SHIFT));
-            }
-            s->ticked_ns = now_ns;
-            s->asked = 0;
-            if (!s->keep_known) {
-                s->keep_milli = fair_keep_milli(f, &slots);
-                s->keep_known = slots.all > 0 && s->rate_milli > 0;
-                continue;
-            }
-            uint32_t sharing = reach(s) == CP_NEAR_DOMAIN ? hosts->in_domain
-                                                          : hosts->in_region;
-            int64_t need_milli =
-                (int64_t)s->rate_milli * sharing * s->work_us / 1000 / 1000;
-            int64_t keep = need_milli > 0
-                               ? (int64_t)slots.own * TARGET_LOAD_MILLI *
-                                     FULL_MILLI / need_milli
-                               : FULL_MILLI;
-            int64_t step = keep - s->keep_milli;
-            step = step > KEEP_STEP_MILLI    ? KEEP_STEP_MILLI
-                   : step < -KEEP_STEP_MILLI ? -KEEP_STEP_MILLI
-                                             : step;
-            keep = s->keep_milli + step;
-            s->keep_milli = keep > FULL_MILLI ? FULL_MILLI : (uint32_t)keep;
-        }
-        pthread_mutex_unlock(&f->shards[i].lock);
-    }
+    Tick t = {.hosts = hosts, .now_ns = now_ns};
+    CpFleet_EachService(f, tick_service, &t);
 }
 
 bool
@@ -132,6 +101,50 @@
            !CpAtomic_Load(&f->evacuated[v->domain_index]);
 }
 
+/* Moves the kept part towards what the near slots carry. */
+static void
+tick_service(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    const Tick *t = ctx;
+    Slots slots;
+    count_slots(f, s, is_listed, f, &slots);
+    learn_rate(s, t->now_ns);
+    if (!s->keep_known) {
+        s->keep_milli = fair_keep_milli(f, &slots);
+        s->keep_known = slots.all > 0 && s->rate_milli > 0;
+        return;
+    }
+    uint32_t hosts =
+        reach(s) == CP_NEAR_DOMAIN ? t->hosts->in_domain : t->hosts->in_region;
+    int64_t need_milli =
+        (int64_t)s->rate_milli * hosts * s->work_us / 1000 / 1000;
+    int64_t keep = need_milli > 0 ? (int64_t)slots.own * TARGET_LOAD_MILLI *
+                                        FULL_MILLI / need_milli
+                                  : FULL_MILLI;
+    int64_t step = keep - s->keep_milli;
+    if (step > KEEP_STEP_MILLI) {
+        step = KEEP_STEP_MILLI;
+    }
+    if (step < -KEEP_STEP_MILLI) {
+        step = -KEEP_STEP_MILLI;
+    }
+    keep = s->keep_milli + step;
+    s->keep_milli = keep > FULL_MILLI ? FULL_MILLI : (uint32_t)keep;
+}
+
+static void
+learn_rate(CpFleetService *s, int64_t now_ns)
+{
+    int64_t past_ms = (now_ns - s->ticked_ns) / CP_NS_PER_MS;
+    if (s->ticked_ns > 0 && past_ms > 0) {
+        int64_t rate = (int64_t)s->asked * 1000 * 1000 / past_ms;
+        int64_t old = s->rate_milli;
+        s->rate_milli = (uint32_t)(old + (rate - old) / (1 << RATE_SHIFT));
+    }
+    s->ticked_ns = now_ns;
+    s->asked = 0;
+}
+
 static void
 count_slots(const CpFleet *f, const CpFleetService *s, CpFleetFitsFn fits,
             void *ctx, Slots *out)
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -4,8 +4,6 @@
 
 #include "fleet/fleet_int.h"
 
-typedef void (*ServiceFn)(CpFleet *f, CpFleetService *s, void *ctx);
-
 typedef struct {
     const char *instance;
     const char *except; /* service that keeps it */
@@ -16,7 +14,6 @@
     uint32_t domain_index;
 } Sweep;
 
-static void each_service(CpFleet *f, ServiceFn fn, void *ctx);
 static void remove_from(CpFleet *f, CpFleetService *s, void *ctx);
 static void begin_scan(CpFleet *f, CpFleetService *s, void *ctx);
 static void end_scan(CpFleet *f, CpFleetService *s, void *ctx);
@@ -67,7 +64,7 @@
     CpFleetService *s;
     Sweep moved = {
         .instance = e->instance, .except = e->service, .now_ns = now_ns};
-    each_service(f, remove_from, &moved);
+    CpFleet_EachService(f, remove_from, &moved);
     CpFleetShard *sh = CpFleet_Lock(f, e->service, &s);
     CpFleetServer *v = CpFleet_Find(s, e->instance);
     if (v == NULL) {
@@ -104,28 +101,28 @@
 CpFleet_Remove(CpFleet *f, const char *instance, bool lapsed, int64_t now_ns)
 {
     Sweep sweep = {.instance = instance, .lapsed = lapsed, .now_ns = now_ns};
-    each_service(f, remove_from, &sweep);
+    CpFleet_EachService(f, remove_from, &sweep);
 }
 
 uint32_t
 CpFleet_Forget(CpFleet *f, int64_t now_ns)
 {
     Sweep sweep = {.now_ns = now_ns};
-    each_service(f, forget, &sweep);
+    CpFleet_EachService(f, forget, &sweep);
     return sweep.count;
 }
 
 void
 CpFleet_BeginScan(CpFleet *f)
 {
-    each_service(f, begin_scan, NULL);
+    CpFleet_EachService(f, begin_scan, NULL);
 }
 
 void
 CpFleet_EndScan(CpFleet *f, bool lapsed, int64_t now_ns)
 {
     Sweep sweep = {.lapsed = lapsed, .now_ns = now_ns};
-    each_service(f, end_scan, &sweep);
+    CpFleet_EachService(f, end_scan, &sweep);
 }
 
 void
@@ -139,7 +136,7 @@
     bool was = CpAtomic_Load(&f->evacuated[i]) != 0;
     if (was && !evacuated) { /* nothing was sent there meanwhile */
         Sweep sweep = {.domain_index = i, .now_ns = now_ns};
-        each_service(f, chill, &sweep);
+        CpFleet_EachService(f, chill, &sweep);
     }
     CpAtomic_Store(&f->evacuated[i], evacuated);
 }
@@ -198,8 +195,8 @@
     return CP_NEAR_FAR;
 }
 
-static void
-each_service(CpFleet *f, ServiceFn fn, void *ctx)
+void
+CpFleet_EachService(CpFleet *f, CpFleetServiceFn fn, void *ctx)
 {
     for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
         GHashTableIter it;
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -22,6 +22,9 @@
 #define MAX_ANSWER_BYTES (64u * 1024 * 1024)
 
 static void set_request(CpCall *c, const CpStep *step, int64_t left_ms);
+static void set_connection(CpCall *c, const CpStep *step, int64_t left_ms);
+static void set_headers(CpCall *c, const CpStep *step, int64_t left_ms);
+static void set_body(CpCall *c);
 static void add_line(CpProxyAttempt *a, const char *name, const char *value);
 static void read_end(CpCall *c, CURLcode code);
 static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
@@ -105,17 +108,30 @@
 static void
 set_request(CpCall *c, const CpStep *step, int64_t left_ms)
 {
-    const CpProxy *p = c->worker->proxy;
-    const CpHeaderNames *names = p->options.headers;
-    CpProxyAttempt *a = &c->attempt;
-    CURL *e = a->easy;
-    char number[24];
-    bool typed = false, accepts = false;
-    snprintf(a->url, sizeof(a->url), "http://%s/", step->address);
-    curl_easy_setopt(e, CURLOPT_URL, a->url);
+    CURL *e = c->attempt.easy;
+    snprintf(c->attempt.url, sizeof(c->attempt.url), "http://%s/",
+             step->address);
+    curl_easy_setopt(e, CURLOPT_URL, c->attempt.url);
     curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->request.target);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-    curl_easy_setopt(e, CURLOPT_ERRORBUFFER, a->error);
+    curl_easy_setopt(e, CURLOPT_ERRORBUFFER, c->attempt.error);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
+    set_connection(c, step, left_ms);
+    set_headers(c, step, left_ms);
+    set_body(c);
+}
+
+static void
+set_connection(CpCall *c, const CpStep *step, int64_t left_ms)
+{
+    const CpProxy *p = c->worker->proxy;
+    CURL *e = c->attempt.easy;
+    uint32_t keep_s = CpAtomic_Load(&p->keep_alive_s);
     curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_INTERFACE, p->interface);
@@ -123,23 +139,23 @@
     curl_easy_setopt(
         e, CURLOPT_CONNECTTIMEOUT_MS,
         (long)(left_ms < CONNECT_TIMEOUT_MS ? left_ms : CONNECT_TIMEOUT_MS));
-    curl_easy_setopt(e, CURLOPT_TCP_KEEPALIVE, 1L);
-    curl_easy_setopt(e, CURLOPT_TCP_KEEPIDLE, (long)KEEPALIVE_S);
-    curl_easy_setopt(e, CURLOPT_TCP_KEEPINTVL, (long)KEEPALIVE_S);
-    uint32_t keep_s = CpAtomic_Load(&p->keep_alive_s);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
     curl_easy_setopt(
         e, CURLOPT_MAXAGE_CONN,
         (long)(keep_s > IDLE_MARGIN_S ? keep_s - IDLE_MARGIN_S : 1));
-    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
-    curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, c);
     if (!step->idempotent) { /* a kept connection may break unanswered */
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     }
+}
+
+/* The caller's headers, without what the library would add of its own. */
+static void
+set_headers(CpCall *c, const CpStep *step, int64_t left_ms)
+{
+    const CpHeaderNames *names = c->worker->proxy->options.headers;
+    CpProxyAttempt *a = &c->attempt;
+    char number[24];
+    bool typed = false, accepts = false;
     for (guint i = 0; i < c->headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(c->headers, i);
         typed |= strcasecmp(h->name, "Content-Type") == 0;
@@ -157,19 +173,26 @@
     add_line(a, names->instance, step->instance);
     snprintf(number, sizeof(number), "%lld", (long long)left_ms);
     add_line(a, names->timeout_ms, number);
-    curl_easy_setopt(e, CURLOPT_HTTPHEADER, a->lines);
-    if (c->body != NULL || strcmp(c->request.method, "POST") == 0 ||
-        strcmp(c->request.method, "PUT") == 0) {
+    curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->lines);
+}
+
+static void
+set_body(CpCall *c)
+{
+    const CpRequest *rq = &c->request;
+    CURL *e = c->attempt.easy;
+    if (c->body != NULL || strcmp(rq->method, "POST") == 0 ||
+        strcmp(rq->method, "PUT") == 0) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
                          (curl_off_t)(c->body != NULL ? c->body->len : 0));
         curl_easy_setopt(e, CURLOPT_POSTFIELDS,
                          c->body != NULL ? (const char *)c->body->data : "");
     }
-    if (strcmp(c->request.method, "HEAD") == 0) {
+    if (strcmp(rq->method, "HEAD") == 0) {
         curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
     }
     else {
-        curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, c->request.method);
+        curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, rq->method);
     }
 }
 
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -9,8 +9,8 @@
 
 #include "proxy/proxy_int.h"
 
-#define CONNECTION_MEMORY_BYTES                                               \
-    (64 * 1024)           /* head of a request, and buffers */
+/* For the head of a request, and buffers. */
+#define CONNECTION_MEMORY_BYTES (64 * 1024)
 #define DEFAULT_IDLE_S 30 /* until limits are in force */
 #define LATE_SLACK_MS 5   /* the answer arrives when the caller still waits */
 
