A host that starts while the store is away takes what its neighbours have read

Cause: a host that was restarted in that time answered 503 until the store was back, however long its region was cut off. Ruled out: handing routes on by datagram (they outgrow it). Change: each host keeps the rows it has read and serves them at /state on the control address; one that starts without routes asks the neighbours of its settings, in turn.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -50,6 +50,7 @@
     /* For routes only: */
     char directory[CP_ADDR_BYTES];
     char ready[CP_ADDR_BYTES];
+    char control[CP_ADDR_BYTES]; /* for hosts that start; "": none */
     CpSettingsDomain *domains;
     uint32_t domain_count;
     uint32_t retry_percent; /* repeats for each hundred requests */
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -34,6 +34,7 @@
     CP_U32_FIELD(CpSettings, stop_timeout_s, 1, 3600, 60, "s"),
     CP_TEXT_FIELD(CpSettings, directory, false),
     CP_TEXT_FIELD(CpSettings, ready, false),
+    CP_TEXT_FIELD(CpSettings, control, false),
     CP_LIST_FIELD(CpSettings, domains, domain_count, CpSettingsDomain,
                   domain_fields, false),
     CP_U32_FIELD(CpSettings, retry_percent, 0, 100, 15, "%"),
@@ -129,6 +130,9 @@
     if (CpSettings_ServesRoutes(s)) {
         check_address(path, "directory", s->directory, p);
         check_address(path, "ready", s->ready, p);
+        if (s->control[0] != '\0') {
+            check_address(path, "control", s->control, p);
+        }
         return;
     }
     if (s->serve[0] != '\0' && strcmp(s->serve, "kinds") != 0) {
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -32,6 +32,7 @@
 static void note_result(CpEntryFollower *f, CpStatus st);
 static void note_back(CpEntryFollower *f, int64_t now_ns);
 static void back_off(CpEntryFollower *f);
+static bool knows_routes(CpEntry *e);
 
 /* A store that falls silent shows only when a wait ends. One host of a domain
  * waits for the operator's table briefly; the others hear from it that they
@@ -50,8 +51,12 @@
         f->entry = e;
         f->table = (CpTable)i;
         f->store = e->adapter.new_store(e->settings.platform, SCAN_TIMEOUT_MS);
+        CpEntryNeighbours_Init(f);
         f->store->give_up = give_up;
         f->store->give_up_ctx = f;
+    }
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        CpEntryFollower *f = &e->followers[i];
         if (pthread_create(&f->thread, NULL, follow_thread, f) != 0) {
             return CpError_Set(CP_ERR_IO, "follow: no thread");
         }
@@ -87,10 +92,7 @@
 bool
 CpEntry_IsReady(CpEntry *e)
 {
-    pthread_mutex_lock(&e->routes_lock);
-    bool known = e->routes != NULL;
-    pthread_mutex_unlock(&e->routes_lock);
-    return known && !CpAtomic_Load(&e->leaving);
+    return knows_routes(e) && !CpAtomic_Load(&e->leaving);
 }
 
 void
@@ -134,6 +136,9 @@
         }
         note_result(f, st);
         if (st != CP_OK) {
+            if (f->table == CP_TABLE_OPERATOR && !knows_routes(e)) {
+                CpEntryNeighbours_Ask(e);
+            }
             back_off(f);
             continue;
         }
@@ -209,6 +214,7 @@
 scan(CpEntryFollower *f, uint64_t *version)
 {
     CpEntry *e = f->entry;
+    CpEntryNeighbours_BeginScan(f);
     if (f->table == CP_TABLE_SERVERS) {
         CpFleet_BeginScan(e->fleet);
     }
@@ -218,6 +224,9 @@
     CpStatus st = f->store->scan(f->store->ctx, f->table, CpEntryFollow_OnRow,
                                  f, version);
     int64_t now_ns = CpClock_Now_ns();
+    if (st == CP_OK) {
+        CpEntryNeighbours_EndScan(f);
+    }
     if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
         bool lapsed = CpEntryFollow_MayHaveLapsed(f, now_ns);
         CpFleet_EndScan(e->fleet, lapsed, now_ns);
@@ -309,3 +318,12 @@
     }
     pthread_mutex_unlock(&e->store_lock);
 }
+
+static bool
+knows_routes(CpEntry *e)
+{
+    pthread_mutex_lock(&e->routes_lock);
+    bool known = e->routes != NULL;
+    pthread_mutex_unlock(&e->routes_lock);
+    return known;
+}
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -36,9 +36,12 @@
     pthread_t thread;
     bool started;
     bool connected;
-    int64_t lost_ns;  /* when the store was lost; 0: never */
-    int64_t back_ns;  /* when it was back */
-    int64_t asked_ns; /* when the call under way began */
+    int64_t lost_ns;           /* when the store was lost; 0: never */
+    int64_t back_ns;           /* when it was back */
+    int64_t asked_ns;          /* when the call under way began */
+    pthread_mutex_t rows_lock; /* of the next 2 */
+    uint32_t scan;             /* number of the last scan */
+    GHashTable *rows; /* as they were read last, for neighbours that start */
     bool forget_due;  /* entries that lapsed are dropped at the time above */
     uint32_t errors;  /* in a row */
     uint64_t version; /* of the last row that was read; atomic */
@@ -65,7 +68,8 @@
     CpPages *directory;
     CpPages *ready;
     CpPages *metrics;
-    CpStore *store; /* for writes */
+    CpPages *control; /* NULL: none */
+    CpStore *store;   /* for writes */
     CpEntryFollower followers[CP_TABLE_COUNT];
 
     pthread_mutex_t store_lock; /* of the next 2 */
@@ -110,6 +114,15 @@
 /* rows: what the rows of the tables say; `ctx` is a CpEntryFollower */
 void CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row);
 
+/* neighbours: what other hosts have read, where the store is away */
+void CpEntryNeighbours_Init(CpEntryFollower *f);
+void CpEntryNeighbours_Keep(CpEntryFollower *f, const CpFeedRow *row);
+/* Rows that a scan does not tell are gone at its end. */
+void CpEntryNeighbours_BeginScan(CpEntryFollower *f);
+void CpEntryNeighbours_EndScan(CpEntryFollower *f);
+void CpEntryNeighbours_Ask(CpEntry *e);
+uint32_t CpEntryNeighbours_State(void *ctx, const CpPageQuery *q, char **out);
+
 /* hosts: which entry hosts there are */
 void CpEntryHosts_Init(CpEntry *e);
 void CpEntryHosts_Free(CpEntry *e);
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -21,6 +21,10 @@
     {NULL, "application/json", CpEntryReport_Directory},
     {0},
 };
+static const CpPage control_pages[] = {
+    {"/state", "application/json", CpEntryNeighbours_State},
+    {0},
+};
 static CpPage ready_pages[] = {
     {NULL, "text/plain", CpEntryReport_Ready},
     {0},
@@ -134,6 +138,7 @@
     CpPages_Free(e->directory);
     CpPages_Free(e->ready);
     CpPages_Free(e->metrics);
+    CpPages_Free(e->control);
     CpEntryFollow_Stop(e);
     CpEntryPeers_Stop(e);
     CpProxy_Free(e->proxy);
@@ -162,6 +167,9 @@
     if (st == CP_OK) {
         st = CpPages_New(s->ready, ready_pages, e, &e->ready);
     }
+    if (st == CP_OK && s->control[0] != '\0') {
+        st = CpPages_New(s->control, control_pages, e, &e->control);
+    }
     if (st == CP_OK) {
         st = CpPages_New(s->operator_listen, cp_entry_metrics_pages, e,
                          &e->metrics);
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -12,6 +12,7 @@
     if (row->version > __atomic_load_n(&f->version, __ATOMIC_RELAXED)) {
         __atomic_store_n(&f->version, row->version, __ATOMIC_RELAXED);
     }
+    CpEntryNeighbours_Keep(f, row);
     switch (f->table) {
     case CP_TABLE_OPERATOR:
         on_operator_row(f->entry, row);
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -22,6 +22,10 @@
 caller: "$ip:7000"
 directory: "$ip:7001"
 ready: "$ip:7002"
+control: "$ip:7004"
+neighbours:
+  - $(ip_of_host na-1):7004
+  - $(ip_of_host wa-1):7004
 inner: "$ip:7100"
 operator_listen: "$ip:7003"
 platform: "http://$PLATFORM"
