Two hosts of a domain follow the store; the others take what is new from them

Ruled out: one host alone (a cut of that host would hold the others up beyond the time in which a change has to be in force). Change: reports tell how far a host has read, at once after a change; hosts beyond the first two of a domain wait for that and take the rows from /state of the host that has them. They follow the store themselves when neither of the two is heard to reach it. watching_hosts is a setting.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -57,7 +57,8 @@
     uint32_t retry_burst;   /* repeats beyond that, all hosts together */
     uint32_t retry_window_s;
     uint32_t directory_ttl_s;
-    uint32_t lapse_ms; /* for lost entries of servers to come back */
+    uint32_t watching_hosts; /* of a domain, that follow the store */
+    uint32_t lapse_ms;       /* for lost entries of servers to come back */
 } CpSettings;
 bool CpSettings_ServesRoutes(const CpSettings *s);
 
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -41,6 +41,7 @@
     CP_U32_FIELD(CpSettings, retry_burst, 0, 100000, 80, "requests"),
     CP_U32_FIELD(CpSettings, retry_window_s, 1, 3600, 10, "s"),
     CP_U32_FIELD(CpSettings, directory_ttl_s, 1, 60, 2, "s"),
+    CP_U32_FIELD(CpSettings, watching_hosts, 1, 64, 2, "hosts"),
     CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2000, "ms"),
     {0},
 };
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -15,6 +15,7 @@
 #define RETRY_MAX_MS 400   /* so that a store that is back is soon used */
 #define LEAD_WAIT_MS 1000  /* for the table that finds out */
 #define WATCH_WAIT_MS 2000 /* of the host that finds out */
+#define OTHERS_CHECK_S 1   /* whether they still do */
 #define PROBE_WAIT_MS 100  /* while the store is lost */
 #define LEAST_WAIT_NS (800 * CP_NS_PER_MS) /* a fair chance to answer */
 #define BEHIND_NS (400 * CP_NS_PER_MS) /* until a change reaches all hosts */
@@ -26,6 +27,9 @@
 } TableRow;
 
 static void *follow_thread(void *ctx);
+static bool leaves_to_others(CpEntryFollower *f, int64_t now_ns);
+static void wait_for_others(CpEntryFollower *f, uint64_t *version);
+static void note_read(CpEntryFollower *f, uint64_t version);
 static uint32_t wait_of(const CpEntryFollower *f);
 static bool give_up(void *ctx);
 static CpStatus scan(CpEntryFollower *f, uint64_t *version);
@@ -124,6 +128,10 @@
     while (!CpAtomic_Load(&e->stopping)) {
         uint64_t before = version;
         f->asked_ns = CpClock_Now_ns();
+        if (scanned && leaves_to_others(f, f->asked_ns)) {
+            wait_for_others(f, &version);
+            continue;
+        }
         CpStatus st =
             scanned ? f->store->follow(f->store->ctx, f->table, wait_of(f),
                                        CpEntryFollow_OnRow, f, &version)
@@ -143,9 +151,9 @@
             continue;
         }
         scanned = true;
-        __atomic_store_n(&f->read_version, version, __ATOMIC_RELAXED);
-        if (version >= __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED)) {
-            __atomic_store_n(&f->behind_ns, 0, __ATOMIC_RELAXED);
+        note_read(f, version);
+        if (version != before) {
+            CpEntryPeers_TellVersions(e);
         }
         if (version != before && tables[f->table].pause_ms > 0) {
             CpSleep_ms(tables[f->table].pause_ms);
@@ -154,6 +162,67 @@
     return NULL;
 }
 
+/* Hosts beyond the first ones of a domain leave the store to those. */
+static bool
+leaves_to_others(CpEntryFollower *f, int64_t now_ns)
+{
+    CpEntry *e = f->entry;
+    return CpEntryHosts_Rank(e) >= e->settings.watching_hosts &&
+           CpEntryHosts_HasWatch(e, now_ns);
+}
+
+/* Waits until a host has read more than this one, and takes that from it. A
+ * host that gives nothing is left for the store. */
+static void
+wait_for_others(CpEntryFollower *f, uint64_t *version)
+{
+    CpEntry *e = f->entry;
+    char host[CP_NAME_BYTES];
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    until.tv_sec += OTHERS_CHECK_S;
+    pthread_mutex_lock(&e->store_lock);
+    bool behind =
+        __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED) > *version;
+    if (!behind) {
+        pthread_cond_timedwait(&e->store_wake, &e->store_lock, &until);
+        behind =
+            __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED) > *version;
+    }
+    CpStr_Copy(host, sizeof(host), f->seen_host);
+    pthread_mutex_unlock(&e->store_lock);
+    if (!behind) {
+        return;
+    }
+    if (CpEntryNeighbours_Fetch(f, host, version) != CP_OK) {
+        CpEvent(CP_EVENT_DEPENDENCY, "neighbour_gave_nothing", "s:s,s:s,s:s",
+                "name", host, "table", tables[f->table].label, "error",
+                CpError_Message());
+        CpStatus st = f->store->follow(f->store->ctx, f->table, PROBE_WAIT_MS,
+                                       CpEntryFollow_OnRow, f, version);
+        note_result(f, st);
+    }
+    note_read(f, *version);
+}
+
+static void
+note_read(CpEntryFollower *f, uint64_t version)
+{
+    __atomic_store_n(&f->read_version, version, __ATOMIC_RELAXED);
+    if (version >= __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED)) {
+        __atomic_store_n(&f->behind_ns, 0, __ATOMIC_RELAXED);
+    }
+}
+
+bool
+CpEntryFollow_Watches(CpEntry *e)
+{
+    pthread_mutex_lock(&e->store_lock);
+    bool up = e->store_up;
+    pthread_mutex_unlock(&e->store_lock);
+    return up && CpEntryHosts_Rank(e) < e->settings.watching_hosts;
+}
+
 static uint32_t
 wait_of(const CpEntryFollower *f)
 {
@@ -164,7 +233,7 @@
     if (!up) { /* any answer shows that it is back */
         return PROBE_WAIT_MS;
     }
-    return f->table == CP_TABLE_OPERATOR && CpEntryHosts_IsWatch(e)
+    return f->table == CP_TABLE_OPERATOR && CpEntryHosts_Rank(e) == 0
                ? WATCH_WAIT_MS
                : tables[f->table].wait_ms;
 }
@@ -189,15 +258,19 @@
 }
 
 void
-CpEntryFollow_Heard(CpEntry *e, CpTable table, uint64_t version,
-                    int64_t now_ns)
+CpEntryFollow_Heard(CpEntry *e, const char *host, CpTable table,
+                    uint64_t version, int64_t now_ns)
 {
     CpEntryFollower *f = &e->followers[table];
     if (version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)) {
         return;
     }
     if (version > __atomic_load_n(&f->seen_version, __ATOMIC_RELAXED)) {
+        pthread_mutex_lock(&e->store_lock);
+        CpStr_Copy(f->seen_host, sizeof(f->seen_host), host);
         __atomic_store_n(&f->seen_version, version, __ATOMIC_RELAXED);
+        pthread_cond_broadcast(&e->store_wake);
+        pthread_mutex_unlock(&e->store_lock);
     }
     if (__atomic_load_n(&f->behind_ns, __ATOMIC_RELAXED) == 0) {
         __atomic_store_n(&f->behind_ns, now_ns, __ATOMIC_RELAXED);
@@ -285,11 +358,18 @@
 bool
 CpEntryFollow_MayHaveLapsed(const CpEntryFollower *f, int64_t now_ns)
 {
-    if (f->lost_ns == 0) {
-        return false;
-    }
+    return CpEntryFollow_LapseLeft_ms(f, now_ns) > 0;
+}
+
+uint32_t
+CpEntryFollow_LapseLeft_ms(const CpEntryFollower *f, int64_t now_ns)
+{
+    int64_t lapse_ns = f->entry->settings.lapse_ms * CP_NS_PER_MS;
     int64_t since_ns = f->connected ? now_ns - f->back_ns : 0;
-    return since_ns < f->entry->settings.lapse_ms * CP_NS_PER_MS;
+    if (f->lost_ns == 0 || since_ns >= lapse_ns) {
+        return 0;
+    }
+    return (uint32_t)((lapse_ns - since_ns) / CP_NS_PER_MS) + 1;
 }
 
 /* One table finds out when the store is back; the others wait for it. */
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -13,6 +13,8 @@
 #define MAX_WARMUP_HOSTS 2 /* that share a cold server's rate */
 /* Four reports in this domain. */
 #define NEAR_SILENT_NS (2 * CP_NS_PER_S)
+/* Three reports: the others then follow the store themselves. */
+#define WATCH_SILENT_NS (1500 * CP_NS_PER_MS)
 /* For the first report of a host. */
 #define SETTLE_NS (5 * CP_NS_PER_S)
 
@@ -90,6 +92,7 @@
         bool same = at->incarnation == next.incarnation;
         next.number = same ? at->number : 0;
         next.heard_ns = same ? at->heard_ns : 0;
+        next.watch_ns = same ? at->watch_ns : 0;
         next.known_ns = CpClock_Now_ns();
         *at = next;
     }
@@ -132,21 +135,44 @@
     return n > 0 ? n : 1;
 }
 
-bool
-CpEntryHosts_IsWatch(CpEntry *e)
+uint32_t
+CpEntryHosts_Rank(CpEntry *e)
 {
-    bool first = true;
+    uint32_t before = 0;
     pthread_mutex_lock(&e->hosts_lock);
     for (guint i = 0; i < e->hosts->len; i++) {
         const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
-        if (!h->silent && !h->leaving &&
-            strcmp(h->domain, e->settings.domain) == 0 &&
-            strcmp(h->name, e->settings.host) < 0) {
-            first = false;
-        }
+        before += !h->silent && !h->leaving &&
+                  strcmp(h->domain, e->settings.domain) == 0 &&
+                  strcmp(h->name, e->settings.host) < 0;
     }
     pthread_mutex_unlock(&e->hosts_lock);
-    return first;
+    return before;
+}
+
+bool
+CpEntryHosts_HasWatch(CpEntry *e, int64_t now_ns)
+{
+    bool found = false;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len && !found; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        found = strcmp(h->domain, e->settings.domain) == 0 &&
+                strcmp(h->name, e->settings.host) != 0 && h->watch_ns > 0 &&
+                now_ns - h->watch_ns < WATCH_SILENT_NS;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return found;
+}
+
+bool
+CpEntryHosts_Control(CpEntry *e, const char *name, char out[CP_ADDR_BYTES])
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    const CpEntryHost *h = find_host(e, name);
+    CpStr_Copy(out, CP_ADDR_BYTES, h != NULL ? h->control : "");
+    pthread_mutex_unlock(&e->hosts_lock);
+    return out[0] != '\0';
 }
 
 void
@@ -169,7 +195,8 @@
 
 bool
 CpEntryHosts_OnReport(CpEntry *e, const char *name, uint64_t incarnation,
-                      uint64_t number, bool leaving, int64_t now_ns)
+                      uint64_t number, bool leaving, bool watches,
+                      int64_t now_ns)
 {
     bool later = false;
     pthread_mutex_lock(&e->hosts_lock);
@@ -181,6 +208,7 @@
             h->number = number;
             h->leaving = leaving;
             h->heard_ns = now_ns;
+            h->watch_ns = watches ? now_ns : 0;
         }
     }
     pthread_mutex_unlock(&e->hosts_lock);
@@ -351,18 +379,19 @@
 static bool
 decode_host(const CpFeedRow *row, CpEntryHost *out)
 {
-    const char *domain, *caller, *inner;
+    const char *domain, *caller, *inner, *control;
     json_int_t incarnation;
     json_t *o = json_loadb(row->value, row->value_bytes, 0, NULL);
-    bool ok = json_unpack(o, "{s:s,s:s,s:s,s:I}", "domain", &domain, "caller",
-                          &caller, "inner", &inner, "incarnation",
-                          &incarnation) == 0;
+    bool ok = json_unpack(o, "{s:s,s:s,s:s,s:s,s:I}", "domain", &domain,
+                          "caller", &caller, "inner", &inner, "control",
+                          &control, "incarnation", &incarnation) == 0;
     *out = (CpEntryHost){0};
     if (ok) {
         CpStr_Copy(out->name, sizeof(out->name), row->key);
         CpStr_Copy(out->domain, sizeof(out->domain), domain);
         CpStr_Copy(out->caller, sizeof(out->caller), caller);
         CpStr_Copy(out->inner, sizeof(out->inner), inner);
+        CpStr_Copy(out->control, sizeof(out->control), control);
         out->incarnation = (uint64_t)incarnation;
     }
     json_decref(o);
@@ -372,10 +401,10 @@
 static char *
 encode_host(const CpEntry *e)
 {
-    json_t *o =
-        json_pack("{s:s,s:s,s:s,s:I}", "domain", e->settings.domain, "caller",
-                  e->settings.caller, "inner", e->settings.inner,
-                  "incarnation", (json_int_t)e->incarnation);
+    json_t *o = json_pack(
+        "{s:s,s:s,s:s,s:s,s:I}", "domain", e->settings.domain, "caller",
+        e->settings.caller, "inner", e->settings.inner, "control",
+        e->settings.control, "incarnation", (json_int_t)e->incarnation);
     char *text = json_dumps(o, JSON_COMPACT);
     json_decref(o);
     return text;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -15,6 +15,7 @@
     char domain[CP_NAME_BYTES];
     char caller[CP_ADDR_BYTES];
     char inner[CP_ADDR_BYTES];
+    char control[CP_ADDR_BYTES]; /* "": none */
     uint64_t incarnation;
     bool unseen; /* by the scan that is under way */
     bool leaving;
@@ -22,6 +23,7 @@
     uint64_t number;  /* of its last report */
     int64_t known_ns; /* when its row was read */
     int64_t heard_ns; /* its last report; 0: never */
+    int64_t watch_ns; /* the last one that said that it follows the store */
 } CpEntryHost;
 
 typedef struct {
@@ -47,7 +49,8 @@
     uint64_t version; /* of the last row that was read; atomic */
     uint64_t read_version; /* up to which there is nothing else; atomic */
     uint64_t seen_version; /* that another host has read; atomic */
-    int64_t behind_ns;     /* since when that is later; 0: it is not; atomic */
+    char seen_host[CP_NAME_BYTES]; /* which; under the store's lock */
+    int64_t behind_ns; /* since when that is later; 0: it is not; atomic */
 } CpEntryFollower;
 
 /* Repeats that this host may still send; in thousandths. */
@@ -104,8 +107,12 @@
 bool CpEntry_IsReady(CpEntry *e);
 void CpEntryFollow_Tick(void *ctx, int64_t now_ns);
 /* Another host has read a table up to a version. */
-void CpEntryFollow_Heard(CpEntry *e, CpTable table, uint64_t version,
-                         int64_t now_ns);
+void CpEntryFollow_Heard(CpEntry *e, const char *host, CpTable table,
+                         uint64_t version, int64_t now_ns);
+/* Whether this host follows the store itself, and reaches it. */
+bool CpEntryFollow_Watches(CpEntry *e);
+/* How long entries that are missing may still return; 0: they are gone. */
+uint32_t CpEntryFollow_LapseLeft_ms(const CpEntryFollower *f, int64_t now_ns);
 uint64_t CpEntryFollow_Version(CpEntry *e, CpTable table);
 
 /* Whether the store was away so lately that a missing entry may return. */
@@ -121,6 +128,9 @@
 void CpEntryNeighbours_BeginScan(CpEntryFollower *f);
 void CpEntryNeighbours_EndScan(CpEntryFollower *f);
 void CpEntryNeighbours_Ask(CpEntry *e);
+/* Takes what another host has read of a table after *version. */
+CpStatus CpEntryNeighbours_Fetch(CpEntryFollower *f, const char *host,
+                                 uint64_t *version);
 uint32_t CpEntryNeighbours_State(void *ctx, const CpPageQuery *q, char **out);
 
 /* hosts: which entry hosts there are */
@@ -133,9 +143,14 @@
 void CpEntryHosts_BeginScan(CpEntry *e);
 void CpEntryHosts_EndScan(CpEntry *e);
 uint32_t CpEntryHosts_Count(CpEntry *e);
-/* Whether this host is the first of the live ones of its domain: the one that
- * finds out for the others when the store falls silent. */
-bool CpEntryHosts_IsWatch(CpEntry *e);
+/* This host's place among the live ones of its domain. The first ones follow
+ * the store, the very first finds out when it falls silent. */
+uint32_t CpEntryHosts_Rank(CpEntry *e);
+/* Whether another host of the domain follows the store for this one. */
+bool CpEntryHosts_HasWatch(CpEntry *e, int64_t now_ns);
+/* The control address of a host; false if it has none. */
+bool CpEntryHosts_Control(CpEntry *e, const char *name,
+                          char out[CP_ADDR_BYTES]);
 /* Those that share this host's callers and servers. */
 void CpEntryHosts_Sharers(CpEntry *e, CpFleetHosts *out);
 bool CpEntryHosts_WarmupPart(void *ctx, const char *instance,
@@ -146,7 +161,8 @@
 
 /* Takes in that a host lives; false for a report that is overtaken. */
 bool CpEntryHosts_OnReport(CpEntry *e, const char *name, uint64_t incarnation,
-                           uint64_t number, bool leaving, int64_t now_ns);
+                           uint64_t number, bool leaving, bool watches,
+                           int64_t now_ns);
 /* Takes hosts that are silent out of the directory's answers. */
 void CpEntryHosts_Judge(CpEntry *e, int64_t now_ns);
 /* Where reports go: to hosts that use a server too, or whose domain has it;
@@ -163,6 +179,8 @@
 CpStatus CpEntryPeers_Start(CpEntry *e);
 void CpEntryPeers_Stop(CpEntry *e);
 void CpEntryPeers_Tick(void *ctx, int64_t now_ns);
+/* Tells the hosts of this domain that a table has changed. */
+void CpEntryPeers_TellVersions(CpEntry *e);
 /* Tells the hosts that share a server what this one has there now. */
 void CpEntryPeers_TellUse(CpEntry *e, const char *service,
                           const char *instance);
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -1,6 +1,7 @@
 /*
- * A host that starts while the store is away takes what its neighbours have
- * read: the same rows, from their page /state.
+ * What hosts take from each other's page /state: a host that starts while the
+ * store is away all that a neighbour has read, and a host that leaves the
+ * store to others what is new to it. They are the store's own rows.
  */
 #include <curl/curl.h>
 #include <jansson.h>
@@ -17,13 +18,15 @@
 
 /* A row as it was read last. */
 typedef struct {
-    char *value;
+    char *value; /* NULL: removed */
     uint64_t version;
     uint32_t scan; /* the last one that told it */
 } KeptRow;
 
 static bool ask(CpEntry *e, const char *address);
-static bool take_tables(CpEntry *e, const json_t *tables);
+static json_t *render(CpEntryFollower *f, uint64_t after);
+static json_t *get(const char *address, const char *path);
+static void take_rows(CpEntryFollower *f, const json_t *rows);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static void free_row(void *p);
 
@@ -37,17 +40,13 @@
 void
 CpEntryNeighbours_Keep(CpEntryFollower *f, const CpFeedRow *row)
 {
+    KeptRow *kept = CpMem_Alloc(sizeof(*kept));
+    kept->value =
+        row->deleted ? NULL : g_strndup(row->value, row->value_bytes);
+    kept->version = row->version;
     pthread_mutex_lock(&f->rows_lock);
-    if (row->deleted) {
-        g_hash_table_remove(f->rows, row->key);
-    }
-    else {
-        KeptRow *kept = CpMem_Alloc(sizeof(*kept));
-        kept->value = g_strndup(row->value, row->value_bytes);
-        kept->version = row->version;
-        kept->scan = f->scan;
-        g_hash_table_replace(f->rows, g_strdup(row->key), kept);
-    }
+    kept->scan = f->scan;
+    g_hash_table_replace(f->rows, g_strdup(row->key), kept);
     pthread_mutex_unlock(&f->rows_lock);
 }
 
@@ -85,42 +84,109 @@
     }
 }
 
+CpStatus
+CpEntryNeighbours_Fetch(CpEntryFollower *f, const char *host,
+                        uint64_t *version)
+{
+    char address[CP_ADDR_BYTES], path[96];
+    if (!CpEntryHosts_Control(f->entry, host, address)) {
+        return CpError_Set(CP_ERR_NOT_FOUND, "no address of %s", host);
+    }
+    snprintf(path, sizeof(path), "/state?table=%d&after=%llu", (int)f->table,
+             (unsigned long long)*version);
+    json_t *state = get(address, path);
+    const json_t *table =
+        json_array_get(json_object_get(state, "tables"), f->table);
+    uint64_t read =
+        (uint64_t)json_integer_value(json_object_get(table, "version"));
+    if (read < *version) {
+        json_decref(state);
+        return CpError_Set(CP_ERR_PARSE, "%s has read no more", host);
+    }
+    uint32_t left_ms =
+        (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
+    if (left_ms > 0) { /* the store was away, as that host saw */
+        f->back_ns =
+            CpClock_Now_ns() -
+            ((int64_t)f->entry->settings.lapse_ms - left_ms) * CP_NS_PER_MS;
+        f->lost_ns = f->back_ns;
+    }
+    take_rows(f, json_object_get(table, "rows"));
+    *version = read;
+    json_decref(state);
+    return CP_OK;
+}
+
 uint32_t
 CpEntryNeighbours_State(void *ctx, const CpPageQuery *q, char **out)
 {
     CpEntry *e = ctx;
+    const char *only = CpPageQuery_Get(q, "table");
+    uint64_t after = strtoull(CpPageQuery_Get(q, "after"), NULL, 10);
     json_t *tables = json_array();
-    (void)q;
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
-        CpEntryFollower *f = &e->followers[i];
-        json_t *rows = json_array();
-        GHashTableIter it;
-        void *key, *value;
-        pthread_mutex_lock(&f->rows_lock);
-        g_hash_table_iter_init(&it, f->rows);
-        while (g_hash_table_iter_next(&it, &key, &value)) {
-            const KeptRow *kept = value;
-            json_array_append_new(rows, json_pack("{s:s,s:s,s:I}", "key",
+        bool wanted = only[0] == '\0' || strtoul(only, NULL, 10) == i;
+        json_array_append_new(tables, wanted ? render(&e->followers[i], after)
+                                             : json_null());
+    }
+    json_t *root = json_pack("{s:o}", "tables", tables);
+    *out = json_dumps(root, JSON_COMPACT);
+    json_decref(root);
+    return *out != NULL ? 200 : 500;
+}
+
+/* The rows of a table after a version, and how far it was read. */
+static json_t *
+render(CpEntryFollower *f, uint64_t after)
+{
+    json_t *rows = json_array();
+    GHashTableIter it;
+    void *key, *value;
+    /* before the rows: one that comes meanwhile is told twice, not never */
+    uint64_t version = __atomic_load_n(&f->read_version, __ATOMIC_RELAXED);
+    pthread_mutex_lock(&f->rows_lock);
+    g_hash_table_iter_init(&it, f->rows);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const KeptRow *kept = value;
+        if (kept->version > after) {
+            json_array_append_new(rows, json_pack("{s:s,s:s?,s:I}", "key",
                                                   (const char *)key, "value",
                                                   kept->value, "version",
                                                   (json_int_t)kept->version));
         }
-        pthread_mutex_unlock(&f->rows_lock);
-        json_array_append_new(tables, rows);
     }
-    *out = json_dumps(tables, JSON_COMPACT);
-    json_decref(tables);
-    return *out != NULL ? 200 : 500;
+    pthread_mutex_unlock(&f->rows_lock);
+    return json_pack(
+        "{s:I,s:i,s:o}", "version", (json_int_t)version, "lapse_left_ms",
+        (int)CpEntryFollow_LapseLeft_ms(f, CpClock_Now_ns()), "rows", rows);
 }
 
 static bool
 ask(CpEntry *e, const char *address)
 {
-    char url[CP_ADDR_BYTES + 32];
+    json_t *state = get(address, "/state");
+    const json_t *tables = json_object_get(state, "tables");
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        take_rows(&e->followers[i],
+                  json_object_get(json_array_get(tables, i), "rows"));
+    }
+    json_decref(state);
+    bool taken = CpEntry_IsReady(e);
+    CpEvent(CP_EVENT_DEPENDENCY,
+            taken ? "neighbour_answered" : "neighbour_has_nothing", "s:s",
+            "address", address);
+    return taken;
+}
+
+/* A page of another host; NULL if it gave none. */
+static json_t *
+get(const char *address, const char *path)
+{
+    char url[CP_ADDR_BYTES + 128];
     GString *text = g_string_new(NULL);
     CURL *easy = curl_easy_init();
     long status = 0;
-    snprintf(url, sizeof(url), "http://%s/state", address);
+    snprintf(url, sizeof(url), "http://%s%s", address, path);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
@@ -130,44 +196,41 @@
     CURLcode code = curl_easy_perform(easy);
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_cleanup(easy);
-    json_t *tables = code == CURLE_OK && status == 200
-                         ? json_loadb(text->str, text->len, 0, NULL)
-                         : NULL;
-    bool taken = take_tables(e, tables);
-    CpEvent(CP_EVENT_DEPENDENCY,
-            taken ? "neighbour_answered" : "neighbour_has_nothing",
-            "s:s,s:i,s:s", "address", address, "status", (int)status, "error",
-            curl_easy_strerror(code));
-    json_decref(tables);
+    json_t *page = NULL;
+    if (code != CURLE_OK || status != 200) {
+        CpEvent(CP_EVENT_DEPENDENCY, "neighbour_failed", "s:s,s:i,s:s",
+                "address", address, "status", (int)status, "error",
+                curl_easy_strerror(code));
+    }
+    else {
+        page = json_loadb(text->str, text->len, 0, NULL);
+    }
     g_string_free(text, TRUE);
-    return taken;
+    return page;
 }
 
-/* True if there are routes now. What is older than what is held changes
- * nothing, and the store's scan replaces all of it. */
-static bool
-take_tables(CpEntry *e, const json_t *tables)
+/* What is older than what is held changes nothing, and a scan of the store
+ * replaces all of it. */
+static void
+take_rows(CpEntryFollower *f, const json_t *rows)
 {
-    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
-        const json_t *rows = json_array_get(tables, i);
-        json_t *o;
-        size_t k;
-        json_array_foreach(rows, k, o)
-        {
-            const char *key = json_string_value(json_object_get(o, "key"));
-            const char *value = json_string_value(json_object_get(o, "value"));
-            if (key == NULL || value == NULL) {
-                continue; /* not a row: the others still hold */
-            }
-            CpFeedRow row = {.key = key,
-                             .value = value,
-                             .value_bytes = strlen(value),
-                             .version = (uint64_t)json_integer_value(
-                                 json_object_get(o, "version"))};
-            CpEntryFollow_OnRow(&e->followers[i], &row);
+    json_t *o;
+    size_t k;
+    json_array_foreach(rows, k, o)
+    {
+        const char *key = json_string_value(json_object_get(o, "key"));
+        const char *value = json_string_value(json_object_get(o, "value"));
+        if (key == NULL) {
+            continue; /* not a row: the others still hold */
         }
+        CpFeedRow row = {.key = key,
+                         .value = value != NULL ? value : "",
+                         .value_bytes = value != NULL ? strlen(value) : 0,
+                         .deleted = value == NULL,
+                         .version = (uint64_t)json_integer_value(
+                             json_object_get(o, "version"))};
+        CpEntryFollow_OnRow(f, &row);
     }
-    return CpEntry_IsReady(e);
 }
 
 static size_t
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -96,6 +96,15 @@
     CpEntryHosts_Judge(e, now_ns);
 }
 
+void
+CpEntryPeers_TellVersions(CpEntry *e)
+{
+    CpEntryAddress to[MAX_RECIPIENTS];
+    CpReportFrame r = {0};
+    send_report(e, &r, to,
+                CpEntryHosts_Neighbours(e, false, to, MAX_RECIPIENTS));
+}
+
 static void *
 receive_thread(void *ctx)
 {
@@ -123,11 +132,14 @@
     int64_t now_ns = CpClock_Now_ns();
     uint64_t peer = CpHash_Str(r->host, 0);
     if (!CpEntryHosts_OnReport(e, r->host, r->incarnation, r->number,
-                               r->leaving != 0, now_ns)) {
+                               r->leaving != 0, r->watches != 0, now_ns)) {
         return; /* overtaken by a later one */
     }
-    CpEntryFollow_Heard(e, CP_TABLE_OPERATOR, r->operator_version, now_ns);
-    CpEntryFollow_Heard(e, CP_TABLE_SERVERS, r->servers_version, now_ns);
+    CpEntryFollow_Heard(e, r->host, CP_TABLE_OPERATOR, r->operator_version,
+                        now_ns);
+    CpEntryFollow_Heard(e, r->host, CP_TABLE_SERVERS, r->servers_version,
+                        now_ns);
+    CpEntryFollow_Heard(e, r->host, CP_TABLE_HOSTS, r->hosts_version, now_ns);
     if (r->whole) {
         CpFleet_PeerBegin(e->fleet, peer);
     }
@@ -152,6 +164,8 @@
     f.report.leaving = !CpEntry_IsReady(e);
     f.report.operator_version = CpEntryFollow_Version(e, CP_TABLE_OPERATOR);
     f.report.servers_version = CpEntryFollow_Version(e, CP_TABLE_SERVERS);
+    f.report.hosts_version = CpEntryFollow_Version(e, CP_TABLE_HOSTS);
+    f.report.watches = CpEntryFollow_Watches(e);
     if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
         return;
     }
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -156,6 +156,8 @@
     uint32_t whole;   /* no row means no request there */
     uint64_t operator_version; /* of the tables, as the sender has read them */
     uint64_t servers_version;
+    uint64_t hosts_version;
+    uint32_t watches; /* follows the store itself, and reaches it */
     CpReportRow *rows;
     uint32_t row_count;
 } CpReportFrame;
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -115,6 +115,8 @@
     U32(CpReportFrame, whole),
     U64(CpReportFrame, operator_version),
     U64(CpReportFrame, servers_version),
+    U64(CpReportFrame, hosts_version),
+    U32(CpReportFrame, watches),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
 #define FRAME(table)                                                          \
