Room for the hosts of two large domains in reports and in what is known of a server

Cause: with 20 hosts a domain a report had more recipients than its list held, always the same ones were left out, and a server more peers than places. Change: 128 recipients, 64 peers a server.

--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -12,9 +12,9 @@
 #include "entry/entry_int.h"
 #include "wire/wire.h"
 
-#define MAX_USES 64       /* servers in one report */
-#define MAX_RECIPIENTS 32 /* of one report */
-#define RECEIVE_WAIT_S 1  /* so that the thread sees the end */
+#define MAX_USES 64        /* servers in one report */
+#define MAX_RECIPIENTS 128 /* of one report: two domains and the rest */
+#define RECEIVE_WAIT_S 1   /* so that the thread sees the end */
 
 static void *receive_thread(void *ctx);
 static void take_report(CpEntry *e, const CpReportFrame *r);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -164,7 +164,7 @@
 void CpFleet_PeerBegin(CpFleet *f, uint64_t peer);
 
 /* Requests that this host has at a server, and who else uses it. */
-#define CP_FLEET_MAX_PEERS 16
+#define CP_FLEET_MAX_PEERS 64 /* other hosts that use one server */
 typedef struct {
     uint64_t server;
     uint32_t count;
