A host that starts names only hosts it has heard; evacuations end with the scan that misses them

Ruled out: the row's age as a sign (rows are written once). Change: hosts not heard yet are named only where no others are; the scan of the operator's table ends evacuations that it does not tell; any table that noticed the store's absence counts; the stop keeps 0.5 s and ends the process at once.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	sh tools/install-packages
 	$(MAKE) all
 	BUILD=$(B) bash tools/demo
-bench: all $(B)/bench-lookup_rate $(B)/bench-blocks
+bench: all $(B)/bench-lookup_rate $(B)/bench-blocks $(B)/bench-place
 	BUILD=$(B) bash bench/run
 sanitize: # the scripts under the sanitizers
 	$(MAKE) check SANITIZE=address,undefined
--- /dev/null
+++ b/bench/place.c
@@ -0,0 +1,62 @@
+/* Time of one placement by the number of servers of a service. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/fleet.h"
+
+#define ROUNDS 20000
+#define DOMAINS 13
+#define OBJECTS 1000
+
+static int64_t time_choices(CpFleet *f);
+
+int
+main(void)
+{
+    CpFleetDomain domains[DOMAINS];
+    for (uint32_t i = 0; i < DOMAINS; i++) {
+        snprintf(domains[i].name, CP_NAME_BYTES, "d%u", i);
+        snprintf(domains[i].region, CP_NAME_BYTES, "r%u", i % 4);
+    }
+    for (uint32_t n = 16; n <= 1024; n *= 4) {
+        CpFleet *f = CpFleet_New(&(CpFleetOptions){
+            .domain = "d0", .domains = domains, .domain_count = DOMAINS});
+        for (uint32_t i = 0; i < n; i++) {
+            CpServerEntry e = {.slots = 4, .service = "s"};
+            snprintf(e.instance, sizeof(e.instance), "i-%u", i);
+            CpStr_Copy(e.domain, sizeof(e.domain), domains[i % DOMAINS].name);
+            CpFleet_Put(f, &e, CP_NS_PER_S);
+        }
+        int64_t ns = time_choices(f);
+        printf("%u servers: %" PRId64 " ns a choice, %" PRId64
+               " ns a server\n",
+               n, ns, ns / n);
+        CpFleet_Free(f);
+    }
+    return 0;
+}
+
+static int64_t
+time_choices(CpFleet *f)
+{
+    int64_t from_ns = CpClock_Now_ns();
+    for (uint32_t i = 0; i < ROUNDS; i++) {
+        char object[16];
+        CpFleetPick pick;
+        snprintf(object, sizeof(object), "%u", i % OBJECTS);
+        CpFleetAsk ask = {.service = "s",
+                          .object = object,
+                          .goal_left_ms = 400,
+                          .deadline_left_ms = 3000};
+        if (CpFleet_Choose(f, &ask, CP_NS_PER_S, &pick) == CP_REASON_NONE) {
+            CpFleet_Ended(f,
+                          &(CpFleetReport){.service = "s",
+                                           .instance = pick.instance,
+                                           .end = CP_ATTEMPT_ANSWERED,
+                                           .latency_ns = CP_NS_PER_MS},
+                          CP_NS_PER_S);
+        }
+    }
+    return (CpClock_Now_ns() - from_ns) / ROUNDS;
+}
--- a/src/daemon/daemon_main.c
+++ b/src/daemon/daemon_main.c
@@ -214,4 +214,5 @@
 {
     (void)host;
     CpEvent_Close();
+    _exit(EXIT_SUCCESS);
 }
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -294,6 +294,9 @@
     if (f->table == CP_TABLE_HOSTS) {
         CpEntryHosts_BeginScan(e);
     }
+    if (f->table == CP_TABLE_OPERATOR) {
+        CpFleet_BeginEvacuations(e->fleet);
+    }
     CpStatus st = f->store->scan(f->store->ctx, f->table, CpEntryFollow_OnRow,
                                  f, version);
     int64_t now_ns = CpClock_Now_ns();
@@ -305,6 +308,13 @@
         CpFleet_EndScan(e->fleet, lapsed, now_ns);
         f->forget_due |= lapsed;
     }
+    if (st == CP_OK && f->table == CP_TABLE_OPERATOR) {
+        uint32_t n = CpFleet_EndEvacuations(e->fleet, now_ns);
+        if (n > 0) {
+            CpEvent(CP_EVENT_BELIEF, "evacuations_over", "s:i", "domains",
+                    (int)n);
+        }
+    }
     if (st == CP_OK && f->table == CP_TABLE_HOSTS) {
         CpEntryHosts_EndScan(e);
     }
@@ -333,6 +343,7 @@
         f->lost_ns = now_ns;
         pthread_mutex_lock(&f->entry->store_lock);
         f->entry->store_up = false;
+        f->entry->store_lost = true;
         pthread_mutex_unlock(&f->entry->store_lock);
         CpEvent(CP_EVENT_DEPENDENCY, "store_lost", "s:s,s:s", "table",
                 tables[f->table].label, "error", CpError_Message());
@@ -364,11 +375,19 @@
 uint32_t
 CpEntryFollow_LapseLeft_ms(const CpEntryFollower *f, int64_t now_ns)
 {
-    int64_t lapse_ns = f->entry->settings.lapse_ms * CP_NS_PER_MS;
+    CpEntry *e = f->entry;
+    int64_t lapse_ns = e->settings.lapse_ms * CP_NS_PER_MS;
     int64_t since_ns = f->connected ? now_ns - f->back_ns : 0;
-    if (f->lost_ns == 0 || since_ns >= lapse_ns) {
+    bool away = f->lost_ns != 0 && since_ns < lapse_ns;
+    /* another table may have noticed what this one's wait slept through */
+    pthread_mutex_lock(&e->store_lock);
+    int64_t since_back_ns = e->store_up ? now_ns - e->store_back_ns : 0;
+    bool any = e->store_lost && since_back_ns < lapse_ns;
+    pthread_mutex_unlock(&e->store_lock);
+    if (!away && !any) {
         return 0;
     }
+    since_ns = away ? since_ns : since_back_ns;
     return (uint32_t)((lapse_ns - since_ns) / CP_NS_PER_MS) + 1;
 }
 
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -325,12 +325,20 @@
     const char *list[MAX_ADDRESSES];
     uint32_t count = 0;
     pthread_mutex_lock(&e->hosts_lock);
-    for (uint32_t near = 0; near < 3 && count == 0; near++) {
+    /* Hosts that were heard first: the row of one that is gone may remain. */
+    for (uint32_t pass = 0; pass < 6 && count == 0; pass++) {
+        uint32_t near = pass % 3;
+        bool unheard = pass >= 3;
         guint from =
             e->hosts->len > 0 ? (guint)(CpRandom() % e->hosts->len) : 0;
         for (guint i = 0; i < e->hosts->len && count < MAX_ADDRESSES; i++) {
             const CpEntryHost *h =
                 g_ptr_array_index(e->hosts, (from + i) % e->hosts->len);
+            bool self = strcmp(h->name, e->settings.host) == 0;
+            if (h->silent || h->leaving ||
+                (!self && !unheard && h->heard_ns == 0)) {
+                continue;
+            }
             bool fits =
                 near == 2 || (near == 0 && strcmp(h->domain, domain) == 0) ||
                 (near == 1 && strcmp(region_of(e, h->domain), region) == 0);
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -78,6 +78,7 @@
     pthread_mutex_t store_lock; /* of the next 2 */
     pthread_cond_t store_wake;  /* when it is back */
     bool store_up;
+    bool store_lost;       /* it was away at some time */
     int64_t store_back_ns; /* when it was back */
 
     pthread_mutex_t routes_lock; /* of the next 2 */
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -10,7 +10,7 @@
  * but drop a host that closes their connections. Requests are taken for half
  * of the stop time-out, and what is in flight has the rest. */
 #define SERVE_SHARE_PERCENT 42
-#define END_MARGIN_MS 300 /* to end the threads within the stop time-out */
+#define END_MARGIN_MS 500 /* to end the threads within the stop time-out */
 
 static CpStatus open_pages(CpEntry *e);
 static void note_server(void *ctx, const char *instance, const char *what,
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -78,6 +78,10 @@
 /* Takes a domain out of use, or back: its servers are then cold. */
 void CpFleet_SetEvacuated(CpFleet *f, const char *domain, bool evacuated,
                           int64_t now_ns);
+/* A scan of what the operator asks for begins, and ends: domains that it did
+ * not tell as evacuated are taken back. Returns how many. */
+void CpFleet_BeginEvacuations(CpFleet *f);
+uint32_t CpFleet_EndEvacuations(CpFleet *f, int64_t now_ns);
 /* How servers of a service warm up. */
 void CpFleet_SetService(CpFleet *f, const char *service, uint32_t warmup_ms,
                         uint32_t warmup_per_s_milli);
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -74,7 +74,8 @@
     CpFleetOptions options;
     CpFleetDomain *domains;
     uint32_t self; /* this host's domain; domain_count: unknown */
-    uint32_t evacuated[CP_FLEET_MAX_DOMAINS]; /* flags, atomic */
+    uint32_t evacuated[CP_FLEET_MAX_DOMAINS];       /* flags, atomic */
+    uint32_t evacuation_seen[CP_FLEET_MAX_DOMAINS]; /* by the scan; atomic */
     CpFleetShard shards[CP_FLEET_SHARDS];
 };
 
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -139,6 +139,29 @@
         CpFleet_EachService(f, chill, &sweep);
     }
     CpAtomic_Store(&f->evacuated[i], evacuated);
+    CpAtomic_Store(&f->evacuation_seen[i], evacuated);
+}
+
+void
+CpFleet_BeginEvacuations(CpFleet *f)
+{
+    for (uint32_t i = 0; i < f->options.domain_count; i++) {
+        CpAtomic_Store(&f->evacuation_seen[i], 0);
+    }
+}
+
+uint32_t
+CpFleet_EndEvacuations(CpFleet *f, int64_t now_ns)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < f->options.domain_count; i++) {
+        if (CpAtomic_Load(&f->evacuated[i]) &&
+            !CpAtomic_Load(&f->evacuation_seen[i])) {
+            CpFleet_SetEvacuated(f, f->domains[i].name, false, now_ns);
+            count++;
+        }
+    }
+    return count;
 }
 
 void
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -4,7 +4,8 @@
  * changes how it answers: "down" closes connections, "slow" waits, "stale"
  * reads rows from the state at the time of the call, "lose" closes the
  * connection after a transaction, "busy" refuses with 503, "silent" answers
- * nothing for N ms. POST /control?compact=1 forgets the history of changes.
+ * nothing for N ms. POST /control?compact=1 forgets the history of changes,
+ * and with drop_table=T&drop_key=K a row that was removed in it.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -198,7 +199,12 @@
     if (mode == MODE_STALE) {
         stale_rows = copy_rows();
     }
-    if (CpStandin_Number(conn, "compact", 0) > 0) {
+    const char *table = CpStandin_Text(conn, "drop_table", "");
+    if (CpStandin_Number(conn, "compact", 0) > 0 || table[0] != '\0') {
+        char *dropped =
+            name_of(table, "", CpStandin_Text(conn, "drop_key", ""));
+        g_tree_remove(rows, dropped);
+        g_free(dropped);
         oldest_version = ++version;
     }
     pthread_cond_broadcast(&changed);
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -92,12 +92,12 @@
 ask() {
     ask_host=$(ip_of_host "$1") ask_id=$2 ask_method=$3 ask_path=$4
     shift 4
-    curl -s -m 5 -D "$W/head" -o "$W/body" -w '%{http_code}' -X "$ask_method" \
+    curl -s -m 5 -D "$W/head${ASK_FILE:-}" -o "$W/body${ASK_FILE:-}" -w '%{http_code}' -X "$ask_method" \
         -H "Host: ${ASK_NAME:-a.example}" -H "Chestnutpaddle-Attempt-Id: $ask_id" \
         -H 'Chestnutpaddle-Timeout-Ms: 3000' \
         -H 'Cookie: Chestnutpaddle-Affinity-Key=7' "$@" \
         "http://$ask_host:7000$ask_path"
-    echo " $(tr -d '\r\n' <"$W/body" | cut -c1-60)"
+    echo " $(tr -d '\r\n' <"$W/body${ASK_FILE:-}" | cut -c1-60)"
 }
 modes() { for s in "$S1" "$S2" "$S3"; do curl -s "http://$s/control?mode=$1${2:+&ms=$2}" >/dev/null; done; }
 ran() { curl -s "http://$S1/ran?id=$1"; }
