--- a/bench/place.c
+++ b/bench/place.c
@@ -14,7 +14,7 @@
 int
 main(void)
 {
-    CpFleetDomain domains[DOMAINS];
+    CpFleetDomain domains[DOMAINS] = {0};
     for (uint32_t i = 0; i < DOMAINS; i++) {
         snprintf(domains[i].name, CP_NAME_BYTES, "d%u", i);
         snprintf(domains[i].region, CP_NAME_BYTES, "r%u", i % 4);
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -99,6 +99,6 @@
         "http://$ask_host:7000$ask_path"
     echo " $(tr -d '\r\n' <"$W/body${ASK_FILE:-}" | cut -c1-60)"
 }
-modes() { for s in "$S1" "$S2" "$S3"; do curl -s "http://$s/control?mode=$1${2:+&ms=$2}" >/dev/null; done; }
+modes() { for mode_at in "$S1" "$S2" "$S3"; do curl -s "http://$mode_at/control?mode=$1${2:+&ms=$2}" >/dev/null; done; }
 ran() { curl -s "http://$S1/ran?id=$1"; }
 route_stat() { curl -s "http://$S1/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
