Whether entries may have lapsed is told by one state under one lock

Cause: the thread sanitizer on system/routes: the timer read and cleared a flag that the follower of the servers wrote, and each follower kept its own idea of when the store was away. Ruled out: other races (four scripts of routes under the thread, address and undefined-behaviour sanitizers: no report after the change). Change: lost, back and the flag are the host's, under the store's lock. Before / after: one report -> none; the scripts print the same.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -107,9 +107,9 @@
     CpFleetHosts hosts;
     CpEntryHosts_Sharers(e, &hosts);
     CpFleet_Tick(e->fleet, &hosts, now_ns);
-    if (!CpAtomic_Load(&f->errors) && f->forget_due &&
-        !CpEntryFollow_MayHaveLapsed(f, now_ns)) {
-        f->forget_due = false;
+    if (!CpAtomic_Load(&f->errors) && CpAtomic_Load(&e->forget_due) &&
+        !CpEntryFollow_MayHaveLapsed(e, now_ns)) {
+        CpAtomic_Store(&e->forget_due, 0);
         uint32_t n = CpFleet_Forget(e->fleet, now_ns);
         if (n > 0) {
             CpEvent(CP_EVENT_BELIEF, "servers_forgotten", "s:i", "count",
@@ -304,9 +304,11 @@
         CpEntryNeighbours_EndScan(f);
     }
     if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
-        bool lapsed = CpEntryFollow_MayHaveLapsed(f, now_ns);
+        bool lapsed = CpEntryFollow_MayHaveLapsed(e, now_ns);
         CpFleet_EndScan(e->fleet, lapsed, now_ns);
-        f->forget_due |= lapsed;
+        if (lapsed) {
+            CpAtomic_Store(&e->forget_due, 1);
+        }
     }
     if (st == CP_OK && f->table == CP_TABLE_OPERATOR) {
         uint32_t n = CpFleet_EndEvacuations(e->fleet, now_ns);
@@ -324,31 +326,26 @@
 static void
 note_result(CpEntryFollower *f, CpStatus st)
 {
-    int64_t now_ns = CpClock_Now_ns();
+    bool was = f->connected;
+    f->connected = st == CP_OK;
     if (st == CP_OK) {
-        if (!f->connected) {
-            note_back(f, now_ns);
-            CpEvent(CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
-                    tables[f->table].label, "away_ms",
-                    (json_int_t)(f->lost_ns == 0
-                                     ? 0
-                                     : (now_ns - f->lost_ns) / CP_NS_PER_MS));
-        }
-        f->connected = true;
         CpAtomic_Store(&f->errors, 0);
+        if (!was) {
+            note_back(f, CpClock_Now_ns());
+        }
         return;
     }
     CpAtomic_Store(&f->errors, f->errors + 1);
-    if (f->connected || f->errors == 1) {
-        f->lost_ns = now_ns;
-        pthread_mutex_lock(&f->entry->store_lock);
-        f->entry->store_up = false;
-        f->entry->store_lost = true;
-        pthread_mutex_unlock(&f->entry->store_lock);
+    if (was || f->errors == 1) {
+        CpEntry *e = f->entry;
+        f->lost_ns = CpClock_Now_ns();
+        pthread_mutex_lock(&e->store_lock);
+        e->store_up = false;
+        e->store_lost = true;
+        pthread_mutex_unlock(&e->store_lock);
         CpEvent(CP_EVENT_DEPENDENCY, "store_lost", "s:s,s:s", "table",
                 tables[f->table].label, "error", CpError_Message());
     }
-    f->connected = false;
 }
 
 /* The first table that is read again tells when the store was back. */
@@ -362,33 +359,40 @@
         e->store_back_ns = now_ns;
         pthread_cond_broadcast(&e->store_wake);
     }
-    f->back_ns = e->store_back_ns;
     pthread_mutex_unlock(&e->store_lock);
+    CpEvent(CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
+            tables[f->table].label, "away_ms",
+            (json_int_t)(f->lost_ns == 0
+                             ? 0
+                             : (now_ns - f->lost_ns) / CP_NS_PER_MS));
 }
 
 bool
-CpEntryFollow_MayHaveLapsed(const CpEntryFollower *f, int64_t now_ns)
+CpEntryFollow_MayHaveLapsed(CpEntry *e, int64_t now_ns)
 {
-    return CpEntryFollow_LapseLeft_ms(f, now_ns) > 0;
+    return CpEntryFollow_LapseLeft_ms(e, now_ns) > 0;
 }
 
+/* Any table may have noticed what another one's wait slept through. */
 uint32_t
-CpEntryFollow_LapseLeft_ms(const CpEntryFollower *f, int64_t now_ns)
+CpEntryFollow_LapseLeft_ms(CpEntry *e, int64_t now_ns)
 {
-    CpEntry *e = f->entry;
     int64_t lapse_ns = e->settings.lapse_ms * CP_NS_PER_MS;
-    int64_t since_ns = f->connected ? now_ns - f->back_ns : 0;
-    bool away = f->lost_ns != 0 && since_ns < lapse_ns;
-    /* another table may have noticed what this one's wait slept through */
     pthread_mutex_lock(&e->store_lock);
-    int64_t since_back_ns = e->store_up ? now_ns - e->store_back_ns : 0;
-    bool any = e->store_lost && since_back_ns < lapse_ns;
+    int64_t since_ns = e->store_up ? now_ns - e->store_back_ns : 0;
+    bool may = e->store_lost && since_ns < lapse_ns;
+    pthread_mutex_unlock(&e->store_lock);
+    return may ? (uint32_t)((lapse_ns - since_ns) / CP_NS_PER_MS) + 1 : 0;
+}
+
+void
+CpEntryFollow_SetLapse(CpEntry *e, uint32_t left_ms, int64_t now_ns)
+{
+    int64_t past_ms = (int64_t)e->settings.lapse_ms - left_ms;
+    pthread_mutex_lock(&e->store_lock);
+    e->store_lost = true;
+    e->store_back_ns = now_ns - past_ms * CP_NS_PER_MS;
     pthread_mutex_unlock(&e->store_lock);
-    if (!away && !any) {
-        return 0;
-    }
-    since_ns = away ? since_ns : since_back_ns;
-    return (uint32_t)((lapse_ns - since_ns) / CP_NS_PER_MS) + 1;
 }
 
 /* One table finds out when the store is back; the others wait for it. */
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -37,14 +37,12 @@
     CpStore *store;
     pthread_t thread;
     bool started;
-    bool connected;
+    bool connected;            /* of its thread, as the next 2 */
     int64_t lost_ns;           /* when the store was lost; 0: never */
-    int64_t back_ns;           /* when it was back */
     int64_t asked_ns;          /* when the call under way began */
     pthread_mutex_t rows_lock; /* of the next 2 */
     uint32_t scan;             /* number of the last scan */
     GHashTable *rows; /* as they were read last, for neighbours that start */
-    bool forget_due;  /* entries that lapsed are dropped at the time above */
     uint32_t errors;  /* in a row */
     uint64_t version; /* of the last row that was read; atomic */
     uint64_t read_version; /* up to which there is nothing else; atomic */
@@ -75,11 +73,12 @@
     CpStore *store;   /* for writes */
     CpEntryFollower followers[CP_TABLE_COUNT];
 
-    pthread_mutex_t store_lock; /* of the next 2 */
+    pthread_mutex_t store_lock; /* of the next 4 */
     pthread_cond_t store_wake;  /* when it is back */
     bool store_up;
     bool store_lost;       /* it was away at some time */
     int64_t store_back_ns; /* when it was back */
+    uint32_t forget_due;   /* flag: lapsed entries are dropped in time */
 
     pthread_mutex_t routes_lock; /* of the next 2 */
     CpRoutes *routes;            /* NULL: none in force yet */
@@ -113,11 +112,13 @@
 /* Whether this host follows the store itself, and reaches it. */
 bool CpEntryFollow_Watches(CpEntry *e);
 /* How long entries that are missing may still return; 0: they are gone. */
-uint32_t CpEntryFollow_LapseLeft_ms(const CpEntryFollower *f, int64_t now_ns);
+uint32_t CpEntryFollow_LapseLeft_ms(CpEntry *e, int64_t now_ns);
+/* The same as another host tells it. */
+void CpEntryFollow_SetLapse(CpEntry *e, uint32_t left_ms, int64_t now_ns);
 uint64_t CpEntryFollow_Version(CpEntry *e, CpTable table);
 
 /* Whether the store was away so lately that a missing entry may return. */
-bool CpEntryFollow_MayHaveLapsed(const CpEntryFollower *f, int64_t now_ns);
+bool CpEntryFollow_MayHaveLapsed(CpEntry *e, int64_t now_ns);
 
 /* rows: what the rows of the tables say; `ctx` is a CpEntryFollower */
 void CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row);
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -106,10 +106,7 @@
     uint32_t left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
     if (left_ms > 0) { /* the store was away, as that host saw */
-        f->back_ns =
-            CpClock_Now_ns() -
-            ((int64_t)f->entry->settings.lapse_ms - left_ms) * CP_NS_PER_MS;
-        f->lost_ns = f->back_ns;
+        CpEntryFollow_SetLapse(f->entry, left_ms, CpClock_Now_ns());
     }
     take_rows(f, json_object_get(table, "rows"));
     *version = read;
@@ -158,7 +155,8 @@
     pthread_mutex_unlock(&f->rows_lock);
     return json_pack(
         "{s:I,s:i,s:o}", "version", (json_int_t)version, "lapse_left_ms",
-        (int)CpEntryFollow_LapseLeft_ms(f, CpClock_Now_ns()), "rows", rows);
+        (int)CpEntryFollow_LapseLeft_ms(f->entry, CpClock_Now_ns()), "rows",
+        rows);
 }
 
 static bool
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -101,12 +101,14 @@
     CpServerEntry entry;
     int64_t now_ns = CpClock_Now_ns();
     if (row->deleted) {
-        bool lapsed = CpEntryFollow_MayHaveLapsed(f, now_ns);
+        bool lapsed = CpEntryFollow_MayHaveLapsed(e, now_ns);
         CpEvent(CP_EVENT_BELIEF, "server_entry_gone", "s:s,s:b,s:I",
                 "instance", row->key, "lapsed", lapsed, "row_version",
                 (json_int_t)row->version);
         CpFleet_Remove(e->fleet, row->key, lapsed, now_ns);
-        f->forget_due |= lapsed;
+        if (lapsed) {
+            CpAtomic_Store(&e->forget_due, 1);
+        }
         return;
     }
     if (e->adapter.decode_server(row->key, row->value, row->value_bytes,
