A host that has read no more is no source of rows

Cause: read as a newcomer: a host that started anew after telling of more rows could be asked again and again without a wait. Change: that counts as a failed fetch, after which the store is asked.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -15,7 +15,7 @@
 #define RETRY_MAX_MS 400   /* so that a store that is back is soon used */
 #define LEAD_WAIT_MS 1000  /* for the table that finds out */
 #define WATCH_WAIT_MS 2000 /* of the host that finds out */
-#define OTHERS_CHECK_S 1   /* whether they still do */
+#define OTHERS_CHECK_S 1   /* whether others still follow the store */
 #define PROBE_WAIT_MS 100  /* while the store is lost */
 #define LEAST_WAIT_NS (800 * CP_NS_PER_MS) /* a fair chance to answer */
 #define BEHIND_NS (400 * CP_NS_PER_MS) /* until a change reaches all hosts */
@@ -38,9 +38,9 @@
 static void back_off(CpEntryFollower *f);
 static bool knows_routes(CpEntry *e);
 
-/* A store that falls silent shows only when a wait ends. One host of a domain
- * waits for the operator's table briefly; the others hear from it that they
- * are behind. */
+/* A store that falls silent shows only when a wait ends. The first host of a
+ * domain waits for the operator's table briefly; the others hear from it that
+ * they are behind. */
 static const TableRow tables[CP_TABLE_COUNT] = {
     [CP_TABLE_OPERATOR] = {"operator", 10000, 0},
     [CP_TABLE_SERVERS] = {"servers", 10000, 200},
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -99,7 +99,7 @@
         json_array_get(json_object_get(state, "tables"), f->table);
     uint64_t read =
         (uint64_t)json_integer_value(json_object_get(table, "version"));
-    if (read < *version) {
+    if (read <= *version) { /* it has started anew since it told of more */
         json_decref(state);
         return CpError_Set(CP_ERR_PARSE, "%s has read no more", host);
     }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -71,7 +71,7 @@
 /* Drops the servers whose entries lapsed and did not come back. Returns how
  * many. */
 uint32_t CpFleet_Forget(CpFleet *f, int64_t now_ns);
-/* Marks every server as lapsed: a scan that follows tells who is there. */
+/* Marks every server as unseen: a scan that follows tells who is there. */
 void CpFleet_BeginScan(CpFleet *f);
 /* Removes what the scan did not tell; see CpFleet_Remove(). */
 void CpFleet_EndScan(CpFleet *f, bool lapsed, int64_t now_ns);
