A host that takes rows from another one knows that the store is back

Ruled out: a report that was lost (the row arrived within 140 ms). Change: rows from a host that reaches the store end that state.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -202,6 +202,9 @@
                                        CpEntryFollow_OnRow, f, version);
         note_result(f, st);
     }
+    else {
+        CpAtomic_Store(&f->errors, 0);
+    }
     note_read(f, *version);
 }
 
@@ -390,7 +393,8 @@
 {
     int64_t past_ms = (int64_t)e->settings.lapse_ms - left_ms;
     pthread_mutex_lock(&e->store_lock);
-    e->store_lost = true;
+    e->store_up = true;
+    e->store_lost = e->store_lost || left_ms > 0;
     e->store_back_ns = now_ns - past_ms * CP_NS_PER_MS;
     pthread_mutex_unlock(&e->store_lock);
 }
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -113,7 +113,7 @@
 bool CpEntryFollow_Watches(CpEntry *e);
 /* How long entries that are missing may still return; 0: they are gone. */
 uint32_t CpEntryFollow_LapseLeft_ms(CpEntry *e, int64_t now_ns);
-/* The same as another host tells it. */
+/* The same as a host tells it that reaches the store. */
 void CpEntryFollow_SetLapse(CpEntry *e, uint32_t left_ms, int64_t now_ns);
 uint64_t CpEntryFollow_Version(CpEntry *e, CpTable table);
 
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -105,9 +105,7 @@
     }
     uint32_t left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
-    if (left_ms > 0) { /* the store was away, as that host saw */
-        CpEntryFollow_SetLapse(f->entry, left_ms, CpClock_Now_ns());
-    }
+    CpEntryFollow_SetLapse(f->entry, left_ms, CpClock_Now_ns());
     take_rows(f, json_object_get(table, "rows"));
     *version = read;
     json_decref(state);
