A silent server is given up only for one that has a free slot, and never by a host that leaves

Ruled out: the stop itself (its deadline was 5 s away); a lost answer (the run was cut by this host). Change: the next server is chosen before the attempt is given up, and has to have a free slot; a host that leaves gives nothing up. Tests: system/routes_silent, two sections; before the change the first printed 502 in two of two runs, without the guard the second runs twice.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -29,6 +29,8 @@
     bool may_have_run;
     bool was_silent; /* a server: from now on late is better than never */
     bool paid;       /* for the next repeat */
+    bool has_next;   /* its server is chosen already */
+    CpFleetPick next;
     uint32_t tried_count;
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     CpFleetPick pick; /* of the attempt under way */
@@ -43,6 +45,8 @@
 static void limits(void *ctx, CpRouteLimits *out);
 static void place(CpEntry *e, CpRequest *rq, State *s, CpStep *out);
 static int64_t attempt_deadline_ns(const State *s, int64_t now_ns);
+static CpReason choose(CpEntry *e, const CpRequest *rq, const State *s,
+                       int64_t now_ns, CpFleetPick *out);
 static void retry(CpEntry *e, CpRequest *rq, State *s, const CpAttempt *a,
                   CpStep *out);
 static bool may_pass_on(const CpAttempt *a);
@@ -52,6 +56,7 @@
                    const CpAttempt *a, int64_t latency_ns);
 static void log_attempt(const CpRequest *rq, const State *s);
 static bool spend_repeat(CpEntry *e, int64_t now_ns);
+static void return_repeat(CpEntry *e);
 static void earn_repeat(CpEntry *e, int64_t now_ns);
 static void fill_budget(CpEntry *e, int64_t now_ns);
 
@@ -119,15 +124,24 @@
     retry(e, rq, s, a, out);
 }
 
-/* Only where another try is paid for; otherwise the answer may still come. */
+/* Only where another try is paid for and has a server; otherwise the answer
+ * may still come. A host that leaves waits for what its servers work on. */
 static bool
 give_up(void *ctx, CpRequest *rq)
 {
     CpEntry *e = ctx;
     State *s = rq->memory;
-    s->paid = CpFleet_Usable(e->fleet, s->service, CpClock_Now_ns()) > 1 &&
-              spend_repeat(e, CpClock_Now_ns());
-    return s->paid;
+    int64_t now_ns = CpClock_Now_ns();
+    if (CpAtomic_Load(&e->leaving) || !spend_repeat(e, now_ns)) {
+        return false;
+    }
+    /* its goal has passed, so that only a server with a free slot is chosen */
+    s->has_next = choose(e, rq, s, now_ns, &s->next) == CP_REASON_NONE;
+    s->paid = s->has_next;
+    if (!s->has_next) {
+        return_repeat(e);
+    }
+    return s->has_next;
 }
 
 static void
@@ -194,22 +208,14 @@
         fail(e, rq, s, CP_REASON_WOULD_MISS_DEADLINE, 0, out);
         return;
     }
-    CpFleetAsk ask = {.service = s->service,
-                      .object = s->route->affinity && rq->object[0] != '\0'
-                                    ? rq->object
-                                    : NULL,
-                      .goal_left_ms = s->was_silent ? (uint32_t)left_ms
-                                      : goal_ms > 0 ? (uint32_t)goal_ms
-                                                    : 0,
-                      .deadline_left_ms = (uint32_t)left_ms,
-                      .tried_count = s->tried_count,
-                      .home_count = s->route->home_count,
-                      .homes = s->route->homes,
-                      .random = CpRandom()};
-    for (uint32_t i = 0; i < s->tried_count; i++) {
-        ask.tried[i] = s->tried[i];
+    CpReason reason = CP_REASON_NONE;
+    if (s->has_next) {
+        s->pick = s->next;
+        s->has_next = false;
+    }
+    else {
+        reason = choose(e, rq, s, now_ns, &s->pick);
     }
-    CpReason reason = CpFleet_Choose(e->fleet, &ask, now_ns, &s->pick);
     if (reason != CP_REASON_NONE) {
         CpEvent(CP_EVENT_REFUSED, "not_placed",
                 "s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:i,s:I", "request",
@@ -252,6 +258,31 @@
     return again ? end_ns : 0;
 }
 
+/* A server for the request as it stands now; it counts as sent to it. */
+static CpReason
+choose(CpEntry *e, const CpRequest *rq, const State *s, int64_t now_ns,
+       CpFleetPick *out)
+{
+    int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
+    int64_t goal_ms = (s->goal_ns - now_ns) / CP_NS_PER_MS;
+    CpFleetAsk ask = {.service = s->service,
+                      .object = s->route->affinity && rq->object[0] != '\0'
+                                    ? rq->object
+                                    : NULL,
+                      .goal_left_ms = s->was_silent ? (uint32_t)left_ms
+                                      : goal_ms > 0 ? (uint32_t)goal_ms
+                                                    : 0,
+                      .deadline_left_ms = (uint32_t)left_ms,
+                      .tried_count = s->tried_count,
+                      .home_count = s->route->home_count,
+                      .homes = s->route->homes,
+                      .random = CpRandom()};
+    for (uint32_t i = 0; i < s->tried_count; i++) {
+        ask.tried[i] = s->tried[i];
+    }
+    return CpFleet_Choose(e->fleet, &ask, now_ns, out);
+}
+
 /* Another server, where the route allows it: any request that did not run,
  * and idempotent ones. Otherwise the caller is told. */
 static void
@@ -371,6 +402,14 @@
     return may;
 }
 
+static void
+return_repeat(CpEntry *e)
+{
+    pthread_mutex_lock(&e->budget_lock);
+    e->budget.tokens_milli += 1000;
+    pthread_mutex_unlock(&e->budget_lock);
+}
+
 static void
 earn_repeat(CpEntry *e, int64_t now_ns)
 {
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -95,7 +95,7 @@
     curl -s -m 5 -D "$W/head${ASK_FILE:-}" -o "$W/body${ASK_FILE:-}" -w '%{http_code}' -X "$ask_method" \
         -H "Host: ${ASK_NAME:-a.example}" -H "Chestnutpaddle-Attempt-Id: $ask_id" \
         -H 'Chestnutpaddle-Timeout-Ms: 3000' \
-        -H 'Cookie: Chestnutpaddle-Affinity-Key=7' "$@" \
+        -H "Cookie: Chestnutpaddle-Affinity-Key=${ASK_OBJECT:-7}" "$@" \
         "http://$ask_host:7000$ask_path"
     echo " $(tr -d '\r\n' <"$W/body${ASK_FILE:-}" | cut -c1-60)"
 }
