Drop parameters that nobody reads, and one name of two for breaking an attempt off

Cause: read as a newcomer: fail() took a host and a request that it did not use; CpProxyAttempt_Abort() was release() under another name. Change: both are gone. No behaviour changes.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -50,8 +50,8 @@
 static void retry(CpEntry *e, CpRequest *rq, State *s, const CpAttempt *a,
                   CpStep *out);
 static bool may_pass_on(const CpAttempt *a);
-static void fail(CpEntry *e, CpRequest *rq, const State *s, CpReason reason,
-                 uint32_t retry_after_ms, CpStep *out);
+static void fail(const State *s, CpReason reason, uint32_t retry_after_ms,
+                 CpStep *out);
 static void report(CpEntry *e, const State *s, CpAttemptEnd end,
                    const CpAttempt *a, int64_t latency_ns);
 static void log_attempt(const CpRequest *rq, const State *s);
@@ -81,13 +81,13 @@
     rq->memory = s;
     s->routes = CpEntry_Routes(e, &since_ns);
     if (s->routes == NULL) {
-        fail(e, rq, s, CP_REASON_NOT_CONFIGURED, 500, out);
+        fail(s, CP_REASON_NOT_CONFIGURED, 500, out);
         return;
     }
     s->routes_age_ms = (now_ns - since_ns) / CP_NS_PER_MS;
     s->route = CpRoutes_Match(s->routes, rq->host, rq->target);
     if (s->route == NULL) {
-        fail(e, rq, s, CP_REASON_NO_ROUTE, 0, out);
+        fail(s, CP_REASON_NO_ROUTE, 0, out);
         return;
     }
     uint32_t limit_ms = s->route->timeout_ms;
@@ -205,7 +205,7 @@
     int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
     int64_t goal_ms = (s->goal_ns - now_ns) / CP_NS_PER_MS;
     if (left_ms < LEAST_LEFT_MS) {
-        fail(e, rq, s, CP_REASON_WOULD_MISS_DEADLINE, 0, out);
+        fail(s, CP_REASON_WOULD_MISS_DEADLINE, 0, out);
         return;
     }
     CpReason reason = CP_REASON_NONE;
@@ -226,7 +226,7 @@
                 "usable", (int)CpFleet_Usable(e->fleet, s->service, now_ns),
                 "retry_after_ms", (int)s->pick.retry_after_ms,
                 "routes_version", (json_int_t)s->routes->version);
-        fail(e, rq, s, reason, s->pick.retry_after_ms, out);
+        fail(s, reason, s->pick.retry_after_ms, out);
         s->pick.instance[0] = '\0';
         return;
     }
@@ -318,7 +318,7 @@
         return;
     }
     if (!paid) {
-        fail(e, rq, s, a->reason, 0, out);
+        fail(s, a->reason, 0, out);
     }
 }
 
@@ -339,10 +339,8 @@
 
 /* "Not run" is said only where no attempt may have run. */
 static void
-fail(CpEntry *e, CpRequest *rq, const State *s, CpReason reason,
-     uint32_t retry_after_ms, CpStep *out)
+fail(const State *s, CpReason reason, uint32_t retry_after_ms, CpStep *out)
 {
-    (void)e, (void)rq;
     *out = (CpStep){.type = CP_STEP_FAIL,
                     .reason = reason,
                     .status = CpReason_HttpStatus(reason),
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -28,7 +28,6 @@
 static void add_line(CpProxyAttempt *a, const char *name, const char *value);
 static void read_end(CpCall *c, CURLcode code);
 static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
-static void release(CpCall *c);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
@@ -80,22 +79,16 @@
     if (c->attempt.sends > 0) {
         end.end = CP_ATTEMPT_TIMED_OUT;
     }
-    release(c);
+    CpProxyAttempt_Abort(c);
     p->ended(p->ctx, &c->request, &end, &step);
     CpProxyFront_Step(c, &step);
 }
 
-void
-CpProxyAttempt_Abort(CpCall *c)
-{
-    release(c);
-}
-
 void
 CpProxyAttempt_Clear(CpCall *c)
 {
     CpProxyAttempt *a = &c->attempt;
-    release(c);
+    CpProxyAttempt_Abort(c);
     if (a->headers != NULL) {
         g_ptr_array_unref(a->headers);
     }
@@ -213,7 +206,7 @@
     CpAttempt end;
     CpStep step = {0};
     judge(c, code, &end);
-    release(c);
+    CpProxyAttempt_Abort(c);
     p->ended(p->ctx, &c->request, &end, &step);
     CpProxyFront_Step(c, &step);
 }
@@ -266,8 +259,8 @@
 }
 
 /* Takes the handle off; a transfer that has not ended is broken off. */
-static void
-release(CpCall *c)
+void
+CpProxyAttempt_Abort(CpCall *c)
 {
     CpProxyWorker *w = c->worker;
     CpProxyAttempt *a = &c->attempt;
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -119,7 +119,7 @@
 void CpProxyAttempt_Start(CpCall *c, const CpStep *step);
 /* Reads the ends of attempts off the multi handle. */
 void CpProxyAttempt_Collect(CpProxyWorker *w);
-/* Breaks the connection off. */
+/* Takes the attempt off the worker; one under way is broken off. */
 void CpProxyAttempt_Abort(CpCall *c);
 void CpProxyAttempt_Clear(CpCall *c);
 
