Read the scripts of the regress drivers in one place

Cause: eight drivers each had the loop that reads a script line by line and skips comments; two forms of it differed in whether a line kept its end. Ruled out: drive_config, which reads a block of text inside a step, keeps its own loop. Change: CpScript_Run calls a step for each line, without its end. Conclusion: no behaviour of the daemon changes.

--- a/regress/drive_admit.c
+++ b/regress/drive_admit.c
@@ -60,7 +60,7 @@
     int64_t ends_ns[32];
 } LoanHost;
 
-static void step(Script *s, const char *line);
+static void step(void *ctx, char *line);
 static void on_start(void *ctx, CpAdmitItem *item);
 static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
 static void random_queue(FILE *out, uint64_t seed, uint32_t steps);
@@ -78,13 +78,8 @@
 CpDrive_Admit(FILE *in, FILE *out)
 {
     static Script s;
-    char line[256];
     s = (Script){.out = out};
-    while (fgets(line, sizeof(line), in) != NULL) {
-        if (line[0] != '#' && line[0] != '\n') {
-            step(&s, line);
-        }
-    }
+    CpScript_Run(in, step, &s);
     if (s.admit != NULL) {
         CpAdmit_Free(s.admit);
         s.admit = NULL;
@@ -92,8 +87,9 @@
 }
 
 static void
-step(Script *s, const char *line)
+step(void *ctx, char *line)
 {
+    Script *s = ctx;
     uint32_t a, b, c, d;
     uint64_t seed;
     char word[32], name[32];
@@ -222,7 +218,7 @@
         random_loans(s->out, seed, a, strcmp(word, "waiting") == 0);
     }
     else {
-        fprintf(s->out, "not understood: %s", line);
+        fprintf(s->out, "not understood: %s\n", line);
     }
 }
 
--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -36,7 +36,7 @@
     uint64_t sequence;
 } Script;
 
-static void step(Script *s, const char *line);
+static void step(void *ctx, char *line);
 static void put(Script *s, const char *line);
 static void choose(Script *s, const char *service, const char *object,
                    uint32_t goal_ms);
@@ -153,23 +153,18 @@
 CpDrive_Fleet(FILE *in, FILE *out)
 {
     Script *s = CpMem_Alloc(sizeof(*s));
-    char line[512];
     s->out = out;
     s->parts = 1;
     s->now_ns = CP_NS_PER_S;
-    while (fgets(line, sizeof(line), in) != NULL) {
-        line[strcspn(line, "\n")] = '\0';
-        if (line[0] != '#' && line[0] != '\0') {
-            step(s, line);
-        }
-    }
+    CpScript_Run(in, step, s);
     CpFleet_Free(s->fleet);
     free(s);
 }
 
 static void
-step(Script *s, const char *line)
+step(void *ctx, char *line)
 {
+    Script *s = ctx;
     char a[64], b[64], c[64];
     uint32_t m, n;
     if (strncmp(line, "play ", 5) == 0) {
--- a/regress/drive_member.c
+++ b/regress/drive_member.c
@@ -1,5 +1,6 @@
 /* Scripts for member: several tables in one process, joined by messages that
  * a script delays, cuts and loses; a manual clock. */
+#include <glib.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,7 +35,7 @@
 };
 
 static void start(Net *n, uint32_t i);
-static void step(Net *n, const char *line);
+static void step(void *ctx, char *line);
 static void run(Net *n, uint32_t ms);
 static void show(Net *n, uint32_t i);
 static void on_probe(void *ctx, const CpMemberEntry *to, bool far,
@@ -49,21 +50,17 @@
 CpDrive_Member(FILE *in, FILE *out)
 {
     static Net n;
-    char line[256];
     n = (Net){.out = out, .now_ns = CP_NS_PER_S, .seed = {1}};
-    while (fgets(line, sizeof(line), in) != NULL) {
-        if (line[0] != '#' && line[0] != '\n') {
-            step(&n, line);
-        }
-    }
+    CpScript_Run(in, step, &n);
     for (uint32_t i = 0; i < n.count; i++) {
         CpMember_Free(n.hosts[i].member);
     }
 }
 
 static void
-step(Net *n, const char *line)
+step(void *ctx, char *line)
 {
+    Net *n = ctx;
     uint32_t a, b;
     if (sscanf(line, "hosts %u domains %u", &a, &b) == 2) {
         n->count = a;
@@ -75,7 +72,7 @@
     else if (sscanf(line, "run %u ms", &a) == 1) {
         run(n, a);
     }
-    else if (strstr(line, " domains\n") != NULL) {
+    else if (g_str_has_suffix(line, " domains")) {
         for (uint32_t i = 0; i < n->count; i++) {
             for (uint32_t k = 0; k < n->count; k++) {
                 n->cut[i][k] =
@@ -143,7 +140,7 @@
                 (unsigned long long)(probes / n->count));
     }
     else {
-        fprintf(n->out, "not understood: %s", line);
+        fprintf(n->out, "not understood: %s\n", line);
     }
 }
 
--- a/regress/drive_once.c
+++ b/regress/drive_once.c
@@ -30,7 +30,7 @@
     uint32_t last_verdict;
 } Script;
 
-static void step(Script *s, const char *line);
+static void step(void *ctx, char *line);
 static void seal(Script *s, const char *host, uint64_t number,
                  const char *spoil);
 static void random_ledger(FILE *out, uint64_t seed, uint32_t steps);
@@ -46,20 +46,16 @@
 void
 CpDrive_Once(FILE *in, FILE *out)
 {
-    char line[256];
     Script s = {.out = out};
     s.ledger = CpLedger_New(4, on_answer, &s);
-    while (fgets(line, sizeof(line), in) != NULL) {
-        if (line[0] != '#' && line[0] != '\n') {
-            step(&s, line);
-        }
-    }
+    CpScript_Run(in, step, &s);
     CpLedger_Free(s.ledger);
 }
 
 static void
-step(Script *s, const char *line)
+step(void *ctx, char *line)
 {
+    Script *s = ctx;
     uint32_t a, b;
     uint64_t seed;
     char host[64], word[64];
@@ -97,7 +93,7 @@
         random_ledger(s->out, seed, a);
     }
     else {
-        fprintf(s->out, "not understood: %s", line);
+        fprintf(s->out, "not understood: %s\n", line);
     }
 }
 
--- a/regress/drive_platform.c
+++ b/regress/drive_platform.c
@@ -6,25 +6,20 @@
 #include "platform/platform.h"
 #include "regress.h"
 
-static void step(FILE *out, char *line);
+static void step(void *ctx, char *line);
 static void show_routes(FILE *out, const char *text);
 static void show_server(FILE *out, const char *instance, const char *text);
 
 void
 CpDrive_Platform(FILE *in, FILE *out)
 {
-    static char line[16384];
-    while (fgets(line, sizeof(line), in) != NULL) {
-        line[strcspn(line, "\n")] = '\0';
-        if (line[0] != '#' && line[0] != '\0') {
-            step(out, line);
-        }
-    }
+    CpScript_Run(in, step, out);
 }
 
 static void
-step(FILE *out, char *line)
+step(void *ctx, char *line)
 {
+    FILE *out = ctx;
     char *rest = strchr(line, ' ');
     if (rest == NULL) {
         fprintf(out, "not understood: %s\n", line);
--- a/regress/drive_route.c
+++ b/regress/drive_route.c
@@ -19,7 +19,7 @@
     CpRoutes *now;
 } Script;
 
-static void step(Script *s, const char *line);
+static void step(void *ctx, char *line);
 static void add_route(Script *s, const char *name, const char *host,
                       const char *prefix, const char *splits);
 static void build(Script *s);
@@ -32,21 +32,16 @@
 CpDrive_Route(FILE *in, FILE *out)
 {
     Script *s = CpMem_Alloc(sizeof(*s));
-    char line[512];
     s->out = out;
-    while (fgets(line, sizeof(line), in) != NULL) {
-        line[strcspn(line, "\n")] = '\0';
-        if (line[0] != '#' && line[0] != '\0') {
-            step(s, line);
-        }
-    }
+    CpScript_Run(in, step, s);
     CpRoutes_Release(s->now);
     free(s);
 }
 
 static void
-step(Script *s, const char *line)
+step(void *ctx, char *line)
 {
+    Script *s = ctx;
     char a[128], b[128], c[128], d[128];
     uint64_t seed;
     uint32_t n;
--- a/regress/drive_steer.c
+++ b/regress/drive_steer.c
@@ -22,7 +22,7 @@
     int64_t now_ns;
 } Script;
 
-static void step(Script *s, const char *line);
+static void step(void *ctx, char *line);
 static void load(Script *s, const char *template);
 static void choose(Script *s, const char *domain, const char *pool,
                    uint32_t times);
@@ -35,20 +35,16 @@
 CpDrive_Steer(FILE *in, FILE *out)
 {
     static Script s;
-    char line[256];
     s = (Script){.out = out};
-    while (fgets(line, sizeof(line), in) != NULL) {
-        if (line[0] != '#' && line[0] != '\n') {
-            step(&s, line);
-        }
-    }
+    CpScript_Run(in, step, &s);
     CpTopology_Free(s.topology);
     CpConfig_Free(s.config);
 }
 
 static void
-step(Script *s, const char *line)
+step(void *ctx, char *line)
 {
+    Script *s = ctx;
     uint32_t a, b, c, d;
     uint64_t seed;
     char word[64], name[64];
@@ -128,7 +124,7 @@
         }
     }
     else {
-        fprintf(s->out, "not understood: %s", line);
+        fprintf(s->out, "not understood: %s\n", line);
     }
 }
 
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -7,6 +7,7 @@
 #include "regress.h"
 #include "wire/wire.h"
 
+static void step(void *ctx, char *line);
 static void round_trip(FILE *out, CpFrameType type);
 static void spoil(FILE *out, uint64_t seed, uint32_t times);
 static void decode(FILE *out, const char *hex);
@@ -16,25 +17,29 @@
 void
 CpDrive_Wire(FILE *in, FILE *out)
 {
-    char line[256];
+    CpScript_Run(in, step, out);
+}
+
+static void
+step(void *ctx, char *line)
+{
+    FILE *out = ctx;
     uint64_t seed;
     uint32_t n;
-    while (fgets(line, sizeof(line), in) != NULL) {
-        if (strncmp(line, "round trip", 10) == 0) {
-            for (uint32_t t = 1; t < CP_FRAME_TYPE_COUNT; t++) {
-                round_trip(out, (CpFrameType)t);
-            }
-        }
-        else if (sscanf(line, "spoil %" SCNu64 " %u", &seed, &n) == 2) {
-            spoil(out, seed, n);
-        }
-        else if (strncmp(line, "bytes ", 6) == 0) {
-            decode(out, line + 6);
-        }
-        else if (line[0] != '#' && line[0] != '\n') {
-            fprintf(out, "not understood: %s", line);
+    if (strncmp(line, "round trip", 10) == 0) {
+        for (uint32_t t = 1; t < CP_FRAME_TYPE_COUNT; t++) {
+            round_trip(out, (CpFrameType)t);
         }
     }
+    else if (sscanf(line, "spoil %" SCNu64 " %u", &seed, &n) == 2) {
+        spoil(out, seed, n);
+    }
+    else if (strncmp(line, "bytes ", 6) == 0) {
+        decode(out, line + 6);
+    }
+    else {
+        fprintf(out, "not understood: %s\n", line);
+    }
 }
 
 /* Encodes, decodes and encodes again: the bytes must be the same. */
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -18,6 +18,11 @@
 void CpDrive_Steer(FILE *in, FILE *out);
 void CpDrive_Wire(FILE *in, FILE *out);
 
+/* Calls step with each line of a script, without its end; empty lines and
+ * comments are left out. */
+typedef void (*CpLineFn)(void *ctx, char *line);
+void CpScript_Run(FILE *in, CpLineFn step, void *ctx);
+
 /* A repeatable source of random numbers for property runs (SplitMix64,
  * Steele, Lea, Flood, OOPSLA 2014). */
 typedef struct {
--- a/regress/run.c
+++ b/regress/run.c
@@ -13,6 +13,7 @@
 #include "regress.h"
 
 #define MAX_TESTS 256
+#define LINE_BYTES 16384 /* the longest line of a script */
 #define SYSTEM_TIMEOUT_S 150
 #define SYSTEM_WORKERS 3
 #define SCRIPT_TIMEOUT_S 60
@@ -98,6 +99,18 @@
     return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+void
+CpScript_Run(FILE *in, CpLineFn step, void *ctx)
+{
+    char line[LINE_BYTES];
+    while (fgets(line, sizeof(line), in) != NULL) {
+        line[strcspn(line, "\n")] = '\0';
+        if (line[0] != '#' && line[0] != '\0') {
+            step(ctx, line);
+        }
+    }
+}
+
 uint64_t
 CpSeed_Next(CpSeed *s)
 {
