One set-up for all HTTP calls, one pool of handles, one way to read a page

Cause: six files set the same four options of a call (no signals, no proxy of the environment, the time-out), two workers kept spare handles by the same code, and two files had a callback that gathers an answer's body. Ruled out: the load generator keeps its own, larger list of handles, so that its timings stay comparable. Conclusion: no behaviour changes.

--- a/bench/load_run.c
+++ b/bench/load_run.c
@@ -1,5 +1,4 @@
 /* One thread of the load tool: a curl multi handle and a schedule. */
-#include <curl/curl.h>
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
@@ -8,6 +7,7 @@
 #include <strings.h>
 
 #include "../standin/standin.h"
+#include "http/easy.h"
 #include "http/http.h"
 #include "load.h"
 
@@ -222,12 +222,9 @@
     c->differs = c->has_verdict = false;
     c->reason = CP_REASON_NONE;
     set_url(c, f);
-    curl_easy_setopt(e, CURLOPT_URL, c->url);
+    CpEasy_Set(e, c->url, left_ms > 1 ? left_ms : 1);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_MS);
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)(left_ms > 1 ? left_ms : 1));
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
--- a/src/cli/cli_common.c
+++ b/src/cli/cli_common.c
@@ -1,5 +1,4 @@
 /* Calls to hosts and the platform, files, messages. */
-#include <curl/curl.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdarg.h>
@@ -9,12 +8,12 @@
 #include <unistd.h>
 
 #include "cli/cli.h"
+#include "http/easy.h"
 
 #define CALL_TIMEOUT_MS 2000
 #define PLATFORM_TIMEOUT_MS 2000
 #define URL_BYTES 512
 
-static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static CpStatus from_platform(const CpCliOptions *o, CpConfig **out);
 static CpStatus from_host(const CpCliOptions *o, CpConfig **out);
 
@@ -51,18 +50,12 @@
         g_free(line);
         free(token);
     }
-    curl_easy_setopt(e, CURLOPT_URL, url);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)CALL_TIMEOUT_MS);
+    CpEasy_Set(e, url, CALL_TIMEOUT_MS);
     curl_easy_setopt(e, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, body);
     if (strcmp(method, "POST") == 0) {
         curl_easy_setopt(e, CURLOPT_POSTFIELDS, "");
     }
-    CURLcode code = curl_easy_perform(e);
-    curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
+    CURLcode code = CpEasy_Read(e, body, SIZE_MAX, status);
     curl_slist_free_all(headers);
     curl_easy_cleanup(e);
     *out = g_string_free(body, FALSE);
@@ -164,13 +157,6 @@
     return root;
 }
 
-static size_t
-on_data(char *data, size_t size, size_t n, void *ctx)
-{
-    g_string_append_len(ctx, data, (gssize)(size * n));
-    return size * n;
-}
-
 static CpStatus
 from_platform(const CpCliOptions *o, CpConfig **out)
 {
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -3,13 +3,13 @@
  * store is away all that a neighbour has read, and a host that leaves the
  * store to others what is new to it. They are the store's own rows.
  */
-#include <curl/curl.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "entry/entry_int.h"
+#include "http/easy.h"
 
 #define ASK_TIMEOUT_MS                                                        \
     600 /* two round trips between regions, and the text                      \
@@ -27,7 +27,6 @@
 static json_t *render(CpEntryFollower *f, uint64_t after);
 static json_t *get(const char *address, const char *path);
 static void take_rows(CpEntryFollower *f, const json_t *rows);
-static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 static void free_row(void *p);
 
 void
@@ -183,14 +182,8 @@
     CURL *easy = curl_easy_init();
     long status = 0;
     snprintf(url, sizeof(url), "http://%s%s", address, path);
-    curl_easy_setopt(easy, CURLOPT_URL, url);
-    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)ASK_TIMEOUT_MS);
-    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, text);
-    CURLcode code = curl_easy_perform(easy);
-    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+    CpEasy_Set(easy, url, ASK_TIMEOUT_MS);
+    CURLcode code = CpEasy_Read(easy, text, MAX_STATE_BYTES, &status);
     curl_easy_cleanup(easy);
     json_t *page = NULL;
     if (code != CURLE_OK || status != 200) {
@@ -229,17 +222,6 @@
     }
 }
 
-static size_t
-on_data(char *data, size_t size, size_t n, void *ctx)
-{
-    GString *text = ctx;
-    if (text->len + size * n > MAX_STATE_BYTES) {
-        return 0;
-    }
-    g_string_append_len(text, data, (gssize)(size * n));
-    return size * n;
-}
-
 static void
 free_row(void *p)
 {
--- a/src/host/host_health.c
+++ b/src/host/host_health.c
@@ -3,11 +3,11 @@
  * Only that word is taken: an endpoint that reports good health may lie, and
  * what requests meet tells more.
  */
-#include <curl/curl.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "host/host_int.h"
+#include "http/easy.h"
 
 #define PERIOD_MS 700
 #define TIMEOUT_MS 500
@@ -81,11 +81,8 @@
         CURL *e = curl_easy_init();
         p->at = servers[i];
         snprintf(p->url, sizeof(p->url), "http://%s/health", p->at.address);
-        curl_easy_setopt(e, CURLOPT_URL, p->url);
+        CpEasy_Set(e, p->url, TIMEOUT_MS);
         curl_easy_setopt(e, CURLOPT_PRIVATE, p);
-        curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(e, CURLOPT_PROXY, "");
-        curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)TIMEOUT_MS);
         curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
         curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
         curl_multi_add_handle(multi, e);
--- /dev/null
+++ b/src/http/easy.h
@@ -0,0 +1,33 @@
+/*
+ * easy: what all HTTP calls of this program have in common: no signals, no
+ * proxy of the environment, a time-out; and handles kept for the next call.
+ */
+#ifndef CP_EASY_H
+#define CP_EASY_H
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "base/base.h"
+
+#define CP_MAX_SPARE 64 /* handles a thread keeps */
+
+/* Handles for calls of one thread. */
+typedef struct {
+    CURL *spare[CP_MAX_SPARE];
+    uint32_t spare_count;
+} CpEasyPool;
+
+/* One that was kept, or a new one. */
+CURL *CpEasyPool_Take(CpEasyPool *p);
+/* Keeps a handle, without its options, or frees it where enough are kept. */
+void CpEasyPool_Give(CpEasyPool *p, CURL *e);
+void CpEasyPool_Clear(CpEasyPool *p);
+
+/* Sets up a call; the library copies the URL. */
+void CpEasy_Set(CURL *e, const char *url, int64_t timeout_ms);
+/* Performs the call and appends the answer's body, at most max_bytes; the
+ * call fails where it is longer. */
+CURLcode CpEasy_Read(CURL *e, GString *body, size_t max_bytes, long *status);
+
+#endif
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -3,12 +3,12 @@
  * servers that hash to it. A request that may run once only gets a fresh
  * connection, since curl repeats one that a reused connection loses.
  */
-#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "http/easy.h"
 #include "http/http.h"
 
 #define IDLE_CONNECTIONS 512
@@ -51,8 +51,7 @@
     Job *inbox;
     bool stopping;
     CURLM *multi;
-    CURL *spare[64];
-    uint32_t spare_count;
+    CpEasyPool handles;
 };
 
 struct CpBackend {
@@ -125,9 +124,7 @@
         pthread_mutex_unlock(&w->lock);
         curl_multi_wakeup(w->multi);
         pthread_join(w->thread, NULL);
-        for (uint32_t k = 0; k < w->spare_count; k++) {
-            curl_easy_cleanup(w->spare[k]);
-        }
+        CpEasyPool_Clear(&w->handles);
         curl_multi_cleanup(w->multi);
         pthread_mutex_destroy(&w->lock);
     }
@@ -202,8 +199,7 @@
 static void
 start_job(Worker *w, Job *j)
 {
-    j->easy =
-        w->spare_count > 0 ? w->spare[--w->spare_count] : curl_easy_init();
+    j->easy = CpEasyPool_Take(&w->handles);
     set_options(w, j);
     curl_multi_add_handle(w->multi, j->easy);
 }
@@ -217,14 +213,11 @@
     int64_t left_ms = (ex->deadline_ns - CpClock_Now_ns()) / CP_NS_PER_MS -
                       DEADLINE_MARGIN_MS;
     snprintf(j->url, sizeof(j->url), "http://%s%s", j->address, ex->target);
-    curl_easy_setopt(e, CURLOPT_URL, j->url);
+    CpEasy_Set(e, j->url, left_ms > 0 ? left_ms : 1);
     curl_easy_setopt(e, CURLOPT_PRIVATE, j);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_INTERFACE, w->backend->source);
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)(left_ms > 0 ? left_ms : 1));
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, j);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -305,13 +298,7 @@
     judge(j, code, &r);
     if (j->easy != NULL) {
         curl_multi_remove_handle(w->multi, j->easy);
-        curl_easy_reset(j->easy);
-        if (w->spare_count < sizeof(w->spare) / sizeof(w->spare[0])) {
-            w->spare[w->spare_count++] = j->easy;
-        }
-        else {
-            curl_easy_cleanup(j->easy);
-        }
+        CpEasyPool_Give(&w->handles, j->easy);
         j->easy = NULL;
     }
     curl_slist_free_all(j->headers);
--- /dev/null
+++ b/src/http/http_easy.c
@@ -0,0 +1,67 @@
+/* HTTP calls: the options all have, and the handles that are kept. */
+#include "http/easy.h"
+
+typedef struct {
+    GString *body;
+    size_t max_bytes;
+} Reader;
+
+static size_t on_data(char *data, size_t size, size_t n, void *ctx);
+
+CURL *
+CpEasyPool_Take(CpEasyPool *p)
+{
+    return p->spare_count > 0 ? p->spare[--p->spare_count] : curl_easy_init();
+}
+
+void
+CpEasyPool_Give(CpEasyPool *p, CURL *e)
+{
+    curl_easy_reset(e);
+    if (p->spare_count < CP_MAX_SPARE) {
+        p->spare[p->spare_count++] = e;
+    }
+    else {
+        curl_easy_cleanup(e);
+    }
+}
+
+void
+CpEasyPool_Clear(CpEasyPool *p)
+{
+    while (p->spare_count > 0) {
+        curl_easy_cleanup(p->spare[--p->spare_count]);
+    }
+}
+
+void
+CpEasy_Set(CURL *e, const char *url, int64_t timeout_ms)
+{
+    curl_easy_setopt(e, CURLOPT_URL, url);
+    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(e, CURLOPT_PROXY, "");
+    curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
+}
+
+CURLcode
+CpEasy_Read(CURL *e, GString *body, size_t max_bytes, long *status)
+{
+    Reader r = {body, max_bytes};
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
+    CURLcode code = curl_easy_perform(e);
+    curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
+    return code;
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *ctx)
+{
+    Reader *r = ctx;
+    n *= size;
+    if (n > r->max_bytes - r->body->len) {
+        return 0;
+    }
+    g_string_append_len(r->body, data, (gssize)n);
+    return n;
+}
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -41,8 +41,7 @@
     CpProxyWorker *w = c->worker;
     CpProxyAttempt *a = &c->attempt;
     CpProxyAttempt_Clear(c);
-    a->easy =
-        w->spare_count > 0 ? w->spare[--w->spare_count] : curl_easy_init();
+    a->easy = CpEasyPool_Take(&w->handles);
     a->headers = CpHeaderLine_NewList();
     a->body = g_byte_array_new();
     a->idempotent = step->idempotent;
@@ -104,7 +103,7 @@
     CURL *e = c->attempt.easy;
     snprintf(c->attempt.url, sizeof(c->attempt.url), "http://%s/",
              step->address);
-    curl_easy_setopt(e, CURLOPT_URL, c->attempt.url);
+    CpEasy_Set(e, c->attempt.url, left_ms);
     curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->request.target);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
     curl_easy_setopt(e, CURLOPT_ERRORBUFFER, c->attempt.error);
@@ -125,8 +124,6 @@
     const CpProxy *p = c->worker->proxy;
     CURL *e = c->attempt.easy;
     uint32_t keep_s = CpAtomic_Load(&p->keep_alive_s);
-    curl_easy_setopt(e, CURLOPT_NOSIGNAL, 1L);
-    curl_easy_setopt(e, CURLOPT_PROXY, "");
     curl_easy_setopt(e, CURLOPT_INTERFACE, p->interface);
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(
@@ -268,13 +265,7 @@
         return;
     }
     curl_multi_remove_handle(w->multi, a->easy);
-    curl_easy_reset(a->easy);
-    if (w->spare_count < CP_MAX_SPARE) {
-        w->spare[w->spare_count++] = a->easy;
-    }
-    else {
-        curl_easy_cleanup(a->easy);
-    }
+    CpEasyPool_Give(&w->handles, a->easy);
     a->easy = NULL;
     curl_slist_free_all(a->lines);
     a->lines = NULL;
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -2,14 +2,12 @@
 #ifndef CP_PROXY_INT_H
 #define CP_PROXY_INT_H
 
-#include <curl/curl.h>
 #include <microhttpd.h>
 #include <pthread.h>
 
+#include "http/easy.h"
 #include "proxy/proxy.h"
 
-#define CP_MAX_SPARE 64 /* easy handles that a worker keeps */
-
 typedef struct CpProxyWorker CpProxyWorker;
 
 /* One attempt at a server; belongs to its call. */
@@ -72,8 +70,7 @@
     uint32_t active;
     int64_t next_deadline_ns;
     bool resumed; /* the daemon has connections to go on with */
-    CURL *spare[CP_MAX_SPARE];
-    uint32_t spare_count;
+    CpEasyPool handles;
 };
 
 struct CpProxy {
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -267,9 +267,7 @@
         MHD_run(w->daemon);
         MHD_stop_daemon(w->daemon);
     }
-    for (uint32_t i = 0; i < w->spare_count; i++) {
-        curl_easy_cleanup(w->spare[i]);
-    }
+    CpEasyPool_Clear(&w->handles);
     if (w->multi != NULL) {
         curl_multi_cleanup(w->multi);
         g_hash_table_destroy(w->by_fd);
