An answer that breaks off is asked for again where only its server is left

The kept log (request y4) shows why: stale bytes reached a kept connection after the library had found it quiet, the answer was taken for another request's and broken off; i-3 then said 421, i-1 was resting, and i-2, which was usable, was left out because it had had the request. A service with one server left has the same without any race. A server that refused, was silent or could not be reached is still not asked twice; once-only requests are not sent again. Change: a repeat that finds no server may go to the last one whose answer broke off, inside the route's attempts and the repeats' budget. The stand-in answers in a mode for a given number of requests (times=K). Conclusion: a read no longer fails while a server that can answer it is there.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -33,6 +33,7 @@
     CpFleetPick next;
     uint32_t tried_count;
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
+    char *broke;      /* of those tried, the last whose answer broke off */
     CpFleetPick pick; /* of the attempt under way */
 } State;
 
@@ -117,6 +118,9 @@
     if (a->end == CP_ATTEMPT_TIMED_OUT) {
         s->was_silent = true;
     }
+    if (a->end == CP_ATTEMPT_BROKEN && s->tried_count > 0) {
+        s->broke = s->tried[s->tried_count - 1];
+    }
     if (a->end == CP_ATTEMPT_ANSWERED && may_pass_on(a)) {
         out->type = CP_STEP_ANSWER;
         return;
@@ -216,6 +220,11 @@
     else {
         reason = choose(e, rq, s, now_ns, &s->pick);
     }
+    if (reason == CP_REASON_NO_SERVER && s->broke != NULL) {
+        s->broke[0] = '\0'; /* none but the one whose answer broke off */
+        s->broke = NULL;
+        reason = choose(e, rq, s, now_ns, &s->pick);
+    }
     if (reason != CP_REASON_NONE) {
         CpEvent(CP_EVENT_REFUSED, "not_placed",
                 "s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:i,s:i,s:i,s:I", "request",
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -1,8 +1,9 @@
 /*
  * Stand-in of backend servers that speak the platform's messages: one
  * process, many listeners. Each argument is IP:port,INSTANCE,SLOTS,MS. What
- * all of them saw is at /stats on any of them; /control?mode=M&ms=N changes
- * how one answers, and /ran?id=ID tells how often a request ran.
+ * all of them saw is at /stats on any of them; /control?mode=M&ms=N&times=K
+ * changes how one answers, for its next K requests where K is given, and
+ * /ran?id=ID tells how often a request ran.
  */
 #include <glib.h>
 #include <poll.h>
@@ -37,6 +38,7 @@
     uint64_t slots;
     uint64_t service_ms;
     Mode mode;
+    uint64_t mode_left; /* requests in this mode; 0: all */
     uint64_t running;
 } Server;
 
@@ -171,6 +173,7 @@
         }
     }
     s->service_ms = CpStandin_Number(conn, "ms", s->service_ms);
+    s->mode_left = CpStandin_Number(conn, "times", 0);
     const char *instance = CpStandin_Text(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
     pthread_mutex_unlock(&lock);
@@ -217,6 +220,9 @@
     arrived++;
     longest_ms = limit_ms > longest_ms ? limit_ms : longest_ms;
     Mode mode = s->mode;
+    if (s->mode_left > 0 && --s->mode_left == 0) {
+        s->mode = MODE_OK;
+    }
     bool other = want != NULL && strcmp(want, s->instance) != 0;
     bool full = s->running >= s->slots;
     wrong += other;
