The library sends no request again by itself

Ruled out: a wrong time in the policy (each attempt's header is what was left when it was made). Change: the callback before the first byte allows one send an attempt, for all requests and not only those that may run once. The attempt ends as broken, and the policy decides on a repeat, at another server or at the only one. The stand-in tells the last time-out that a request was given (/told). Before / after: system/routes_single, an answer lost after 400 ms on a kept connection: told 1499 ms of 1500 / at most 1100. Conclusion: a repeat is always told what is left, and is paid for.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -44,7 +44,6 @@
     a->easy = CpEasyPool_Take(&w->handles);
     a->headers = CpHeaderLine_NewList();
     a->body = g_byte_array_new();
-    a->idempotent = step->idempotent;
     a->started_ns = CpClock_Now_ns();
     int64_t left_ms = (step->deadline_ns - a->started_ns) / CP_NS_PER_MS;
     set_request(c, step, left_ms > 0 ? left_ms : 1);
@@ -75,7 +74,7 @@
         return;
     }
     judge(c, CURLE_OPERATION_TIMEDOUT, &end);
-    if (c->attempt.sends > 0) {
+    if (c->attempt.sent) {
         end.end = CP_ATTEMPT_TIMED_OUT;
     }
     CpProxyAttempt_Abort(c);
@@ -222,7 +221,7 @@
                        .verdict = CP_MAY_HAVE_RUN,
                        .end = CP_ATTEMPT_BROKEN,
                        .reason = CP_REASON_SERVER_FAILED};
-    if (a->sends == 0) {
+    if (!a->sent) {
         out->verdict = CP_NOT_RUN;
         out->end = CP_ATTEMPT_UNREACHABLE;
         out->reason = CP_REASON_CONNECT_FAILED;
@@ -285,8 +284,9 @@
 }
 
 /* Called right before the first byte is sent: the last place that can still
- * say "not run". curl sends a request again where a kept connection broke;
- * one that may run only once is not sent again. */
+ * say "not run". curl would send a request again where a kept connection
+ * broke, with the time that was left at first; whether it is, the policy
+ * decides. */
 static int
 on_prereq(void *ctx, char *local, char *remote, int local_port,
           int remote_port)
@@ -294,10 +294,10 @@
     CpCall *call = ctx;
     CpProxyAttempt *at = &call->attempt;
     (void)local, (void)remote, (void)local_port, (void)remote_port;
-    if (at->sends > 0 && !at->idempotent) {
+    if (at->sent) {
         return CURL_PREREQFUNC_ABORT;
     }
-    at->sends++;
+    at->sent = true;
     return CURL_PREREQFUNC_OK;
 }
 
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -108,7 +108,7 @@
 CpProxyFront_Late(CpCall *c)
 {
     const CpProxyPolicy *p = &c->worker->proxy->options.policy;
-    bool sent = c->attempt.sends > 0;
+    bool sent = c->attempt.sent;
     p->abandoned(p->ctx, &c->request, CP_ATTEMPT_TIMED_OUT,
                  CpClock_Now_ns() - c->attempt.started_ns);
     CpProxyAttempt_Abort(c);
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -16,10 +16,9 @@
     struct curl_slist *lines;
     char error[CURL_ERROR_SIZE];
     char url[CP_ADDR_BYTES + 16];
-    bool idempotent;
-    uint32_t sends; /* times that the request's first byte was due */
-    bool matched;   /* the answer bears the request's id */
-    bool crossed;   /* it bears another one */
+    bool sent;    /* its first byte was due */
+    bool matched; /* the answer bears the request's id */
+    bool crossed; /* it bears another one */
     bool sealed;
     bool not_run;
     bool has_load;
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -3,7 +3,8 @@
  * process, many listeners. Each argument is IP:port,INSTANCE,SLOTS,MS. What
  * all of them saw is at /stats on any of them; /control?mode=M&ms=N&times=K
  * changes how one answers, for its next K requests where K is given, and
- * /ran?id=ID tells how often a request ran.
+ * /ran?id=ID tells how often a request ran, /told?id=ID the time, in ms, that
+ * it was last given.
  */
 #include <glib.h>
 #include <poll.h>
@@ -62,7 +63,8 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* of all below */
 static Server servers[MAX_SERVERS];
-static GHashTable *ran; /* request id -> times */
+static GHashTable *ran;  /* request id -> times */
+static GHashTable *told; /* request id -> the last time-out, ms */
 static uint64_t arrived, runs, refused, wrong, cancelled, longest_ms, over;
 
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
@@ -86,6 +88,7 @@
     struct MHD_Daemon *daemons[MAX_SERVERS];
     CpStandin_BlockSignals();
     ran = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     for (int i = 1; i < argc && i < MAX_SERVERS; i++) {
         char **part = g_strsplit(argv[i], ",", 4);
         Server *s = &servers[i];
@@ -130,10 +133,11 @@
     if (strcmp(url, "/stats") == 0) {
         return stats(conn);
     }
-    if (strcmp(url, "/ran") == 0) {
+    bool is_told = strcmp(url, "/told") == 0;
+    if (is_told || strcmp(url, "/ran") == 0) {
         pthread_mutex_lock(&lock);
-        uint32_t n = GPOINTER_TO_UINT(
-            g_hash_table_lookup(ran, CpStandin_Text(conn, "id", "")));
+        uint32_t n = GPOINTER_TO_UINT(g_hash_table_lookup(
+            is_told ? told : ran, CpStandin_Text(conn, "id", "")));
         pthread_mutex_unlock(&lock);
         return CpStandin_Answer(conn, 200, g_strdup_printf("%u\n", n));
     }
@@ -219,6 +223,7 @@
     pthread_mutex_lock(&lock);
     arrived++;
     longest_ms = limit_ms > longest_ms ? limit_ms : longest_ms;
+    g_hash_table_replace(told, g_strdup(id), GUINT_TO_POINTER(limit_ms));
     Mode mode = s->mode;
     if (s->mode_left > 0 && --s->mode_left == 0) {
         s->mode = MODE_OK;
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -101,4 +101,5 @@
 }
 modes() { for mode_at in "$S1" "$S2" "$S3"; do curl -s "http://$mode_at/control?mode=$1${2:+&ms=$2}" >/dev/null; done; }
 ran() { curl -s "http://$S1/ran?id=$1"; }
+told() { curl -s "http://$S1/told?id=$1"; } # the last time-out, ms
 route_stat() { curl -s "http://$S1/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
