--- a/regress/drive_admit.c
+++ b/regress/drive_admit.c
@@ -9,6 +9,8 @@
 #define MAX_ITEMS 4096
 #define MAX_HOSTS 5
 #define MAX_MESSAGES 64
+#define MAX_SHIFT_MS 10000
+#define PAUSE_EVERY_MS 1700
 
 typedef struct {
     FILE *out;
@@ -61,6 +63,8 @@
 } LoanHost;
 
 static void step(void *ctx, char *line);
+static void foreign_windows(Script *s, uint32_t rate, uint32_t from_ms,
+                            uint32_t for_ms, uint32_t pause_ms);
 static void on_start(void *ctx, CpAdmitItem *item);
 static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
 static void random_queue(FILE *out, uint64_t seed, uint32_t steps);
@@ -201,6 +205,14 @@
             fprintf(s->out, "admitted %u\n", n);
         }
     }
+    else if (sscanf(line, "foreign %u from %u ms for %u ms pauses %u ms", &a,
+                    &b, &c, &d) == 4) {
+        foreign_windows(s, a, b, c, d);
+    }
+    else if (sscanf(line, "foreign %u from %u ms for %u ms", &a, &b, &c) ==
+             3) {
+        foreign_windows(s, a, b, c, 0);
+    }
     else if (sscanf(line, "retries %u percent %u requests", &a, &b) == 2) {
         uint32_t n = 0;
         s->budget = (CpRetryBudget){.percent = a};
@@ -228,6 +240,41 @@
     return (uint32_t)(item - s->items);
 }
 
+/* Foreign work that comes from a moment of an interval on, and pauses after
+ * each PAUSE_EVERY_MS; how much any second has more than the one before it. */
+static void
+foreign_windows(Script *s, uint32_t rate, uint32_t from_ms, uint32_t for_ms,
+                uint32_t pause_ms)
+{
+    static uint32_t sent[MAX_SHIFT_MS];
+    int64_t last = 0, before = 0, most = 0;
+    memset(sent, 0, sizeof(sent));
+    s->now_ns += CP_NS_PER_S - s->now_ns % CP_NS_PER_S;
+    for (uint32_t ms = from_ms; ms < for_ms && ms < MAX_SHIFT_MS; ms++) {
+        bool paused =
+            (ms - from_ms) % PAUSE_EVERY_MS + pause_ms >= PAUSE_EVERY_MS;
+        uint32_t due = (ms + 1) * rate / 1000 - ms * rate / 1000;
+        for (uint32_t i = 0; i < due && !paused; i++) {
+            sent[ms] +=
+                CpShift_Admit(&s->shift, s->now_ns + ms * CP_NS_PER_MS);
+        }
+        last += sent[ms];
+        if (ms >= 1000) {
+            last -= sent[ms - 1000];
+            before += sent[ms - 1000];
+        }
+        before -= ms >= 2000 ? sent[ms - 2000] : 0;
+        most = last - before > most ? last - before : most;
+    }
+    int64_t cap = (int64_t)s->shift.cap_milli / 1000;
+    int64_t due = cap * ((for_ms - from_ms) / 1000 - 1);
+    bool used = last >= (due < rate ? due : rate);
+    fprintf(s->out, "growth %s the cap%s\n", most <= cap ? "within" : "over",
+            pause_ms > 0 ? ""
+            : used       ? ", which is used"
+                         : ", not used");
+}
+
 static void
 on_start(void *ctx, CpAdmitItem *item)
 {
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -152,15 +152,16 @@
 bool CpPacer_Spend(CpPacer *p, uint32_t class_index, uint32_t size_bytes,
                    int64_t now_ns);
 
-/* Growth of foreign work: in each interval at most the cap more than in the
- * one before. The cap is in thousandths of a request, as hosts hold parts. */
+/* Growth of foreign work: any span of an interval holds at most the cap more
+ * than the one before it. The cap is in thousandths of a request, as hosts
+ * hold parts of it. */
 #define CP_SHIFT_INTERVAL_MS 1000
+#define CP_SHIFT_SPAN_MS (2 * CP_SHIFT_INTERVAL_MS)
 typedef struct {
     uint64_t cap_milli;
-    uint64_t carry_milli; /* part of a request left from intervals before */
-    uint32_t before;      /* admitted in the last interval */
-    uint32_t now;         /* admitted in this one */
-    int64_t interval;
+    int64_t credit_milli; /* thousandths of a request that may go now */
+    int64_t last_ms;      /* time up to which credit is counted; 0: none */
+    uint16_t sent[CP_SHIFT_SPAN_MS]; /* admitted, by millisecond, a ring */
 } CpShift;
 bool CpShift_Admit(CpShift *s, int64_t now_ns);
 
--- a/src/admit/admit_limits.c
+++ b/src/admit/admit_limits.c
@@ -4,10 +4,15 @@
 #define RETRY_MAX_PERCENT 1000 /* at most ten retries in store */
 #define MILLI 1000
 #define BURST_NS (30 * CP_NS_PER_MS)
-#define RATE_NUM 95          /* of 100: keeps any 1 s window under the cap */
-#define SHIFT_LEAD_PERCENT 5 /* of an interval's room, usable at once */
+#define RATE_NUM 95            /* of 100: keeps any 1 s window under the cap */
+#define SHIFT_STORE_PERCENT 50 /* of the cap that may be saved up */
+#define SHIFT_STORE_MIN (2 * MILLI) /* or this: one returned, one earned */
 #define RESERVE_DIV 4 /* part of the burst that only urgent classes use */
 
+static uint16_t *sent_at(CpShift *s, int64_t ms);
+static void advance_shift(CpShift *s, int64_t now_ms);
+static bool stays_under_cap(CpShift *s);
+
 void
 CpRetry_Earn(CpRetryBudget *b)
 {
@@ -62,30 +67,82 @@
     return true;
 }
 
+/* Load: a drained or lost domain's requests, which all want to move at once.
+ * Credit paces them evenly over the interval, so that the growth is the same
+ * wherever an interval begins; the check holds the cap when work stops and
+ * comes back. */
 bool
 CpShift_Admit(CpShift *s, int64_t now_ns)
 {
-    const int64_t interval_ns = CP_SHIFT_INTERVAL_MS * CP_NS_PER_MS;
-    int64_t interval = now_ns / interval_ns;
-    if (interval != s->interval) {
-        s->carry_milli = (s->carry_milli + s->cap_milli) % MILLI;
-        s->before = interval == s->interval + 1 ? s->now : 0;
-        s->now = 0;
-        s->interval = interval;
-    }
-    uint64_t room = s->before * (uint64_t)MILLI + s->cap_milli;
-    if (s->cap_milli % MILLI > s->carry_milli) {
-        room += MILLI; /* the parts made up a whole request */
+    int64_t now_ms = now_ns / CP_NS_PER_MS;
+    if (s->last_ms == 0) {
+        s->last_ms = now_ms;
+        s->credit_milli = s->cap_milli < MILLI ? (int64_t)s->cap_milli : MILLI;
     }
-    uint64_t percent = SHIFT_LEAD_PERCENT +
-                       100 * (uint64_t)(now_ns % interval_ns) / interval_ns;
-    uint64_t whole = room / MILLI;
-    if (percent < 100) {
-        whole = (whole * percent + 99) / 100;
+    advance_shift(s, now_ms);
+    if (s->credit_milli < MILLI) {
+        return false;
     }
-    if (s->now >= whole) {
+    uint16_t *sent = sent_at(s, s->last_ms);
+    (*sent)++;
+    if (!stays_under_cap(s)) {
+        (*sent)--;
         return false;
     }
-    s->now++;
+    s->credit_milli -= MILLI;
+    return true;
+}
+
+static uint16_t *
+sent_at(CpShift *s, int64_t ms)
+{
+    return &s->sent[(ms + CP_SHIFT_SPAN_MS) % CP_SHIFT_SPAN_MS];
+}
+
+/* What was admitted an interval ago may go again; the cap comes on top. */
+static void
+advance_shift(CpShift *s, int64_t now_ms)
+{
+    int64_t store =
+        (int64_t)(s->cap_milli * SHIFT_STORE_PERCENT / 100) + SHIFT_STORE_MIN;
+    if (now_ms - s->last_ms > CP_SHIFT_SPAN_MS) { /* all of the ring is old */
+        s->credit_milli += (int64_t)s->cap_milli *
+                           (now_ms - s->last_ms - CP_SHIFT_SPAN_MS) /
+                           CP_SHIFT_INTERVAL_MS;
+        s->last_ms = now_ms - CP_SHIFT_SPAN_MS;
+    }
+    for (; s->last_ms < now_ms; s->last_ms++) {
+        int64_t ms = s->last_ms + 1;
+        *sent_at(s, ms) = 0;
+        s->credit_milli += *sent_at(s, ms - CP_SHIFT_INTERVAL_MS) * MILLI;
+        s->credit_milli +=
+            (int64_t)s->cap_milli * ms / CP_SHIFT_INTERVAL_MS -
+            (int64_t)s->cap_milli * (ms - 1) / CP_SHIFT_INTERVAL_MS;
+        if (s->credit_milli > store) {
+            s->credit_milli = store;
+        }
+    }
+}
+
+/* Whether no interval, up to the one that begins now, has or will have more
+ * than the cap over the one before it. Intervals that end later hold what is
+ * sent until now only, so each begin within the last interval is looked at. */
+static bool
+stays_under_cap(CpShift *s)
+{
+    int64_t cap = (int64_t)((s->cap_milli + MILLI - 1) / MILLI);
+    int64_t later = 0, before = 0;
+    for (int64_t i = 0; i < CP_SHIFT_INTERVAL_MS; i++) {
+        before += *sent_at(s, s->last_ms - i);
+    }
+    for (int64_t i = 0; i < CP_SHIFT_INTERVAL_MS; i++) {
+        int64_t ms = s->last_ms - i;
+        uint16_t here = *sent_at(s, ms);
+        later += here;
+        before += *sent_at(s, ms - CP_SHIFT_INTERVAL_MS) - here;
+        if (later - before > cap) {
+            return false;
+        }
+    }
     return true;
 }
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -9,6 +9,9 @@
 #include "host/host_int.h"
 
 #define LOAN_WORK_MARGIN_MS 200 /* for the end of work past its deadline */
+/* Of the cap on foreign work: requests reach their servers some time after
+ * they are admitted, not all the same. A shift may take a tenth longer. */
+#define SHIFT_PERCENT 90
 
 static bool admit_foreign(CpNode *n, int64_t now_ns);
 static void on_start(void *ctx, CpAdmitItem *item);
@@ -294,10 +297,10 @@
     pthread_mutex_lock(&n->shift_lock);
     n->usable_slots += mine - p->usable;
     p->usable = mine;
-    n->shift.cap_milli =
-        n->domain_slots > 0
-            ? n->domain_cap_milli * n->usable_slots / n->domain_slots
-            : 0;
+    n->shift.cap_milli = n->domain_slots > 0
+                             ? n->domain_cap_milli * SHIFT_PERCENT / 100 *
+                                   n->usable_slots / n->domain_slots
+                             : 0;
     pthread_mutex_unlock(&n->shift_lock);
 }
 
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -4,7 +4,10 @@
 #include "host/host_int.h"
 
 #define MAX_ATTEMPTS 3
-#define MAX_SHIFT_REFUSALS 2 /* two domains, then home */
+/* A second host of each of two domains may have room where the first has
+ * none, as each holds a part of its domain's cap; then the request goes home.
+ */
+#define MAX_SHIFT_REFUSALS 4
 
 static CpReason enter(CpNode *n, const CpExchange *ex);
 static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
@@ -115,8 +118,8 @@
 static bool
 may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict, CpReason reason)
 {
-    if (ex->from_wire || ex->attempts >= MAX_ATTEMPTS || ex->up != NULL ||
-        !worth_another[reason] || CpExchange_Headed(ex) ||
+    if (ex->from_wire || ex->attempts >= MAX_ATTEMPTS + ex->shift_refusals ||
+        ex->up != NULL || !worth_another[reason] || CpExchange_Headed(ex) ||
         CpClock_Now_ns() >= ex->deadline_ns) {
         return false;
     }
@@ -157,7 +160,7 @@
     if (ex->shift_refusals == 1) { /* another domain may take it */
         ask.skip_domain = g->config->hosts[ex->tried[0]].domain_index;
     }
-    if (ex->shift_refusals > 1) { /* home, where it is not foreign */
+    if (ex->shift_refusals == MAX_SHIFT_REFUSALS) { /* home: not foreign */
         ask.only_domain = CpConfig_Domain(g->config, ex->origin);
         ask.allow_drained = true;
     }
