A stream is complete before the thread of its session can find it

Change: retain the exchange first, add the stream last. Room for all owners of an exchange: attempts that a shift's cap refuses keep theirs, too.

--- a/src/host/host_stream.c
+++ b/src/host/host_stream.c
@@ -28,6 +28,7 @@
 static void on_consumed(void *ctx, uint32_t size_bytes);
 static CpStream *new_stream(CpNode *n, CpSession *s, CpExchange *ex,
                             uint64_t id, bool outgoing);
+static void add_stream(CpStream *st);
 static CpStream *find(CpNode *n, const CpSession *s, uint64_t id);
 static CpStream *take(CpNode *n, const CpSession *s, uint64_t id);
 static void finish_outgoing(CpStream *st, CpVerdict verdict, CpReason reason);
@@ -73,6 +74,9 @@
     uint64_t id = __atomic_add_fetch(&n->next_stream, 1, __ATOMIC_RELAXED);
     CpFrame f = {.type = CP_FRAME_REQUEST};
     CpRequestFrame *r = &f.request;
+    /* Once it is in the table, a lost session may end the stream and run the
+     * exchange elsewhere, up to its release. */
+    CpExchange *held = CpExchange_Retain(ex);
     CpStream *st = new_stream(n, s, ex, id, true);
     st->host = host_index;
     st->pool = ex->pool_index;
@@ -99,7 +103,7 @@
         CpPipe_SetReader(ex->up, pump_wake, st);
     }
     CpExchange_SetBack(ex, back_cancel, st);
-    CpExchange *held = CpExchange_Retain(ex);
+    add_stream(st);
     if (CpSession_Send(s, &f, CP_CLASS_OF_RANK(ex->rank)) != CP_OK) {
         CpStream *mine = take(n, s, id);
         if (mine != NULL) {
@@ -197,6 +201,7 @@
     }
     CpPipe_SetReader(ex->down, pump_wake, st);
     CpExchange_SetFront(ex, front_head, st);
+    add_stream(st);
     submit_incoming(n, CpExchange_Retain(ex), (CpPurpose)r->purpose, reason);
 }
 
@@ -455,12 +460,12 @@
 }
 
 /* Takes over one reference to the exchange, until close_stream(). The
- * stream's memory lives as long as the exchange. */
+ * stream's memory lives as long as the exchange. It is set up before
+ * add_stream() lets the session's thread find it. */
 static CpStream *
 new_stream(CpNode *n, CpSession *s, CpExchange *ex, uint64_t id, bool outgoing)
 {
     CpStream *st = CpMem_Alloc(sizeof(*st));
-    CpStreamShard *sh = shard_of(n, id);
     pthread_mutex_init(&st->lock, NULL);
     st->node = n;
     st->id = id;
@@ -469,10 +474,16 @@
     st->credit_bytes = CP_PIPE_BYTES;
     st->session = outgoing ? s : CpSession_Retain(s);
     CpExchange_Keep(ex, st, drop_stream);
+    return st;
+}
+
+static void
+add_stream(CpStream *st)
+{
+    CpStreamShard *sh = shard_of(st->node, st->id);
     pthread_mutex_lock(&sh->lock);
     g_hash_table_add(sh->streams, st);
     pthread_mutex_unlock(&sh->lock);
-    return st;
 }
 
 /* Finds a stream and takes a reference to its exchange. */
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -14,7 +14,7 @@
 
 #define CP_PIPE_BYTES (128 * 1024)
 #define CP_MAX_TRIED 4 /* hosts that one request may be sent to */
-#define CP_MAX_KEPT 8  /* retries, and both ends */
+#define CP_MAX_KEPT 16 /* attempts, refused ones too, and both ends */
 
 /* A bounded byte stream between two threads, with wake-ups on both sides. */
 typedef struct CpPipe CpPipe;
