--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -4,7 +4,8 @@
  * all of them saw is at /stats on any of them; /control?mode=M&ms=N&times=K
  * changes how one answers, for its next K requests where K is given, and
  * /ran?id=ID tells how often a request ran, /told?id=ID the time, in ms, that
- * it was last given.
+ * it was last given. /runs lists all ids with how often they ran, and
+ * /arrived tells how many requests this one has got.
  */
 #include <glib.h>
 #include <poll.h>
@@ -41,6 +42,7 @@
     Mode mode;
     uint64_t mode_left; /* requests in this mode; 0: all */
     uint64_t running;
+    uint64_t arrived;
 } Server;
 
 typedef struct {
@@ -75,6 +77,7 @@
                          enum MHD_RequestTerminationCode code);
 static enum MHD_Result control(struct MHD_Connection *conn, Server *s);
 static enum MHD_Result stats(struct MHD_Connection *conn);
+static enum MHD_Result list_runs(struct MHD_Connection *conn);
 static enum MHD_Result run(struct MHD_Connection *conn, Server *s, Upload *u,
                            const char *url, const char *method);
 static enum MHD_Result refuse(struct MHD_Connection *conn, const Server *s,
@@ -133,6 +136,16 @@
     if (strcmp(url, "/stats") == 0) {
         return stats(conn);
     }
+    if (strcmp(url, "/runs") == 0) {
+        return list_runs(conn);
+    }
+    if (strcmp(url, "/arrived") == 0) {
+        pthread_mutex_lock(&lock);
+        uint64_t n = ((const Server *)ctx)->arrived;
+        pthread_mutex_unlock(&lock);
+        return CpStandin_Answer(
+            conn, 200, g_strdup_printf("%llu\n", (unsigned long long)n));
+    }
     bool is_told = strcmp(url, "/told") == 0;
     if (is_told || strcmp(url, "/ran") == 0) {
         pthread_mutex_lock(&lock);
@@ -207,6 +220,22 @@
     return CpStandin_Answer(conn, 200, text);
 }
 
+static enum MHD_Result
+list_runs(struct MHD_Connection *conn)
+{
+    GHashTableIter it;
+    void *id, *times;
+    GString *text = g_string_new(NULL);
+    pthread_mutex_lock(&lock);
+    g_hash_table_iter_init(&it, ran);
+    while (g_hash_table_iter_next(&it, &id, &times)) {
+        g_string_append_printf(text, "%s %u\n", (const char *)id,
+                               GPOINTER_TO_UINT(times));
+    }
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Answer(conn, 200, g_string_free(text, FALSE));
+}
+
 static enum MHD_Result
 run(struct MHD_Connection *conn, Server *s, Upload *u, const char *url,
     const char *method)
@@ -222,6 +251,7 @@
     }
     pthread_mutex_lock(&lock);
     arrived++;
+    s->arrived++;
     longest_ms = limit_ms > longest_ms ? limit_ms : longest_ms;
     g_hash_table_replace(told, g_strdup(id), GUINT_TO_POINTER(limit_ms));
     Mode mode = s->mode;
