A host blocks its signals before it reads its settings

Signals were blocked only after the settings had been read; SIGHUP would have ended it, too. Ruled out: a stop that hangs or cuts (no line of a start in its log). Change: main() blocks them first; what arrives meanwhile is handled once the host has started. Before / after: system/routes_start, SIGTERM while the settings are read from a pipe: the process ends and nobody reads the pipe / exit 0.

--- a/src/daemon/daemon_main.c
+++ b/src/daemon/daemon_main.c
@@ -33,7 +33,9 @@
 static void reload_routes(void *host, const CpSettings *settings);
 static void drain_routes(void *host);
 static void free_routes(void *host);
-static int run(const CpSettings *settings, const char *path);
+static void block_signals(sigset_t *set);
+static int run(const CpSettings *settings, const char *path,
+               const sigset_t *set);
 static void reload(const Mode *m, void *host, const char *path);
 static bool has_changed(const char *path, struct stat *seen);
 
@@ -50,11 +52,13 @@
     GError *err = NULL;
     CpSettings settings;
     CpProblems problems = {0};
+    sigset_t set;
     GOptionEntry entries[] = {{"config", 'c', 0, G_OPTION_ARG_FILENAME, &path,
                                "Settings file", "FILE"},
                               {"check", 0, 0, G_OPTION_ARG_NONE, &check,
                                "Only check the settings", NULL},
                               {0}};
+    block_signals(&set);
     GOptionContext *oc = g_option_context_new("- entry host");
     g_option_context_add_main_entries(oc, entries, NULL);
     if (!g_option_context_parse(oc, &argc, &argv, &err) || path == NULL) {
@@ -75,28 +79,33 @@
     if (check) {
         return EXIT_SUCCESS;
     }
-    int status = run(&settings, path);
+    int status = run(&settings, path, &set);
     CpSettings_Clear(&settings);
     g_free(path);
     return status;
 }
 
-/* Signals are taken by this thread only; the others have them blocked. */
+/* Signals are taken by this thread only, the others have them blocked. One
+ * that arrives while the host starts waits until it has. */
+static void
+block_signals(sigset_t *set)
+{
+    sigemptyset(set);
+    sigaddset(set, SIGTERM);
+    sigaddset(set, SIGINT);
+    sigaddset(set, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, set, NULL);
+    signal(SIGPIPE, SIG_IGN);
+}
+
 static int
-run(const CpSettings *settings, const char *path)
+run(const CpSettings *settings, const char *path, const sigset_t *set)
 {
     const Mode *m =
         CpSettings_ServesRoutes(settings) ? &routes_mode : &kinds_mode;
     void *host;
-    sigset_t set;
     struct stat seen = {0};
     int sig;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigaddset(&set, SIGHUP);
-    pthread_sigmask(SIG_BLOCK, &set, NULL);
-    signal(SIGPIPE, SIG_IGN);
     if (m->start(settings, &host) != CP_OK) {
         CpLog(CP_LOG_ERR, "%s", CpError_Message());
         return EXIT_SETTINGS;
@@ -104,7 +113,7 @@
     has_changed(path, &seen);
     do {
         const struct timespec wait = {.tv_sec = SETTINGS_CHECK_S};
-        sig = sigtimedwait(&set, NULL, &wait);
+        sig = sigtimedwait(set, NULL, &wait);
         if (has_changed(path, &seen) || sig == SIGHUP) {
             reload(m, host, path);
         }
