--- a/src/base/base_address.c
+++ b/src/base/base_address.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/base.h"
 
@@ -35,6 +36,30 @@
     return 0;
 }
 
+int32_t
+CpSocket_Bind(const char *address)
+{
+    struct sockaddr_storage sa;
+    int32_t one = 1;
+    uint32_t n = CpAddress_Parse(address, &sa);
+    if (n == 0) {
+        CpError_Set(CP_ERR_ARG, "%s: bad address", address);
+        return -1;
+    }
+    int32_t fd =
+        socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0 ||
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) != 0 ||
+        bind(fd, (struct sockaddr *)&sa, n) != 0) {
+        CpError_Set(CP_ERR_IO, "%s: %s", address, strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return -1;
+    }
+    return fd;
+}
+
 CpStatus
 CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes)
 {
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -48,6 +48,7 @@
     pthread_mutex_init(&e->routes_lock, NULL);
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->budget_lock, NULL);
+    e->peers_fd = -1;
     CpEntryHosts_Init(e);
     CpFleetDomain *domains =
         CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -93,24 +93,13 @@
 CpStatus
 CpFront_New(const CpFrontOptions *options, CpFront **out)
 {
-    struct sockaddr_storage sa;
-    int32_t one = 1;
     CpFront *f = CpMem_Alloc(sizeof(*f));
     f->options = *options;
     for (uint32_t i = 0; i < SHARDS; i++) {
         pthread_mutex_init(&f->shards[i].lock, NULL);
     }
-    uint32_t n = CpAddress_Parse(options->listen, &sa);
-    f->listen_fd = n == 0
-                       ? -1
-                       : socket(sa.ss_family,
-                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (f->listen_fd >= 0) {
-        setsockopt(f->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    }
-    if (f->listen_fd < 0 ||
-        bind(f->listen_fd, (struct sockaddr *)&sa, n) != 0) {
-        CpError_Set(CP_ERR_IO, "%s: %s", options->listen, strerror(errno));
+    f->listen_fd = CpSocket_Bind(options->listen);
+    if (f->listen_fd < 0) {
         free(f);
         return CP_ERR_IO;
     }
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -35,8 +35,6 @@
 CpStatus
 CpProxy_New(const CpProxyOptions *options, CpProxy **out)
 {
-    struct sockaddr_storage sa;
-    int32_t one = 1;
     CpProxy *p = CpMem_Alloc(sizeof(*p));
     p->options = *options;
     p->keep_alive_s = KEEP_ALIVE_S;
@@ -44,16 +42,11 @@
     CpStr_Copy(p->interface, sizeof(p->interface), "host!");
     g_strlcat(p->interface, options->source, sizeof(p->interface));
     *out = p;
-    uint32_t n = CpAddress_Parse(options->listen, &sa);
-    p->listen_fd = n == 0
-                       ? -1
-                       : socket(sa.ss_family,
-                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (p->listen_fd < 0 ||
-        setsockopt(p->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one,
-                   sizeof(one)) != 0 ||
-        bind(p->listen_fd, (struct sockaddr *)&sa, n) != 0 ||
-        listen(p->listen_fd, LISTEN_BACKLOG) != 0) {
+    p->listen_fd = CpSocket_Bind(options->listen);
+    if (p->listen_fd < 0) {
+        return CP_ERR_IO;
+    }
+    if (listen(p->listen_fd, LISTEN_BACKLOG) != 0) {
         return CpError_Set(CP_ERR_IO, "%s: %s", options->listen,
                            strerror(errno));
     }
--- a/src/wire/wire_session.c
+++ b/src/wire/wire_session.c
@@ -15,6 +15,7 @@
 #include "wire/wire_int.h"
 
 #define EVENTS 64
+#define LISTEN_BACKLOG 512
 #define HANDSHAKE_MS 2000
 #define HANDSHAKE_MAX_BYTES 1024
 #define PACE_MS 5
@@ -42,24 +43,16 @@
 CpWire_New(const CpWireOptions *options, CpWire **out)
 {
     CpWire *w = CpMem_Alloc(sizeof(*w));
-    struct sockaddr_storage sa;
-    int32_t one = 1;
     w->options = *options;
     CpStr_Copy(w->host, sizeof(w->host), options->host);
     CpStr_Copy(w->domain, sizeof(w->domain), options->domain);
     CpStr_Copy(w->listen, sizeof(w->listen), options->listen);
-    uint32_t n = CpAddress_Parse(w->listen, &sa);
-    w->listen_fd = n == 0
-                       ? -1
-                       : socket(sa.ss_family,
-                                SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    w->listen_fd = CpSocket_Bind(w->listen);
     if (w->listen_fd < 0) {
         free(w);
-        return CpError_Set(CP_ERR_ARG, "%s: bad address", options->listen);
+        return CP_ERR_IO;
     }
-    setsockopt(w->listen_fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(w->listen_fd, (struct sockaddr *)&sa, n) != 0 ||
-        listen(w->listen_fd, 512) != 0) {
+    if (listen(w->listen_fd, LISTEN_BACKLOG) != 0) {
         CpError_Set(CP_ERR_IO, "%s: %s", w->listen, strerror(errno));
         close(w->listen_fd);
         free(w);
