A server is found by its hash; places of peers that were never taken are not read

Each report row looked through all servers of all services, each request through all names three times, and each look at a queue through 64 places of peers. Change: an index by hash in each service; the number of places that were taken. The scripts of fleet start their clocks at 60 s: within 1.5 s of zero the old search took empty places for fresh ones and dropped what peers told, so that choose.in's "what other hosts have there counts" was only half played. With the clock moved, the code before and this one print the same in all scripts; the lines that differ from before come from the clock.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -19,6 +19,8 @@
 #define MAX_REQUESTS 128000
 #define QUEUE_PER_SLOT 3 /* of a server, beyond its slots */
 #define PLAY_DOMAINS 6
+#define START_NS (60 * CP_NS_PER_S) /* of the clock: no host starts with it   \
+                                     */
 
 /* --- single decisions --- */
 
@@ -155,7 +157,7 @@
     Script *s = CpMem_Alloc(sizeof(*s));
     s->out = out;
     s->parts = 1;
-    s->now_ns = CP_NS_PER_S;
+    s->now_ns = START_NS;
     CpScript_Run(in, step, s);
     CpFleet_Free(s->fleet);
     free(s);
@@ -372,13 +374,14 @@
             CpStr_Copy(e.instance, sizeof(e.instance), w->servers[k].name);
             CpStr_Copy(e.domain, sizeof(e.domain),
                        w->domains[w->servers[k].domain].name);
-            CpFleet_Put(w->fleets[h], &e, CP_NS_PER_S);
+            CpFleet_Put(w->fleets[h], &e, START_NS);
         }
     }
     plan_arrivals(w);
-    at(w, CP_NS_PER_S, tick, 0);
+    at(w, START_NS, tick, 0);
     if (p->lost > 0) {
-        at(w, CP_NS_PER_S * (1 + p->length_s / 3), lose_servers, p->lost);
+        at(w, START_NS + CP_NS_PER_S * (p->length_s / 3), lose_servers,
+           p->lost);
     }
     while (g_sequence_get_length(w->events) > 0) {
         GSequenceIter *it = g_sequence_get_begin_iter(w->events);
@@ -402,11 +405,11 @@
 {
     const Play *p = w->play;
     for (uint32_t d = 0; d < PLAY_DOMAINS; d++) {
-        int64_t t_ns = CP_NS_PER_S, end_ns = (1 + p->length_s) * CP_NS_PER_S;
+        int64_t t_ns = START_NS, end_ns = START_NS + p->length_s * CP_NS_PER_S;
         int64_t third_ns = p->length_s * CP_NS_PER_S / 3;
         while (w->request_count < MAX_REQUESTS) {
-            bool burst = t_ns - CP_NS_PER_S > third_ns &&
-                         t_ns - CP_NS_PER_S < 2 * third_ns;
+            bool burst =
+                t_ns - START_NS > third_ns && t_ns - START_NS < 2 * third_ns;
             uint32_t rate =
                 p->rate *
                 (burst && p->burst_percent > 0 ? p->burst_percent : 100);
@@ -555,7 +558,7 @@
     for (uint32_t h = 0; h < PLAY_DOMAINS * w->play->hosts; h++) {
         CpFleet_Tick(w->fleets[h], &hosts, w->now_ns);
     }
-    if (w->now_ns < (1 + w->play->length_s) * CP_NS_PER_S) {
+    if (w->now_ns < START_NS + w->play->length_s * CP_NS_PER_S) {
         at(w, w->now_ns + CP_FLEET_TICK_MS * CP_NS_PER_MS, tick, arg);
     }
 }
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -37,6 +37,7 @@
     bool unseen;           /* by the scan that is under way */
     bool replaced;         /* another instance answered at its address */
     uint32_t outstanding;  /* sent by this host and not ended */
+    uint32_t peers_used;   /* places of the next that were ever taken */
     CpFleetPeer peers[CP_FLEET_MAX_PEERS];
     uint32_t others_milli; /* requests of other hosts, as answers told */
     int64_t loaded_ns;     /* when an answer told the load; 0: never */
@@ -55,6 +56,7 @@
     uint32_t warmup_ms;
     uint32_t warmup_per_s_milli;
     GPtrArray *servers;
+    GHashTable *by_hash;   /* the same, by the hash of their instance */
     uint32_t work_us;      /* moving average of a request's work; 0: unknown */
     uint32_t answer_bytes; /* moving average */
     uint32_t asked;        /* requests since the last tick */
@@ -86,6 +88,7 @@
 typedef void (*CpFleetServiceFn)(CpFleet *f, CpFleetService *s, void *ctx);
 void CpFleet_EachService(CpFleet *f, CpFleetServiceFn fn, void *ctx);
 CpFleetServer *CpFleet_Find(const CpFleetService *s, const char *instance);
+CpFleetServer *CpFleet_FindHash(const CpFleetService *s, uint64_t hash);
 CpNearness CpFleet_Nearness(const CpFleet *f, uint32_t domain_index);
 /* How much slower than its service a server is; 1000 unless it stands out. */
 int64_t CpFleet_Slow_milli(const CpFleetServer *v, int64_t now_ns);
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -106,14 +106,11 @@
 {
     const Visit *visit = ctx;
     (void)f;
-    for (uint32_t i = 0; i < s->servers->len; i++) {
-        CpFleetServer *v = g_ptr_array_index(s->servers, i);
-        CpFleetPeer *p = v->hash == visit->server
-                             ? peer_slot(v, visit->peer, visit->now_ns)
-                             : NULL;
-        if (p != NULL) {
-            *p = (CpFleetPeer){visit->peer, visit->count, visit->now_ns};
-        }
+    CpFleetServer *v = CpFleet_FindHash(s, visit->server);
+    CpFleetPeer *p =
+        v != NULL ? peer_slot(v, visit->peer, visit->now_ns) : NULL;
+    if (p != NULL) {
+        *p = (CpFleetPeer){visit->peer, visit->count, visit->now_ns};
     }
 }
 
@@ -124,7 +121,7 @@
     (void)f;
     for (uint32_t i = 0; i < s->servers->len; i++) {
         CpFleetServer *v = g_ptr_array_index(s->servers, i);
-        for (uint32_t k = 0; k < CP_FLEET_MAX_PEERS; k++) {
+        for (uint32_t k = 0; k < v->peers_used; k++) {
             if (v->peers[k].peer == visit->peer) {
                 v->peers[k].count = 0;
             }
@@ -145,12 +142,12 @@
     }
 }
 
-/* The peer's place, or one that nobody used lately. */
+/* The peer's place, one that nobody used lately, or a new one. */
 static CpFleetPeer *
 peer_slot(CpFleetServer *v, uint64_t peer, int64_t now_ns)
 {
     CpFleetPeer *old = NULL;
-    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+    for (uint32_t i = 0; i < v->peers_used; i++) {
         CpFleetPeer *p = &v->peers[i];
         if (p->peer == peer) {
             return p;
@@ -160,6 +157,9 @@
             old = p;
         }
     }
+    if (old == NULL && v->peers_used < CP_FLEET_MAX_PEERS) {
+        old = &v->peers[v->peers_used++];
+    }
     return old;
 }
 
@@ -168,7 +168,7 @@
 {
     *out = (CpFleetUse){.server = v->hash, .count = v->outstanding};
     CpStr_Copy(out->domain, sizeof(out->domain), v->entry.domain);
-    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+    for (uint32_t i = 0; i < v->peers_used; i++) {
         const CpFleetPeer *p = &v->peers[i];
         if (p->heard_ns > 0 && now_ns - p->heard_ns < PEER_LIFE_NS) {
             out->peers[out->peer_count++] = p->peer;
@@ -180,7 +180,7 @@
 CpFleet_PeerCount(const CpFleetServer *v, int64_t now_ns)
 {
     uint32_t n = 0;
-    for (uint32_t i = 0; i < CP_FLEET_MAX_PEERS; i++) {
+    for (uint32_t i = 0; i < v->peers_used; i++) {
         const CpFleetPeer *p = &v->peers[i];
         if (p->heard_ns > 0 && now_ns - p->heard_ns < PEER_LIFE_NS) {
             n += p->count;
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -72,6 +72,7 @@
         v->hash = CpHash_Str(e->instance, 0);
         v->slow_milli = 1000;
         g_ptr_array_add(s->servers, v);
+        g_hash_table_insert(s->by_hash, &v->hash, v);
     }
     else if (is_older(e, &v->entry)) {
         v->unseen = v->lapsed = false;
@@ -185,6 +186,7 @@
         s = CpMem_Alloc(sizeof(*s));
         CpStr_Copy(s->name, sizeof(s->name), service);
         s->servers = g_ptr_array_new_with_free_func(free);
+        s->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
         s->familiar =
             g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free);
         g_hash_table_insert(sh->services, s->name, s);
@@ -196,13 +198,14 @@
 CpFleetServer *
 CpFleet_Find(const CpFleetService *s, const char *instance)
 {
-    for (uint32_t i = 0; i < s->servers->len; i++) {
-        CpFleetServer *v = g_ptr_array_index(s->servers, i);
-        if (strcmp(v->entry.instance, instance) == 0) {
-            return v;
-        }
-    }
-    return NULL;
+    CpFleetServer *v = CpFleet_FindHash(s, CpHash_Str(instance, 0));
+    return v != NULL && strcmp(v->entry.instance, instance) == 0 ? v : NULL;
+}
+
+CpFleetServer *
+CpFleet_FindHash(const CpFleetService *s, uint64_t hash)
+{
+    return g_hash_table_lookup(s->by_hash, &hash);
 }
 
 CpNearness
@@ -250,6 +253,7 @@
         v->lapsed = true;
     }
     else {
+        g_hash_table_remove(s->by_hash, &v->hash);
         g_ptr_array_remove_fast(s->servers, v);
     }
 }
@@ -278,6 +282,7 @@
             v->unseen = false;
         }
         else {
+            g_hash_table_remove(s->by_hash, &v->hash);
             g_ptr_array_remove_index_fast(s->servers, i);
         }
     }
@@ -291,6 +296,7 @@
     for (uint32_t i = s->servers->len; i-- > 0;) {
         const CpFleetServer *v = g_ptr_array_index(s->servers, i);
         if (v->lapsed) {
+            g_hash_table_remove(s->by_hash, &v->hash);
             g_ptr_array_remove_index_fast(s->servers, i);
             sweep->count++;
         }
@@ -314,6 +320,7 @@
 free_service(void *p)
 {
     CpFleetService *s = p;
+    g_hash_table_destroy(s->by_hash);
     g_ptr_array_unref(s->servers);
     g_hash_table_destroy(s->familiar);
     free(s);
