--- a/src/admit/admit_limits.c
+++ b/src/admit/admit_limits.c
@@ -4,9 +4,11 @@
 #define RETRY_MAX_PERCENT 1000 /* at most ten retries in store */
 #define MILLI 1000
 #define BURST_NS (30 * CP_NS_PER_MS)
-#define RATE_NUM 95            /* of 100: keeps any 1 s window under the cap */
-#define SHIFT_STORE_PERCENT 50 /* of the cap that may be saved up */
-#define SHIFT_STORE_MIN (2 * MILLI) /* or this: one returned, one earned */
+#define RATE_NUM 95 /* of 100: keeps any 1 s window under the cap */
+/* Credit that may be saved up, so that little is lost when requests change
+ * hosts: a part of the cap, and one request returned and one earned. */
+#define SHIFT_STORE_PERCENT 50
+#define SHIFT_STORE_MIN (2 * MILLI)
 #define RESERVE_DIV 4 /* part of the burst that only urgent classes use */
 
 static uint16_t *sent_at(CpShift *s, int64_t ms);
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -170,10 +170,10 @@
 /* Parses IP:port into a struct sockaddr_storage; returns its length, or 0. */
 uint32_t CpAddress_Parse(const char *text, void *sockaddr_storage);
 
-/* Makes a socket notice a silent peer after `idle_s` and `probes` more. */
 /* Binds a TCP socket, non-blocking, to IP:port; the caller listens on it and
  * closes it. -1 with an error message where that fails. */
 int32_t CpSocket_Bind(const char *address);
+/* Makes a socket notice a silent peer after `idle_s` and `probes` more. */
 CpStatus CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes);
 
 /* Monotonic clock; a paused process sees the whole pause pass at once. */
