--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -19,8 +19,8 @@
 #define MAX_REQUESTS 128000
 #define QUEUE_PER_SLOT 3 /* of a server, beyond its slots */
 #define PLAY_DOMAINS 6
-#define START_NS (60 * CP_NS_PER_S) /* of the clock: no host starts with it   \
-                                     */
+/* Of the clock: no host starts with it at zero. */
+#define START_NS (60 * CP_NS_PER_S)
 
 /* --- single decisions --- */
 
