Delete the shutdown of an entry host that never ran

Cause: CpEntry_Free() has no caller: a host that serves routes ends its process once it has drained, as a thread may be waiting for the store. It was found by listing public functions without a use. Ruled out: calling it instead (a stop would wait for the store's threads, and nothing is gained before the process ends); other callers (the tests and the benchmarks free a fleet, which stays). Change: CpEntry_Free(), what only it used (CpProxy_Free, CpPages_Free, the ends of followers and peers, the adapter's free_store), the stopping flags and the time-out by which the thread of reports looked at one each second.

--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -25,7 +25,6 @@
 /* Translation from and to what the users' systems speak. */
 typedef struct {
     CpStore *(*new_store)(const char *url, uint32_t timeout_ms);
-    void (*free_store)(CpStore *s);
     CpEntryRow (*operator_row)(const char *key, char domain[CP_NAME_BYTES]);
     CpStatus (*decode_routes)(const char *text, size_t text_bytes,
                               CpRoutes **out);
@@ -45,6 +44,7 @@
     const CpEntryAdapter *adapter;
 } CpEntryOptions;
 
+/* Lives until its process ends: its threads may be waiting for the store. */
 typedef struct CpEntry CpEntry;
 /* Binds every address. */
 CpStatus CpEntry_New(const CpEntryOptions *options, CpEntry **out);
@@ -52,7 +52,6 @@
 /* Leaves: tells callers and hosts, serves until they have moved, ends what is
  * in flight; returns inside the stop time-out. */
 void CpEntry_Drain(CpEntry *e);
-void CpEntry_Free(CpEntry *e);
 /* Takes over what may change while running. */
 void CpEntry_Reload(CpEntry *e, const CpSettings *settings);
 
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -64,23 +64,10 @@
         if (pthread_create(&f->thread, NULL, follow_thread, f) != 0) {
             return CpError_Set(CP_ERR_IO, "follow: no thread");
         }
-        f->started = true;
     }
     return CP_OK;
 }
 
-void
-CpEntryFollow_Stop(CpEntry *e)
-{
-    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
-        CpEntryFollower *f = &e->followers[i];
-        if (f->started) {
-            pthread_join(f->thread, NULL);
-        }
-        e->adapter.free_store(f->store);
-    }
-}
-
 CpRoutes *
 CpEntry_Routes(CpEntry *e, int64_t *since_ns)
 {
@@ -125,7 +112,7 @@
     CpEntry *e = f->entry;
     uint64_t version = 0;
     bool scanned = false;
-    while (!CpAtomic_Load(&e->stopping)) {
+    for (;;) {
         uint64_t before = version;
         f->asked_ns = CpClock_Now_ns();
         if (scanned && leaves_to_others(f, f->asked_ns)) {
@@ -249,9 +236,6 @@
     CpEntryFollower *f = ctx;
     CpEntry *e = f->entry;
     int64_t behind_ns = __atomic_load_n(&f->behind_ns, __ATOMIC_RELAXED);
-    if (CpAtomic_Load(&e->stopping)) {
-        return true;
-    }
     pthread_mutex_lock(&e->store_lock);
     bool lost = !e->store_up && f->table != CP_TABLE_OPERATOR;
     pthread_mutex_unlock(&e->store_lock);
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -31,12 +31,6 @@
     e->hosts = g_ptr_array_new_with_free_func(free);
 }
 
-void
-CpEntryHosts_Free(CpEntry *e)
-{
-    g_ptr_array_unref(e->hosts);
-}
-
 /* The row is written again when the store has lost or never had it. */
 void
 CpEntryHosts_Tick(void *ctx, int64_t now_ns)
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -36,7 +36,6 @@
     CpTable table;
     CpStore *store;
     pthread_t thread;
-    bool started;
     bool connected;            /* of its thread, as the next 2 */
     int64_t lost_ns;           /* when the store was lost; 0: never */
     int64_t asked_ns;          /* when the call under way began */
@@ -61,8 +60,7 @@
     CpSettings settings;
     CpEntryAdapter adapter;
     uint64_t incarnation;
-    uint32_t leaving;  /* flag */
-    uint32_t stopping; /* flag */
+    uint32_t leaving; /* flag */
     CpTimer *timer;
     CpFleet *fleet;
     CpProxy *proxy;
@@ -89,7 +87,6 @@
 
     int32_t peers_fd;
     pthread_t peers_thread;
-    bool peers_started;
     uint32_t peers_ticks;  /* atomic */
     uint64_t peers_number; /* of reports; atomic */
     uint32_t far_turn;     /* which host of each other domain is told next */
@@ -100,7 +97,6 @@
 
 /* follow: beliefs from the store */
 CpStatus CpEntryFollow_Start(CpEntry *e);
-void CpEntryFollow_Stop(CpEntry *e);
 /* The routes in force, retained; NULL if there are none. */
 CpRoutes *CpEntry_Routes(CpEntry *e, int64_t *since_ns);
 /* Whether this host takes requests: it has routes and does not leave. */
@@ -137,7 +133,6 @@
 
 /* hosts: which entry hosts there are */
 void CpEntryHosts_Init(CpEntry *e);
-void CpEntryHosts_Free(CpEntry *e);
 /* Writes this host's row; a failure is logged and tried again. */
 void CpEntryHosts_Tick(void *ctx, int64_t now_ns);
 void CpEntryHosts_Withdraw(CpEntry *e);
@@ -179,9 +174,6 @@
 #define CP_ENTRY_FAR_REPORT_MS 1000 /* between two to another domain */
 CpStatus CpEntryPeers_Open(CpEntry *e);
 CpStatus CpEntryPeers_Start(CpEntry *e);
-void CpEntryPeers_Stop(CpEntry *e);
-/* After the proxy's threads have ended, which tell what they send. */
-void CpEntryPeers_Close(CpEntry *e);
 void CpEntryPeers_Tick(void *ctx, int64_t now_ns);
 /* Tells the hosts of this domain that a table has changed. */
 void CpEntryPeers_TellVersions(CpEntry *e);
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -48,7 +48,6 @@
     pthread_mutex_init(&e->routes_lock, NULL);
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->budget_lock, NULL);
-    e->peers_fd = -1;
     CpEntryHosts_Init(e);
     CpFleetDomain *domains =
         CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
@@ -131,26 +130,6 @@
             (json_int_t)((CpClock_Now_ns() - start_ns) / CP_NS_PER_MS));
 }
 
-void
-CpEntry_Free(CpEntry *e)
-{
-    CpAtomic_Store(&e->stopping, 1);
-    CpTimer_Free(e->timer);
-    CpPages_Free(e->directory);
-    CpPages_Free(e->ready);
-    CpPages_Free(e->metrics);
-    CpPages_Free(e->control);
-    CpEntryFollow_Stop(e);
-    CpEntryPeers_Stop(e);
-    CpProxy_Free(e->proxy);
-    CpEntryPeers_Close(e);
-    CpFleet_Free(e->fleet);
-    CpRoutes_Release(e->routes);
-    e->adapter.free_store(e->store);
-    CpEntryHosts_Free(e);
-    free(e);
-}
-
 void
 CpEntry_Reload(CpEntry *e, const CpSettings *settings)
 {
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -14,7 +14,6 @@
 
 #define MAX_USES 64        /* servers in one report */
 #define MAX_RECIPIENTS 128 /* of one report: two domains and the rest */
-#define RECEIVE_WAIT_S 1   /* so that the thread sees the end */
 
 static void *receive_thread(void *ctx);
 static void take_report(CpEntry *e, const CpReportFrame *r);
@@ -25,14 +24,10 @@
 CpEntryPeers_Open(CpEntry *e)
 {
     struct sockaddr_storage sa;
-    struct timeval wait = {.tv_sec = RECEIVE_WAIT_S};
     uint32_t n = CpAddress_Parse(e->settings.inner, &sa);
     e->peers_fd =
         n == 0 ? -1 : socket(sa.ss_family, SOCK_DGRAM | SOCK_CLOEXEC, 0);
-    if (e->peers_fd < 0 ||
-        setsockopt(e->peers_fd, SOL_SOCKET, SO_RCVTIMEO, &wait,
-                   sizeof(wait)) != 0 ||
-        bind(e->peers_fd, (struct sockaddr *)&sa, n) != 0) {
+    if (e->peers_fd < 0 || bind(e->peers_fd, (struct sockaddr *)&sa, n) != 0) {
         return CpError_Set(CP_ERR_IO, "%s: %s", e->settings.inner,
                            strerror(errno));
     }
@@ -45,26 +40,9 @@
     if (pthread_create(&e->peers_thread, NULL, receive_thread, e) != 0) {
         return CpError_Set(CP_ERR_IO, "peers: no thread");
     }
-    e->peers_started = true;
     return CP_OK;
 }
 
-void
-CpEntryPeers_Stop(CpEntry *e)
-{
-    if (e->peers_started) {
-        pthread_join(e->peers_thread, NULL);
-    }
-}
-
-void
-CpEntryPeers_Close(CpEntry *e)
-{
-    if (e->peers_fd >= 0) {
-        close(e->peers_fd);
-    }
-}
-
 void
 CpEntryPeers_TellUse(CpEntry *e, const char *service, const char *instance)
 {
@@ -115,7 +93,7 @@
 {
     CpEntry *e = ctx;
     uint8_t data[CP_DATAGRAM_MAX_BYTES];
-    while (!CpAtomic_Load(&e->stopping)) {
+    for (;;) {
         CpDecoded d;
         ssize_t n = recv(e->peers_fd, data, sizeof(data), 0);
         if (n <= 0) {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -95,7 +95,6 @@
 /* `pages` ends with a NULL path and lives as long as the result. */
 CpStatus CpPages_New(const char *listen, const CpPage *pages, void *ctx,
                      CpPages **out);
-void CpPages_Free(CpPages *p);
 
 typedef struct CpOperator CpOperator;
 typedef struct {
--- a/src/http/http_page.c
+++ b/src/http/http_page.c
@@ -45,15 +45,6 @@
     return CP_OK;
 }
 
-void
-CpPages_Free(CpPages *p)
-{
-    if (p != NULL) {
-        MHD_stop_daemon(p->daemon);
-        free(p);
-    }
-}
-
 const char *
 CpPageQuery_Get(const CpPageQuery *q, const char *name)
 {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -129,7 +129,5 @@
 /* Takes no new connections; requests that still arrive are refused as not
  * run. */
 void CpProxy_Refuse(CpProxy *p);
-/* Ends the threads; requests in flight are lost. */
-void CpProxy_Free(CpProxy *p);
 
 #endif
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -56,7 +56,6 @@
     CpProxy *proxy;
     uint32_t index;
     pthread_t thread;
-    bool started;
     int32_t epoll_fd;
     int32_t wake_fd;
     struct MHD_Daemon *daemon;
@@ -78,7 +77,6 @@
     char interface[CP_ADDR_BYTES + 8];
     uint32_t closing;      /* flag: answers close their connections */
     uint32_t refusing;     /* flag: new requests are refused */
-    uint32_t stopping;     /* flag */
     uint32_t keep_alive_s; /* of idle connections at servers, as they told */
     CpProxyWorker *workers;
 };
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -25,7 +25,6 @@
 } EventType;
 
 static CpStatus open_worker(CpProxy *p, uint32_t index);
-static void close_worker(CpProxyWorker *w);
 static void watch(CpProxyWorker *w, int32_t fd, EventType type,
                   uint32_t events);
 static void handle(CpProxyWorker *w, const struct epoll_event *e);
@@ -67,7 +66,6 @@
         if (pthread_create(&w->thread, NULL, CpProxyWorker_Run, w) != 0) {
             return CpError_Set(CP_ERR_IO, "proxy: no thread");
         }
-        w->started = true;
     }
     return CP_OK;
 }
@@ -99,35 +97,13 @@
     }
 }
 
-void
-CpProxy_Free(CpProxy *p)
-{
-    if (p == NULL) {
-        return;
-    }
-    CpAtomic_Store(&p->stopping, 1);
-    for (uint32_t i = 0; i < p->options.threads; i++) {
-        CpProxyWorker *w = &p->workers[i];
-        if (w->started) {
-            CpProxyWorker_Wake(w);
-            pthread_join(w->thread, NULL);
-        }
-        close_worker(w);
-    }
-    if (p->listen_fd >= 0) {
-        close(p->listen_fd);
-    }
-    free(p->workers);
-    free(p);
-}
-
 void *
 CpProxyWorker_Run(void *worker)
 {
     CpProxyWorker *w = worker;
     struct epoll_event events[MAX_EVENTS];
     bool quiesced = false;
-    while (!CpAtomic_Load(&w->proxy->stopping)) {
+    for (;;) {
         int n = epoll_wait(w->epoll_fd, events, MAX_EVENTS,
                            wait_ms(w, CpClock_Now_ns()));
         for (int i = 0; i < n; i++) {
@@ -245,31 +221,6 @@
     return st;
 }
 
-static void
-close_worker(CpProxyWorker *w)
-{
-    for (CpCall *c = w->calls; c != NULL; c = c->next) {
-        CpProxyAttempt_Abort(c);
-        if (c->suspended) { /* the daemon must not stop with these */
-            c->suspended = false;
-            c->gone = true;
-            MHD_resume_connection(c->conn);
-        }
-    }
-    if (w->daemon != NULL) {
-        MHD_run(w->daemon);
-        MHD_stop_daemon(w->daemon);
-    }
-    CpEasyPool_Clear(&w->handles);
-    if (w->multi != NULL) {
-        curl_multi_cleanup(w->multi);
-        g_hash_table_destroy(w->by_fd);
-        close(w->epoll_fd);
-        close(w->wake_fd);
-        pthread_mutex_destroy(&w->lock);
-    }
-}
-
 static void
 watch(CpProxyWorker *w, int32_t fd, EventType type, uint32_t events)
 {
