One rule for homes; drop a field and a reason that nobody reads

Cause: CpRoute_MayRunIn() was called by its test only, while the choice of a server had the same loop over homes again, so that the test proved nothing of what runs. Ruled out: fleet calling the route package (it knows names of regions only). Change: CpRegion_IsHome() in base, called by the choice and by the test. Before / after: the scripts of fleet, route, platform, config and wire print the same.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -94,7 +94,6 @@
     int64_t asked_ns;
     int64_t sent_ns;
     bool again;
-    uint32_t place;
     bool was_warm;
 } Request;
 
@@ -285,7 +284,6 @@
 ended(Script *s, const char *how, uint32_t ms, const char *load)
 {
     CpFleetReport r = {.instance = s->last.instance,
-                       .place = s->last.place,
                        .latency_ns = ms * CP_NS_PER_MS,
                        .service = "s"};
     for (uint32_t i = 0; i < CP_ATTEMPT_COUNT; i++) {
@@ -511,7 +509,6 @@
         .service = "s",
         .instance = v->name,
         .end = in_time ? CP_ATTEMPT_ANSWERED : CP_ATTEMPT_TIMED_OUT,
-        .place = q->place,
         .latency_ns = w->now_ns - q->sent_ns,
         .has_load = true,
         .load = {v->running, g_queue_get_length(v->waiting), p->slots}};
@@ -602,7 +599,6 @@
             *retry_ms = pick.retry_after_ms;
             return -1;
         }
-        q->place = pick.place;
         return atoi(pick.instance + 2);
     }
     *retry_ms = 200;
--- a/regress/drive_route.c
+++ b/regress/drive_route.c
@@ -70,10 +70,10 @@
     }
     else if (sscanf(line, "may run %127s in %127s", a, b) == 2) {
         for (uint32_t i = 0; i < s->now->route_count; i++) {
-            if (strcmp(s->now->routes[i].name, a) == 0) {
-                fprintf(s->out, "%s in %s: %s\n", a, b,
-                        CpRoute_MayRunIn(&s->now->routes[i], b) ? "yes"
-                                                                : "no");
+            const CpRoute *r = &s->now->routes[i];
+            if (strcmp(r->name, a) == 0) {
+                bool may = CpRegion_IsHome(r->homes, r->home_count, b);
+                fprintf(s->out, "%s in %s: %s\n", a, b, may ? "yes" : "no");
             }
         }
     }
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -70,7 +70,6 @@
     CP_REASON_WOULD_MISS_GOAL,
     CP_REASON_WARMING_UP,
     CP_REASON_NO_ROUTE,
-    CP_REASON_RETRY_BUDGET,
     CP_REASON_WRONG_SERVER,
     CP_REASON_COUNT
 } CpReason;
@@ -169,6 +168,9 @@
 
 /* Parses IP:port into a struct sockaddr_storage; returns its length, or 0. */
 uint32_t CpAddress_Parse(const char *text, void *sockaddr_storage);
+/* Whether a region is among `homes`; without any, all are. */
+bool CpRegion_IsHome(const char (*homes)[CP_NAME_BYTES], uint32_t count,
+                     const char *region);
 
 /* Binds a TCP socket, non-blocking, to IP:port; the caller listens on it and
  * closes it. -1 with an error message where that fails. */
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -99,8 +99,6 @@
                               "the servers that are left are warming up", 503,
                               1},
     [CP_REASON_NO_ROUTE] = {"no_route", "no route matches", 404, 0},
-    [CP_REASON_RETRY_BUDGET] = {"retry_budget",
-                                "the budget for repeats is spent", 503, 1},
     [CP_REASON_WRONG_SERVER] = {"wrong_server",
                                 "the address belongs to another server", 503,
                                 1},
--- a/src/base/base_util.c
+++ b/src/base/base_util.c
@@ -105,6 +105,18 @@
     return n;
 }
 
+bool
+CpRegion_IsHome(const char (*homes)[CP_NAME_BYTES], uint32_t count,
+                const char *region)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (strcmp(homes[i], region) == 0) {
+            return true;
+        }
+    }
+    return count == 0;
+}
+
 /* Compiler atomics rather than ck_pr: the thread sanitizer sees them. */
 void
 CpRef_Take(uint32_t *refs)
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -369,7 +369,6 @@
     CpFleetReport r = {.service = s->service,
                        .instance = s->pick.instance,
                        .end = end,
-                       .place = s->pick.place,
                        .latency_ns = latency_ns};
     if (a != NULL) {
         r.has_load = a->has_load;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -143,7 +143,6 @@
     const char *service;
     const char *instance;
     CpAttemptEnd end;
-    uint32_t place; /* as chosen */
     int64_t latency_ns;
     bool has_load;
     CpServerLoad load;
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -167,12 +167,7 @@
     const char *region = v->domain_index < f->options.domain_count
                              ? f->domains[v->domain_index].region
                              : "";
-    for (uint32_t i = 0; i < q->ask->home_count; i++) {
-        if (strcmp(q->ask->homes[i], region) == 0) {
-            return true;
-        }
-    }
-    return q->ask->home_count == 0;
+    return CpRegion_IsHome(q->ask->homes, q->ask->home_count, region);
 }
 
 static bool
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -84,7 +84,5 @@
 const char *CpRoutes_Split(CpRoutes *r, const CpRoute *route);
 /* The same for a given turn. */
 const char *CpRoute_SplitAt(const CpRoute *route, uint32_t turn);
-/* Whether the route may run in a region. */
-bool CpRoute_MayRunIn(const CpRoute *route, const char *region);
 
 #endif
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -149,17 +149,6 @@
     return route->splits[0].service;
 }
 
-bool
-CpRoute_MayRunIn(const CpRoute *route, const char *region)
-{
-    for (uint32_t i = 0; i < route->home_count; i++) {
-        if (strcmp(route->homes[i], region) == 0) {
-            return true;
-        }
-    }
-    return route->home_count == 0;
-}
-
 static CpStatus
 check_route(const CpRoutes *r, const CpRoute *route)
 {
