A choice looks an object up once and counts a server's requests once

Cause: each choice asked for every server, by the object's name in a hash table, whether it knows the object, and did so twice; it added up what hosts have at a server twice, once for its spare slots and once for its wait. Removing a server from the list and from its index stood in three places. Ruled out: keeping sums up to date with each report (they expire by time). Change: the search holds the object's entry, and each server that may get the request is one Option, which is judged and taken; drop() in the table.

--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -31,11 +31,22 @@
     CpFleetService *service;
     const CpFleetAsk *ask;
     int64_t now_ns;
+    const CpFleetFamiliar *familiar; /* with the object */
     CpFleetHomes homes;
     bool warming; /* a server was passed over since it is cold */
     bool busy;    /* or since it had no room for an unfamiliar object */
 } Search;
 
+/* A server that may get the request. */
+typedef struct {
+    CpFleetServer *server;
+    uint32_t place;
+    int64_t unfamiliar_milli;
+    uint32_t inside; /* requests in the server */
+    int64_t wait_us;
+    int64_t total_us; /* until the answer, with what the way costs */
+} Option;
+
 static bool fits_route(void *ctx, const CpFleetServer *v);
 static bool may_use(Search *q, const CpFleetServer *v);
 static bool warmup_allows(const Search *q, const CpFleetServer *v,
@@ -43,12 +54,11 @@
 static uint32_t place_of(const Search *q, const CpFleetServer *v);
 static int64_t unfamiliar_milli(const Search *q, const CpFleetServer *v,
                                 uint32_t place);
-static bool has_spare_slots(const Search *q, const CpFleetServer *v);
+static bool has_spare_slots(const Option *o);
 static bool is_pressed(const Search *q);
-static int64_t cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
-                       int64_t *wait_us);
-static void take(Search *q, CpFleetServer *v, uint32_t place, int64_t wait_us,
-                 int64_t total_us, CpFleetPick *out);
+static void add_cost(const Search *q, Option *o);
+static CpReason judge(const Search *q, const Option *best);
+static void take(Search *q, const Option *best, CpFleetPick *out);
 static uint32_t retry_after_ms(const CpFleetAsk *ask, int64_t wait_us);
 
 CpReason
@@ -57,52 +67,42 @@
 {
     CpFleetService *s;
     CpFleetShard *sh = CpFleet_Lock(f, ask->service, &s);
-    Search q = {.fleet = f, .service = s, .ask = ask, .now_ns = now_ns};
-    CpFleetServer *best = NULL;
-    int64_t best_us = INT64_MAX, best_wait_us = 0;
-    CpReason reason = CP_REASON_NONE;
+    Search q = {.fleet = f,
+                .service = s,
+                .ask = ask,
+                .now_ns = now_ns,
+                .familiar = CpFleet_Familiar(s, ask->object)};
+    Option best = {.total_us = INT64_MAX};
     memset(out, 0, sizeof(*out));
     s->asked++;
     CpFleet_FindHomes(f, s, ask->object, fits_route, &q, &q.homes);
     for (uint32_t i = 0; i < s->servers->len; i++) {
         CpFleetServer *v = g_ptr_array_index(s->servers, i);
-        int64_t wait_us;
         if (!may_use(&q, v)) {
             continue;
         }
-        uint32_t place = place_of(&q, v);
-        if (unfamiliar_milli(&q, v, place) > AWAY_MILLI &&
-            !has_spare_slots(&q, v)) {
+        Option o = {.server = v,
+                    .place = place_of(&q, v),
+                    .inside = CpFleet_Inside(v, now_ns)};
+        o.unfamiliar_milli = unfamiliar_milli(&q, v, o.place);
+        if (o.unfamiliar_milli > AWAY_MILLI && !has_spare_slots(&o)) {
             q.busy = true;
             continue;
         }
-        int64_t us = cost_us(&q, v, place, &wait_us);
-        if (us < best_us) {
-            best = v;
-            best_us = us;
-            best_wait_us = wait_us;
+        add_cost(&q, &o);
+        if (o.total_us < best.total_us) {
+            best = o;
         }
     }
-    if (best == NULL) {
-        reason = q.busy      ? CP_REASON_WOULD_MISS_GOAL
-                 : q.warming ? CP_REASON_WARMING_UP
-                             : CP_REASON_NO_SERVER;
-    }
-    else if (best_wait_us > ask->deadline_left_ms * INT64_C(1000)) {
-        reason = CP_REASON_WOULD_MISS_DEADLINE;
-    }
-    else if (best_us > ask->goal_left_ms * INT64_C(1000) &&
-             (best_wait_us > 0 ||
-              (is_pressed(&q) && !has_spare_slots(&q, best)))) {
-        reason = CP_REASON_WOULD_MISS_GOAL;
-    }
+    CpReason reason = judge(&q, &best);
     if (reason == CP_REASON_NONE) {
-        take(&q, best, place_of(&q, best), best_wait_us, best_us, out);
+        take(&q, &best, out);
     }
     else {
-        out->wait_ms = (uint32_t)(best_wait_us / 1000);
-        out->expected_ms = best != NULL ? (uint32_t)(best_us / 1000) : 0;
-        out->retry_after_ms = retry_after_ms(ask, best_wait_us);
+        out->wait_ms = (uint32_t)(best.wait_us / 1000);
+        out->expected_ms =
+            best.server != NULL ? (uint32_t)(best.total_us / 1000) : 0;
+        out->retry_after_ms = retry_after_ms(ask, best.wait_us);
     }
     pthread_mutex_unlock(&sh->lock);
     return reason;
@@ -144,9 +144,8 @@
 
 int64_t
 CpFleet_Wait_us(const CpFleetService *s, const CpFleetServer *v,
-                int64_t now_ns)
+                uint32_t inside, int64_t now_ns)
 {
-    uint32_t inside = CpFleet_Inside(v, now_ns);
     uint32_t slots = v->entry.slots > 0 ? v->entry.slots : 1;
     if (inside < slots) {
         return 0;
@@ -222,7 +221,7 @@
     if (place == 0) {
         return 0;
     }
-    if (CpFleet_IsFamiliar(q->service, q->ask->object, v->hash, q->now_ns)) {
+    if (CpFleet_IsFamiliar(q->familiar, v->hash, q->now_ns)) {
         return AWAY_MILLI;
     }
     return place == 1 ? SECOND_MILLI : UNFAMILIAR_MILLI;
@@ -232,9 +231,9 @@
  * goes only where half of the slots are free: otherwise a server that is busy
  * with it makes the next requests leave their homes, too. */
 static bool
-has_spare_slots(const Search *q, const CpFleetServer *v)
+has_spare_slots(const Option *o)
 {
-    return 2 * (CpFleet_Inside(v, q->now_ns) + 1) <= v->entry.slots + 1;
+    return 2 * (o->inside + 1) <= o->server->entry.slots + 1;
 }
 
 /* Whether most slots that are not far are taken. */
@@ -253,27 +252,46 @@
     return inside * 1000 >= slots * PRESSED_MILLI;
 }
 
-static int64_t
-cost_us(const Search *q, const CpFleetServer *v, uint32_t place,
-        int64_t *wait_us)
+static void
+add_cost(const Search *q, Option *o)
 {
+    const CpFleetServer *v = o->server;
     int64_t work_us = q->service->work_us;
-    int64_t slow_us = work_us * CpFleet_Slow_milli(v, q->now_ns) / 1000;
-    *wait_us = CpFleet_Wait_us(q->service, v, q->now_ns);
-    int64_t us = *wait_us + slow_us +
-                 work_us * unfamiliar_milli(q, v, place) / 1000 +
-                 work_us * FAIL_COST * v->fail_milli / 1000;
+    o->wait_us = CpFleet_Wait_us(q->service, v, o->inside, q->now_ns);
+    o->total_us = o->wait_us +
+                  work_us * CpFleet_Slow_milli(v, q->now_ns) / 1000 +
+                  work_us * o->unfamiliar_milli / 1000 +
+                  work_us * FAIL_COST * v->fail_milli / 1000;
     /* An object is served at its home as a matter of course. */
-    if (place == 0 && q->ask->object != NULL) {
-        return us;
+    if (o->place != 0 || q->ask->object == NULL) {
+        o->total_us +=
+            distance_us[CpFleet_Nearness(q->fleet, v->domain_index)];
+    }
+}
+
+/* Whether the best server is good enough; otherwise why not. */
+static CpReason
+judge(const Search *q, const Option *best)
+{
+    if (best->server == NULL) {
+        return q->busy      ? CP_REASON_WOULD_MISS_GOAL
+               : q->warming ? CP_REASON_WARMING_UP
+                            : CP_REASON_NO_SERVER;
+    }
+    if (best->wait_us > q->ask->deadline_left_ms * INT64_C(1000)) {
+        return CP_REASON_WOULD_MISS_DEADLINE;
+    }
+    if (best->total_us > q->ask->goal_left_ms * INT64_C(1000) &&
+        (best->wait_us > 0 || (is_pressed(q) && !has_spare_slots(best)))) {
+        return CP_REASON_WOULD_MISS_GOAL;
     }
-    return us + distance_us[CpFleet_Nearness(q->fleet, v->domain_index)];
+    return CP_REASON_NONE;
 }
 
 static void
-take(Search *q, CpFleetServer *v, uint32_t place, int64_t wait_us,
-     int64_t total_us, CpFleetPick *out)
+take(Search *q, const Option *best, CpFleetPick *out)
 {
+    CpFleetServer *v = best->server;
     uint32_t parts;
     out->cold = v->cold_until_ns > q->now_ns;
     if (out->cold && warmup_allows(q, v, &parts) &&
@@ -289,9 +307,9 @@
     CpStr_Copy(out->address, sizeof(out->address), v->entry.address);
     out->entry_age_ms = (uint32_t)((q->now_ns - v->entry_ns) / CP_NS_PER_MS);
     out->nearness = CpFleet_Nearness(q->fleet, v->domain_index);
-    out->place = place;
-    out->wait_ms = (uint32_t)(wait_us / 1000);
-    out->expected_ms = (uint32_t)(total_us / 1000);
+    out->place = best->place;
+    out->wait_ms = (uint32_t)(best->wait_us / 1000);
+    out->expected_ms = (uint32_t)(best->total_us / 1000);
     out->load_age_ms =
         v->loaded_ns == 0
             ? UINT32_MAX
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -95,13 +95,16 @@
 /* Requests in the server: those of this host and of others. */
 uint32_t CpFleet_Inside(const CpFleetServer *v, int64_t now_ns);
 int64_t CpFleet_Wait_us(const CpFleetService *s, const CpFleetServer *v,
-                        int64_t now_ns);
+                        uint32_t inside, int64_t now_ns);
 /* Requests of other hosts, as they told. */
 uint32_t CpFleet_PeerCount(const CpFleetServer *v, int64_t now_ns);
-/* Whether the server has handled the object lately, as far as this host
- * knows; and that it does now. */
-bool CpFleet_IsFamiliar(const CpFleetService *s, const char *object,
-                        uint64_t server, int64_t now_ns);
+/* Servers that an object is known to, NULL where there are none; whether a
+ * server is among them and has handled it lately, as far as this host knows;
+ * and that it does now. */
+const CpFleetFamiliar *CpFleet_Familiar(const CpFleetService *s,
+                                        const char *object);
+bool CpFleet_IsFamiliar(const CpFleetFamiliar *a, uint64_t server,
+                        int64_t now_ns);
 void CpFleet_NoteFamiliar(CpFleetService *s, const char *object,
                           uint64_t server, int64_t now_ns);
 /* Whether the server takes new work at all: neither leaving, nor evacuated,
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -93,7 +93,7 @@
     if (!ended && !silent) {
         return;
     }
-    int64_t wait_us = CpFleet_Wait_us(s, v, now_ns);
+    int64_t wait_us = CpFleet_Wait_us(s, v, CpFleet_Inside(v, now_ns), now_ns);
     uint32_t work_us = took_us > wait_us ? took_us - (uint32_t)wait_us : 1;
     if (s->work_us > 0) {
         uint64_t slow = (uint64_t)work_us * 1000 / s->work_us;
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -62,11 +62,15 @@
     return visit.told;
 }
 
+const CpFleetFamiliar *
+CpFleet_Familiar(const CpFleetService *s, const char *object)
+{
+    return object != NULL ? g_hash_table_lookup(s->familiar, object) : NULL;
+}
+
 bool
-CpFleet_IsFamiliar(const CpFleetService *s, const char *object,
-                   uint64_t server, int64_t now_ns)
+CpFleet_IsFamiliar(const CpFleetFamiliar *a, uint64_t server, int64_t now_ns)
 {
-    const CpFleetFamiliar *a = g_hash_table_lookup(s->familiar, object);
     for (uint32_t i = 0; a != NULL && i < CP_FLEET_MAX_FAMILIAR; i++) {
         if (a->servers[i] == server) {
             return now_ns - a->at_ns[i] < FAMILIAR_LIFE_NS;
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -15,6 +15,7 @@
 } Sweep;
 
 static void remove_from(CpFleet *f, CpFleetService *s, void *ctx);
+static void drop(CpFleetService *s, CpFleetServer *v);
 static void begin_scan(CpFleet *f, CpFleetService *s, void *ctx);
 static void end_scan(CpFleet *f, CpFleetService *s, void *ctx);
 static void forget(CpFleet *f, CpFleetService *s, void *ctx);
@@ -253,11 +254,17 @@
         v->lapsed = true;
     }
     else {
-        g_hash_table_remove(s->by_hash, &v->hash);
-        g_ptr_array_remove_fast(s->servers, v);
+        drop(s, v);
     }
 }
 
+static void
+drop(CpFleetService *s, CpFleetServer *v)
+{
+    g_hash_table_remove(s->by_hash, &v->hash);
+    g_ptr_array_remove_fast(s->servers, v);
+}
+
 static void
 begin_scan(CpFleet *f, CpFleetService *s, void *ctx)
 {
@@ -282,8 +289,7 @@
             v->unseen = false;
         }
         else {
-            g_hash_table_remove(s->by_hash, &v->hash);
-            g_ptr_array_remove_index_fast(s->servers, i);
+            drop(s, v);
         }
     }
 }
@@ -294,10 +300,9 @@
     Sweep *sweep = ctx;
     (void)f;
     for (uint32_t i = s->servers->len; i-- > 0;) {
-        const CpFleetServer *v = g_ptr_array_index(s->servers, i);
+        CpFleetServer *v = g_ptr_array_index(s->servers, i);
         if (v->lapsed) {
-            g_hash_table_remove(s->by_hash, &v->hash);
-            g_ptr_array_remove_index_fast(s->servers, i);
+            drop(s, v);
             sweep->count++;
         }
     }
