--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -37,6 +37,7 @@
 static void note_back(CpEntryFollower *f, int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 static bool knows_routes(CpEntry *e);
+static bool is_store_up(CpEntry *e);
 
 /* A store that falls silent shows only when a wait ends. The first host of a
  * domain waits for the operator's table briefly; the others hear from it that
@@ -207,20 +208,14 @@
 bool
 CpEntryFollow_Watches(CpEntry *e)
 {
-    pthread_mutex_lock(&e->store_lock);
-    bool up = e->store_up;
-    pthread_mutex_unlock(&e->store_lock);
-    return up && CpEntryHosts_Rank(e) < e->settings.watching_hosts;
+    return is_store_up(e) && CpEntryHosts_Rank(e) < e->settings.watching_hosts;
 }
 
 static uint32_t
 wait_of(const CpEntryFollower *f)
 {
     CpEntry *e = f->entry;
-    pthread_mutex_lock(&e->store_lock);
-    bool up = e->store_up;
-    pthread_mutex_unlock(&e->store_lock);
-    if (!up) { /* any answer shows that it is back */
+    if (!is_store_up(e)) { /* any answer shows that it is back */
         return PROBE_WAIT_MS;
     }
     return f->table == CP_TABLE_OPERATOR && CpEntryHosts_Rank(e) == 0
@@ -236,9 +231,7 @@
     CpEntryFollower *f = ctx;
     CpEntry *e = f->entry;
     int64_t behind_ns = __atomic_load_n(&f->behind_ns, __ATOMIC_RELAXED);
-    pthread_mutex_lock(&e->store_lock);
-    bool lost = !e->store_up && f->table != CP_TABLE_OPERATOR;
-    pthread_mutex_unlock(&e->store_lock);
+    bool lost = !is_store_up(e) && f->table != CP_TABLE_OPERATOR;
     int64_t now_ns = CpClock_Now_ns();
     bool behind = behind_ns != 0 && now_ns - behind_ns > BEHIND_NS;
     return (lost || behind) && now_ns - f->asked_ns > LEAST_WAIT_NS;
@@ -418,3 +411,12 @@
     pthread_mutex_unlock(&e->routes_lock);
     return known;
 }
+
+static bool
+is_store_up(CpEntry *e)
+{
+    pthread_mutex_lock(&e->store_lock);
+    bool up = e->store_up;
+    pthread_mutex_unlock(&e->store_lock);
+    return up;
+}
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -30,4 +30,9 @@
  * call fails where it is longer. */
 CURLcode CpEasy_Read(CURL *e, GString *body, size_t max_bytes, long *status);
 
+/* Whether a line of an answer's head, as the library hands it over, is the
+ * header `name`; its value is then copied, cut to fit, without its end. */
+bool CpEasy_HeaderIs(const char *line, size_t n, const char *name, char *value,
+                     size_t value_bytes);
+
 #endif
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -77,8 +77,6 @@
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
 static void deliver_head(Job *j);
-static bool header_is(const char *line, size_t n, const char *name,
-                      char *value, size_t value_bytes);
 
 CpStatus
 CpBackend_New(const CpBackendOptions *options, CpBackend **out)
@@ -430,20 +428,23 @@
         return n;
     }
     curl_easy_getinfo(j->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (header_is(data, n, "Content-Length", value, sizeof(value))) {
+    if (CpEasy_HeaderIs(data, n, "Content-Length", value, sizeof(value))) {
         j->head.length_bytes = strtoull(value, NULL, 10);
         j->has_length = true;
     }
-    else if (header_is(data, n, "Content-Type", value, sizeof(value))) {
+    else if (CpEasy_HeaderIs(data, n, "Content-Type", value, sizeof(value))) {
         CpStr_Copy(j->head.content_type, sizeof(j->head.content_type), value);
     }
-    else if (header_is(data, n, "Transfer-Encoding", value, sizeof(value))) {
+    else if (CpEasy_HeaderIs(data, n, "Transfer-Encoding", value,
+                             sizeof(value))) {
         j->chunked = strcasecmp(value, "chunked") == 0;
     }
-    else if (header_is(data, n, CP_HEADER_VERDICT, value, sizeof(value))) {
+    else if (CpEasy_HeaderIs(data, n, CP_HEADER_VERDICT, value,
+                             sizeof(value))) {
         j->refused = status == 503 && CpVerdict_Parse(value) == CP_NOT_RUN;
     }
-    else if (header_is(data, n, CP_HEADER_REQUEST_ID, value, sizeof(value))) {
+    else if (CpEasy_HeaderIs(data, n, CP_HEADER_REQUEST_ID, value,
+                             sizeof(value))) {
         j->crossed = strcmp(value, j->head.location) != 0;
     }
     else if (n <= 2 && status >= 200) { /* the blank line */
@@ -496,23 +497,3 @@
     CpStr_Copy(head.server, sizeof(head.server), j->address);
     j->headed = CpExchange_Head(j->ex, &head);
 }
-
-static bool
-header_is(const char *line, size_t n, const char *name, char *value,
-          size_t value_bytes)
-{
-    size_t m = strlen(name);
-    if (n <= m || strncasecmp(line, name, m) != 0 || line[m] != ':') {
-        return false;
-    }
-    const char *from = line + m + 1, *end = line + n;
-    while (from < end && *from == ' ') {
-        from++;
-    }
-    while (end > from && (end[-1] == '\r' || end[-1] == '\n')) {
-        end--;
-    }
-    size_t size = (size_t)(end - from) + 1;
-    CpStr_Copy(value, size < value_bytes ? size : value_bytes, from);
-    return true;
-}
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -1,4 +1,7 @@
 /* HTTP calls: the options all have, and the handles that are kept. */
+#include <string.h>
+#include <strings.h>
+
 #include "http/easy.h"
 
 typedef struct {
@@ -54,6 +57,26 @@
     return code;
 }
 
+bool
+CpEasy_HeaderIs(const char *line, size_t n, const char *name, char *value,
+                size_t value_bytes)
+{
+    size_t m = strlen(name);
+    if (n <= m || strncasecmp(line, name, m) != 0 || line[m] != ':') {
+        return false;
+    }
+    const char *from = line + m + 1, *end = line + n;
+    while (from < end && *from == ' ') {
+        from++;
+    }
+    while (end > from && (end[-1] == '\r' || end[-1] == '\n')) {
+        end--;
+    }
+    size_t size = (size_t)(end - from) + 1;
+    CpStr_Copy(value, size < value_bytes ? size : value_bytes, from);
+    return true;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
--- a/standin/standin_callers.c
+++ b/standin/standin_callers.c
@@ -91,8 +91,6 @@
 static void take_hosts(Caller *c, const GString *text);
 static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
-static bool header_is(const char *data, size_t n, const char *name,
-                      const char **value);
 static uint64_t draw(Caller *c);
 
 int
@@ -329,36 +327,22 @@
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
     Try *t = ctx;
-    const char *value;
+    char value[LINE_BYTES];
     (void)size;
-    if (header_is(data, n, "Chestnutpaddle-Attempt-Id:", &value)) {
-        size_t m = strlen(t->id);
-        t->echoed = strncmp(value, t->id, m) == 0 &&
-                    (value[m] == '\r' || value[m] == '\n');
+    if (CpEasy_HeaderIs(data, n, "Chestnutpaddle-Attempt-Id", value,
+                        sizeof(value))) {
+        t->echoed = strcmp(value, t->id) == 0;
     }
-    else if (header_is(data, n, "Chestnutpaddle-Response-Seal:", &value)) {
+    else if (CpEasy_HeaderIs(data, n, "Chestnutpaddle-Response-Seal", value,
+                             sizeof(value))) {
         t->sealed = true;
     }
-    else if (header_is(data, n, "Retry-After:", &value)) {
+    else if (CpEasy_HeaderIs(data, n, "Retry-After", value, sizeof(value))) {
         t->retry_after_ms = (uint32_t)(strtod(value, NULL) * 1000);
     }
     return n;
 }
 
-static bool
-header_is(const char *data, size_t n, const char *name, const char **value)
-{
-    size_t m = strlen(name);
-    if (n <= m || g_ascii_strncasecmp(data, name, m) != 0) {
-        return false;
-    }
-    *value = data + m;
-    while (**value == ' ') {
-        (*value)++;
-    }
-    return true;
-}
-
 static uint64_t
 draw(Caller *c)
 {
