--- a/tools/cluster.sh
+++ b/tools/cluster.sh
@@ -78,18 +78,19 @@
 
 platform_mode() { curl -s -X POST "http://$PLATFORM/control?mode=$1&ms=${2:-0}" >/dev/null; }
 
-# store_row TABLE KEY VALUE: writes a row of the store, whatever it held.
-store_row() {
-    printf '{"precondition":[],"writes":[{"table":"%s","part":"","key":"%s","value":"%s"}],"remove":[]}' \
-        "$1" "$2" "$(printf %s "$3" | base64 -w0)" |
-        curl -s -X POST --data-binary @- "http://$PLATFORM/rows-tx" >/dev/null
+# store_put TABLE KEY VALUE, store_remove TABLE KEY: change a row of the store,
+# whatever it held, and print the status of the answer.
+STORE_CALL_S=${STORE_CALL_S:-10}
+store_put() {
+    store_call "{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\",\"value\":\"$(printf %s "$3" | base64 -w0)\"}" ""
 }
-
-# drop_row TABLE KEY: removes a row of the store.
-drop_row() {
-    printf '{"precondition":[],"writes":[],"remove":[{"table":"%s","part":"","key":"%s"}]}' "$1" "$2" |
-        curl -s -X POST --data-binary @- "http://$PLATFORM/rows-tx" >/dev/null
+store_remove() { store_call "" "{\"table\":\"$1\",\"part\":\"\",\"key\":\"$2\"}"; }
+store_call() { # WRITES REMOVALS
+    curl -s -m "$STORE_CALL_S" -o /dev/null -w '%{http_code}' -X POST "http://$PLATFORM/rows-tx" \
+        --data-binary "{\"precondition\":[],\"writes\":[$1],\"remove\":[$2]}"
 }
+store_row() { store_put "$@" >/dev/null; }
+drop_row() { store_remove "$@" >/dev/null; }
 
 # Fields of a list in the generated configuration, one item a line.
 servers_of_config() {
