A pool whose servers all rest refuses at once; the request goes elsewhere

Cause: system/answers failed once on ("cross: answered 197" of the 200 it needs). Its client a, whose domain's two read servers gave wrong answers, was served 5 of 178 times (cross) and 0 of 178 (short, short-last, unframed, lose), idle machine as well: the bound of 200 was no more than the other two clients. Once all servers of a pool rest after failures, the queue let requests in as if their slots were free ("inflight < slots"), kept them until their deadline was near, and refused them when no time was left for another host; the loads that a host tells counted resting slots, so steering kept sending there. Change: a resting server has no slots, one that is tried again has one, at the door and in the loads that hosts tell; what cannot wait for the first server's return is refused at once as no_server; a request that its own host refused so goes to another host without a try from the budget, as nobody has seen it yet.

--- a/regress/drive_admit.c
+++ b/regress/drive_admit.c
@@ -133,6 +133,10 @@
         CpAdmit_Done(s->admit, &s->items[a], outcome, b * CP_NS_PER_MS,
                      s->now_ns);
     }
+    else if (strncmp(line, "slots", 5) == 0) {
+        fprintf(s->out, "%" PRId64 " slots %u\n", s->now_ns / CP_NS_PER_MS,
+                CpAdmit_TotalSlots(s->admit, s->now_ns));
+    }
     else if (sscanf(line, "cancel %u", &a) == 1) {
         fprintf(s->out, "%s %u\n",
                 CpAdmit_Remove(s->admit, &s->items[a]) ? "removed"
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -75,7 +75,8 @@
 uint32_t CpAdmit_Queued(const CpAdmit *a);
 uint32_t CpAdmit_Inflight(const CpAdmit *a, uint32_t server);
 uint32_t CpAdmit_TotalInflight(const CpAdmit *a);
-uint32_t CpAdmit_TotalSlots(const CpAdmit *a);
+/* Slots that take work now: a server that rests has none. */
+uint32_t CpAdmit_TotalSlots(const CpAdmit *a, int64_t now_ns);
 /* Expected service time of whatever ran last, in ns. */
 int64_t CpAdmit_MeanService_ns(const CpAdmit *a);
 
--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -72,7 +72,11 @@
 static void insert(CpAdmit *a, CpAdmitItem *item);
 static void unlink_item(CpAdmit *a, CpAdmitItem *item);
 static void start_waiting(CpAdmit *a, int64_t now_ns);
-static int64_t fastest_ns(const CpAdmit *a);
+static CpReason late_reason(const CpAdmit *a, const CpAdmitItem *item,
+                            int64_t now_ns);
+static int64_t back_ns(const CpAdmit *a, const Server *s, int64_t now_ns);
+static int64_t first_back_ns(const CpAdmit *a, int64_t now_ns);
+static int64_t soonest_ns(const CpAdmit *a, int64_t now_ns);
 static uint32_t next_rank(CpAdmit *a);
 static void charge_floor(CpAdmit *a, uint32_t rank);
 static uint32_t choose_server(const CpAdmit *a, const CpAdmitItem *item,
@@ -80,6 +84,7 @@
 static bool can_take(const CpAdmit *a, const Server *s, int64_t now_ns);
 static int64_t smooth(int64_t average_ns, int64_t sample_ns);
 static uint32_t open_slots(const CpAdmit *a);
+static uint32_t taking_slots(const CpAdmit *a, int64_t now_ns);
 
 CpAdmit *
 CpAdmit_New(const CpAdmitOptions *options)
@@ -221,9 +226,9 @@
 }
 
 uint32_t
-CpAdmit_TotalSlots(const CpAdmit *a)
+CpAdmit_TotalSlots(const CpAdmit *a, int64_t now_ns)
 {
-    return open_slots(a);
+    return taking_slots(a, now_ns);
 }
 
 int64_t
@@ -286,14 +291,17 @@
 static CpReason
 entry_reason(const CpAdmit *a, const CpAdmitItem *item, int64_t now_ns)
 {
-    uint32_t slots = open_slots(a);
+    uint32_t slots = taking_slots(a, now_ns);
     int64_t ahead_ns = 0;
-    if (slots == 0) {
+    if (open_slots(a) == 0) {
         return CP_REASON_NO_SERVER;
     }
     if (item->deadline_ns <= now_ns) {
         return CP_REASON_DEADLINE_PASSED;
     }
+    if (slots == 0) { /* all rest */
+        return late_reason(a, item, now_ns);
+    }
     for (uint32_t i = 0; i <= item->rank; i++) {
         ahead_ns += a->ranks[i].count * a->ranks[i].service_ns;
     }
@@ -308,6 +316,17 @@
     return CP_REASON_NONE;
 }
 
+/* Why a request cannot make its deadline even with nobody before it. */
+static CpReason
+late_reason(const CpAdmit *a, const CpAdmitItem *item, int64_t now_ns)
+{
+    if (soonest_ns(a, now_ns) <= item->deadline_ns) {
+        return CP_REASON_NONE;
+    }
+    return first_back_ns(a, now_ns) > now_ns ? CP_REASON_NO_SERVER
+                                             : CP_REASON_WOULD_MISS_DEADLINE;
+}
+
 /* Sheds the latest of the least urgent items, if below `rank`. */
 static bool
 make_room(CpAdmit *a, uint32_t rank)
@@ -378,11 +397,11 @@
     while (a->queued > 0) {
         uint32_t rank = next_rank(a);
         CpAdmitItem *item = a->ranks[rank].first;
-        if (now_ns + fastest_ns(a) > item->deadline_ns) {
+        CpReason reason = late_reason(a, item, now_ns);
+        if (reason != CP_REASON_NONE) {
             /* It would hold up those behind it, which can still make it. */
             unlink_item(a, item);
-            a->options.refuse(a->options.ctx, item,
-                              CP_REASON_WOULD_MISS_DEADLINE);
+            a->options.refuse(a->options.ctx, item, reason);
             continue;
         }
         uint32_t i = choose_server(a, item, now_ns);
@@ -401,18 +420,42 @@
     }
 }
 
-/* Service time of the fastest server that takes work; 0 if none is known. */
+/* When a server that rests takes work again; now if it does not rest. */
 static int64_t
-fastest_ns(const CpAdmit *a)
+back_ns(const CpAdmit *a, const Server *s, int64_t now_ns)
+{
+    bool rests = a->options.breaker && s->rest_until_ns > now_ns;
+    return rests ? s->rest_until_ns : now_ns;
+}
+
+/* When the first of the servers takes work; now if there are none. */
+static int64_t
+first_back_ns(const CpAdmit *a, int64_t now_ns)
+{
+    int64_t first_ns = INT64_MAX;
+    for (uint32_t i = 0; i < a->options.server_count; i++) {
+        const Server *s = &a->servers[i];
+        if (s->open && s->slots > 0) {
+            int64_t at_ns = back_ns(a, s, now_ns);
+            first_ns = at_ns < first_ns ? at_ns : first_ns;
+        }
+    }
+    return first_ns == INT64_MAX ? now_ns : first_ns;
+}
+
+/* The soonest that any server could answer; now if there are none. */
+static int64_t
+soonest_ns(const CpAdmit *a, int64_t now_ns)
 {
     int64_t best_ns = INT64_MAX;
     for (uint32_t i = 0; i < a->options.server_count; i++) {
         const Server *s = &a->servers[i];
-        if (s->open && s->slots > 0 && s->service_ns < best_ns) {
-            best_ns = s->service_ns;
+        if (s->open && s->slots > 0) {
+            int64_t at_ns = back_ns(a, s, now_ns) + s->service_ns;
+            best_ns = at_ns < best_ns ? at_ns : best_ns;
         }
     }
-    return best_ns == INT64_MAX ? 0 : best_ns;
+    return best_ns == INT64_MAX ? now_ns : best_ns;
 }
 
 /* The most urgent rank that waits, unless a lower one is owed its floor. */
@@ -483,7 +526,7 @@
 static bool
 can_take(const CpAdmit *a, const Server *s, int64_t now_ns)
 {
-    bool resting = a->options.breaker && now_ns < s->rest_until_ns;
+    bool resting = back_ns(a, s, now_ns) > now_ns;
     /* After a rest one request at a time, until one is answered. */
     bool trying =
         a->options.breaker && s->failures >= REST_FAILURES && s->inflight > 0;
@@ -506,3 +549,19 @@
     }
     return n;
 }
+
+/* Slots that take work now: none of a server that rests, and one of a server
+ * that is tried again. */
+static uint32_t
+taking_slots(const CpAdmit *a, int64_t now_ns)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < a->options.server_count; i++) {
+        const Server *s = &a->servers[i];
+        bool tried = a->options.breaker && s->failures >= REST_FAILURES;
+        if (s->open && back_ns(a, s, now_ns) == now_ns) {
+            n += tried && s->slots > 0 ? 1 : s->slots;
+        }
+    }
+    return n;
+}
--- a/src/host/host_pool.c
+++ b/src/host/host_pool.c
@@ -138,6 +138,7 @@
 CpPool_Loads(CpNode *n, CpLoad *out)
 {
     uint32_t count = CpAtomic_Load(&n->pool_count);
+    int64_t now_ns = CpClock_Now_ns();
     memset(out, 0, CP_MAX_POOLS * sizeof(*out));
     for (uint32_t i = 0; i < count; i++) {
         CpHostPool *p = n->pools[i];
@@ -146,7 +147,7 @@
             out[p->index] = (CpLoad){
                 .queued = CpAdmit_Queued(p->admit),
                 .inflight = CpAdmit_TotalInflight(p->admit),
-                .slots = CpAdmit_TotalSlots(p->admit),
+                .slots = CpAdmit_TotalSlots(p->admit, now_ns),
                 .service_us = (uint32_t)(CpAdmit_MeanService_ns(p->admit) /
                                          CP_NS_PER_US)};
         }
--- a/src/host/host_report.c
+++ b/src/host/host_report.c
@@ -228,11 +228,11 @@
                           (int)(!p->configured[k] || p->signs[k] != 0)));
         }
         json_array_append_new(
-            list,
-            json_pack("{s:s,s:i,s:i,s:i,s:o}", "pool", p->name, "queued",
-                      (int)CpAdmit_Queued(p->admit), "inflight",
-                      (int)CpAdmit_TotalInflight(p->admit), "slots",
-                      (int)CpAdmit_TotalSlots(p->admit), "servers", servers));
+            list, json_pack("{s:s,s:i,s:i,s:i,s:o}", "pool", p->name, "queued",
+                            (int)CpAdmit_Queued(p->admit), "inflight",
+                            (int)CpAdmit_TotalInflight(p->admit), "slots",
+                            (int)CpAdmit_TotalSlots(p->admit, now_ns),
+                            "servers", servers));
         pthread_mutex_unlock(&p->lock);
     }
     return list;
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -12,6 +12,8 @@
 static CpReason enter(CpNode *n, const CpExchange *ex);
 static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
                       CpReason reason);
+static bool refused_here(CpNode *n, const CpExchange *ex, CpReason reason);
+static bool was_tried(const CpExchange *ex, uint32_t host);
 static uint32_t choose(CpNode *n, const CpView *v, CpExchange *ex);
 
 /* Share of the host's requests that a rank may hold, in percent. */
@@ -130,6 +132,9 @@
         /* Costs no retry: it was refused before any work. */
         return ++ex->shift_refusals <= MAX_SHIFT_REFUSALS;
     }
+    if (refused_here(n, ex, reason)) {
+        return true; /* no other host has seen it */
+    }
     pthread_mutex_lock(&n->budget_lock);
     bool spent = CpRetry_Spend(&n->budget);
     pthread_mutex_unlock(&n->budget_lock);
@@ -139,6 +144,29 @@
     return spent;
 }
 
+/* Whether this host had no server for it, so that it has not gone anywhere. */
+static bool
+refused_here(CpNode *n, const CpExchange *ex, CpReason reason)
+{
+    CpView *v = CpView_Acquire(n);
+    bool here = reason == CP_REASON_NO_SERVER && ex->tried_count > 0 &&
+                v != NULL &&
+                ex->tried[ex->tried_count - 1] == v->generation->self;
+    CpView_Release(v);
+    return here;
+}
+
+static bool
+was_tried(const CpExchange *ex, uint32_t host)
+{
+    for (uint32_t i = 0; i < ex->tried_count; i++) {
+        if (ex->tried[i] == host) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint32_t
 choose(CpNode *n, const CpView *v, CpExchange *ex)
 {
@@ -169,5 +197,6 @@
         ask.allow_drained = true;
         host = CpSteer_Choose(g->topology, hosts, &ask);
     }
-    return host;
+    /* No host takes work: this one's servers may be back in time. */
+    return host == CP_NO_INDEX && !was_tried(ex, g->self) ? g->self : host;
 }
