A host's estimate of a service's work is not spoiled by quick answers

The average of a service's work left out samples of 4 times the average and more (a slow server tells nothing of the service). Quick answers (callers that only test which configuration is in force, 7% of all) drew it down; once below a quarter of the true work it left all true samples out, for good. Such a host sees no queue, refuses nothing and counts work at an unfamiliar server as free. Change: a sample counts as at most 4 times and at least a quarter of the average; none is left out. fleet/work fails on the former code (4 and 56 ms of wait behind 400 ms of work).

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -40,6 +40,8 @@
 
 static void step(void *ctx, char *line);
 static void put(Script *s, const char *line);
+static void serve(Script *s, uint32_t count, const char *service,
+                  const char *object, uint32_t ms);
 static void choose(Script *s, const char *service, const char *object,
                    uint32_t goal_ms);
 static void ended(Script *s, const char *how, uint32_t ms, const char *load);
@@ -212,6 +214,9 @@
     else if (sscanf(line, "choose %63s %63s goal %u", a, b, &m) == 3) {
         choose(s, a, b, m);
     }
+    else if (sscanf(line, "serve %u %63s %63s %u ms", &n, a, b, &m) == 4) {
+        serve(s, n, a, b, m);
+    }
     else if (sscanf(line, "again %63s %63s goal %u", a, b, &m) == 3) {
         CpStr_Copy(s->tried[s->tried_count++], CP_NAME_BYTES,
                    s->last.instance);
@@ -280,6 +285,22 @@
             s->last.cold ? ", cold" : "");
 }
 
+/* Requests one after the other, each answered after `ms`. */
+static void
+serve(Script *s, uint32_t count, const char *service, const char *object,
+      uint32_t ms)
+{
+    CpFleetAsk ask = {.service = service,
+                      .object = object,
+                      .goal_left_ms = 3000,
+                      .deadline_left_ms = 3000};
+    for (uint32_t i = 0; i < count; i++) {
+        CpFleet_Choose(s->fleet, &ask, s->now_ns, &s->last);
+        s->now_ns += ms * CP_NS_PER_MS;
+        ended(s, "answered", ms, "-");
+    }
+}
+
 static void
 ended(Script *s, const char *how, uint32_t ms, const char *load)
 {
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -5,6 +5,7 @@
 
 #define WEIGHT_SHIFT 3 /* moving averages take an eighth of a new value */
 #define MAX_SLOW_MILLI 32000 /* one silent time-out must fade in seconds */
+#define WORK_CLAMP 4         /* warm and cold work are about this far apart */
 #define REST_FIRST_MS 200    /* a restart takes longer than a lost packet */
 #define REST_MAX_SHIFT 4     /* 3.2 s: a server that is back is soon found */
 #define FAILURES_TO_REST 3   /* lost answers in a row; one is no sign */
@@ -24,6 +25,7 @@
                        int64_t now_ns);
 static void learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
                        const CpFleetReport *r, int64_t now_ns);
+static uint32_t clamp_work_us(uint32_t average_us, uint32_t work_us);
 static void learn_failure(const CpFleet *f, CpFleetServer *v,
                           const CpFleetReport *r, int64_t now_ns);
 static void rest(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
@@ -114,12 +116,27 @@
             r->answer_bytes < UINT32_MAX ? r->answer_bytes : UINT32_MAX;
         s->answer_bytes = average(s->answer_bytes, (uint32_t)bytes);
     }
-    /* a server that stands out tells nothing of the service */
-    if (ended && (s->work_us == 0 || work_us < 4 * s->work_us)) {
-        s->work_us = average(s->work_us, work_us);
+    if (ended) {
+        s->work_us = average(s->work_us, clamp_work_us(s->work_us, work_us));
     }
 }
 
+/* A sample far from the average moves it by no more than one at the limit: a
+ * slow server, or an answer that took hardly any work, tells little of the
+ * service. None is left out, or a wrong average would never be put right. */
+static uint32_t
+clamp_work_us(uint32_t average_us, uint32_t work_us)
+{
+    if (average_us == 0) {
+        return work_us;
+    }
+    uint32_t least_us = average_us / WORK_CLAMP + 1;
+    uint32_t most_us = average_us * WORK_CLAMP + 1;
+    return work_us < least_us  ? least_us
+           : work_us > most_us ? most_us
+                               : work_us;
+}
+
 static void
 learn_failure(const CpFleet *f, CpFleetServer *v, const CpFleetReport *r,
               int64_t now_ns)
