Large answers leave a region that is short of servers

An answer is large, so a domain keeps what its own servers carry and the rest goes to the other domain of the region as long as that has servers at all - which is as short itself and sends its own rest back. Ruled out: the part that a domain keeps (a third, as its slots allow); the other regions (85 to 88% in goal, servers half idle). Change: the rest stays in the region only where the region's other domains have their fair part of the slots; otherwise it goes to all of them by what they have beyond that. fleet/homes: of 400 objects 234 went to the one server of the next domain, now 8, and 226 to the region that has room.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -35,11 +35,13 @@
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     uint32_t tried_count;
     char home[CP_NAME_BYTES]; /* region that asks are bound to */
+    uint64_t answer_bytes;    /* of the answers that end attempts */
     uint64_t sequence;
 } Script;
 
 static void step(void *ctx, char *line);
 static void put(Script *s, const char *line);
+static void homes(Script *s, uint32_t count, const char *service);
 static void serve(Script *s, uint32_t count, const char *service,
                   const char *object, uint32_t ms);
 static void choose(Script *s, const char *service, const char *object,
@@ -217,6 +219,12 @@
     else if (sscanf(line, "serve %u %63s %63s %u ms", &n, a, b, &m) == 4) {
         serve(s, n, a, b, m);
     }
+    else if (sscanf(line, "answers of %u bytes", &m) == 1) {
+        s->answer_bytes = m;
+    }
+    else if (sscanf(line, "homes of %u objects of %63s", &m, a) == 2) {
+        homes(s, m, a);
+    }
     else if (sscanf(line, "again %63s %63s goal %u", a, b, &m) == 3) {
         CpStr_Copy(s->tried[s->tried_count++], CP_NAME_BYTES,
                    s->last.instance);
@@ -285,6 +293,32 @@
             s->last.cold ? ", cold" : "");
 }
 
+/* How many objects have their home in which domain; servers are named by
+ * their domain and a number. */
+static void
+homes(Script *s, uint32_t count, const char *service)
+{
+    uint32_t at[MAX_DOMAINS] = {0};
+    for (uint32_t i = 0; i < count; i++) {
+        char object[16];
+        snprintf(object, sizeof(object), "o%u", i);
+        CpFleetAsk ask = {.service = service,
+                          .object = object,
+                          .goal_left_ms = 3000,
+                          .deadline_left_ms = 3000};
+        CpFleet_Choose(s->fleet, &ask, s->now_ns, &s->last);
+        ended(s, "cancelled", 0, "-");
+        for (uint32_t k = 0; k < s->domain_count; k++) {
+            size_t n = strlen(s->domains[k].name);
+            at[k] += strncmp(s->last.instance, s->domains[k].name, n) == 0;
+        }
+    }
+    for (uint32_t k = 0; k < s->domain_count; k++) {
+        fprintf(s->out, "%s %u%s", s->domains[k].name, at[k],
+                k + 1 < s->domain_count ? ", " : "\n");
+    }
+}
+
 /* Requests one after the other, each answered after `ms`. */
 static void
 serve(Script *s, uint32_t count, const char *service, const char *object,
@@ -306,6 +340,7 @@
 {
     CpFleetReport r = {.instance = s->last.instance,
                        .latency_ns = ms * CP_NS_PER_MS,
+                       .answer_bytes = s->answer_bytes,
                        .service = "s"};
     for (uint32_t i = 0; i < CP_ATTEMPT_COUNT; i++) {
         if (strcmp(how, CpAttemptEnd_Name(i)) == 0) {
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -23,6 +23,7 @@
     uint32_t own;
     uint32_t own_domains; /* whether or not they have any */
     uint32_t region;      /* of this host */
+    uint32_t region_domains;
     uint32_t of[CP_FLEET_MAX_DOMAINS + 1];
 } Slots;
 
@@ -47,6 +48,7 @@
 static void learn_rate(CpFleetService *s, int64_t now_ns);
 static uint32_t weight(const CpFleet *f, const CpFleetServer *v, bool abroad,
                        const Slots *slots);
+static uint32_t fair_slots(const CpFleet *f, const Slots *slots);
 static uint32_t fair_keep_milli(const CpFleet *f, const Slots *slots);
 static void offer(Candidate *best, Candidate *next, double score,
                   CpFleetServer *v);
@@ -161,7 +163,9 @@
         }
     }
     for (uint32_t i = 0; i < f->options.domain_count; i++) {
-        out->own_domains += CpFleet_Nearness(f, i) <= reach(s);
+        CpNearness near = CpFleet_Nearness(f, i);
+        out->own_domains += near <= reach(s);
+        out->region_domains += near <= CP_NEAR_REGION;
     }
 }
 
@@ -173,7 +177,9 @@
                                                 : CP_NEAR_REGION;
 }
 
-/* What leaves its domain stays in the region where that has servers. */
+/* What leaves its domain stays in the region where the region's other domains
+ * have their fair part of the slots; those that are short of them themselves
+ * would only send their own objects back. */
 static bool
 fits_scope(const CpFleet *f, const CpFleetService *s, const CpFleetServer *v,
            bool abroad, const Slots *slots)
@@ -182,7 +188,9 @@
     if (!abroad) {
         return near <= reach(s);
     }
-    if (reach(s) == CP_NEAR_DOMAIN && slots->region > slots->own) {
+    if (reach(s) == CP_NEAR_DOMAIN && slots->region > slots->own &&
+        slots->region - slots->own >=
+            (slots->region_domains - 1) * fair_slots(f, slots)) {
         return near == CP_NEAR_REGION;
     }
     return near > reach(s);
@@ -201,9 +209,7 @@
        const Slots *slots)
 {
     uint32_t own = slots->of[v->domain_index];
-    uint32_t fair =
-        slots->all /
-        (f->options.domain_count > 0 ? f->options.domain_count : 1);
+    uint32_t fair = fair_slots(f, slots);
     uint32_t milli = v->entry.slots * FULL_MILLI;
     if (abroad && own > fair) {
         return milli + 10 * milli * (own - fair) / own;
@@ -211,6 +217,14 @@
     return milli > 0 ? milli : 1;
 }
 
+/* Slots of a domain if all had as many. */
+static uint32_t
+fair_slots(const CpFleet *f, const Slots *slots)
+{
+    uint32_t domains = f->options.domain_count;
+    return slots->all / (domains > 0 ? domains : 1);
+}
+
 /* The part of its objects that is kept if all domains have as much work. */
 static uint32_t
 fair_keep_milli(const CpFleet *f, const Slots *slots)
