Large answers are passed on as they come

Ruled out: work and queue (the host's own time says they are short of that); small answers, which fit one window and gain nothing. Change: a success of known length from 16 KB on is passed on from its head on, where the policy takes it (pass_on, passed). Matching by request id and seal come before, as ever. Its server waits while 256 KB wait for the caller; one that breaks off closes the caller's connection before the length that it was told; a caller that leaves, or the route's time, ends it at the server. It cannot be tried again once it has begun; callers do that.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -39,6 +39,8 @@
 
 static void begin(void *ctx, CpRequest *rq, CpStep *out);
 static void ended(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out);
+static bool pass_on(void *ctx, const CpRequest *rq, const CpAttempt *head);
+static void passed(void *ctx, CpRequest *rq, const CpAttempt *a);
 static bool give_up(void *ctx, CpRequest *rq);
 static void abandoned(void *ctx, CpRequest *rq, CpAttemptEnd end,
                       int64_t latency_ns);
@@ -66,6 +68,8 @@
 {
     *out = (CpProxyPolicy){.begin = begin,
                            .ended = ended,
+                           .pass_on = pass_on,
+                           .passed = passed,
                            .give_up = give_up,
                            .abandoned = abandoned,
                            .finished = finished,
@@ -128,6 +132,23 @@
     retry(e, rq, s, a, out);
 }
 
+/* A failure may be tried again elsewhere, so it is read to its end first. */
+static bool
+pass_on(void *ctx, const CpRequest *rq, const CpAttempt *head)
+{
+    (void)ctx, (void)rq;
+    return head->end == CP_ATTEMPT_ANSWERED && head->status < 300 &&
+           may_pass_on(head);
+}
+
+static void
+passed(void *ctx, CpRequest *rq, const CpAttempt *a)
+{
+    State *s = rq->memory;
+    s->may_have_run = true;
+    report(ctx, s, a->end, a, a->latency_ns);
+}
+
 /* Only where another try is paid for and has a server; otherwise the answer
  * may still come. A host that leaves waits for what its servers work on. */
 static bool
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -97,6 +97,11 @@
     void (*begin)(void *ctx, CpRequest *rq, CpStep *out);
     /* An attempt ended; not called when the caller went away meanwhile. */
     void (*ended)(void *ctx, CpRequest *rq, const CpAttempt *a, CpStep *out);
+    /* The head of a large answer came: whether its body may be passed on as
+     * it comes. It then ends with passed(), not with ended(). */
+    bool (*pass_on)(void *ctx, const CpRequest *rq, const CpAttempt *head);
+    /* An answer that was passed on as it came has ended at the server. */
+    void (*passed)(void *ctx, CpRequest *rq, const CpAttempt *a);
     /* The time of an attempt is over: whether to give it up. */
     bool (*give_up)(void *ctx, CpRequest *rq);
     /* The caller went away, or the deadline passed, during an attempt. */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -1,8 +1,10 @@
 /*
  * Attempts at backend servers. An answer counts only if it bears the id of
  * its request, comes with the server's seal where it is a success, and is
- * whole; it is collected before any of it is passed on, so that one that
- * breaks off can be tried again.
+ * whole. A small answer is collected before any of it is passed on, so that
+ * one that breaks off can be tried again; a large one of known length is
+ * passed on as it comes, as its caller would wait for it twice otherwise, and
+ * its connection is closed early where it breaks off.
  */
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -19,7 +21,9 @@
 #define KEEPALIVE_S 1          /* idle seconds before a probe */
 #define KEEPALIVE_PROBES 2
 #define IDLE_MARGIN_S 2 /* a server's idle time-out may be under way */
-#define MAX_ANSWER_BYTES (64u * 1024 * 1024)
+#define MAX_ANSWER_BYTES (64u * 1024 * 1024) /* that is collected */
+#define STREAM_MIN_BYTES (16u * 1024)   /* less comes at once, in one window */
+#define STREAM_ROOM_BYTES (256u * 1024) /* what one slow caller may occupy */
 
 static void set_request(CpCall *c, const CpStep *step, int64_t left_ms);
 static void set_connection(CpCall *c, const CpStep *step, int64_t left_ms);
@@ -28,6 +32,7 @@
 static void add_line(CpProxyAttempt *a, const char *name, const char *value);
 static void read_end(CpCall *c, CURLcode code);
 static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
+static bool is_streamed(CpCall *c);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
@@ -203,6 +208,13 @@
     CpStep step = {0};
     judge(c, code, &end);
     CpProxyAttempt_Abort(c);
+    if (c->attempt.streamed) {
+        c->attempt.over = true;
+        c->attempt.whole = code == CURLE_OK;
+        p->passed(p->ctx, &c->request, &end);
+        CpProxyFront_More(c);
+        return;
+    }
     p->ended(p->ctx, &c->request, &end, &step);
     CpProxyFront_Step(c, &step);
 }
@@ -217,7 +229,7 @@
                        .has_load = a->has_load,
                        .load = a->load,
                        .warmup_left_ms = a->warmup_left_ms,
-                       .answer_bytes = a->body->len,
+                       .answer_bytes = a->body_bytes,
                        .verdict = CP_MAY_HAVE_RUN,
                        .end = CP_ATTEMPT_BROKEN,
                        .reason = CP_REASON_SERVER_FAILED};
@@ -254,6 +266,28 @@
     }
 }
 
+void
+CpProxyAttempt_Unpause(CpCall *c)
+{
+    CpProxyAttempt *a = &c->attempt;
+    if (a->paused && a->body->len < STREAM_ROOM_BYTES / 2 && a->easy != NULL) {
+        a->paused = false;
+        curl_easy_pause(a->easy, CURLPAUSE_CONT);
+    }
+}
+
+void
+CpProxyAttempt_Leave(CpCall *c)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    if (c->attempt.easy != NULL) {
+        p->abandoned(p->ctx, &c->request, CP_ATTEMPT_CANCELLED,
+                     CpClock_Now_ns() - c->attempt.started_ns);
+        CpProxyAttempt_Abort(c);
+    }
+    c->attempt.over = true;
+}
+
 /* Takes the handle off; a transfer that has not ended is broken off. */
 void
 CpProxyAttempt_Abort(CpCall *c)
@@ -325,6 +359,10 @@
             a->crossed = true;
             return 0;
         }
+        if (final && is_streamed(c)) {
+            a->streamed = true;
+            CpProxyFront_Begin(c);
+        }
         return n;
     }
     const char *colon = memchr(data, ':', end);
@@ -345,6 +383,24 @@
     return n;
 }
 
+/* Whether the body is passed on as it comes: it is large, its end is known,
+ * and the policy takes the answer as it is. */
+static bool
+is_streamed(CpCall *c)
+{
+    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    curl_off_t length = -1;
+    CpAttempt head;
+    curl_easy_getinfo(c->attempt.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
+                      &length);
+    if (length < STREAM_MIN_BYTES || strcmp(c->request.method, "HEAD") == 0) {
+        return false;
+    }
+    c->attempt.length_bytes = (uint64_t)length;
+    judge(c, CURLE_OK, &head);
+    return p->pass_on(p->ctx, &c->request, &head);
+}
+
 /* Reads what concerns this host; false for headers that end here. */
 static bool
 keep_header(CpCall *c, const char *name, const char *value)
@@ -395,10 +451,19 @@
 on_body(char *data, size_t size, size_t n, void *ctx)
 {
     CpCall *c = ctx;
+    CpProxyAttempt *a = &c->attempt;
     n *= size;
-    if (c->attempt.body->len + n > MAX_ANSWER_BYTES) {
+    if (a->streamed && a->body->len + n > STREAM_ROOM_BYTES) {
+        a->paused = true;
+        return CURL_WRITEFUNC_PAUSE;
+    }
+    if (a->body->len + n > MAX_ANSWER_BYTES) {
         return 0;
     }
-    g_byte_array_append(c->attempt.body, (const guint8 *)data, (guint)n);
+    g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
+    a->body_bytes += n;
+    if (a->streamed) {
+        CpProxyFront_More(c);
+    }
     return n;
 }
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -11,8 +11,9 @@
 
 /* For the head of a request, and buffers. */
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
-#define DEFAULT_IDLE_S 30 /* until limits are in force */
-#define LATE_SLACK_MS 5   /* the answer arrives when the caller still waits */
+#define DEFAULT_IDLE_S 30              /* until limits are in force */
+#define STREAM_BLOCK_BYTES (16 * 1024) /* of a streamed answer, at once */
+#define LATE_SLACK_MS 5 /* the answer arrives when the caller still waits */
 
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
@@ -28,6 +29,8 @@
 static void refuse(CpCall *c, CpReason reason, uint32_t status);
 static enum MHD_Result queue_answer(CpCall *c);
 static struct MHD_Response *server_answer(CpCall *c);
+static struct MHD_Response *streamed_answer(CpCall *c);
+static ssize_t on_block(void *ctx, uint64_t pos, char *out, size_t room);
 static struct MHD_Response *own_answer(CpCall *c);
 static void resume(CpCall *c);
 static void finish(CpCall *c, bool sent);
@@ -88,10 +91,30 @@
     resume(c);
 }
 
+void
+CpProxyFront_Begin(CpCall *c)
+{
+    c->step.type = CP_STEP_ANSWER;
+    c->decided = true;
+    resume(c);
+}
+
+void
+CpProxyFront_More(CpCall *c)
+{
+    resume(c);
+}
+
 void
 CpProxyFront_Gone(CpCall *c)
 {
     const CpProxyPolicy *p = &c->worker->proxy->options.policy;
+    if (c->attempt.streamed) {
+        c->gone = true;
+        CpProxyAttempt_Leave(c);
+        resume(c);
+        return;
+    }
     if (c->decided) {
         return;
     }
@@ -216,6 +239,9 @@
     }
     *state = NULL;
     CpProxyWorker_Unwatch(w, c);
+    if (c->attempt.streamed) {
+        CpProxyAttempt_Leave(c);
+    }
     CpProxyAttempt_Abort(c);
     if (c->begun) {
         pthread_mutex_lock(&w->lock);
@@ -362,12 +388,18 @@
 server_answer(CpCall *c)
 {
     CpProxyAttempt *a = &c->attempt;
-    guint n = a->body->len;
-    guint8 *body = g_byte_array_free(a->body, FALSE);
-    a->body = NULL;
-    struct MHD_Response *r = MHD_create_response_from_buffer(
-        n, body,
-        body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+    struct MHD_Response *r;
+    if (a->streamed) {
+        r = streamed_answer(c);
+    }
+    else {
+        guint n = a->body->len;
+        guint8 *body = g_byte_array_free(a->body, FALSE);
+        a->body = NULL;
+        r = MHD_create_response_from_buffer(
+            n, body,
+            body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
+    }
     for (guint i = 0; i < a->headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(a->headers, i);
         MHD_add_response_header(r, h->name, h->value);
@@ -375,6 +407,38 @@
     return r;
 }
 
+static struct MHD_Response *
+streamed_answer(CpCall *c)
+{
+    return MHD_create_response_from_callback(
+        c->attempt.length_bytes, STREAM_BLOCK_BYTES, on_block, c, NULL);
+}
+
+/* The next bytes of a streamed answer. Where there are none yet the
+ * connection is suspended until more come or the caller goes away. */
+static ssize_t
+on_block(void *ctx, uint64_t pos, char *out, size_t room)
+{
+    CpCall *c = ctx;
+    CpProxyAttempt *a = &c->attempt;
+    (void)pos;
+    guint n = a->body->len < room ? a->body->len : (guint)room;
+    if (n > 0) {
+        memcpy(out, a->body->data, n);
+        g_byte_array_remove_range(a->body, 0, n);
+        CpProxyAttempt_Unpause(c);
+        return (ssize_t)n;
+    }
+    if (a->over) {
+        return a->whole ? MHD_CONTENT_READER_END_OF_STREAM
+                        : MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    c->suspended = true;
+    MHD_suspend_connection(c->conn);
+    CpProxyWorker_Watch(c->worker, c);
+    return 0;
+}
+
 static struct MHD_Response *
 own_answer(CpCall *c)
 {
@@ -419,7 +483,11 @@
     const CpStep *s = &c->step;
     CpFinish f = {.latency_ns = CpClock_Now_ns() - c->request.started_ns,
                   .retry_after_ms = s->retry_after_ms};
-    if (c->gone || !c->queued || !sent) {
+    if (c->attempt.streamed && !c->attempt.whole && !c->gone) {
+        f.reason = CP_REASON_ANSWER_TRUNCATED;
+        f.status = c->attempt.status;
+    }
+    else if (c->gone || !c->queued || !sent) {
         f.reason = CP_REASON_CALLER_GONE;
     }
     else if (s->type == CP_STEP_ANSWER) {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -27,7 +27,13 @@
     CpServerLoad load;
     int64_t started_ns;
     GPtrArray *headers; /* CpHeaderLine of the answer */
-    GByteArray *body;   /* of the answer */
+    GByteArray *body; /* of the answer; streamed: what waits for its caller */
+    uint64_t body_bytes;   /* received */
+    uint64_t length_bytes; /* streamed: of the whole body, as told */
+    bool streamed;         /* the body is passed on as it comes */
+    bool paused;           /* the server has to wait for the caller */
+    bool over;             /* streamed: nothing more comes */
+    bool whole;            /* and all of it came */
 } CpProxyAttempt;
 
 struct CpCall {
@@ -97,6 +103,10 @@
 CpStatus CpProxyFront_Open(CpProxyWorker *w);
 /* Carries a decided step out: another attempt, or the caller's answer. */
 void CpProxyFront_Step(CpCall *c, const CpStep *step);
+/* A streamed answer began: its head is complete. */
+void CpProxyFront_Begin(CpCall *c);
+/* More of a streamed answer came, or its end. */
+void CpProxyFront_More(CpCall *c);
 /* The caller went away, or the deadline passed. */
 void CpProxyFront_Gone(CpCall *c);
 void CpProxyFront_Late(CpCall *c);
@@ -113,6 +123,10 @@
 void CpProxyAttempt_Start(CpCall *c, const CpStep *step);
 /* Reads the ends of attempts off the multi handle. */
 void CpProxyAttempt_Collect(CpProxyWorker *w);
+/* Goes on with an answer that waited for its caller. */
+void CpProxyAttempt_Unpause(CpCall *c);
+/* Ends a streamed answer that the caller does not want any more. */
+void CpProxyAttempt_Leave(CpCall *c);
 /* Takes the attempt off the worker; one under way is broken off. */
 void CpProxyAttempt_Abort(CpCall *c);
 void CpProxyAttempt_Clear(CpCall *c);
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -5,7 +5,8 @@
  * changes how one answers, for its next K requests where K is given, and
  * /ran?id=ID tells how often a request ran, /told?id=ID the time, in ms, that
  * it was last given. /runs lists all ids with how often they ran, and
- * /arrived tells how many requests this one has got.
+ * /arrived tells how many requests this one has got. A request with the query
+ * bytes=N&over_ms=M is answered with N bytes of its id, over M ms.
  */
 #include <glib.h>
 #include <poll.h>
@@ -20,6 +21,7 @@
 #define SLICE_MS 5
 #define MAX_SERVERS 64
 #define BODY_TEXT "answer to "
+#define LARGE_BLOCK_BYTES (8 * 1024)
 
 typedef enum {
     MODE_OK = 0,
@@ -51,6 +53,15 @@
     bool extra;
 } Upload;
 
+/* A large answer on its way. */
+typedef struct {
+    char id[CP_NAME_BYTES];
+    uint64_t size_bytes;
+    uint64_t end_bytes; /* where it breaks off */
+    uint64_t over_ms;
+    uint64_t sent_bytes;
+} Large;
+
 static const char *const mode_names[MODE_COUNT] = {
     [MODE_OK] = "ok",
     [MODE_REFUSE] = "refuse",
@@ -68,6 +79,7 @@
 static GHashTable *ran;  /* request id -> times */
 static GHashTable *told; /* request id -> the last time-out, ms */
 static uint64_t arrived, runs, refused, wrong, cancelled, longest_ms, over;
+static uint64_t large_left; /* large answers that their caller left */
 
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
@@ -82,6 +94,11 @@
                            const char *url, const char *method);
 static enum MHD_Result refuse(struct MHD_Connection *conn, const Server *s,
                               uint32_t status);
+static struct MHD_Response *large_answer(struct MHD_Connection *conn,
+                                         const char *id, uint64_t bytes,
+                                         Mode mode);
+static ssize_t on_large(void *ctx, uint64_t pos, char *out, size_t room);
+static void end_large(void *ctx);
 static bool work(Server *s, int32_t fd, uint64_t limit_ms);
 static ssize_t on_short(void *ctx, uint64_t pos, char *out, size_t room);
 
@@ -211,11 +228,12 @@
     char *text = g_strdup_printf(
         "{\"arrived\":%llu,\"runs\":%llu,\"refused\":%llu,\"wrong\":%llu,"
         "\"cancelled\":%llu,\"longest_ms\":%llu,\"over\":%llu,"
+        "\"large_left\":%llu,"
         "\"doubled\":%u}\n",
         (unsigned long long)arrived, (unsigned long long)runs,
         (unsigned long long)refused, (unsigned long long)wrong,
         (unsigned long long)cancelled, (unsigned long long)longest_ms,
-        (unsigned long long)over, doubled);
+        (unsigned long long)over, (unsigned long long)large_left, doubled);
     pthread_mutex_unlock(&lock);
     return CpStandin_Answer(conn, 200, text);
 }
@@ -291,14 +309,19 @@
     if (!stayed || mode == MODE_LOSE) {
         return MHD_NO;
     }
+    uint64_t bytes = CpStandin_Number(conn, "bytes", 0);
     char *text =
         g_strdup_printf(BODY_TEXT "%s %s %s\n", method, url, u->body->str);
     size_t n = strlen(text);
     struct MHD_Response *r =
-        mode == MODE_SHORT
+        bytes > 0 ? large_answer(conn, id, bytes, mode)
+        : mode == MODE_SHORT
             ? MHD_create_response_from_callback(n + 100, 256, on_short, text,
                                                 g_free)
             : MHD_create_response_from_buffer(n, text, MHD_RESPMEM_MUST_FREE);
+    if (bytes > 0) {
+        g_free(text);
+    }
     MHD_add_response_header(r, "Chestnutpaddle-Attempt-Id",
                             mode == MODE_CROSS ? "another" : id);
     MHD_add_response_header(r, "Chestnutpaddle-Server-Load", load);
@@ -312,6 +335,47 @@
     return ok;
 }
 
+static struct MHD_Response *
+large_answer(struct MHD_Connection *conn, const char *id, uint64_t bytes,
+             Mode mode)
+{
+    Large *l = CpMem_Alloc(sizeof(*l));
+    CpStr_Copy(l->id, sizeof(l->id), id);
+    l->size_bytes = bytes;
+    l->end_bytes = mode == MODE_SHORT ? bytes / 2 : bytes;
+    l->over_ms = CpStandin_Number(conn, "over_ms", 0);
+    return MHD_create_response_from_callback(bytes, LARGE_BLOCK_BYTES,
+                                             on_large, l, end_large);
+}
+
+/* The id again and again, in step with the time. */
+static ssize_t
+on_large(void *ctx, uint64_t pos, char *out, size_t room)
+{
+    Large *l = ctx;
+    size_t width = strlen(l->id);
+    if (pos >= l->end_bytes) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    uint64_t n = l->end_bytes - pos < room ? l->end_bytes - pos : room;
+    for (uint64_t i = 0; i < n; i++) {
+        out[i] = l->id[(pos + i) % width];
+    }
+    CpStandin_Sleep_ms(l->over_ms * n / l->size_bytes);
+    l->sent_bytes = pos + n;
+    return (ssize_t)n;
+}
+
+static void
+end_large(void *ctx)
+{
+    Large *l = ctx;
+    pthread_mutex_lock(&lock);
+    large_left += l->sent_bytes < l->end_bytes;
+    pthread_mutex_unlock(&lock);
+    free(l);
+}
+
 static enum MHD_Result
 refuse(struct MHD_Connection *conn, const Server *s, uint32_t status)
 {
