A server that is not heard of has what is usual, not nothing

A host hears of a server's queue from the hosts of its own and of the server's domain; of others it heard nothing and took that for "idle", as did a hundred hosts at the same time. Ruled out: homes that are far (81% in time with nothing heard); unfamiliar servers of the own domain, of which hosts hear (87%). Change: a host keeps what answers tell of a service's servers, by domain; a server of another domain that is not the object's home has at least that. It fades in seconds. Where nothing is known of a domain one request in eight goes and sees.

--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -21,9 +21,12 @@
 
 #define SLOW_HALVING_NS (3 * CP_NS_PER_S)
 #define OTHERS_HALVING_NS (150 * CP_NS_PER_MS) /* about one request's work */
-#define PRESSED_MILLI 700       /* of the slots: later, queues grow */
-#define FAIL_COST 3             /* a failed attempt costs this many works */
-#define MIN_RETRY_AFTER_MS 100  /* a shorter one would only add traffic */
+#define USUAL_LIFE_NS (3 * CP_NS_PER_S) /* some times the longest work */
+#define USUAL_HALVING_NS (1 * CP_NS_PER_S)
+#define EXPLORE_ONE_IN 8       /* requests; all hosts do so at the same time */
+#define PRESSED_MILLI 700      /* of the slots: later, queues grow */
+#define FAIL_COST 3            /* a failed attempt costs this many works */
+#define MIN_RETRY_AFTER_MS 100 /* a shorter one would only add traffic */
 #define MAX_RETRY_AFTER_MS 2000 /* callers honour a third of their time */
 
 typedef struct {
@@ -33,8 +36,9 @@
     int64_t now_ns;
     const CpFleetFamiliar *familiar; /* with the object */
     CpFleetHomes homes;
-    bool warming; /* a server was passed over since it is cold */
-    bool busy;    /* or since it had no room for an unfamiliar object */
+    bool explores; /* takes servers of unknown domains for idle */
+    bool warming;  /* a server was passed over since it is cold */
+    bool busy;     /* or since it had no room for an unfamiliar object */
 } Search;
 
 /* A server that may get the request. */
@@ -52,6 +56,9 @@
 static bool warmup_allows(const Search *q, const CpFleetServer *v,
                           uint32_t *parts);
 static uint32_t place_of(const Search *q, const CpFleetServer *v);
+static uint32_t with_usual(const Search *q, const CpFleetServer *v,
+                           uint32_t inside);
+static int64_t usual_load_milli(const Search *q, const CpFleetServer *v);
 static int64_t unfamiliar_milli(const Search *q, const CpFleetServer *v,
                                 uint32_t place);
 static bool has_spare_slots(const Option *o);
@@ -71,6 +78,7 @@
                 .service = s,
                 .ask = ask,
                 .now_ns = now_ns,
+                .explores = ask->random % EXPLORE_ONE_IN == 0,
                 .familiar = CpFleet_Familiar(s, ask->object)};
     Option best = {.total_us = INT64_MAX};
     memset(out, 0, sizeof(*out));
@@ -84,6 +92,9 @@
         Option o = {.server = v,
                     .place = place_of(&q, v),
                     .inside = CpFleet_Inside(v, now_ns)};
+        if (o.place != 0) {
+            o.inside = with_usual(&q, v, o.inside);
+        }
         o.unfamiliar_milli = unfamiliar_milli(&q, v, o.place);
         if (o.unfamiliar_milli > AWAY_MILLI && !has_spare_slots(&o)) {
             q.busy = true;
@@ -215,6 +226,36 @@
     return v == q->homes.home ? 0 : v == q->homes.second ? 1 : 2;
 }
 
+/* Requests in a server that is not the object's home. Hosts of a server's
+ * domain hear from all that use it, others only from some: for them silence
+ * does not mean that it is idle, and it has at least what is usual there. */
+static uint32_t
+with_usual(const Search *q, const CpFleetServer *v, uint32_t inside)
+{
+    if (CpFleet_Nearness(q->fleet, v->domain_index) == CP_NEAR_DOMAIN) {
+        return inside;
+    }
+    int64_t milli = usual_load_milli(q, v) * v->entry.slots;
+    uint32_t usual = (uint32_t)((milli + 500) / 1000);
+    return inside > usual ? inside : usual;
+}
+
+/* What is usual fades, so that servers are tried again. Where nothing is
+ * known it is as elsewhere, or none for those that go and see. */
+static int64_t
+usual_load_milli(const Search *q, const CpFleetServer *v)
+{
+    const CpFleetUsual *u = &q->service->usual[v->domain_index];
+    if (u->told_ns == 0 || q->now_ns - u->told_ns > USUAL_LIFE_NS) {
+        u = &q->service->usual_all;
+        if (q->explores) {
+            return 0;
+        }
+    }
+    int64_t halvings = (q->now_ns - u->told_ns) / USUAL_HALVING_NS;
+    return halvings < 16 ? u->load_milli >> halvings : 0;
+}
+
 static int64_t
 unfamiliar_milli(const Search *q, const CpFleetServer *v, uint32_t place)
 {
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -51,6 +51,13 @@
     int64_t next_cold_ns; /* when it may get the next request while cold */
 } CpFleetServer;
 
+/* What servers of a service have to do, as their answers tell: moving average
+ * of the requests in one, over its slots. */
+typedef struct {
+    uint32_t load_milli;
+    int64_t told_ns; /* the last time; 0: never */
+} CpFleetUsual;
+
 typedef struct {
     char name[CP_NAME_BYTES];
     uint32_t warmup_ms;
@@ -64,6 +71,8 @@
     uint32_t keep_milli;   /* part of the objects that are kept near */
     bool keep_known;
     GHashTable *familiar; /* object -> CpFleetFamiliar */
+    CpFleetUsual usual[CP_FLEET_MAX_DOMAINS + 1]; /* by domain */
+    CpFleetUsual usual_all;
     int64_t ticked_ns;
 } CpFleetService;
 
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -21,8 +21,9 @@
     [CP_ATTEMPT_CANCELLED] = "cancelled",
 };
 
-static void learn_load(CpFleetServer *v, const CpFleetReport *r,
-                       int64_t now_ns);
+static void learn_load(CpFleetService *s, CpFleetServer *v,
+                       const CpFleetReport *r, int64_t now_ns);
+static void note_usual(CpFleetUsual *u, uint32_t load_milli, int64_t now_ns);
 static void learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
                        const CpFleetReport *r, int64_t now_ns);
 static uint32_t clamp_work_us(uint32_t average_us, uint32_t work_us);
@@ -51,7 +52,7 @@
             v->outstanding--;
         }
         learn_time(f, s, v, r, now_ns);
-        learn_load(v, r, now_ns);
+        learn_load(s, v, r, now_ns);
         learn_failure(f, v, r, now_ns);
         if (r->end == CP_ATTEMPT_UNREACHABLE ||
             (r->end == CP_ATTEMPT_BROKEN && v->failures >= FAILURES_TO_REST)) {
@@ -66,23 +67,38 @@
 
 /* The load counts this host's own requests too. */
 static void
-learn_load(CpFleetServer *v, const CpFleetReport *r, int64_t now_ns)
+learn_load(CpFleetService *s, CpFleetServer *v, const CpFleetReport *r,
+           int64_t now_ns)
 {
-    uint32_t others;
+    uint32_t inside, others;
     if (r->end == CP_ATTEMPT_REFUSED && !r->has_load) {
-        others = 2 * v->entry.slots; /* full: no slot and part of a queue */
+        /* full: no slot and part of a queue */
+        inside = others = 2 * v->entry.slots;
     }
     else if (r->has_load) {
-        uint32_t inside = r->load.running + r->load.waiting;
+        inside = r->load.running + r->load.waiting;
         others = inside > v->outstanding ? inside - v->outstanding : 0;
     }
     else {
         return;
     }
+    if (v->entry.slots > 0) {
+        uint32_t load_milli = inside * 1000 / v->entry.slots;
+        note_usual(&s->usual[v->domain_index], load_milli, now_ns);
+        note_usual(&s->usual_all, load_milli, now_ns);
+    }
     v->others_milli = (v->others_milli + others * 1000) / 2;
     v->loaded_ns = now_ns;
 }
 
+static void
+note_usual(CpFleetUsual *u, uint32_t load_milli, int64_t now_ns)
+{
+    u->load_milli =
+        u->told_ns == 0 ? load_milli : (u->load_milli * 7 + load_milli) / 8;
+    u->told_ns = now_ns;
+}
+
 static void
 learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
            const CpFleetReport *r, int64_t now_ns)
