One budget of retries for both ways of serving, with its proof over hosts

Reading the second one showed a fault: time between two requests counted in whole milliseconds, so that a host with more than a thousand requests a second never got its part of the burst back. Before / after: no test of several hosts; make check.

--- a/regress/drive_admit.c
+++ b/regress/drive_admit.c
@@ -11,6 +11,8 @@
 #define MAX_MESSAGES 64
 #define MAX_SHIFT_MS 10000
 #define PAUSE_EVERY_MS 1700
+#define MAX_RETRY_MS 120000
+#define MAX_RETRY_HOSTS 128
 
 typedef struct {
     FILE *out;
@@ -65,6 +67,8 @@
 static void step(void *ctx, char *line);
 static void foreign_windows(Script *s, uint32_t rate, uint32_t from_ms,
                             uint32_t for_ms, uint32_t pause_ms);
+static void share_retries(FILE *out, uint32_t hosts, uint32_t burst,
+                          uint32_t percent, uint32_t window_s, uint64_t seed);
 static void on_start(void *ctx, CpAdmitItem *item);
 static void on_refuse(void *ctx, CpAdmitItem *item, CpReason reason);
 static void random_queue(FILE *out, uint64_t seed, uint32_t steps);
@@ -219,13 +223,19 @@
     }
     else if (sscanf(line, "retries %u percent %u requests", &a, &b) == 2) {
         uint32_t n = 0;
-        s->budget = (CpRetryBudget){.percent = a};
+        s->budget = (CpRetryBudget){.percent = a, .most_milli = 10000};
         for (uint32_t i = 0; i < b; i++) {
-            CpRetry_Earn(&s->budget);
-            n += CpRetry_Spend(&s->budget);
+            CpRetry_Earn(&s->budget, s->now_ns + 1);
+            n += CpRetry_Spend(&s->budget, s->now_ns + 1);
         }
         fprintf(s->out, "retried %u of %u\n", n, b);
     }
+    else if (sscanf(line,
+                    "hosts %u share a burst of %u and %u percent, window %u "
+                    "s, seed %" SCNu64,
+                    &a, &b, &c, &d, &seed) == 5) {
+        share_retries(s->out, a, b, c, d, seed);
+    }
     else if (sscanf(line, "random queue %" SCNu64 " %u", &seed, &a) == 2) {
         random_queue(s->out, seed, a);
     }
@@ -238,6 +248,53 @@
     }
 }
 
+/* Requests at random to hosts that share a burst, with floods and pauses; all
+ * want to be repeated at some times, none at others. The most repeats of any
+ * window beyond the part of its requests, against the burst. */
+static void
+share_retries(FILE *out, uint32_t hosts, uint32_t burst, uint32_t percent,
+              uint32_t window_s, uint64_t seed)
+{
+    static uint32_t asked[MAX_RETRY_MS], repeated[MAX_RETRY_MS];
+    static CpRetryBudget budgets[MAX_RETRY_HOSTS];
+    CpSeed r = {seed};
+    uint32_t rate = 0, all = 0, done = 0, window_ms = window_s * 1000;
+    bool failing = false;
+    int64_t beyond = 0, most = 0;
+    memset(budgets, 0, sizeof(budgets));
+    for (uint32_t ms = 0; ms < MAX_RETRY_MS; ms++) {
+        if (ms % 1000 == 0) {
+            rate = CpSeed_Below(&r, 4) == 0 ? 0 : CpSeed_Below(&r, 2000);
+            failing = CpSeed_Below(&r, 3) != 0;
+        }
+        asked[ms] = repeated[ms] = 0;
+        for (uint32_t i = 0; i < 4; i++) {
+            CpRetryBudget *b = &budgets[CpSeed_Below(&r, hosts)];
+            int64_t now_ns = (ms + 1) * CP_NS_PER_MS + i;
+            if (CpSeed_Below(&r, 4000) >= rate) {
+                continue;
+            }
+            b->percent = percent;
+            b->window_ns = window_s * CP_NS_PER_S;
+            CpRetry_SetShare(b, burst, hosts);
+            CpRetry_Earn(b, now_ns);
+            asked[ms]++;
+            repeated[ms] += failing && CpRetry_Spend(b, now_ns);
+        }
+        all += asked[ms];
+        done += repeated[ms];
+        beyond += (int64_t)repeated[ms] * 100 - asked[ms] * percent;
+        if (ms >= window_ms) {
+            beyond -= (int64_t)repeated[ms - window_ms] * 100 -
+                      asked[ms - window_ms] * percent;
+        }
+        most = beyond > most ? beyond : most;
+    }
+    fprintf(out, "any window %s the burst, %s\n",
+            most <= burst * INT64_C(100) ? "within" : "over",
+            done * 100 >= all * percent / 2 ? "used" : "hardly used");
+}
+
 static uint32_t
 id_of(const Script *s, const CpAdmitItem *item)
 {
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -131,15 +131,25 @@
 void CpShare_Order(const char *resource, const char *const *hosts,
                    uint32_t host_count, uint32_t *order);
 
-#define CP_RETRY_START_PERCENT 500 /* five retries in store on start */
-
-/* A budget of retries: each request earns a part, each retry costs one. */
+/* A budget of retries: each request earns a part, each retry costs one. What
+ * is not spent is kept up to a limit; where hosts share a burst, each has a
+ * part of it, half of which is there at once and half of which is added over
+ * a window, so that no window has more than the whole of it. */
 typedef struct {
-    uint32_t percent;
-    int64_t tokens_percent; /* hundredths of a retry */
+    uint32_t percent;     /* retries that a hundred requests earn */
+    int64_t most_milli;   /* kept at once, thousandths of a retry */
+    int64_t start_milli;  /* there at first */
+    int64_t refill_milli; /* added over a window */
+    int64_t window_ns;    /* 0: nothing is added */
+    int64_t tokens_milli; /* state, as the next */
+    int64_t filled_ns;    /* 0: not begun */
 } CpRetryBudget;
-void CpRetry_Earn(CpRetryBudget *b);
-bool CpRetry_Spend(CpRetryBudget *b);
+/* The part that one of `hosts` has of a burst. */
+void CpRetry_SetShare(CpRetryBudget *b, uint32_t burst, uint32_t hosts);
+void CpRetry_Earn(CpRetryBudget *b, int64_t now_ns);
+bool CpRetry_Spend(CpRetryBudget *b, int64_t now_ns);
+/* Gives a retry back that was not made. */
+void CpRetry_Return(CpRetryBudget *b);
 
 /* A paced link: bytes/s with a short burst, part of it kept for the urgent.
  */
--- a/src/admit/admit_limits.c
+++ b/src/admit/admit_limits.c
@@ -1,7 +1,6 @@
 /* Retry budget, link pacer and growth cap of foreign work. */
 #include "admit/admit.h"
 
-#define RETRY_MAX_PERCENT 1000 /* at most ten retries in store */
 #define MILLI 1000
 #define BURST_NS (30 * CP_NS_PER_MS)
 #define RATE_NUM 95 /* of 100: keeps any 1 s window under the cap */
@@ -11,29 +10,43 @@
 #define SHIFT_STORE_MIN (2 * MILLI)
 #define RESERVE_DIV 4 /* part of the burst that only urgent classes use */
 
+static void fill(CpRetryBudget *b, int64_t now_ns);
+static void add_tokens(CpRetryBudget *b, int64_t tokens_milli);
 static uint16_t *sent_at(CpShift *s, int64_t ms);
 static void advance_shift(CpShift *s, int64_t now_ms);
 static bool stays_under_cap(CpShift *s);
 
 void
-CpRetry_Earn(CpRetryBudget *b)
+CpRetry_SetShare(CpRetryBudget *b, uint32_t burst, uint32_t hosts)
 {
-    b->tokens_percent += b->percent;
-    if (b->tokens_percent > RETRY_MAX_PERCENT) {
-        b->tokens_percent = RETRY_MAX_PERCENT;
-    }
+    int64_t part_milli = (int64_t)burst * MILLI / (hosts > 0 ? hosts : 1);
+    b->most_milli = b->start_milli = b->refill_milli = part_milli / 2;
+}
+
+void
+CpRetry_Earn(CpRetryBudget *b, int64_t now_ns)
+{
+    fill(b, now_ns);
+    add_tokens(b, b->percent * (MILLI / 100));
 }
 
 bool
-CpRetry_Spend(CpRetryBudget *b)
+CpRetry_Spend(CpRetryBudget *b, int64_t now_ns)
 {
-    if (b->tokens_percent < 100) {
+    fill(b, now_ns);
+    if (b->tokens_milli < MILLI) {
         return false;
     }
-    b->tokens_percent -= 100;
+    b->tokens_milli -= MILLI;
     return true;
 }
 
+void
+CpRetry_Return(CpRetryBudget *b)
+{
+    b->tokens_milli += MILLI;
+}
+
 void
 CpPacer_SetRate(CpPacer *p, uint64_t rate_bytes_s, int64_t now_ns)
 {
@@ -148,3 +161,36 @@
     }
     return true;
 }
+
+/* Adds what the time since the last call earned; what is less than a
+ * thousandth stays for the next one. */
+static void
+fill(CpRetryBudget *b, int64_t now_ns)
+{
+    if (b->filled_ns == 0) {
+        b->filled_ns = now_ns;
+        b->tokens_milli = b->start_milli;
+    }
+    if (b->window_ns == 0 || b->refill_milli == 0) {
+        return;
+    }
+    int64_t past_ns = now_ns - b->filled_ns;
+    if (past_ns > b->window_ns) {
+        past_ns = b->window_ns;
+        b->filled_ns = now_ns - past_ns;
+    }
+    int64_t window_us = b->window_ns / CP_NS_PER_US;
+    int64_t earned_milli =
+        past_ns / CP_NS_PER_US * b->refill_milli / window_us;
+    add_tokens(b, earned_milli);
+    b->filled_ns += earned_milli * window_us / b->refill_milli * CP_NS_PER_US;
+}
+
+static void
+add_tokens(CpRetryBudget *b, int64_t tokens_milli)
+{
+    b->tokens_milli += tokens_milli;
+    if (b->tokens_milli > b->most_milli) {
+        b->tokens_milli = b->most_milli;
+    }
+}
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "admit/admit.h"
 #include "base/event.h"
 #include "entry/entry.h"
 #include "http/http.h"
@@ -50,12 +51,6 @@
     int64_t behind_ns; /* since when that is later; 0: it is not; atomic */
 } CpEntryFollower;
 
-/* Repeats that this host may still send; in thousandths. */
-typedef struct {
-    int64_t tokens_milli;
-    int64_t filled_ns;
-} CpEntryBudget;
-
 struct CpEntry {
     CpSettings settings;
     CpEntryAdapter adapter;
@@ -92,7 +87,7 @@
     uint32_t far_turn;     /* which host of each other domain is told next */
 
     pthread_mutex_t budget_lock; /* of the next */
-    CpEntryBudget budget;
+    CpRetryBudget budget;        /* repeats that this host may still send */
 };
 
 /* follow: beliefs from the store */
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -61,7 +61,7 @@
 static bool spend_repeat(CpEntry *e, int64_t now_ns);
 static void return_repeat(CpEntry *e);
 static void earn_repeat(CpEntry *e, int64_t now_ns);
-static void fill_budget(CpEntry *e, int64_t now_ns);
+static void share_budget(CpEntry *e);
 
 void
 CpEntryRequest_Policy(CpEntry *e, CpProxyPolicy *out)
@@ -422,9 +422,8 @@
 spend_repeat(CpEntry *e, int64_t now_ns)
 {
     pthread_mutex_lock(&e->budget_lock);
-    fill_budget(e, now_ns);
-    bool may = e->budget.tokens_milli >= 1000;
-    e->budget.tokens_milli -= may ? 1000 : 0;
+    share_budget(e);
+    bool may = CpRetry_Spend(&e->budget, now_ns);
     pthread_mutex_unlock(&e->budget_lock);
     return may;
 }
@@ -433,7 +432,7 @@
 return_repeat(CpEntry *e)
 {
     pthread_mutex_lock(&e->budget_lock);
-    e->budget.tokens_milli += 1000;
+    CpRetry_Return(&e->budget);
     pthread_mutex_unlock(&e->budget_lock);
 }
 
@@ -441,29 +440,17 @@
 earn_repeat(CpEntry *e, int64_t now_ns)
 {
     pthread_mutex_lock(&e->budget_lock);
-    fill_budget(e, now_ns);
-    e->budget.tokens_milli += e->settings.retry_percent * 10;
+    share_budget(e);
+    CpRetry_Earn(&e->budget, now_ns);
     pthread_mutex_unlock(&e->budget_lock);
 }
 
-/* The burst is shared by all hosts; half of this host's part is there at once
- * and half is added over a window, so that no window has more than all. */
+/* Hosts come and go, and settings change. */
 static void
-fill_budget(CpEntry *e, int64_t now_ns)
+share_budget(CpEntry *e)
 {
-    CpEntryBudget *b = &e->budget;
-    int64_t part_milli =
-        (int64_t)e->settings.retry_burst * 1000 / CpEntryHosts_Count(e);
-    int64_t most_milli = part_milli / 2;
-    if (b->filled_ns == 0) {
-        b->tokens_milli = most_milli;
-    }
-    else {
-        b->tokens_milli += (now_ns - b->filled_ns) / CP_NS_PER_MS *
-                           most_milli / (e->settings.retry_window_s * 1000);
-    }
-    b->filled_ns = now_ns;
-    if (b->tokens_milli > most_milli) {
-        b->tokens_milli = most_milli;
-    }
+    CpRetryBudget *b = &e->budget;
+    b->percent = e->settings.retry_percent;
+    b->window_ns = e->settings.retry_window_s * CP_NS_PER_S;
+    CpRetry_SetShare(b, e->settings.retry_burst, CpEntryHosts_Count(e));
 }
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -12,6 +12,10 @@
 #define MAX_HOSTS 4096
 #define LEDGER_SWEEP_MS 1000
 #define KEY_MIN_BYTES 16
+/* Retries kept beyond what requests earn: a few for a start, and no more than
+ * a failed host's requests of a moment. */
+#define RETRY_START_MILLI 5000
+#define RETRY_MOST_MILLI 10000
 
 static CpStatus read_key(CpNode *n);
 static CpStatus read_token(CpNode *n);
@@ -32,7 +36,8 @@
     pthread_mutex_init(&n->loan_lock, NULL);
     pthread_mutex_init(&n->link_lock, NULL);
     pthread_mutex_init(&n->budget_lock, NULL);
-    n->budget.tokens_percent = CP_RETRY_START_PERCENT;
+    n->budget = (CpRetryBudget){.most_milli = RETRY_MOST_MILLI,
+                                .start_milli = RETRY_START_MILLI};
     pthread_mutex_init(&n->shift_lock, NULL);
     pthread_mutex_init(&n->follow_lock, NULL);
     pthread_mutex_init(&n->install_lock, NULL);
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -47,7 +47,7 @@
         return;
     }
     pthread_mutex_lock(&n->budget_lock);
-    CpRetry_Earn(&n->budget);
+    CpRetry_Earn(&n->budget, CpClock_Now_ns());
     pthread_mutex_unlock(&n->budget_lock);
     if (ex->idempotent) {
         CpRoute_Run(n, ex);
@@ -136,7 +136,7 @@
         return true; /* no other host has seen it */
     }
     pthread_mutex_lock(&n->budget_lock);
-    bool spent = CpRetry_Spend(&n->budget);
+    bool spent = CpRetry_Spend(&n->budget, CpClock_Now_ns());
     pthread_mutex_unlock(&n->budget_lock);
     if (!spent) {
         CpCounter_Add(CP_COUNT_RETRY_BUDGET_EMPTY, 1);
