A server that refuses says nothing of the servers that are not heard of

The log of one: five requests came to a home with four slots within 3 ms, the fifth was refused by the server, and its host told would_miss_goal though two servers of other domains were idle: the one refusal had become what is usual for servers of domains that nothing is known of (twice the slots). Ruled out: a stream that was not whole (each 200 was, byte for byte).

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -35,6 +35,7 @@
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     uint32_t tried_count;
     char home[CP_NAME_BYTES]; /* region that asks are bound to */
+    uint64_t random;          /* of asks */
     uint64_t answer_bytes;    /* of the answers that end attempts */
     uint64_t sequence;
 } Script;
@@ -43,7 +44,7 @@
 static void put(Script *s, const char *line);
 static void homes(Script *s, uint32_t count, const char *service);
 static void serve(Script *s, uint32_t count, const char *service,
-                  const char *object, uint32_t ms);
+                  const char *object, uint32_t ms, const char *load);
 static void choose(Script *s, const char *service, const char *object,
                    uint32_t goal_ms);
 static void ended(Script *s, const char *how, uint32_t ms, const char *load);
@@ -216,8 +217,12 @@
     else if (sscanf(line, "choose %63s %63s goal %u", a, b, &m) == 3) {
         choose(s, a, b, m);
     }
-    else if (sscanf(line, "serve %u %63s %63s %u ms", &n, a, b, &m) == 4) {
-        serve(s, n, a, b, m);
+    else if (sscanf(line, "serve %u %63s %63s %u ms %63s", &n, a, b, &m, c) ==
+             5) {
+        serve(s, n, a, b, m, c);
+    }
+    else if (sscanf(line, "random %" SCNu64, &s->random) == 1) {
+        s->tried_count = 0;
     }
     else if (sscanf(line, "answers of %u bytes", &m) == 1) {
         s->answer_bytes = m;
@@ -272,7 +277,8 @@
                       .object = strcmp(object, "-") == 0 ? NULL : object,
                       .goal_left_ms = goal_ms,
                       .deadline_left_ms = 3000,
-                      .tried_count = s->tried_count};
+                      .tried_count = s->tried_count,
+                      .random = s->random};
     char homes[1][CP_NAME_BYTES];
     if (s->home[0] != '\0' && strcmp(s->home, "any") != 0) {
         CpStr_Copy(homes[0], sizeof(homes[0]), s->home);
@@ -319,10 +325,11 @@
     }
 }
 
-/* Requests one after the other, each answered after `ms`. */
+/* Requests one after the other, each answered after `ms`, with the load that
+ * the server then tells, "-" for none. */
 static void
 serve(Script *s, uint32_t count, const char *service, const char *object,
-      uint32_t ms)
+      uint32_t ms, const char *load)
 {
     CpFleetAsk ask = {.service = service,
                       .object = object,
@@ -331,7 +338,7 @@
     for (uint32_t i = 0; i < count; i++) {
         CpFleet_Choose(s->fleet, &ask, s->now_ns, &s->last);
         s->now_ns += ms * CP_NS_PER_MS;
-        ended(s, "answered", ms, "-");
+        ended(s, "answered", ms, load);
     }
 }
 
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -23,7 +23,8 @@
 
 static void learn_load(CpFleetService *s, CpFleetServer *v,
                        const CpFleetReport *r, int64_t now_ns);
-static void note_usual(CpFleetUsual *u, uint32_t load_milli, int64_t now_ns);
+static void note_usual(CpFleetService *s, const CpFleetServer *v,
+                       uint32_t inside, bool refused, int64_t now_ns);
 static void learn_time(const CpFleet *f, CpFleetService *s, CpFleetServer *v,
                        const CpFleetReport *r, int64_t now_ns);
 static uint32_t clamp_work_us(uint32_t average_us, uint32_t work_us);
@@ -70,33 +71,41 @@
 learn_load(CpFleetService *s, CpFleetServer *v, const CpFleetReport *r,
            int64_t now_ns)
 {
-    uint32_t inside, others;
+    uint32_t others;
     if (r->end == CP_ATTEMPT_REFUSED && !r->has_load) {
-        /* full: no slot and part of a queue */
-        inside = others = 2 * v->entry.slots;
+        others = 2 * v->entry.slots; /* full: no slot and part of a queue */
+        note_usual(s, v, others, true, now_ns);
     }
     else if (r->has_load) {
-        inside = r->load.running + r->load.waiting;
+        uint32_t inside = r->load.running + r->load.waiting;
         others = inside > v->outstanding ? inside - v->outstanding : 0;
+        note_usual(s, v, inside, false, now_ns);
     }
     else {
         return;
     }
-    if (v->entry.slots > 0) {
-        uint32_t load_milli = inside * 1000 / v->entry.slots;
-        note_usual(&s->usual[v->domain_index], load_milli, now_ns);
-        note_usual(&s->usual_all, load_milli, now_ns);
-    }
     v->others_milli = (v->others_milli + others * 1000) / 2;
     v->loaded_ns = now_ns;
 }
 
+/* A server that refuses says that it is full itself, and of the others only
+ * that it is worse than before. */
 static void
-note_usual(CpFleetUsual *u, uint32_t load_milli, int64_t now_ns)
+note_usual(CpFleetService *s, const CpFleetServer *v, uint32_t inside,
+           bool refused, int64_t now_ns)
 {
-    u->load_milli =
-        u->told_ns == 0 ? load_milli : (u->load_milli * 7 + load_milli) / 8;
-    u->told_ns = now_ns;
+    uint32_t slots = v->entry.slots > 0 ? v->entry.slots : 1;
+    uint32_t load_milli = inside * 1000 / slots;
+    CpFleetUsual *of[] = {&s->usual[v->domain_index], &s->usual_all};
+    for (uint32_t i = 0; i < 2; i++) {
+        bool first = of[i]->told_ns == 0;
+        if (first && refused) {
+            continue;
+        }
+        of[i]->load_milli =
+            first ? load_milli : (of[i]->load_milli * 7 + load_milli) / 8;
+        of[i]->told_ns = now_ns;
+    }
 }
 
 static void
