A streamed answer that ends early is logged with its reason

Cause: found while reading the diff: a caller that left in the middle of a large answer was logged as answer_truncated where the library saw it first, and so was one that the route's time ended (1499 ms of 1500). Ruled out: a wrong outcome for callers; it is the log line only. Besides: one function tells whether a host was tried (steer), and the budget's step is named for what it does.

--- a/src/admit/admit_limits.c
+++ b/src/admit/admit_limits.c
@@ -10,7 +10,7 @@
 #define SHIFT_STORE_MIN (2 * MILLI)
 #define RESERVE_DIV 4 /* part of the burst that only urgent classes use */
 
-static void fill(CpRetryBudget *b, int64_t now_ns);
+static void fill_budget(CpRetryBudget *b, int64_t now_ns);
 static void add_tokens(CpRetryBudget *b, int64_t tokens_milli);
 static uint16_t *sent_at(CpShift *s, int64_t ms);
 static void advance_shift(CpShift *s, int64_t now_ms);
@@ -26,14 +26,14 @@
 void
 CpRetry_Earn(CpRetryBudget *b, int64_t now_ns)
 {
-    fill(b, now_ns);
+    fill_budget(b, now_ns);
     add_tokens(b, b->percent * (MILLI / 100));
 }
 
 bool
 CpRetry_Spend(CpRetryBudget *b, int64_t now_ns)
 {
-    fill(b, now_ns);
+    fill_budget(b, now_ns);
     if (b->tokens_milli < MILLI) {
         return false;
     }
@@ -165,7 +165,7 @@
 /* Adds what the time since the last call earned; what is less than a
  * thousandth stays for the next one. */
 static void
-fill(CpRetryBudget *b, int64_t now_ns)
+fill_budget(CpRetryBudget *b, int64_t now_ns)
 {
     if (b->filled_ns == 0) {
         b->filled_ns = now_ns;
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -21,8 +21,8 @@
 
 #define SLOW_HALVING_NS (3 * CP_NS_PER_S)
 #define OTHERS_HALVING_NS (150 * CP_NS_PER_MS) /* about one request's work */
-#define USUAL_LIFE_NS (3 * CP_NS_PER_S) /* some times the longest work */
-#define USUAL_HALVING_NS (1 * CP_NS_PER_S)
+#define USUAL_LIFE_NS (3 * CP_NS_PER_S)    /* some times the longest work */
+#define USUAL_HALVING_NS (1 * CP_NS_PER_S) /* most work has ended by then */
 #define EXPLORE_ONE_IN 8       /* requests; all hosts do so at the same time */
 #define PRESSED_MILLI 700      /* of the slots: later, queues grow */
 #define FAIL_COST 3            /* a failed attempt costs this many works */
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -13,7 +13,6 @@
 static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
                       CpReason reason);
 static bool refused_here(CpNode *n, const CpExchange *ex, CpReason reason);
-static bool was_tried(const CpExchange *ex, uint32_t host);
 static uint32_t choose(CpNode *n, const CpView *v, CpExchange *ex);
 
 /* Share of the host's requests that a rank may hold, in percent. */
@@ -156,17 +155,6 @@
     return here;
 }
 
-static bool
-was_tried(const CpExchange *ex, uint32_t host)
-{
-    for (uint32_t i = 0; i < ex->tried_count; i++) {
-        if (ex->tried[i] == host) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static uint32_t
 choose(CpNode *n, const CpView *v, CpExchange *ex)
 {
@@ -197,6 +185,8 @@
         ask.allow_drained = true;
         host = CpSteer_Choose(g->topology, hosts, &ask);
     }
-    /* No host takes work: this one's servers may be back in time. */
-    return host == CP_NO_INDEX && !was_tried(ex, g->self) ? g->self : host;
+    if (host == CP_NO_INDEX && !CpSteer_WasTried(&ask, g->self)) {
+        host = g->self; /* its servers may take work again in time */
+    }
+    return host;
 }
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -211,6 +211,9 @@
     if (c->attempt.streamed) {
         c->attempt.over = true;
         c->attempt.whole = code == CURLE_OK;
+        c->step.reason = code == CURLE_OPERATION_TIMEDOUT
+                             ? CP_REASON_DEADLINE_PASSED
+                             : CP_REASON_ANSWER_TRUNCATED;
         p->passed(p->ctx, &c->request, &end);
         CpProxyFront_More(c);
         return;
@@ -281,6 +284,7 @@
 {
     const CpProxyPolicy *p = &c->worker->proxy->options.policy;
     if (c->attempt.easy != NULL) {
+        c->gone = true;
         p->abandoned(p->ctx, &c->request, CP_ATTEMPT_CANCELLED,
                      CpClock_Now_ns() - c->attempt.started_ns);
         CpProxyAttempt_Abort(c);
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -110,7 +110,6 @@
 {
     const CpProxyPolicy *p = &c->worker->proxy->options.policy;
     if (c->attempt.streamed) {
-        c->gone = true;
         CpProxyAttempt_Leave(c);
         resume(c);
         return;
@@ -484,7 +483,7 @@
     CpFinish f = {.latency_ns = CpClock_Now_ns() - c->request.started_ns,
                   .retry_after_ms = s->retry_after_ms};
     if (c->attempt.streamed && !c->attempt.whole && !c->gone) {
-        f.reason = CP_REASON_ANSWER_TRUNCATED;
+        f.reason = s->reason; /* the caller has a part of it */
         f.status = c->attempt.status;
     }
     else if (c->gone || !c->queued || !sent) {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -125,7 +125,7 @@
 void CpProxyAttempt_Collect(CpProxyWorker *w);
 /* Goes on with an answer that waited for its caller. */
 void CpProxyAttempt_Unpause(CpCall *c);
-/* Ends a streamed answer that the caller does not want any more. */
+/* Ends a streamed answer; one that still comes has lost its caller. */
 void CpProxyAttempt_Leave(CpCall *c);
 /* Takes the attempt off the worker; one under way is broken off. */
 void CpProxyAttempt_Abort(CpCall *c);
--- a/src/steer/steer.h
+++ b/src/steer/steer.h
@@ -68,6 +68,9 @@
     uint64_t random;
 } CpSteerAsk;
 
+/* Whether the request has been to that host already. */
+bool CpSteer_WasTried(const CpSteerAsk *ask, uint32_t host);
+
 /* What an answer told of a pool's load, and when: newer than a view's. */
 #define CP_HINT_LIFE_NS (250 * CP_NS_PER_MS)
 uint64_t CpSteer_Hint(uint32_t busy, int64_t now_ns);
--- a/src/steer/steer_choose.c
+++ b/src/steer/steer_choose.c
@@ -96,6 +96,17 @@
     return best == CP_NO_INDEX ? best : choose_host(t, hosts, ask, best);
 }
 
+bool
+CpSteer_WasTried(const CpSteerAsk *ask, uint32_t host)
+{
+    for (uint32_t i = 0; i < ask->tried_count; i++) {
+        if (ask->tried[i] == host) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint64_t
 CpSteer_Hint(uint32_t busy, int64_t now_ns)
 {
@@ -221,12 +232,8 @@
 static bool
 usable(const CpSteerHost *h, const CpSteerAsk *ask, uint32_t i)
 {
-    for (uint32_t k = 0; k < ask->tried_count; k++) {
-        if (ask->tried[k] == i) {
-            return false;
-        }
-    }
-    return (h->state == CP_MEMBER_LIVE || h->state == CP_MEMBER_LEAVING) &&
+    bool lives = h->state == CP_MEMBER_LIVE || h->state == CP_MEMBER_LEAVING;
+    return lives && !CpSteer_WasTried(ask, i) &&
            ask->pool_index < h->load_count;
 }
 
