The soak's callers ask for large answers, too

Cause: answers that stream were played by one script only. Change: 15% of the soak's reads are answered with 50 KB over 60 ms and are compared byte for byte.

--- a/standin/standin_callers.c
+++ b/standin/standin_callers.c
@@ -4,6 +4,7 @@
  * to use, keeps one connection, sends requests at a steady rate, and comes
  * back once where that is allowed. A line a try goes to standard output:
  * ID KIND RESULT STATUS MILLISECONDS HOST END, the last in ms of wall clock.
+ * Kinds are pay, read and large, a read whose answer streams.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -22,6 +23,9 @@
 #define MAX_LOOKUPS 3 /* directories that are asked in a row */
 #define OBJECTS 40
 #define PAY_PERCENT 40
+#define LARGE_PERCENT 15 /* reads whose answers come bit by bit */
+#define LARGE_BYTES 50000
+#define LARGE_MS 60
 #define ID_BYTES 48
 #define LINE_BYTES 160
 
@@ -50,6 +54,8 @@
 typedef struct {
     char id[ID_BYTES];
     bool pay;
+    bool large;
+    uint32_t object;
     char path[LINE_BYTES];
     bool echoed;
     bool sealed;
@@ -86,6 +92,7 @@
 static Result send_try(Caller *c, Try *t);
 static Result judge(CURLcode code, const Try *t, long status,
                     const GString *body);
+static bool is_own(const char *id, const GString *body);
 static void choose_host(Caller *c, bool other);
 static bool look_up(Caller *c);
 static void take_hosts(Caller *c, const GString *text);
@@ -148,13 +155,18 @@
 request(Caller *c)
 {
     bool pay = draw(c) % 100 < PAY_PERCENT;
+    bool large = !pay && draw(c) % 100 < LARGE_PERCENT;
     uint32_t object = (uint32_t)(draw(c) % OBJECTS);
     for (uint32_t k = 0; k < 2; k++) {
-        Try t = {.pay = pay};
+        Try t = {.pay = pay, .large = large, .object = object};
         snprintf(t.id, sizeof(t.id), "%lld-%u-%u", (long long)seed, c->index,
                  c->sent++);
         snprintf(t.path, sizeof(t.path), "/%s/%u", pay ? "pay" : "read",
                  object);
+        if (large) {
+            snprintf(t.path, sizeof(t.path), "/read/%u?bytes=%d&over_ms=%d",
+                     object, LARGE_BYTES, LARGE_MS);
+        }
         choose_host(c, k > 0);
         Result r = send_try(c, &t);
         bool again = r == RESULT_NOT_RUN || r == RESULT_UNSENT ||
@@ -187,8 +199,8 @@
     snprintf(line, sizeof(line), "Chestnutpaddle-Timeout-Ms: %d",
              CALLER_TIMEOUT_MS);
     headers = curl_slist_append(headers, line);
-    snprintf(line, sizeof(line), "Cookie: Chestnutpaddle-Affinity-Key=%s",
-             strrchr(t->path, '/') + 1);
+    snprintf(line, sizeof(line), "Cookie: Chestnutpaddle-Affinity-Key=%u",
+             t->object);
     headers = curl_slist_append(headers, line);
     curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
@@ -203,7 +215,10 @@
     CURLcode code = CpEasy_Read(c->easy, body, MAX_ANSWER_BYTES, &status);
     Result r = judge(code, t, status, body);
     pthread_mutex_lock(&lock);
-    printf("%s %s %s %ld %lld %s %lld\n", t->id, t->pay ? "pay" : "read",
+    printf("%s %s %s %ld %lld %s %lld\n", t->id,
+           t->pay     ? "pay"
+           : t->large ? "large"
+                      : "read",
            result_names[r], status,
            (long long)((CpClock_Now_ns() - start_ns) / CP_NS_PER_MS), c->host,
            (long long)(g_get_real_time() / 1000));
@@ -227,12 +242,29 @@
     if (status < 200 || status > 299) {
         return RESULT_FAILED;
     }
+    if (t->large) {
+        bool own = t->echoed && t->sealed && is_own(t->id, body);
+        return own ? RESULT_OK : RESULT_WRONG;
+    }
     snprintf(want, sizeof(want), "answer to %s %s %s\n",
              t->pay ? "POST" : "GET", t->path, t->pay ? t->id : "");
     bool whole = t->echoed && t->sealed && strcmp(body->str, want) == 0;
     return whole ? RESULT_OK : RESULT_WRONG;
 }
 
+/* A large answer is the id of its request again and again. */
+static bool
+is_own(const char *id, const GString *body)
+{
+    size_t width = strlen(id);
+    for (size_t i = 0; i < body->len; i++) {
+        if (body->str[i] != id[i % width]) {
+            return false;
+        }
+    }
+    return body->len == LARGE_BYTES;
+}
+
 /* Stays with a host that the directory still names, unless it failed. */
 static void
 choose_host(Caller *c, bool other)
