--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -75,8 +75,6 @@
 static CpReason late_reason(const CpAdmit *a, const CpAdmitItem *item,
                             int64_t now_ns);
 static int64_t back_ns(const CpAdmit *a, const Server *s, int64_t now_ns);
-static int64_t first_back_ns(const CpAdmit *a, int64_t now_ns);
-static int64_t soonest_ns(const CpAdmit *a, int64_t now_ns);
 static uint32_t next_rank(CpAdmit *a);
 static void charge_floor(CpAdmit *a, uint32_t rank);
 static uint32_t choose_server(const CpAdmit *a, const CpAdmitItem *item,
@@ -320,11 +318,22 @@
 static CpReason
 late_reason(const CpAdmit *a, const CpAdmitItem *item, int64_t now_ns)
 {
-    if (soonest_ns(a, now_ns) <= item->deadline_ns) {
-        return CP_REASON_NONE;
+    int64_t first_back_ns = INT64_MAX, first_answer_ns = INT64_MAX;
+    for (uint32_t i = 0; i < a->options.server_count; i++) {
+        const Server *s = &a->servers[i];
+        if (!s->open || s->slots == 0) {
+            continue;
+        }
+        int64_t at_ns = back_ns(a, s, now_ns);
+        int64_t end_ns = at_ns + s->service_ns;
+        first_back_ns = at_ns < first_back_ns ? at_ns : first_back_ns;
+        first_answer_ns = end_ns < first_answer_ns ? end_ns : first_answer_ns;
+    }
+    if (first_answer_ns == INT64_MAX || first_answer_ns <= item->deadline_ns) {
+        return CP_REASON_NONE; /* without servers it waits for some */
     }
-    return first_back_ns(a, now_ns) > now_ns ? CP_REASON_NO_SERVER
-                                             : CP_REASON_WOULD_MISS_DEADLINE;
+    return first_back_ns > now_ns ? CP_REASON_NO_SERVER
+                                  : CP_REASON_WOULD_MISS_DEADLINE;
 }
 
 /* Sheds the latest of the least urgent items, if below `rank`. */
@@ -428,36 +437,6 @@
     return rests ? s->rest_until_ns : now_ns;
 }
 
-/* When the first of the servers takes work; now if there are none. */
-static int64_t
-first_back_ns(const CpAdmit *a, int64_t now_ns)
-{
-    int64_t first_ns = INT64_MAX;
-    for (uint32_t i = 0; i < a->options.server_count; i++) {
-        const Server *s = &a->servers[i];
-        if (s->open && s->slots > 0) {
-            int64_t at_ns = back_ns(a, s, now_ns);
-            first_ns = at_ns < first_ns ? at_ns : first_ns;
-        }
-    }
-    return first_ns == INT64_MAX ? now_ns : first_ns;
-}
-
-/* The soonest that any server could answer; now if there are none. */
-static int64_t
-soonest_ns(const CpAdmit *a, int64_t now_ns)
-{
-    int64_t best_ns = INT64_MAX;
-    for (uint32_t i = 0; i < a->options.server_count; i++) {
-        const Server *s = &a->servers[i];
-        if (s->open && s->slots > 0) {
-            int64_t at_ns = back_ns(a, s, now_ns) + s->service_ns;
-            best_ns = at_ns < best_ns ? at_ns : best_ns;
-        }
-    }
-    return best_ns == INT64_MAX ? now_ns : best_ns;
-}
-
 /* The most urgent rank that waits, unless a lower one is owed its floor. */
 static uint32_t
 next_rank(CpAdmit *a)
