A streamed answer takes the way of any other one to its caller

Cause: read again: the start of a streamed answer had a twin of CpProxyFront_Step(), a caller's leaving was handled twice, and `over` told what the missing handle tells. Ruled out: other behaviour; a zero step is what a collected answer has, too. Change: begin_stream() decides and goes through Step(); Gone() has one way; resume() is called for what it does, and `over` is gone.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -32,7 +32,7 @@
 static void add_line(CpProxyAttempt *a, const char *name, const char *value);
 static void read_end(CpCall *c, CURLcode code);
 static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
-static bool is_streamed(CpCall *c);
+static void begin_stream(CpCall *c);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
@@ -209,13 +209,12 @@
     judge(c, code, &end);
     CpProxyAttempt_Abort(c);
     if (c->attempt.streamed) {
-        c->attempt.over = true;
         c->attempt.whole = code == CURLE_OK;
         c->step.reason = code == CURLE_OPERATION_TIMEDOUT
                              ? CP_REASON_DEADLINE_PASSED
                              : CP_REASON_ANSWER_TRUNCATED;
         p->passed(p->ctx, &c->request, &end);
-        CpProxyFront_More(c);
+        CpProxyFront_Resume(c);
         return;
     }
     p->ended(p->ctx, &c->request, &end, &step);
@@ -289,7 +288,6 @@
                      CpClock_Now_ns() - c->attempt.started_ns);
         CpProxyAttempt_Abort(c);
     }
-    c->attempt.over = true;
 }
 
 /* Takes the handle off; a transfer that has not ended is broken off. */
@@ -363,9 +361,8 @@
             a->crossed = true;
             return 0;
         }
-        if (final && is_streamed(c)) {
-            a->streamed = true;
-            CpProxyFront_Begin(c);
+        if (final) {
+            begin_stream(c);
         }
         return n;
     }
@@ -387,22 +384,26 @@
     return n;
 }
 
-/* Whether the body is passed on as it comes: it is large, its end is known,
- * and the policy takes the answer as it is. */
-static bool
-is_streamed(CpCall *c)
+/* Passes the body on as it comes where it is large, its end is known and the
+ * policy takes the answer as it is. */
+static void
+begin_stream(CpCall *c)
 {
+    const CpStep answer = {.type = CP_STEP_ANSWER};
     const CpProxyPolicy *p = &c->worker->proxy->options.policy;
     curl_off_t length = -1;
     CpAttempt head;
     curl_easy_getinfo(c->attempt.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
                       &length);
     if (length < STREAM_MIN_BYTES || strcmp(c->request.method, "HEAD") == 0) {
-        return false;
+        return;
     }
-    c->attempt.length_bytes = (uint64_t)length;
     judge(c, CURLE_OK, &head);
-    return p->pass_on(p->ctx, &c->request, &head);
+    if (p->pass_on(p->ctx, &c->request, &head)) {
+        c->attempt.streamed = true;
+        c->attempt.length_bytes = (uint64_t)length;
+        CpProxyFront_Step(c, &answer);
+    }
 }
 
 /* Reads what concerns this host; false for headers that end here. */
@@ -467,7 +468,7 @@
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
     if (a->streamed) {
-        CpProxyFront_More(c);
+        CpProxyFront_Resume(c);
     }
     return n;
 }
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -32,7 +32,6 @@
 static struct MHD_Response *streamed_answer(CpCall *c);
 static ssize_t on_block(void *ctx, uint64_t pos, char *out, size_t room);
 static struct MHD_Response *own_answer(CpCall *c);
-static void resume(CpCall *c);
 static void finish(CpCall *c, bool sent);
 
 static const char *const hop_headers[] = {
@@ -88,42 +87,29 @@
         return;
     }
     c->decided = true;
-    resume(c);
+    CpProxyFront_Resume(c);
 }
 
 void
-CpProxyFront_Begin(CpCall *c)
+CpProxyFront_Resume(CpCall *c)
 {
-    c->step.type = CP_STEP_ANSWER;
-    c->decided = true;
-    resume(c);
-}
-
-void
-CpProxyFront_More(CpCall *c)
-{
-    resume(c);
+    CpProxyWorker_Unwatch(c->worker, c);
+    if (c->suspended) {
+        c->suspended = false;
+        c->worker->resumed = true;
+        MHD_resume_connection(c->conn);
+    }
 }
 
 void
 CpProxyFront_Gone(CpCall *c)
 {
-    const CpProxyPolicy *p = &c->worker->proxy->options.policy;
-    if (c->attempt.streamed) {
-        CpProxyAttempt_Leave(c);
-        resume(c);
-        return;
-    }
-    if (c->decided) {
+    if (c->decided && !c->attempt.streamed) {
         return;
     }
     c->gone = c->decided = true;
-    if (c->attempt.easy != NULL) {
-        p->abandoned(p->ctx, &c->request, CP_ATTEMPT_CANCELLED,
-                     CpClock_Now_ns() - c->attempt.started_ns);
-    }
-    CpProxyAttempt_Abort(c);
-    resume(c);
+    CpProxyAttempt_Leave(c);
+    CpProxyFront_Resume(c);
 }
 
 void
@@ -136,7 +122,7 @@
     CpProxyAttempt_Abort(c);
     c->decided = true;
     refuse(c, sent ? CP_REASON_DEADLINE_PASSED : CP_REASON_CONNECT_FAILED, 0);
-    resume(c);
+    CpProxyFront_Resume(c);
 }
 
 void
@@ -238,10 +224,7 @@
     }
     *state = NULL;
     CpProxyWorker_Unwatch(w, c);
-    if (c->attempt.streamed) {
-        CpProxyAttempt_Leave(c);
-    }
-    CpProxyAttempt_Abort(c);
+    CpProxyAttempt_Leave(c);
     if (c->begun) {
         pthread_mutex_lock(&w->lock);
         if (c->prev != NULL) {
@@ -428,7 +411,7 @@
         CpProxyAttempt_Unpause(c);
         return (ssize_t)n;
     }
-    if (a->over) {
+    if (a->easy == NULL) { /* nothing more comes */
         return a->whole ? MHD_CONTENT_READER_END_OF_STREAM
                         : MHD_CONTENT_READER_END_WITH_ERROR;
     }
@@ -464,17 +447,6 @@
     return r;
 }
 
-static void
-resume(CpCall *c)
-{
-    CpProxyWorker_Unwatch(c->worker, c);
-    if (c->suspended) {
-        c->suspended = false;
-        c->worker->resumed = true;
-        MHD_resume_connection(c->conn);
-    }
-}
-
 static void
 finish(CpCall *c, bool sent)
 {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -32,8 +32,7 @@
     uint64_t length_bytes; /* streamed: of the whole body, as told */
     bool streamed;         /* the body is passed on as it comes */
     bool paused;           /* the server has to wait for the caller */
-    bool over;             /* streamed: nothing more comes */
-    bool whole;            /* and all of it came */
+    bool whole;            /* streamed: it has ended, and all of it came */
 } CpProxyAttempt;
 
 struct CpCall {
@@ -103,10 +102,8 @@
 CpStatus CpProxyFront_Open(CpProxyWorker *w);
 /* Carries a decided step out: another attempt, or the caller's answer. */
 void CpProxyFront_Step(CpCall *c, const CpStep *step);
-/* A streamed answer began: its head is complete. */
-void CpProxyFront_Begin(CpCall *c);
-/* More of a streamed answer came, or its end. */
-void CpProxyFront_More(CpCall *c);
+/* Goes on with a connection that waits for its answer, or for more of it. */
+void CpProxyFront_Resume(CpCall *c);
 /* The caller went away, or the deadline passed. */
 void CpProxyFront_Gone(CpCall *c);
 void CpProxyFront_Late(CpCall *c);
@@ -125,7 +122,7 @@
 void CpProxyAttempt_Collect(CpProxyWorker *w);
 /* Goes on with an answer that waited for its caller. */
 void CpProxyAttempt_Unpause(CpCall *c);
-/* Ends a streamed answer; one that still comes has lost its caller. */
+/* The caller is gone: an attempt under way is broken off and reported. */
 void CpProxyAttempt_Leave(CpCall *c);
 /* Takes the attempt off the worker; one under way is broken off. */
 void CpProxyAttempt_Abort(CpCall *c);
