--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -51,6 +51,7 @@
     int64_t total_us; /* until the answer, with what the way costs */
 } Option;
 
+static uint32_t faded(uint32_t value, int64_t age_ns, int64_t halving_ns);
 static bool fits_route(void *ctx, const CpFleetServer *v);
 static bool may_use(Search *q, const CpFleetServer *v);
 static bool warmup_allows(const Search *q, const CpFleetServer *v,
@@ -138,17 +139,16 @@
 int64_t
 CpFleet_Slow_milli(const CpFleetServer *v, int64_t now_ns)
 {
-    int64_t halvings = (now_ns - v->timed_ns) / SLOW_HALVING_NS;
-    int64_t slow = halvings < 16 ? (int64_t)v->slow_milli >> halvings : 0;
+    int64_t slow = faded(v->slow_milli, now_ns - v->timed_ns, SLOW_HALVING_NS);
     return slow >= CP_FLEET_STANDS_OUT_MILLI ? slow : 1000;
 }
 
 uint32_t
 CpFleet_Inside(const CpFleetServer *v, int64_t now_ns)
 {
-    int64_t halvings = (now_ns - v->loaded_ns) / OTHERS_HALVING_NS;
     uint32_t told = CpFleet_PeerCount(v, now_ns);
-    uint32_t others = halvings < 16 ? v->others_milli >> halvings : 0;
+    uint32_t others =
+        faded(v->others_milli, now_ns - v->loaded_ns, OTHERS_HALVING_NS);
     others = (others + 500) / 1000;
     return v->outstanding + (told > others ? told : others);
 }
@@ -165,6 +165,14 @@
            CpFleet_Slow_milli(v, now_ns) / 1000 / slots;
 }
 
+/* What was measured some time ago; it counts for half after each halving. */
+static uint32_t
+faded(uint32_t value, int64_t age_ns, int64_t halving_ns)
+{
+    int64_t halvings = age_ns / halving_ns;
+    return halvings < 16 ? value >> halvings : 0;
+}
+
 /* Whether the server takes new work, and in a region where it may run. */
 static bool
 fits_route(void *ctx, const CpFleetServer *v)
@@ -252,8 +260,7 @@
             return 0;
         }
     }
-    int64_t halvings = (q->now_ns - u->told_ns) / USUAL_HALVING_NS;
-    return halvings < 16 ? u->load_milli >> halvings : 0;
+    return faded(u->load_milli, q->now_ns - u->told_ns, USUAL_HALVING_NS);
 }
 
 static int64_t
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -35,6 +35,7 @@
 static void note(const CpFleet *f, const CpFleetServer *v, const char *what,
                  uint32_t ms);
 static uint32_t average(uint32_t old, uint32_t value);
+static uint32_t blend(uint32_t old, uint32_t value);
 
 const char *
 CpAttemptEnd_Name(CpAttemptEnd end)
@@ -103,7 +104,7 @@
             continue;
         }
         of[i]->load_milli =
-            first ? load_milli : (of[i]->load_milli * 7 + load_milli) / 8;
+            first ? load_milli : blend(of[i]->load_milli, load_milli);
         of[i]->told_ns = now_ns;
     }
 }
@@ -189,7 +190,7 @@
     default:
         return;
     }
-    v->fail_milli = (v->fail_milli * 7 + (failed ? 1000 : 0)) / 8;
+    v->fail_milli = blend(v->fail_milli, failed ? 1000 : 0);
     if (failed) {
         v->failed_ns = now_ns;
     }
@@ -222,12 +223,16 @@
     }
 }
 
+/* A moving average that begins with its first value. */
 static uint32_t
 average(uint32_t old, uint32_t value)
 {
-    if (old == 0) {
-        return value;
-    }
+    return old == 0 ? value : blend(old, value);
+}
+
+static uint32_t
+blend(uint32_t old, uint32_t value)
+{
     return (uint32_t)(((uint64_t)old * ((1u << WEIGHT_SHIFT) - 1) + value) >>
                       WEIGHT_SHIFT);
 }
--- a/src/fleet/fleet_place.c
+++ b/src/fleet/fleet_place.c
@@ -23,7 +23,7 @@
     uint32_t own;
     uint32_t own_domains; /* whether or not they have any */
     uint32_t region;      /* of this host */
-    uint32_t region_domains;
+    bool stays;           /* what leaves its domain stays in the region */
     uint32_t of[CP_FLEET_MAX_DOMAINS + 1];
 } Slots;
 
@@ -162,11 +162,16 @@
             out->of[v->domain_index] += v->entry.slots;
         }
     }
+    uint32_t others = 0; /* domains of the region */
     for (uint32_t i = 0; i < f->options.domain_count; i++) {
         CpNearness near = CpFleet_Nearness(f, i);
         out->own_domains += near <= reach(s);
-        out->region_domains += near <= CP_NEAR_REGION;
+        others += near == CP_NEAR_REGION;
     }
+    /* Domains that are short of slots would only send their own objects
+     * back. */
+    out->stays = reach(s) == CP_NEAR_DOMAIN && out->region > out->own &&
+                 out->region - out->own >= others * fair_slots(f, out);
 }
 
 /* How far away objects are still at home. */
@@ -177,9 +182,6 @@
                                                 : CP_NEAR_REGION;
 }
 
-/* What leaves its domain stays in the region where the region's other domains
- * have their fair part of the slots; those that are short of them themselves
- * would only send their own objects back. */
 static bool
 fits_scope(const CpFleet *f, const CpFleetService *s, const CpFleetServer *v,
            bool abroad, const Slots *slots)
@@ -188,12 +190,7 @@
     if (!abroad) {
         return near <= reach(s);
     }
-    if (reach(s) == CP_NEAR_DOMAIN && slots->region > slots->own &&
-        slots->region - slots->own >=
-            (slots->region_domains - 1) * fair_slots(f, slots)) {
-        return near == CP_NEAR_REGION;
-    }
-    return near > reach(s);
+    return slots->stays ? near == CP_NEAR_REGION : near > reach(s);
 }
 
 static bool
