admit: one rule for the slots of a server that takes work

Cause: read again: can_take() and the sum of slots told separately when a server rests and when it is tried with one request. Ruled out: other decisions: regress/admit prints the same. Change: taking_slots() of one server serves both; CpAdmit_TotalSlots() sums it.

--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -82,7 +82,8 @@
 static bool can_take(const CpAdmit *a, const Server *s, int64_t now_ns);
 static int64_t smooth(int64_t average_ns, int64_t sample_ns);
 static uint32_t open_slots(const CpAdmit *a);
-static uint32_t taking_slots(const CpAdmit *a, int64_t now_ns);
+static uint32_t taking_slots(const CpAdmit *a, const Server *s,
+                             int64_t now_ns);
 
 CpAdmit *
 CpAdmit_New(const CpAdmitOptions *options)
@@ -226,7 +227,11 @@
 uint32_t
 CpAdmit_TotalSlots(const CpAdmit *a, int64_t now_ns)
 {
-    return taking_slots(a, now_ns);
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < a->options.server_count; i++) {
+        n += taking_slots(a, &a->servers[i], now_ns);
+    }
+    return n;
 }
 
 int64_t
@@ -289,7 +294,7 @@
 static CpReason
 entry_reason(const CpAdmit *a, const CpAdmitItem *item, int64_t now_ns)
 {
-    uint32_t slots = taking_slots(a, now_ns);
+    uint32_t slots = CpAdmit_TotalSlots(a, now_ns);
     int64_t ahead_ns = 0;
     if (open_slots(a) == 0) {
         return CP_REASON_NO_SERVER;
@@ -505,12 +510,7 @@
 static bool
 can_take(const CpAdmit *a, const Server *s, int64_t now_ns)
 {
-    bool resting = back_ns(a, s, now_ns) > now_ns;
-    /* After a rest one request at a time, until one is answered. */
-    bool trying =
-        a->options.breaker && s->failures >= REST_FAILURES && s->inflight > 0;
-    return s->open && s->inflight < s->slots && now_ns < s->until_ns &&
-           !resting && !trying;
+    return s->inflight < taking_slots(a, s, now_ns) && now_ns < s->until_ns;
 }
 
 static int64_t
@@ -529,18 +529,14 @@
     return n;
 }
 
-/* Slots that take work now: none of a server that rests, and one of a server
- * that is tried again. */
+/* Slots of a server that take work now: none while it rests, then one, until
+ * a request is answered. */
 static uint32_t
-taking_slots(const CpAdmit *a, int64_t now_ns)
+taking_slots(const CpAdmit *a, const Server *s, int64_t now_ns)
 {
-    uint32_t n = 0;
-    for (uint32_t i = 0; i < a->options.server_count; i++) {
-        const Server *s = &a->servers[i];
-        bool tried = a->options.breaker && s->failures >= REST_FAILURES;
-        if (s->open && back_ns(a, s, now_ns) == now_ns) {
-            n += tried && s->slots > 0 ? 1 : s->slots;
-        }
+    bool tried = a->options.breaker && s->failures >= REST_FAILURES;
+    if (!s->open || back_ns(a, s, now_ns) > now_ns) {
+        return 0;
     }
-    return n;
+    return tried && s->slots > 0 ? 1 : s->slots;
 }
