The guard against a second send stands in one place

Cause: the check of repeated code: the soak's callers had the proxy's callback once more. Ruled out: http/backend's, which also looks at the slot's time, stays. Change: CpEasy_SendOnce(); the store's client does not use it yet, as that would change what it does (docs/INVARIANTS.md lists it).

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -26,6 +26,10 @@
 
 /* Sets up a call; the library copies the URL. */
 void CpEasy_Set(CURL *e, const char *url, int64_t timeout_ms);
+/* Sends the request once: the library would send it again where a kept
+ * connection broke. *sent tells whether its first byte was due; up to then the
+ * call is "not run". It outlives the call. */
+void CpEasy_SendOnce(CURL *e, bool *sent);
 /* Performs the call and appends the answer's body, at most max_bytes; the
  * call fails where it is longer. */
 CURLcode CpEasy_Read(CURL *e, GString *body, size_t max_bytes, long *status);
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -9,6 +9,8 @@
     size_t max_bytes;
 } Reader;
 
+static int on_prereq(void *ctx, char *local, char *remote, int local_port,
+                     int remote_port);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 
 CURL *
@@ -46,6 +48,14 @@
     curl_easy_setopt(e, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 }
 
+void
+CpEasy_SendOnce(CURL *e, bool *sent)
+{
+    *sent = false;
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, sent);
+}
+
 CURLcode
 CpEasy_Read(CURL *e, GString *body, size_t max_bytes, long *status)
 {
@@ -77,6 +87,20 @@
     return true;
 }
 
+/* Called right before the first byte is sent. */
+static int
+on_prereq(void *ctx, char *local, char *remote, int local_port,
+          int remote_port)
+{
+    bool *sent = ctx;
+    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    if (*sent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    *sent = true;
+    return CURL_PREREQFUNC_OK;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -34,7 +34,6 @@
 static void judge(const CpCall *c, CURLcode code, CpAttempt *out);
 static void begin_stream(CpCall *c);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
-static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static bool keep_header(CpCall *c, const char *name, const char *value);
 static bool is_credible(const CpProxyAttempt *a);
@@ -111,8 +110,8 @@
     curl_easy_setopt(e, CURLOPT_REQUEST_TARGET, c->request.target);
     curl_easy_setopt(e, CURLOPT_PRIVATE, c);
     curl_easy_setopt(e, CURLOPT_ERRORBUFFER, c->attempt.error);
-    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
-    curl_easy_setopt(e, CURLOPT_PREREQDATA, c);
+    /* whether it is sent again, the policy decides */
+    CpEasy_SendOnce(e, &c->attempt.sent);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, c);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
@@ -319,24 +318,6 @@
     return CURL_SOCKOPT_OK;
 }
 
-/* Called right before the first byte is sent: the last place that can still
- * say "not run". curl would send a request again where a kept connection
- * broke, with the time that was left at first; whether it is, the policy
- * decides. */
-static int
-on_prereq(void *ctx, char *local, char *remote, int local_port,
-          int remote_port)
-{
-    CpCall *call = ctx;
-    CpProxyAttempt *at = &call->attempt;
-    (void)local, (void)remote, (void)local_port, (void)remote_port;
-    if (at->sent) {
-        return CURL_PREREQFUNC_ABORT;
-    }
-    at->sent = true;
-    return CURL_PREREQFUNC_OK;
-}
-
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
--- a/standin/standin_callers.c
+++ b/standin/standin_callers.c
@@ -96,7 +96,6 @@
 static void choose_host(Caller *c, bool other);
 static bool look_up(Caller *c);
 static void take_hosts(Caller *c, const GString *text);
-static int on_prereq(void *ctx, char *a, char *b, int c, int d);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static uint64_t draw(Caller *c);
 
@@ -205,8 +204,7 @@
     curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
     curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
-    curl_easy_setopt(c->easy, CURLOPT_PREREQFUNCTION, on_prereq);
-    curl_easy_setopt(c->easy, CURLOPT_PREREQDATA, t);
+    CpEasy_SendOnce(c->easy, &t->sent);
     curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, t);
     if (t->pay) {
@@ -342,19 +340,6 @@
     json_decref(root);
 }
 
-/* The library would send a request again where a kept connection broke. */
-static int
-on_prereq(void *ctx, char *a, char *b, int c, int d)
-{
-    Try *t = ctx;
-    (void)a, (void)b, (void)c, (void)d;
-    if (t->sent) {
-        return CURL_PREREQFUNC_ABORT;
-    }
-    t->sent = true;
-    return CURL_PREREQFUNC_OK;
-}
-
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
