--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -38,6 +38,8 @@
     char home_region[CP_NAME_BYTES]; /* region of requests; "any": all */
     uint64_t random;                 /* of requests */
     uint64_t response_bytes;         /* of the responses that end attempts */
+    bool leaving;                    /* announced by the next response */
+    uint32_t pause_ms;               /* asked for by the next response */
     uint64_t sequence;
 } Script;
 
@@ -229,6 +231,12 @@
     else if (sscanf(line, "random %" SCNu64, &s->random) == 1) {
         s->tried_count = 0;
     }
+    else if (sscanf(line, "next answer pauses %u ms", &m) == 1) {
+        s->pause_ms = m;
+    }
+    else if (strcmp(line, "next answer leaves") == 0) {
+        s->leaving = true;
+    }
     else if (sscanf(line, "answers of %u bytes", &m) == 1) {
         s->response_bytes = m;
     }
@@ -354,7 +362,11 @@
     CpFleetAttemptResult r = {.instance = s->last.instance,
                               .latency_ns = ms * CP_NS_PER_MS,
                               .response_bytes = s->response_bytes,
+                              .leaving = s->leaving,
+                              .pause_ms = s->pause_ms,
                               .service = "s"};
+    s->leaving = false;
+    s->pause_ms = 0;
     for (uint32_t i = 0; i < CP_ATTEMPT_COUNT; i++) {
         if (strcmp(outcome, CpAttemptOutcome_Name(i)) == 0) {
             r.outcome = (CpAttemptOutcome)i;
--- a/regress/drive_platform.c
+++ b/regress/drive_platform.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "http/easy.h"
 #include "platform/platform.h"
 #include "regress.h"
 
@@ -46,6 +47,9 @@
         fprintf(out, "%s: %s %u %u %u\n", args, ok ? "load" : "none",
                 load.running, load.waiting, load.slots);
     }
+    else if (strcmp(line, "retry-after") == 0) {
+        fprintf(out, "%s: %u ms\n", args, CpEasy_ParseRetryAfter_ms(args));
+    }
     else if (strcmp(line, "directory") == 0) {
         const char *addresses[] = {args, "10.0.0.2:80"};
         char *text = CpPlatform_EncodeDirectory(addresses, 2, 3);
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -6,6 +6,7 @@
 #ifndef CP_BASE_H
 #define CP_BASE_H
 
+#include <pthread.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -72,6 +73,7 @@
     CP_REASON_WARMING_UP,
     CP_REASON_NO_ROUTE,
     CP_REASON_WRONG_SERVER,
+    CP_REASON_ANSWER_TOO_LARGE,
     CP_REASON_COUNT
 } CpReason;
 
@@ -99,6 +101,7 @@
     CP_COUNT_CONFIG_ACCEPTED,
     CP_COUNT_CONFIG_REJECTED,
     CP_COUNT_ROUTE_TYPES_UNKNOWN,
+    CP_COUNT_SERVER_ENTRIES_UNUSABLE,
     CP_COUNT_CONFIG_BYTES,
     CP_COUNT_PLATFORM_READS,
     CP_COUNT_PLATFORM_ERRORS,
@@ -185,9 +188,16 @@
  * fails after `probes` probes without a response. */
 CpStatus CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes);
 
-/* Reads the monotonic clock, which keeps running while the process is
- * paused. */
+/* Reads the steady clock, which keeps running while the process is paused or
+ * the machine is suspended, so that what expired meanwhile is seen to have
+ * expired. Changes of the time of day do not affect it. */
 int64_t CpClock_Now_ns(void);
+/* Initializes a condition variable for CpCond_Wait_ns(). */
+void CpCond_Init(pthread_cond_t *cond);
+/* Waits until the condition is signalled or `wait_ns` have passed; later after
+ * a suspension of the machine. */
+void CpCond_Wait_ns(pthread_cond_t *cond, pthread_mutex_t *lock,
+                    int64_t wait_ns);
 void CpSleep_ms(uint32_t ms);
 /* Reads the wall clock, for expiry times that are sent to other hosts. */
 int64_t CpClock_Wall_ms(void);
--- a/src/base/base_address.c
+++ b/src/base/base_address.c
@@ -10,6 +10,8 @@
 
 #include "base/base.h"
 
+static bool parse_port(const char *text, uint16_t *out);
+
 uint32_t
 CpAddress_Parse(const char *text, void *out)
 {
@@ -22,7 +24,10 @@
         return 0;
     }
     CpStr_Copy(ip, (size_t)(colon - text) + 1, text);
-    uint16_t port = htons((uint16_t)atoi(colon + 1));
+    uint16_t port = 0;
+    if (!parse_port(colon + 1, &port)) {
+        return 0;
+    }
     if (inet_pton(AF_INET, ip, &a4->sin_addr) == 1) {
         a4->sin_family = AF_INET;
         a4->sin_port = port;
@@ -36,6 +41,20 @@
     return 0;
 }
 
+/* Parses a decimal port from 1 to 65535, in network byte order. */
+static bool
+parse_port(const char *text, uint16_t *out)
+{
+    uint32_t port = 0;
+    size_t digits = strspn(text, "0123456789");
+    if (digits == 0 || digits > 5 || text[digits] != '\0') {
+        return false;
+    }
+    port = (uint32_t)strtoul(text, NULL, 10);
+    *out = htons((uint16_t)port);
+    return port >= 1 && port <= UINT16_MAX;
+}
+
 int32_t
 CpSocket_Bind(const char *address)
 {
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -50,6 +50,8 @@
                                   "Configurations that failed their checks"},
     [CP_COUNT_ROUTE_TYPES_UNKNOWN] = {"route_types_unknown",
                                       "Routes of an unknown type accepted"},
+    [CP_COUNT_SERVER_ENTRIES_UNUSABLE] =
+        {"server_entries_unusable", "Entries of servers that name no server"},
     [CP_COUNT_CONFIG_BYTES] = {"config_bytes", "Configuration bytes sent"},
     [CP_COUNT_PLATFORM_READS] = {"platform_reads", "Platform reads"},
     [CP_COUNT_PLATFORM_ERRORS] = {"platform_errors",
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -102,6 +102,8 @@
     [CP_REASON_WRONG_SERVER] = {"wrong_server",
                                 "the address belongs to another server", 503,
                                 1},
+    [CP_REASON_ANSWER_TOO_LARGE] = {"answer_too_large",
+                                    "the answer has no end in sight", 502, 0},
 };
 
 CpStatus
--- a/src/base/base_timer.c
+++ b/src/base/base_timer.c
@@ -32,12 +32,8 @@
 CpTimer_New(void)
 {
     CpTimer *t = CpMem_Alloc(sizeof(*t));
-    pthread_condattr_t attr;
     pthread_mutex_init(&t->lock, NULL);
-    pthread_condattr_init(&attr);
-    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-    pthread_cond_init(&t->wake, &attr);
-    pthread_condattr_destroy(&attr);
+    CpCond_Init(&t->wake);
     return t;
 }
 
@@ -87,10 +83,8 @@
         pthread_mutex_unlock(&t->lock);
         int64_t due_ns = run_due(t, CpClock_Now_ns());
         pthread_mutex_lock(&t->lock);
-        struct timespec until = {.tv_sec = due_ns / CP_NS_PER_S,
-                                 .tv_nsec = due_ns % CP_NS_PER_S};
         if (!t->stopping) {
-            pthread_cond_timedwait(&t->wake, &t->lock, &until);
+            CpCond_Wait_ns(&t->wake, &t->lock, due_ns - CpClock_Now_ns());
         }
     }
     pthread_mutex_unlock(&t->lock);
--- a/src/base/base_util.c
+++ b/src/base/base_util.c
@@ -65,10 +65,31 @@
 CpClock_Now_ns(void)
 {
     struct timespec ts;
-    clock_gettime(CLOCK_MONOTONIC, &ts);
+    clock_gettime(CLOCK_BOOTTIME, &ts);
     return ts.tv_sec * CP_NS_PER_S + ts.tv_nsec;
 }
 
+void
+CpCond_Init(pthread_cond_t *cond)
+{
+    pthread_condattr_t attr;
+    pthread_condattr_init(&attr);
+    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+    pthread_cond_init(cond, &attr);
+    pthread_condattr_destroy(&attr);
+}
+
+void
+CpCond_Wait_ns(pthread_cond_t *cond, pthread_mutex_t *lock, int64_t wait_ns)
+{
+    struct timespec until;
+    clock_gettime(CLOCK_MONOTONIC, &until);
+    int64_t ns = until.tv_nsec + (wait_ns > 0 ? wait_ns : 0);
+    until.tv_sec += ns / CP_NS_PER_S;
+    until.tv_nsec = ns % CP_NS_PER_S;
+    pthread_cond_timedwait(cond, lock, &until);
+}
+
 void
 CpSleep_ms(uint32_t ms)
 {
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -95,6 +95,7 @@
     CpEntryFollower *f = &e->followers[CP_TABLE_SERVERS];
     CpFleetHostCounts hosts;
     CpEntryHosts_CountSharing(e, &hosts);
+    CpAtomic_Store(&e->hosts_in_domain, hosts.in_domain);
     CpFleet_Tick(e->fleet, &hosts, now_ns);
     if (!CpAtomic_Load(&f->consecutive_errors) &&
         CpAtomic_Load(&e->lapsed_removal_due) &&
@@ -169,14 +170,12 @@
 {
     CpEntry *e = f->entry;
     char peer[CP_NAME_BYTES];
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    until.tv_sec += PEER_CHECK_S;
     pthread_mutex_lock(&e->store_lock);
     bool behind =
         __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
     if (!behind) {
-        pthread_cond_timedwait(&e->store_changed, &e->store_lock, &until);
+        CpCond_Wait_ns(&e->store_changed, &e->store_lock,
+                       PEER_CHECK_S * CP_NS_PER_S);
         behind =
             __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
     }
@@ -405,14 +404,10 @@
         CpSleep_ms(ms);
         return;
     }
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    int64_t ns = until.tv_nsec + (RECOVERY_WAIT_MS + ms) * CP_NS_PER_MS;
-    until.tv_sec += ns / CP_NS_PER_S;
-    until.tv_nsec = ns % CP_NS_PER_S;
     pthread_mutex_lock(&e->store_lock);
     if (!e->store_reachable) {
-        pthread_cond_timedwait(&e->store_changed, &e->store_lock, &until);
+        CpCond_Wait_ns(&e->store_changed, &e->store_lock,
+                       (RECOVERY_WAIT_MS + ms) * CP_NS_PER_MS);
     }
     pthread_mutex_unlock(&e->store_lock);
 }
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -11,6 +11,8 @@
 
 #define MAX_ADDRESSES 16   /* in a directory response; enough that some work */
 #define MAX_WARMUP_HOSTS 2 /* that share a cold server's warm-up rate */
+/* Until a row that was written has been read back through the feed. */
+#define OWN_ROW_WAIT_NS (3 * CP_NS_PER_S)
 /* Four report intervals within this domain. */
 #define LOCAL_REPORT_TIMEOUT_NS (2 * CP_NS_PER_S)
 /* Three report intervals; then the peers of a watching host follow the store
@@ -37,8 +39,9 @@
 CpEntryHosts_Tick(void *ctx, int64_t now_ns)
 {
     CpEntry *e = ctx;
-    (void)now_ns;
-    if (CpAtomic_Load(&e->leaving)) {
+    if (CpAtomic_Load(&e->leaving) ||
+        (e->own_row_written_ns > 0 &&
+         now_ns - e->own_row_written_ns < OWN_ROW_WAIT_NS)) {
         return;
     }
     pthread_mutex_lock(&e->hosts_lock);
@@ -51,7 +54,10 @@
     char *value = encode_host(e);
     CpStatus st = e->store->write_row(e->store->ctx, CP_TABLE_HOSTS,
                                       e->settings.host, value);
-    if (st != CP_OK) {
+    if (st == CP_OK) {
+        e->own_row_written_ns = now_ns;
+    }
+    else {
         CpEvent(CP_EVENT_DEPENDENCY, "host_row_not_written", "s:s", "error",
                 CpError_Message());
     }
@@ -85,6 +91,8 @@
     }
     if (usable) {
         bool same = host->incarnation == next.incarnation;
+        next.previous_incarnation =
+            same ? host->previous_incarnation : host->incarnation;
         next.last_report_sequence = same ? host->last_report_sequence : 0;
         next.last_report_ns = same ? host->last_report_ns : 0;
         next.last_watching_ns = same ? host->last_watching_ns : 0;
@@ -199,9 +207,12 @@
     pthread_mutex_lock(&e->hosts_lock);
     CpEntryHost *h = find_host(e, name);
     if (h != NULL) {
-        later = incarnation != h->incarnation ||
-                sequence > h->last_report_sequence;
+        bool restarted = incarnation != h->incarnation;
+        later = restarted ? incarnation != h->previous_incarnation
+                          : sequence > h->last_report_sequence;
         if (later) {
+            h->previous_incarnation =
+                restarted ? h->incarnation : h->previous_incarnation;
             h->incarnation = incarnation;
             h->last_report_sequence = sequence;
             h->leaving = leaving;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -18,7 +18,8 @@
     char inner[CP_ADDR_BYTES];
     char control[CP_ADDR_BYTES]; /* "": none */
     uint64_t incarnation;
-    bool unseen; /* not found yet by the current scan */
+    uint64_t previous_incarnation; /* its reports are late; 0: none */
+    bool unseen;                   /* not found yet by the current scan */
     bool leaving;
     bool silent; /* its reports have timed out */
     uint64_t last_report_sequence;
@@ -66,6 +67,7 @@
     CpPages *control; /* NULL: none */
     CpStore *store;   /* for writes */
     CpEntryFollower followers[CP_TABLE_COUNT];
+    int64_t own_row_written_ns; /* by the timer's thread; 0: not yet */
 
     pthread_mutex_t store_lock; /* guards the next 4 */
     /* signalled when the store is reachable again or a peer has a later
@@ -90,6 +92,7 @@
     uint64_t report_sequence; /* of the last report sent; atomic */
     /* selects the recipient in each remote domain; guarded by hosts_lock */
     uint32_t remote_rotation;
+    uint32_t hosts_in_domain; /* that are not silent; atomic */
 
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
@@ -124,7 +127,9 @@
 
 /* neighbours: rows of the tables that hosts fetch from each other */
 void CpEntryNeighbours_Init(CpEntryFollower *f);
-void CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row);
+/* Returns false if a later version of the row is held: copies of other hosts
+ * may lag. */
+bool CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row);
 /* Rows that a scan did not contain are removed at its end. */
 void CpEntryNeighbours_BeginScan(CpEntryFollower *f);
 void CpEntryNeighbours_EndScan(CpEntryFollower *f);
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -27,6 +27,7 @@
 static json_t *render_table(CpEntryFollower *f, uint64_t after);
 static json_t *fetch_page(const char *address, const char *path);
 static void apply_rows(CpEntryFollower *f, const json_t *rows);
+static bool is_held(CpEntryFollower *f, const char *key);
 static void free_row(void *p);
 
 void
@@ -36,17 +37,26 @@
     f->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
 }
 
-void
+bool
 CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row)
 {
-    CachedRow *cached = CpMem_Alloc(sizeof(*cached));
-    cached->value =
-        row->deleted ? NULL : g_strndup(row->value, row->value_bytes);
-    cached->version = row->version;
     pthread_mutex_lock(&f->rows_lock);
-    cached->scan_number = f->scan_number;
-    g_hash_table_replace(f->rows, g_strdup(row->key), cached);
+    const CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    bool is_later = held == NULL || held->version <= row->version;
+    if (is_later) {
+        /* What is no text is no entry, and could not be served as JSON. */
+        bool is_text =
+            g_utf8_validate(row->value, (gssize)row->value_bytes, NULL);
+        CachedRow *cached = CpMem_Alloc(sizeof(*cached));
+        cached->value = row->deleted ? NULL
+                        : is_text    ? g_strndup(row->value, row->value_bytes)
+                                     : g_strdup("");
+        cached->version = row->version;
+        cached->scan_number = f->scan_number;
+        g_hash_table_replace(f->rows, g_strdup(row->key), cached);
+    }
     pthread_mutex_unlock(&f->rows_lock);
+    return is_later;
 }
 
 void
@@ -203,11 +213,13 @@
     return page;
 }
 
-/* Rows older than the held ones change nothing, and a scan of the store
- * replaces all of them. */
+/* Rows older than the held ones change nothing, and neither do those that are
+ * not held though this host has read the table beyond them: they are gone. */
 static void
 apply_rows(CpEntryFollower *f, const json_t *rows)
 {
+    uint64_t read_version =
+        __atomic_load_n(&f->read_version, __ATOMIC_RELAXED);
     json_t *o;
     size_t k;
     json_array_foreach(rows, k, o)
@@ -223,10 +235,21 @@
                          .deleted = value == NULL,
                          .version = (uint64_t)json_integer_value(
                              json_object_get(o, "version"))};
-        CpEntryFollow_OnRow(f, &row);
+        if (row.version > read_version || is_held(f, key)) {
+            CpEntryFollow_OnRow(f, &row);
+        }
     }
 }
 
+static bool
+is_held(CpEntryFollower *f, const char *key)
+{
+    pthread_mutex_lock(&f->rows_lock);
+    bool held = g_hash_table_contains(f->rows, key);
+    pthread_mutex_unlock(&f->rows_lock);
+    return held;
+}
+
 static void
 free_row(void *p)
 {
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -39,12 +39,8 @@
     e->settings = *s;
     e->adapter = *options->adapter;
     e->incarnation = CpRandom();
-    pthread_condattr_t attr;
     pthread_mutex_init(&e->store_lock, NULL);
-    pthread_condattr_init(&attr);
-    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-    pthread_cond_init(&e->store_changed, &attr);
-    pthread_condattr_destroy(&attr);
+    CpCond_Init(&e->store_changed);
     pthread_mutex_init(&e->routes_lock, NULL);
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->retry_budget_lock, NULL);
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -14,6 +14,9 @@
 
 #define MAX_REPORT_ROWS 64 /* servers in one report */
 #define MAX_RECIPIENTS 128 /* of one report: two domains and some others */
+/* With more hosts in a domain, reports of each request would cost more than
+ * the requests; the complete reports have to do. */
+#define MAX_HOSTS_FOR_USAGE 8
 
 static void *receive_thread(void *ctx);
 static void on_report(CpEntry *e, const CpReportFrame *r);
@@ -49,6 +52,9 @@
 {
     CpFleetUsage usage;
     CpEntryAddress to[MAX_RECIPIENTS];
+    if (CpAtomic_Load(&e->hosts_in_domain) > MAX_HOSTS_FOR_USAGE) {
+        return;
+    }
     if (!CpFleet_GetUsage(e->fleet, service, instance, CpClock_Now_ns(),
                           &usage)) {
         return;
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -148,9 +148,15 @@
 static bool
 may_stream(void *ctx, const CpRequest *rq, const CpAttemptResult *head)
 {
-    (void)ctx, (void)rq;
-    return head->outcome == CP_ATTEMPT_ANSWERED && head->status < 300 &&
-           may_forward(head);
+    CpEntry *e = ctx;
+    const RequestState *s = rq->policy_data;
+    bool streams = head->outcome == CP_ATTEMPT_ANSWERED &&
+                   head->status < 300 && may_forward(head);
+    if (streams && head->leaving) { /* the caller learns of it now */
+        CpFleet_SetLeaving(e->fleet, s->service, s->choice.instance,
+                           CpClock_Now_ns());
+    }
+    return streams;
 }
 
 static void
@@ -420,6 +426,11 @@
                               .outcome = outcome,
                               .latency_ns = latency_ns};
     if (a != NULL) {
+        if (a->head_latency_ns > 0) {
+            r.latency_ns = a->head_latency_ns;
+        }
+        r.leaving = a->leaving;
+        r.pause_ms = a->pause_ms;
         r.has_load = a->has_load;
         r.load = a->load;
         r.warmup_left_ms = a->warmup_left_ms;
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -13,7 +13,11 @@
     if (row->version > __atomic_load_n(&f->row_version, __ATOMIC_RELAXED)) {
         __atomic_store_n(&f->row_version, row->version, __ATOMIC_RELAXED);
     }
-    CpEntryNeighbours_UpdateRow(f, row);
+    if (!CpEntryNeighbours_UpdateRow(f, row)) {
+        CpEvent(CP_EVENT_STATE, "row_older", "s:s,s:I", "key", row->key,
+                "row_version", (json_int_t)row->version);
+        return;
+    }
     switch (f->table) {
     case CP_TABLE_OPERATOR:
         on_operator_row(f->entry, row);
@@ -128,6 +132,7 @@
     }
     if (e->adapter.decode_server(row->key, row->value, row->value_bytes,
                                  &entry) != CP_OK) {
+        CpCounter_Add(CP_COUNT_SERVER_ENTRIES_UNUSABLE, 1);
         CpEvent(CP_EVENT_STATE, "server_entry_unusable", "s:s,s:s,s:I",
                 "instance", row->key, "error", CpError_Message(),
                 "row_version", (json_int_t)row->version);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -154,10 +154,14 @@
     const char *service;
     const char *instance;
     CpAttemptOutcome outcome;
+    /* until the head of the response: the server's work, without the transfer
+     * of the body; without a response, until the end of the attempt */
     int64_t latency_ns;
     bool has_load;
     CpServerLoad load;
     uint32_t warmup_left_ms; /* from the response; 0: warm or not reported */
+    uint32_t pause_ms; /* the server wants no requests for so long; 0: none */
+    bool leaving;      /* the server announced that it leaves */
     uint64_t response_bytes;
 } CpFleetAttemptResult;
 /* Ends an attempt that CpFleet_Choose() began and updates the server's
@@ -165,6 +169,11 @@
 void CpFleet_EndAttempt(CpFleet *f, const CpFleetAttemptResult *r,
                         int64_t now_ns);
 
+/* Takes a server that announced that it leaves out of use, until another
+ * incarnation of it is started. */
+void CpFleet_SetLeaving(CpFleet *f, const char *service, const char *instance,
+                        int64_t now_ns);
+
 /* Numbers of entry hosts that share this host's callers or servers, this host
  * included. */
 typedef struct {
@@ -180,7 +189,7 @@
  * `server_hash` are hashes of their names. */
 void CpFleet_SetPeerLoad(CpFleet *f, uint64_t peer, uint64_t server_hash,
                          uint32_t inflight, int64_t now_ns);
-/* Clears the loads that a host reported, before a full report of it: at
+/* Clears the loads that a host reported, before a complete report of it: at
  * servers that the report leaves out it has no requests. */
 void CpFleet_ClearPeerLoads(CpFleet *f, uint64_t peer);
 
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -25,6 +25,8 @@
 /* A few times the longest work; most work has ended after the half-life. */
 #define TYPICAL_LOAD_MAX_AGE_NS (3 * CP_NS_PER_S)
 #define TYPICAL_LOAD_HALF_LIFE_NS (1 * CP_NS_PER_S)
+/* As often as hosts tell that they are there. */
+#define WARMUP_SHARE_TTL_NS (500 * CP_NS_PER_MS)
 #define PROBE_ONE_IN 8         /* requests; all hosts probe at the same time */
 #define HIGH_LOAD_MILLI 700    /* of the slots; above, queues grow */
 #define FAILURE_COST 3         /* of a failed attempt, in mean work times */
@@ -42,6 +44,7 @@
     bool is_probe;     /* treats servers of domains without reports as idle */
     bool skipped_cold; /* a server was skipped because it is cold */
     bool skipped_busy; /* a server was skipped for lack of spare slots */
+    int64_t usable_ns; /* when the first of those that rest is usable again */
 } Search;
 
 /* A server that may get the request. */
@@ -55,10 +58,12 @@
 } Candidate;
 
 static uint32_t decay(uint32_t value, int64_t age_ns, int64_t half_life_ns);
-static bool is_allowed(void *ctx, const CpFleetServer *server);
-static bool is_usable(Search *q, const CpFleetServer *server);
-static bool warmup_allows(const Search *q, const CpFleetServer *server,
-                          uint32_t *host_count);
+static bool consider(Search *q, CpFleetServer *server, Candidate *out);
+static bool is_ideal(const Search *q, const Candidate *candidate);
+static bool is_usable(Search *q, CpFleetServer *server);
+static bool was_tried(const CpFleetRequest *request,
+                      const CpFleetServer *server);
+static bool warmup_allows(const Search *q, CpFleetServer *server);
 static uint32_t placement_of(const Search *q, const CpFleetServer *server);
 static uint32_t at_least_typical(const Search *q, const CpFleetServer *server,
                                  uint32_t inflight);
@@ -85,31 +90,23 @@
                 .request = request,
                 .now_ns = now_ns,
                 .is_probe = request->random % PROBE_ONE_IN == 0,
+                .usable_ns = INT64_MAX,
                 .cached = CpFleet_FindCached(s, request->object)};
     Candidate best = {.cost_us = INT64_MAX};
     memset(out, 0, sizeof(*out));
     s->requests_since_tick++;
-    CpFleet_PlaceObject(f, s, request->object, is_allowed, &q, &q.placement);
-    for (uint32_t i = 0; i < s->servers->len; i++) {
-        CpFleetServer *server = g_ptr_array_index(s->servers, i);
-        if (!is_usable(&q, server)) {
-            continue;
-        }
-        Candidate candidate = {.server = server,
-                               .placement = placement_of(&q, server),
-                               .inflight = CpFleet_Inflight(server, now_ns)};
-        if (candidate.placement != 0) {
-            candidate.inflight =
-                at_least_typical(&q, server, candidate.inflight);
-        }
-        candidate.miss_milli = miss_milli(&q, server, candidate.placement);
-        if (candidate.miss_milli > NON_PRIMARY_HIT_MILLI &&
-            !has_spare_slots(&candidate)) {
-            q.skipped_busy = true;
-            continue;
-        }
-        set_cost(&q, &candidate);
-        if (candidate.cost_us < best.cost_us) {
+    CpFleet_PlaceObject(f, s, request->object, request, &q.placement);
+    Candidate candidate;
+    /* Hundreds of others need no look if none of them can be better. */
+    bool ideal = q.placement.primary != NULL &&
+                 consider(&q, q.placement.primary, &candidate) &&
+                 is_ideal(&q, &candidate);
+    if (ideal) {
+        best = candidate;
+    }
+    for (uint32_t i = 0; !ideal && i < s->servers->len; i++) {
+        if (consider(&q, g_ptr_array_index(s->servers, i), &candidate) &&
+            candidate.cost_us < best.cost_us) {
             best = candidate;
         }
     }
@@ -121,7 +118,11 @@
         out->wait_ms = (uint32_t)(best.wait_us / 1000);
         out->expected_ms =
             best.server != NULL ? (uint32_t)(best.cost_us / 1000) : 0;
-        out->retry_after_ms = retry_after_ms(request, best.wait_us);
+        bool all_rest =
+            reason == CP_REASON_NO_SERVER && q.usable_ns != INT64_MAX;
+        out->retry_after_ms = retry_after_ms(
+            request,
+            all_rest ? (q.usable_ns - now_ns) / CP_NS_PER_US : best.wait_us);
     }
     pthread_mutex_unlock(&shard->lock);
     return reason;
@@ -154,7 +155,7 @@
 }
 
 uint32_t
-CpFleet_Inflight(const CpFleetServer *server, int64_t now_ns)
+CpFleet_Inflight(CpFleetServer *server, int64_t now_ns)
 {
     uint32_t reported = CpFleet_PeerInflight(server, now_ns);
     uint32_t others =
@@ -184,39 +185,72 @@
     return half_lives < 16 ? value >> half_lives : 0;
 }
 
-/* Returns true if the server may get new requests and is in a region where the
- * request may run. */
+/* Fills in the candidate; returns false if the server is not one. */
 static bool
-is_allowed(void *ctx, const CpFleetServer *server)
+consider(Search *q, CpFleetServer *server, Candidate *out)
 {
-    const Search *q = ctx;
-    const CpFleet *f = q->fleet;
-    if (!CpFleet_IsEligible(f, server)) {
+    if (!is_usable(q, server)) {
+        return false;
+    }
+    *out = (Candidate){.server = server,
+                       .placement = placement_of(q, server),
+                       .inflight = CpFleet_Inflight(server, q->now_ns)};
+    if (out->placement != 0) {
+        out->inflight = at_least_typical(q, server, out->inflight);
+    }
+    out->miss_milli = miss_milli(q, server, out->placement);
+    if (out->miss_milli > NON_PRIMARY_HIT_MILLI && !has_spare_slots(out)) {
+        q->skipped_busy = true;
         return false;
     }
+    set_cost(q, out);
+    return true;
+}
+
+/* Returns true if the candidate costs no more than the mean work: only the
+ * primary server has neither a locality cost nor a cache miss. */
+static bool
+is_ideal(const Search *q, const Candidate *candidate)
+{
+    return candidate->cost_us <= q->service->mean_work_us;
+}
+
+bool
+CpFleet_IsHome(const CpFleet *f, const CpFleetServer *server,
+               const CpFleetRequest *request)
+{
+    if (request->home_region_count == 0) {
+        return true;
+    }
     const char *region = server->domain_index < f->options.domain_count
                              ? f->domains[server->domain_index].region
                              : "";
-    return CpRegion_IsHome(q->request->home_regions,
-                           q->request->home_region_count, region);
+    return CpRegion_IsHome(request->home_regions, request->home_region_count,
+                           region);
 }
 
+/* Returns true if the server may get the request now. Of the servers that
+ * could otherwise, remembers when the first is usable again. */
 static bool
-is_usable(Search *q, const CpFleetServer *server)
+is_usable(Search *q, CpFleetServer *server)
 {
-    uint32_t host_count;
-    if (!is_allowed(q, server) || server->ejected_until_ns > q->now_ns) {
+    if (!CpFleet_IsEligible(q->fleet, server) ||
+        !CpFleet_IsHome(q->fleet, server, q->request) ||
+        was_tried(q->request, server)) {
+        return false;
+    }
+    int64_t rest_until_ns = server->ejected_until_ns > server->paused_until_ns
+                                ? server->ejected_until_ns
+                                : server->paused_until_ns;
+    if (rest_until_ns > q->now_ns) {
+        q->usable_ns =
+            rest_until_ns < q->usable_ns ? rest_until_ns : q->usable_ns;
         return false;
     }
     if (server->consecutive_failures > 0 && server->inflight > 0) {
         return false; /* one request at a time until it responds again */
     }
-    for (uint32_t i = 0; i < q->request->tried_count; i++) {
-        if (strcmp(q->request->tried[i], server->entry.instance) == 0) {
-            return false;
-        }
-    }
-    if (!warmup_allows(q, server, &host_count)) {
+    if (!warmup_allows(q, server)) {
         q->skipped_cold = true;
         return false;
     }
@@ -224,20 +258,38 @@
 }
 
 static bool
-warmup_allows(const Search *q, const CpFleetServer *server,
-              uint32_t *host_count)
+was_tried(const CpFleetRequest *request, const CpFleetServer *server)
+{
+    for (uint32_t i = 0; i < request->tried_count; i++) {
+        if (strcmp(request->tried[i], server->entry.instance) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Which hosts share a cold server's rate takes long to find out for each
+ * request, so the answer is kept for a moment. */
+static bool
+warmup_allows(const Search *q, CpFleetServer *server)
 {
     const CpFleetOptions *options = &q->fleet->options;
-    *host_count = 1;
     if (server->cold_until_ns <= q->now_ns) {
         return true;
     }
-    if (options->get_warmup_share != NULL &&
-        !options->get_warmup_share(options->ctx, server->entry.instance,
-                                   server->entry.domain, host_count)) {
+    if (server->next_request_ns > q->now_ns) {
         return false;
     }
-    return server->next_request_ns <= q->now_ns;
+    if (server->warmup_share_until_ns <= q->now_ns) {
+        uint32_t host_count = 1;
+        bool allowed =
+            options->get_warmup_share == NULL ||
+            options->get_warmup_share(options->ctx, server->entry.instance,
+                                      server->entry.domain, &host_count);
+        server->warmup_host_count = allowed ? host_count : 0;
+        server->warmup_share_until_ns = q->now_ns + WARMUP_SHARE_TTL_NS;
+    }
+    return server->warmup_host_count > 0;
 }
 
 static uint32_t
@@ -315,8 +367,7 @@
 {
     uint32_t inflight = 0, slots = 0;
     for (uint32_t i = 0; i < q->service->servers->len; i++) {
-        const CpFleetServer *server =
-            g_ptr_array_index(q->service->servers, i);
+        CpFleetServer *server = g_ptr_array_index(q->service->servers, i);
         if (CpFleet_IsEligible(q->fleet, server) &&
             CpFleet_Locality(q->fleet, server->domain_index) !=
                 CP_LOCALITY_REMOTE) {
@@ -370,13 +421,11 @@
 assign_request(Search *q, const Candidate *best, CpFleetChoice *out)
 {
     CpFleetServer *server = best->server;
-    uint32_t host_count;
     out->cold = server->cold_until_ns > q->now_ns;
-    if (out->cold && warmup_allows(q, server, &host_count) &&
-        q->service->warmup_per_s_milli > 0) {
+    if (out->cold && q->service->warmup_per_s_milli > 0) {
         server->next_request_ns =
-            q->now_ns +
-            CP_NS_PER_S * 1000 * host_count / q->service->warmup_per_s_milli;
+            q->now_ns + CP_NS_PER_S * 1000 * server->warmup_host_count /
+                            q->service->warmup_per_s_milli;
     }
     server->inflight++;
     if (q->request->object != NULL) {
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -14,6 +14,15 @@
 #define CP_FLEET_SLOW_OUTLIER_MILLI 4000
 #define CP_FLEET_MAX_CACHED 4 /* servers recorded for an object */
 
+typedef struct CpFleetServer CpFleetServer;
+
+/* An object's primary and secondary server; either may be NULL. */
+typedef struct {
+    CpFleetServer *primary;
+    CpFleetServer *secondary;
+    bool remote; /* placed outside the local scope */
+} CpFleetPlacement;
+
 /* Requests in flight of another host at a server. */
 typedef struct {
     uint64_t peer;
@@ -26,10 +35,13 @@
 typedef struct {
     uint64_t server_hashes[CP_FLEET_MAX_CACHED];
     int64_t sent_ns[CP_FLEET_MAX_CACHED];
+    /* The object's placement in the layout of this version; 0: none. */
+    uint32_t layout_version;
+    CpFleetPlacement placement;
 } CpFleetCached;
 
 /* One backend server, guarded by its shard's lock. */
-typedef struct {
+struct CpFleetServer {
     CpServerEntry entry;
     uint64_t hash;
     uint32_t domain_index; /* CP_FLEET_MAX_DOMAINS: not configured */
@@ -37,9 +49,14 @@
     bool lapsed;   /* entry missing after a store outage, not yet removed */
     bool unseen;   /* not found yet by the current scan */
     bool replaced; /* another instance responded at its address */
-    uint32_t inflight;   /* requests of this host */
-    uint32_t peer_count; /* used entries of `peers`; only grows */
+    uint32_t inflight;       /* requests of this host */
+    bool leaving;            /* announced in a response */
+    int64_t paused_until_ns; /* the server wants no requests until then */
+    uint32_t peer_count;     /* used entries of `peers`; only grows */
     CpFleetPeer peers[CP_FLEET_MAX_PEERS];
+    /* Sum of the recent entries of `peers`, and until when it holds. */
+    uint32_t peers_inflight;
+    int64_t peers_inflight_until_ns;
     uint32_t others_inflight_milli; /* of other hosts, from load reports */
     int64_t load_report_ns;         /* last load in a response; 0: none */
     uint32_t slowness_milli;        /* work time over the mean; 1000: equal */
@@ -50,7 +67,21 @@
     int64_t ejected_until_ns;
     int64_t cold_until_ns;
     int64_t next_request_ns; /* earliest time of the next request while cold */
-} CpFleetServer;
+    /* Part of this host in the server's warm-up rate, and until when it is
+     * taken to be unchanged; 0 hosts: none. */
+    uint32_t warmup_host_count;
+    int64_t warmup_share_until_ns;
+};
+
+/* What has to outlast the entry of a server: the entry may lapse and return,
+ * and a copy of the table may lag. Void for another incarnation. */
+typedef struct {
+    uint64_t server_hash;
+    int64_t started_ms; /* of the incarnation; 0: unknown */
+    bool leaving;
+    int64_t paused_until_ns;
+    int64_t recorded_ns;
+} CpFleetNote;
 
 /* Typical load of a service's servers, from load reports: moving average of
  * the requests in flight at a server over its slots. */
@@ -59,6 +90,36 @@
     int64_t last_report_ns; /* 0: none */
 } CpFleetTypicalLoad;
 
+/* Slots of a service: in all domains, in the local scope of this host's
+ * objects, and by domain. */
+typedef struct {
+    uint32_t all;
+    uint32_t local;
+    uint32_t local_domains; /* with or without slots */
+    uint32_t region;        /* of this host */
+    bool remote_in_region;  /* objects placed remotely stay in the region */
+    uint32_t by_domain[CP_FLEET_MAX_DOMAINS + 1];
+} CpFleetSlots;
+
+/* A server that objects may be placed on, with its weight. */
+typedef struct {
+    CpFleetServer *server;
+    double weight;
+} CpFleetPlace;
+
+/* What placement computes from the servers of a service, until they change. */
+typedef struct {
+    CpFleetSlots slots;
+    CpFleetPlace *local; /* in the local scope */
+    CpFleetPlace *remote;
+    uint32_t local_count;
+    uint32_t remote_count;
+    uint32_t evacuations; /* changes counted when this was computed */
+    bool domain_scope;    /* local scope when this was computed */
+    bool valid;
+    uint32_t version; /* incremented each time */
+} CpFleetLayout;
+
 typedef struct {
     char name[CP_NAME_BYTES];
     uint32_t warmup_ms;
@@ -77,6 +138,7 @@
     CpFleetTypicalLoad typical_loads[CP_FLEET_MAX_DOMAINS + 1]; /* by domain */
     CpFleetTypicalLoad typical_load_all;
     int64_t last_tick_ns;
+    CpFleetLayout layout;
 } CpFleetService;
 
 typedef struct {
@@ -91,6 +153,13 @@
     uint32_t evacuated[CP_FLEET_MAX_DOMAINS]; /* flags, atomic */
     /* flags, atomic: set as evacuated by the current scan */
     uint32_t evacuated_in_scan[CP_FLEET_MAX_DOMAINS];
+    uint32_t evacuations; /* changes of `evacuated`; atomic */
+    /* of each domain, and of those that are not configured */
+    CpLocality localities[CP_FLEET_MAX_DOMAINS + 1];
+    pthread_mutex_t notes_lock; /* guards notes */
+    GHashTable *notes;          /* server hash -> CpFleetNote */
+    pthread_mutex_t peers_lock; /* guards peers; taken before a shard's */
+    GHashTable *peers; /* host hash -> GArray of the servers it reported */
     CpFleetShard shards[CP_FLEET_SHARDS];
 };
 
@@ -110,14 +179,14 @@
  * slow outlier. */
 int64_t CpFleet_Slowness_milli(const CpFleetServer *server, int64_t now_ns);
 /* Returns the requests in flight at the server, of this host and of others. */
-uint32_t CpFleet_Inflight(const CpFleetServer *server, int64_t now_ns);
+uint32_t CpFleet_Inflight(CpFleetServer *server, int64_t now_ns);
 /* Returns the expected time in the server's queue behind `inflight` requests.
  */
 int64_t CpFleet_ExpectedWait_us(const CpFleetService *s,
                                 const CpFleetServer *server, uint32_t inflight,
                                 int64_t now_ns);
 /* Returns the requests in flight of other hosts, from their recent reports. */
-uint32_t CpFleet_PeerInflight(const CpFleetServer *server, int64_t now_ns);
+uint32_t CpFleet_PeerInflight(CpFleetServer *server, int64_t now_ns);
 /* Returns the servers recorded for an object, or NULL. */
 const CpFleetCached *CpFleet_FindCached(const CpFleetService *s,
                                         const char *object);
@@ -128,20 +197,24 @@
 /* Records a request for the object, after which the server has it cached. */
 void CpFleet_RecordCached(CpFleetService *s, const char *object,
                           uint64_t server_hash, int64_t now_ns);
-/* Returns true if the server may get new requests at all: neither draining,
+/* Returns true if the server may get new requests at all: neither leaving,
  * nor evacuated, nor replaced. */
 bool CpFleet_IsEligible(const CpFleet *f, const CpFleetServer *server);
+/* Returns true if the server is in a region where the request may run. */
+bool CpFleet_IsHome(const CpFleet *f, const CpFleetServer *server,
+                    const CpFleetRequest *request);
 
-/* An object's primary and secondary server among those that `filter` accepts;
- * either may be NULL. */
-typedef struct {
-    CpFleetServer *primary;
-    CpFleetServer *secondary;
-    bool remote; /* placed outside the local scope */
-} CpFleetPlacement;
-typedef bool (*CpFleetFilterFn)(void *ctx, const CpFleetServer *server);
-void CpFleet_PlaceObject(const CpFleet *f, const CpFleetService *s,
-                         const char *object, CpFleetFilterFn filter, void *ctx,
+/* Finds an object's primary and secondary server in the given home regions;
+ * none: in all. */
+void CpFleet_PlaceObject(const CpFleet *f, CpFleetService *s,
+                         const char *object, const CpFleetRequest *request,
                          CpFleetPlacement *out);
+/* Marks the placement as changed, after a change of the service's servers. */
+void CpFleet_InvalidateLayout(CpFleetService *s);
+void CpFleet_ClearLayout(CpFleetLayout *layout);
+/* Records a note of a server, or applies one to a server that returned. */
+void CpFleet_RecordNote(CpFleet *f, const CpFleetServer *server,
+                        int64_t now_ns);
+void CpFleet_ApplyNote(CpFleet *f, CpFleetServer *server, int64_t now_ns);
 
 #endif
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -31,10 +31,15 @@
                              CpFleetServer *server,
                              const CpFleetAttemptResult *r, int64_t now_ns);
 static uint32_t clamp_work_us(uint32_t average_us, uint32_t work_us);
-static void record_failure(const CpFleet *f, CpFleetServer *server,
+static void record_failure(const CpFleet *f, CpFleetService *s,
+                           CpFleetServer *server,
                            const CpFleetAttemptResult *r, int64_t now_ns);
 static void eject(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
                   int64_t now_ns);
+static void set_leaving(CpFleet *f, CpFleetService *s, CpFleetServer *server,
+                        int64_t now_ns);
+static void pause_server(CpFleet *f, CpFleetServer *server, uint32_t pause_ms,
+                         int64_t now_ns);
 static void report_change(const CpFleet *f, const CpFleetServer *server,
                           const char *change, uint32_t ms);
 static uint32_t moving_average(uint32_t old, uint32_t value);
@@ -58,7 +63,7 @@
         }
         record_work_time(f, s, server, r, now_ns);
         record_load(s, server, r, now_ns);
-        record_failure(f, server, r, now_ns);
+        record_failure(f, s, server, r, now_ns);
         if (r->outcome == CP_ATTEMPT_UNREACHABLE ||
             (r->outcome == CP_ATTEMPT_BROKEN &&
              server->consecutive_failures >= EJECTION_FAILURES)) {
@@ -67,10 +72,56 @@
         if (r->warmup_left_ms > 0) {
             server->cold_until_ns = now_ns + r->warmup_left_ms * CP_NS_PER_MS;
         }
+        if (r->leaving) {
+            set_leaving(f, s, server, now_ns);
+        }
+        if (r->pause_ms > 0) {
+            pause_server(f, server, r->pause_ms, now_ns);
+        }
     }
     pthread_mutex_unlock(&shard->lock);
 }
 
+void
+CpFleet_SetLeaving(CpFleet *f, const char *service, const char *instance,
+                   int64_t now_ns)
+{
+    CpFleetService *s;
+    CpFleetShard *shard = CpFleet_LockService(f, service, &s);
+    CpFleetServer *server = CpFleet_FindServer(s, instance);
+    if (server != NULL) {
+        set_leaving(f, s, server, now_ns);
+    }
+    pthread_mutex_unlock(&shard->lock);
+}
+
+static void
+set_leaving(CpFleet *f, CpFleetService *s, CpFleetServer *server,
+            int64_t now_ns)
+{
+    if (server->leaving) {
+        return;
+    }
+    server->leaving = true;
+    CpFleet_InvalidateLayout(s);
+    CpFleet_RecordNote(f, server, now_ns);
+    report_change(f, server, "leaving", 0);
+}
+
+/* The latest answer counts, except that a shorter pause does not end a longer
+ * one: both were asked for. */
+static void
+pause_server(CpFleet *f, CpFleetServer *server, uint32_t pause_ms,
+             int64_t now_ns)
+{
+    int64_t until_ns = now_ns + pause_ms * CP_NS_PER_MS;
+    if (until_ns > server->paused_until_ns) {
+        server->paused_until_ns = until_ns;
+        CpFleet_RecordNote(f, server, now_ns);
+        report_change(f, server, "paused", pause_ms);
+    }
+}
+
 /* The reported load includes this host's own requests. */
 static void
 record_load(CpFleetService *s, CpFleetServer *server,
@@ -180,7 +231,7 @@
 }
 
 static void
-record_failure(const CpFleet *f, CpFleetServer *server,
+record_failure(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
                const CpFleetAttemptResult *r, int64_t now_ns)
 {
     bool failed = false, unavailable = false;
@@ -193,6 +244,7 @@
         break;
     case CP_ATTEMPT_WRONG_SERVER:
         server->replaced = true;
+        CpFleet_InvalidateLayout(s);
         report_change(f, server, "replaced", 0);
         failed = true;
         break;
@@ -218,8 +270,9 @@
         unavailable ? server->consecutive_failures + 1 : 0;
 }
 
-/* Ejects the server for a time that grows with each failure in a row. It may
- * return with an empty cache, so it is cold afterwards. */
+/* Ejects the server for a time that doubles with each failure in a row; the
+ * fourth one is taken as the end of the server, and the time is the longest.
+ * It may return with an empty cache, so it is cold afterwards. */
 static void
 eject(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
       int64_t now_ns)
--- a/src/fleet/fleet_peers.c
+++ b/src/fleet/fleet_peers.c
@@ -20,7 +20,8 @@
 } Visit;
 
 static void set_peer_load(CpFleet *f, CpFleetService *s, void *ctx);
-static void clear_peer_loads(CpFleet *f, CpFleetService *s, void *ctx);
+static void clear_peer_load(CpFleet *f, CpFleetService *s, void *ctx);
+static void note_peer_server(CpFleet *f, uint64_t peer, uint64_t server_hash);
 static void add_usage(CpFleet *f, CpFleetService *s, void *ctx);
 static CpFleetPeer *find_peer_entry(CpFleetServer *server, uint64_t peer,
                                     int64_t now_ns);
@@ -35,14 +36,28 @@
                    .server_hash = server_hash,
                    .inflight = inflight,
                    .now_ns = now_ns};
+    if (inflight > 0) {
+        note_peer_server(f, peer, server_hash);
+    }
     CpFleet_ForEachService(f, set_peer_load, &visit);
 }
 
+/* Visits only the servers that the host has reported: there may be thousands
+ * of others. */
 void
 CpFleet_ClearPeerLoads(CpFleet *f, uint64_t peer)
 {
-    Visit visit = {.peer = peer};
-    CpFleet_ForEachService(f, clear_peer_loads, &visit);
+    pthread_mutex_lock(&f->peers_lock);
+    GArray *servers = g_hash_table_lookup(f->peers, &peer);
+    for (guint i = 0; servers != NULL && i < servers->len; i++) {
+        Visit visit = {.peer = peer,
+                       .server_hash = g_array_index(servers, uint64_t, i)};
+        CpFleet_ForEachService(f, clear_peer_load, &visit);
+    }
+    if (servers != NULL) {
+        g_array_set_size(servers, 0);
+    }
+    pthread_mutex_unlock(&f->peers_lock);
 }
 
 bool
@@ -122,24 +137,45 @@
                          : NULL;
     if (p != NULL) {
         *p = (CpFleetPeer){visit->peer, visit->inflight, visit->now_ns};
+        server->peers_inflight_until_ns = 0;
     }
 }
 
 static void
-clear_peer_loads(CpFleet *f, CpFleetService *s, void *ctx)
+clear_peer_load(CpFleet *f, CpFleetService *s, void *ctx)
 {
     const Visit *visit = ctx;
     (void)f;
-    for (uint32_t i = 0; i < s->servers->len; i++) {
-        CpFleetServer *server = g_ptr_array_index(s->servers, i);
-        for (uint32_t k = 0; k < server->peer_count; k++) {
-            if (server->peers[k].peer == visit->peer) {
-                server->peers[k].inflight = 0;
-            }
+    CpFleetServer *server = CpFleet_FindServerByHash(s, visit->server_hash);
+    for (uint32_t i = 0; server != NULL && i < server->peer_count; i++) {
+        if (server->peers[i].peer == visit->peer) {
+            server->peers[i].inflight = 0;
+            server->peers_inflight_until_ns = 0;
         }
     }
 }
 
+static void
+note_peer_server(CpFleet *f, uint64_t peer, uint64_t server_hash)
+{
+    pthread_mutex_lock(&f->peers_lock);
+    GArray *servers = g_hash_table_lookup(f->peers, &peer);
+    if (servers == NULL) {
+        uint64_t *key = g_new(uint64_t, 1);
+        *key = peer;
+        servers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+        g_hash_table_insert(f->peers, key, servers);
+    }
+    bool found = false;
+    for (guint i = 0; i < servers->len && !found; i++) {
+        found = g_array_index(servers, uint64_t, i) == server_hash;
+    }
+    if (!found) {
+        g_array_append_val(servers, server_hash);
+    }
+    pthread_mutex_unlock(&f->peers_lock);
+}
+
 static void
 add_usage(CpFleet *f, CpFleetService *s, void *ctx)
 {
@@ -191,15 +227,21 @@
 }
 
 uint32_t
-CpFleet_PeerInflight(const CpFleetServer *server, int64_t now_ns)
+CpFleet_PeerInflight(CpFleetServer *server, int64_t now_ns)
 {
-    uint32_t n = 0;
+    if (now_ns < server->peers_inflight_until_ns) {
+        return server->peers_inflight;
+    }
+    int64_t until_ns = INT64_MAX;
+    server->peers_inflight = 0;
     for (uint32_t i = 0; i < server->peer_count; i++) {
         const CpFleetPeer *p = &server->peers[i];
-        if (p->last_report_ns > 0 &&
-            now_ns - p->last_report_ns < PEER_LOAD_TTL_NS) {
-            n += p->inflight;
+        int64_t expiry_ns = p->last_report_ns + PEER_LOAD_TTL_NS;
+        if (p->inflight > 0 && now_ns < expiry_ns) {
+            server->peers_inflight += p->inflight;
+            until_ns = expiry_ns < until_ns ? expiry_ns : until_ns;
         }
     }
-    return n;
+    server->peers_inflight_until_ns = until_ns;
+    return server->peers_inflight;
 }
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -21,6 +21,7 @@
 static void remove_lapsed(CpFleet *f, CpFleetService *s, void *ctx);
 static void mark_cold(CpFleet *f, CpFleetService *s, void *ctx);
 static void free_service(void *p);
+static CpLocality locality(const CpFleet *f, uint32_t i);
 static uint32_t domain_index(const CpFleet *f, const char *domain);
 static bool is_older(const CpServerEntry *entry, const CpServerEntry *current);
 
@@ -37,6 +38,14 @@
     memcpy(f->domains, options->domains, n * sizeof(*f->domains));
     f->options.domains = f->domains;
     f->own_domain_index = domain_index(f, options->domain);
+    for (uint32_t i = 0; i <= CP_FLEET_MAX_DOMAINS; i++) {
+        f->localities[i] = locality(f, i);
+    }
+    pthread_mutex_init(&f->notes_lock, NULL);
+    f->notes = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free);
+    pthread_mutex_init(&f->peers_lock, NULL);
+    f->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+                                     (GDestroyNotify)g_array_unref);
     for (uint32_t i = 0; i < CP_FLEET_SHARDS; i++) {
         pthread_mutex_init(&f->shards[i].lock, NULL);
         f->shards[i].services =
@@ -55,6 +64,10 @@
         g_hash_table_destroy(f->shards[i].services);
         pthread_mutex_destroy(&f->shards[i].lock);
     }
+    g_hash_table_destroy(f->notes);
+    pthread_mutex_destroy(&f->notes_lock);
+    g_hash_table_destroy(f->peers);
+    pthread_mutex_destroy(&f->peers_lock);
     free(f->domains);
     free(f);
 }
@@ -81,6 +94,7 @@
         pthread_mutex_unlock(&shard->lock);
         return;
     }
+    CpFleet_InvalidateLayout(s);
     bool restarted = server->entry.started_ms != entry->started_ms;
     if (restarted || strcmp(server->entry.address, entry->address) != 0) {
         uint32_t inflight = server->inflight;
@@ -92,6 +106,12 @@
     server->entry_ns = now_ns;
     server->domain_index = domain_index(f, entry->domain);
     server->unseen = server->lapsed = server->replaced = false;
+    if (!entry->draining) {
+        CpFleet_ApplyNote(f, server, now_ns);
+    }
+    else if (entry->started_ms > 0) { /* a restart can be told from a lag */
+        CpFleet_RecordNote(f, server, now_ns);
+    }
     if (entry->warmup_left_ms > 0) {
         int64_t until_ns = now_ns + entry->warmup_left_ms * CP_NS_PER_MS;
         if (until_ns > server->cold_until_ns) {
@@ -145,6 +165,7 @@
     }
     CpAtomic_Store(&f->evacuated[i], evacuated);
     CpAtomic_Store(&f->evacuated_in_scan[i], evacuated);
+    __atomic_add_fetch(&f->evacuations, 1, __ATOMIC_RELAXED);
 }
 
 void
@@ -218,16 +239,7 @@
 CpLocality
 CpFleet_Locality(const CpFleet *f, uint32_t i)
 {
-    if (i == f->own_domain_index) {
-        return CP_LOCALITY_DOMAIN;
-    }
-    if (i < f->options.domain_count &&
-        f->own_domain_index < f->options.domain_count &&
-        strcmp(f->domains[i].region, f->domains[f->own_domain_index].region) ==
-            0) {
-        return CP_LOCALITY_REGION;
-    }
-    return CP_LOCALITY_REMOTE;
+    return f->localities[i];
 }
 
 void
@@ -270,6 +282,7 @@
 static void
 remove_server(CpFleetService *s, CpFleetServer *server)
 {
+    CpFleet_InvalidateLayout(s);
     g_hash_table_remove(s->by_hash, &server->hash);
     g_ptr_array_remove_fast(s->servers, server);
 }
@@ -338,9 +351,24 @@
     g_hash_table_destroy(s->by_hash);
     g_ptr_array_unref(s->servers);
     g_hash_table_destroy(s->cached);
+    CpFleet_ClearLayout(&s->layout);
     free(s);
 }
 
+/* Domains that are not configured are remote, also to each other. */
+static CpLocality
+locality(const CpFleet *f, uint32_t i)
+{
+    if (i >= f->options.domain_count ||
+        f->own_domain_index >= f->options.domain_count) {
+        return CP_LOCALITY_REMOTE;
+    }
+    const char *region = f->domains[f->own_domain_index].region;
+    return i == f->own_domain_index                    ? CP_LOCALITY_DOMAIN
+           : strcmp(f->domains[i].region, region) == 0 ? CP_LOCALITY_REGION
+                                                       : CP_LOCALITY_REMOTE;
+}
+
 static uint32_t
 domain_index(const CpFleet *f, const char *domain)
 {
--- a/src/host/host_follow.c
+++ b/src/host/host_follow.c
@@ -278,14 +278,10 @@
 static void
 wait_for_wake(CpNode *n, int64_t wait_ms)
 {
-    struct timespec until;
-    clock_gettime(CLOCK_MONOTONIC, &until);
-    int64_t ns = until.tv_nsec + wait_ms * CP_NS_PER_MS;
-    until.tv_sec += ns / CP_NS_PER_S;
-    until.tv_nsec = ns % CP_NS_PER_S;
     pthread_mutex_lock(&n->follow_lock);
     if (!n->follow_pending && !n->follow_stop) {
-        pthread_cond_timedwait(&n->follow_wake, &n->follow_lock, &until);
+        CpCond_Wait_ns(&n->follow_wake, &n->follow_lock,
+                       wait_ms * CP_NS_PER_MS);
     }
     n->follow_pending = false;
     pthread_mutex_unlock(&n->follow_lock);
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -27,7 +27,6 @@
 CpNode_New(const CpSettings *settings, CpNode **out)
 {
     CpNode *n = CpMem_Alloc(sizeof(*n));
-    pthread_condattr_t attr;
     n->settings = *settings;
     n->incarnation = CpRandom();
     n->started_ns = CpClock_Now_ns();
@@ -42,10 +41,7 @@
     pthread_mutex_init(&n->shift_lock, NULL);
     pthread_mutex_init(&n->follow_lock, NULL);
     pthread_mutex_init(&n->install_lock, NULL);
-    pthread_condattr_init(&attr);
-    pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
-    pthread_cond_init(&n->follow_wake, &attr);
-    pthread_condattr_destroy(&attr);
+    CpCond_Init(&n->follow_wake);
     n->fetch_text = g_string_new(NULL);
     n->forwarded_inflight =
         CpMem_Alloc(MAX_HOSTS * CP_MAX_POOLS * sizeof(*n->forwarded_inflight));
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -45,4 +45,10 @@
 bool CpEasy_MatchHeader(const char *line, size_t n, const char *name,
                         char *value, size_t value_bytes);
 
+/* Decodes the value of a Retry-After header, seconds that may have a fraction.
+ * Returns 0 if it is not a positive number, and at most
+ * CP_EASY_MAX_RETRY_AFTER_MS. */
+#define CP_EASY_MAX_RETRY_AFTER_MS (10u * 60 * 1000)
+uint32_t CpEasy_ParseRetryAfter_ms(const char *value);
+
 #endif
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -1,4 +1,5 @@
 /* Outgoing HTTP calls: common options and the pool of handles. */
+#include <math.h>
 #include <string.h>
 #include <strings.h>
 
@@ -88,6 +89,20 @@
     return true;
 }
 
+uint32_t
+CpEasy_ParseRetryAfter_ms(const char *value)
+{
+    char *end;
+    double seconds = g_ascii_strtod(value, &end);
+    end += strspn(end, " \t");
+    if (end == value || *end != '\0' || !isfinite(seconds) || seconds <= 0) {
+        return 0;
+    }
+    return seconds * 1000 < CP_EASY_MAX_RETRY_AFTER_MS
+               ? (uint32_t)ceil(seconds * 1000)
+               : CP_EASY_MAX_RETRY_AFTER_MS;
+}
+
 /* Called right before the first byte is sent. */
 static int
 on_prereq(void *ctx, char *local, char *remote, int local_port,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -27,6 +27,7 @@
     const char *seal;            /* in a response: proof of its origin */
     const char *server_load;     /* in a response: load of the server */
     const char *warmup_left;   /* in a response: ms until the server is warm */
+    const char *leaving;       /* in a response: the server leaves */
     const char *object_cookie; /* cookie that names the object of a request */
     bool (*decode_load)(const char *text, CpServerLoad *out);
 } CpHeaderNames;
@@ -76,9 +77,12 @@
     CpVerdict verdict;
     uint32_t status; /* of the response; 0: none */
     int64_t latency_ns;
+    int64_t head_latency_ns; /* until the response's head; 0: none received */
     bool has_load;
     CpServerLoad load;
     uint32_t warmup_left_ms;
+    uint32_t pause_ms; /* the server wants no requests for so long; 0: none */
+    bool leaving;      /* the server announced that it leaves */
     uint64_t response_bytes;
 } CpAttemptResult;
 
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -2,9 +2,10 @@
  * Attempts at backend servers. A response is accepted only if it has the id of
  * its request, is sealed by the server if it is a success, and is complete. A
  * small response is buffered before any of it is forwarded, so that the
- * request can be retried if the response breaks off. A large one of known
- * length is streamed, because its caller would otherwise wait for it twice; if
- * it breaks off, the caller's connection is closed early.
+ * request can be retried if the response breaks off. A large one is streamed,
+ * because its caller would otherwise wait for it twice; if it breaks off, the
+ * caller's connection is closed early. Both parts of a response are bounded: a
+ * server in trouble may send bytes without end.
  */
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -21,7 +22,8 @@
 #define KEEPALIVE_IDLE_S 1      /* idle seconds before a probe */
 #define KEEPALIVE_PROBES 2
 #define IDLE_MARGIN_S 2 /* a server may be closing an idle connection */
-#define MAX_BUFFERED_BYTES (64u * 1024 * 1024) /* if not streamed */
+#define MAX_HEAD_BYTES (64u * 1024)       /* of all heads of one response */
+#define MAX_BUFFERED_BYTES (1024u * 1024) /* if not streamed */
 #define STREAM_MIN_BYTES (16u * 1024)     /* less arrives in one TCP window */
 #define STREAM_BUFFER_BYTES (256u * 1024) /* buffered for one slow caller */
 
@@ -36,7 +38,7 @@
 static void end_attempt(CpProxyExchange *ex, CURLcode code);
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
                          CpAttemptResult *out);
-static void stream_if_allowed(CpProxyExchange *ex);
+static void stream_if_allowed(CpProxyExchange *ex, bool received_much);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static bool read_header(CpProxyExchange *ex, const char *name,
@@ -234,15 +236,19 @@
 classify_end(const CpProxyExchange *ex, CURLcode code, CpAttemptResult *out)
 {
     const CpProxyAttempt *a = &ex->attempt;
-    *out = (CpAttemptResult){.latency_ns = CpClock_Now_ns() - a->started_ns,
-                             .status = a->status,
-                             .has_load = a->has_load,
-                             .load = a->load,
-                             .warmup_left_ms = a->warmup_left_ms,
-                             .response_bytes = a->body_bytes,
-                             .verdict = CP_MAY_HAVE_RUN,
-                             .outcome = CP_ATTEMPT_BROKEN,
-                             .reason = CP_REASON_SERVER_FAILED};
+    *out = (CpAttemptResult){
+        .latency_ns = CpClock_Now_ns() - a->started_ns,
+        .status = a->status,
+        .has_load = a->has_load,
+        .load = a->load,
+        .head_latency_ns = a->head_ns > 0 ? a->head_ns - a->started_ns : 0,
+        .warmup_left_ms = a->warmup_left_ms,
+        .leaving = a->leaving,
+        .pause_ms = a->status == 503 ? a->retry_after_ms : 0,
+        .response_bytes = a->body_bytes,
+        .verdict = CP_MAY_HAVE_RUN,
+        .outcome = CP_ATTEMPT_BROKEN,
+        .reason = CP_REASON_SERVER_FAILED};
     if (!a->sent) {
         out->verdict = CP_NOT_RUN;
         out->outcome = CP_ATTEMPT_UNREACHABLE;
@@ -251,6 +257,9 @@
     else if (a->mismatched) {
         out->reason = CP_REASON_ANSWER_CROSSED;
     }
+    else if (a->oversized) {
+        out->reason = CP_REASON_ANSWER_TOO_LARGE;
+    }
     else if (code != CURLE_OK) {
         out->reason = a->status != 0 ? CP_REASON_ANSWER_TRUNCATED
                                      : CP_REASON_SERVER_FAILED;
@@ -336,6 +345,11 @@
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
     size_t end = n;
+    a->head_bytes += n;
+    if (a->head_bytes > MAX_HEAD_BYTES) {
+        a->oversized = true;
+        return 0;
+    }
     while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
         end--;
     }
@@ -354,7 +368,8 @@
             return 0;
         }
         if (final) {
-            stream_if_allowed(ex);
+            a->head_ns = CpClock_Now_ns();
+            stream_if_allowed(ex, false);
         }
         return n;
     }
@@ -376,10 +391,11 @@
     return n;
 }
 
-/* Streams the body if it is large, its length is known and the policy accepts
- * the response. */
+/* Streams the body if it is large and the policy accepts the response.
+ * Without a length, that it is large shows when so much has been received; its
+ * end is then marked by chunks, which older callers do not know. */
 static void
-stream_if_allowed(CpProxyExchange *ex)
+stream_if_allowed(CpProxyExchange *ex, bool received_much)
 {
     const CpProxyAction respond = {.type = CP_ACTION_RESPOND};
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
@@ -387,13 +403,16 @@
     CpAttemptResult head;
     curl_easy_getinfo(ex->attempt.easy, CURLINFO_CONTENT_LENGTH_DOWNLOAD_T,
                       &length);
-    if (length < STREAM_MIN_BYTES || strcmp(ex->request.method, "HEAD") == 0) {
+    bool large = length >= STREAM_MIN_BYTES ||
+                 (length < 0 && received_much && ex->knows_chunks);
+    if (!large || strcmp(ex->request.method, "HEAD") == 0) {
         return;
     }
     classify_end(ex, CURLE_OK, &head);
     if (p->may_stream(p->ctx, &ex->request, &head)) {
         ex->attempt.streamed = true;
-        ex->attempt.content_length_bytes = (uint64_t)length;
+        ex->attempt.content_length_bytes =
+            length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)length;
         CpProxyFront_Execute(ex, &respond);
     }
 }
@@ -422,6 +441,12 @@
     else if (strcasecmp(name, names->warmup_left) == 0) {
         a->warmup_left_ms = (uint32_t)strtoul(value, NULL, 10);
     }
+    else if (strcasecmp(name, names->leaving) == 0) {
+        a->leaving = strcmp(value, "1") == 0;
+    }
+    else if (strcasecmp(name, "Retry-After") == 0) {
+        a->retry_after_ms = CpEasy_ParseRetryAfter_ms(value);
+    }
     else if (strcasecmp(name, "Keep-Alive") == 0) {
         const char *at = strstr(value, "timeout=");
         uint32_t timeout_s =
@@ -459,12 +484,17 @@
         return CURL_WRITEFUNC_PAUSE;
     }
     if (a->body->len + n > MAX_BUFFERED_BYTES) {
+        a->oversized = true;
         return 0;
     }
+    uint64_t before = a->body_bytes;
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
     if (a->streamed) {
         CpProxyFront_Resume(ex);
     }
+    else if (before < STREAM_MIN_BYTES && a->body_bytes >= STREAM_MIN_BYTES) {
+        stream_if_allowed(ex, true);
+    }
     return n;
 }
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -24,15 +24,21 @@
     bool has_load;
     uint32_t status;
     uint32_t warmup_left_ms;
+    uint32_t retry_after_ms; /* asked for by the server; 0: nothing */
+    bool leaving;            /* announced by the server */
     CpServerLoad load;
     int64_t started_ns;
+    int64_t head_ns;             /* when the head was received; 0: not yet */
     GPtrArray *response_headers; /* CpHeaderLine of the response */
     GByteArray *body;    /* of the response; streamed: the part not sent yet */
     uint64_t body_bytes; /* received */
-    uint64_t content_length_bytes; /* streamed: of the complete body */
-    bool streamed; /* the body is forwarded while it is received */
-    bool paused;   /* receiving waits until the caller has read more */
-    bool complete; /* streamed: the body was received completely */
+    /* streamed: of the complete body; MHD_SIZE_UNKNOWN: not announced */
+    uint64_t content_length_bytes;
+    uint64_t head_bytes; /* received, of interim responses too */
+    bool oversized;      /* the response exceeded a limit */
+    bool streamed;       /* the body is forwarded while it is received */
+    bool paused;         /* receiving waits until the caller has read more */
+    bool complete;       /* streamed: the body was received completely */
 } CpProxyAttempt;
 
 struct CpProxyExchange {
@@ -47,6 +53,7 @@
     uint64_t max_body_bytes;
     uint32_t framing_headers; /* that tell where the request's body ends */
     int64_t deadline_ns;      /* 0: not sent yet */
+    bool knows_chunks;        /* the caller speaks HTTP/1.1 */
     bool head_received;       /* of the request */
     bool started;
     bool suspended;
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -6,11 +6,14 @@
  *
  * /control?mode=M&ms=N&times=K sets the failure mode of the server addressed,
  * for its next K requests if K is given, and its service time; instance=I
- * changes its instance name. Counted for all servers together and served by
- * each: /stats has the totals, /ran?id=ID how often a request ran, /told?id=ID
- * the last timeout sent with it in ms, and /runs the run count of every id.
- * /arrived counts the requests received by the server addressed.
+ * changes its instance name; leaving=1 makes its responses announce that it
+ * leaves, and retry_after=TEXT adds that to its refusals. Counted for all
+ * servers together and served by each: /stats has the totals, /ran?id=ID how
+ * often a request ran, /told?id=ID the last timeout sent with it in ms, and
+ * /runs the run count of every id. /arrived counts the requests received by
+ * the server addressed.
  */
+#include <errno.h>
 #include <glib.h>
 #include <poll.h>
 #include <pthread.h>
@@ -25,6 +28,7 @@
 #define MAX_SERVERS 64
 #define BODY_PREFIX "answer to "
 #define LARGE_BLOCK_BYTES (8 * 1024)
+#define UNTIL_CLOSE_BYTES (100 * 1024) /* in MODE_UNTIL */
 
 typedef enum {
     MODE_OK = 0,
@@ -36,6 +40,12 @@
     MODE_UNSEALED, /* runs it and omits the seal */
     MODE_SILENT,   /* runs it and never responds */
     MODE_EXTRA,    /* runs it and sends a second response after the first */
+    MODE_JUNK, /* runs it and sends bytes that are no response, without end */
+    MODE_HEAD, /* runs it and sends a head without end */
+    MODE_INTERIM, /* runs it and sends interim responses without end */
+    MODE_BODY,    /* runs it and sends a body without end */
+    MODE_BREAK,   /* as MODE_BODY, but closes the connection after 300 KB */
+    MODE_UNTIL,   /* runs it and marks the end by closing the connection */
     MODE_COUNT
 } Mode;
 
@@ -48,6 +58,8 @@
     uint64_t mode_requests_left; /* before the mode ends; 0: no limit */
     uint64_t inflight;
     uint64_t arrived;
+    bool leaving;
+    char retry_after[32]; /* "": none */
 } Server;
 
 typedef struct {
@@ -75,8 +87,16 @@
     [MODE_UNSEALED] = "unsealed",
     [MODE_SILENT] = "silent",
     [MODE_EXTRA] = "extra",
+    [MODE_JUNK] = "junk",
+    [MODE_HEAD] = "head",
+    [MODE_INTERIM] = "interim",
+    [MODE_BODY] = "body",
+    [MODE_BREAK] = "break",
+    [MODE_UNTIL] = "until",
 };
 
+static uint64_t break_at_bytes = 300 * 1024; /* in MODE_BREAK */
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards all below */
 static Server servers[MAX_SERVERS];
 static GHashTable *run_counts;       /* request id -> runs */
@@ -105,6 +125,10 @@
                                                   uint64_t bytes, Mode mode);
 static ssize_t read_large(void *ctx, uint64_t pos, char *out, size_t capacity);
 static void end_large(void *ctx);
+static ssize_t read_endless(void *ctx, uint64_t pos, char *out,
+                            size_t capacity);
+static void send_endless(int32_t fd, Mode mode);
+static void send_until_close(int32_t fd, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
 static ssize_t read_short(void *ctx, uint64_t pos, char *out, size_t capacity);
 
@@ -221,6 +245,9 @@
     const char *instance =
         CpStandin_GetQueryText(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
+    s->leaving = CpStandin_GetQueryNumber(conn, "leaving", s->leaving) != 0;
+    CpStr_Copy(s->retry_after, sizeof(s->retry_after),
+               CpStandin_GetQueryText(conn, "retry_after", ""));
     pthread_mutex_unlock(&lock);
     return CpStandin_Respond(conn, 200, g_strdup("{}\n"));
 }
@@ -329,20 +356,35 @@
     if (!connected || mode == MODE_LOSE) {
         return MHD_NO;
     }
+    if (mode == MODE_JUNK || mode == MODE_HEAD || mode == MODE_INTERIM) {
+        send_endless(q->fd, mode);
+        return MHD_NO;
+    }
+    if (mode == MODE_UNTIL) {
+        send_until_close(q->fd, id, seal);
+        return MHD_NO;
+    }
     uint64_t large_bytes = CpStandin_GetQueryNumber(conn, "bytes", 0);
     char *text =
         g_strdup_printf(BODY_PREFIX "%s %s %s\n", method, url, q->body->str);
     size_t text_bytes = strlen(text);
     struct MHD_Response *r =
-        large_bytes > 0 ? create_large_response(conn, id, large_bytes, mode)
+        mode == MODE_BODY || mode == MODE_BREAK
+            ? MHD_create_response_from_callback(
+                  MHD_SIZE_UNKNOWN, LARGE_BLOCK_BYTES, read_endless,
+                  mode == MODE_BREAK ? &break_at_bytes : NULL, NULL)
+        : large_bytes > 0 ? create_large_response(conn, id, large_bytes, mode)
         : mode == MODE_SHORT
             ? MHD_create_response_from_callback(text_bytes + 100, 256,
                                                 read_short, text, g_free)
             : MHD_create_response_from_buffer(text_bytes, text,
                                               MHD_RESPMEM_MUST_FREE);
-    if (large_bytes > 0) {
+    if (large_bytes > 0 || mode == MODE_BODY || mode == MODE_BREAK) {
         g_free(text);
     }
+    if (s->leaving) {
+        MHD_add_response_header(r, "Server-Leaving", "1");
+    }
     MHD_add_response_header(r, "Chestnutpaddle-Attempt-Id",
                             mode == MODE_CROSS ? "another" : id);
     MHD_add_response_header(r, "Chestnutpaddle-Server-Load", load);
@@ -414,11 +456,76 @@
     else {
         MHD_add_response_header(r, "Chestnutpaddle-Not-Executed", "1");
     }
+    if (s->leaving) {
+        MHD_add_response_header(r, "Server-Leaving", "1");
+    }
+    if (status == 503 && s->retry_after[0] != '\0') {
+        MHD_add_response_header(r, "Retry-After", s->retry_after);
+    }
     enum MHD_Result ok = MHD_queue_response(conn, status, r);
     MHD_destroy_response(r);
     return ok;
 }
 
+/* Body callback: sends bytes until the client disconnects, or breaks off. */
+static ssize_t
+read_endless(void *ctx, uint64_t pos, char *out, size_t capacity)
+{
+    const uint64_t *break_at = ctx;
+    if (break_at != NULL && pos >= *break_at) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    memset(out, 'x', capacity);
+    return (ssize_t)capacity;
+}
+
+/* Sends until the client disconnects. */
+static void
+send_endless(int32_t fd, Mode mode)
+{
+    static const char line[] = "X-Filler: more and more and more of it\r\n";
+    static const char interim[] = "HTTP/1.1 102 Processing\r\n\r\n";
+    const char *text = mode == MODE_JUNK      ? "no such thing "
+                       : mode == MODE_INTERIM ? interim
+                                              : line;
+    bool ok = mode != MODE_HEAD ||
+              send(fd, "HTTP/1.1 200 OK\r\n", 17, MSG_NOSIGNAL) == 17;
+    while (ok) {
+        ssize_t n = send(fd, text, strlen(text), MSG_NOSIGNAL);
+        if (n < 0 && errno == EAGAIN) {
+            struct pollfd p = {.fd = fd, .events = POLLOUT};
+            poll(&p, 1, POLL_INTERVAL_MS);
+            continue;
+        }
+        ok = n >= 0;
+    }
+}
+
+static void
+send_until_close(int32_t fd, const char *id, const char *seal)
+{
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "HTTP/1.1 200 OK\r\nChestnutpaddle-Attempt-Id: %s\r\n"
+                    "Chestnutpaddle-Response-Seal: %s\r\n\r\n",
+                    id, seal);
+    for (uint32_t i = 0; i < UNTIL_CLOSE_BYTES; i++) {
+        g_string_append_c(text, 'u');
+    }
+    for (size_t at = 0; at < text->len;) {
+        ssize_t n = send(fd, text->str + at, text->len - at, MSG_NOSIGNAL);
+        struct pollfd p = {.fd = fd, .events = POLLOUT};
+        if (n < 0 && errno != EAGAIN) {
+            break;
+        }
+        if (n < 0) {
+            poll(&p, 1, POLL_INTERVAL_MS);
+        }
+        at += n > 0 ? (size_t)n : 0;
+    }
+    g_string_free(text, TRUE);
+}
+
 /* Waits for the service time or the request's timeout (0: none), whichever is
  * shorter; returns false if the client disconnects meanwhile. */
 static bool
