--- a/src/config/config.h
+++ b/src/config/config.h
@@ -60,6 +60,7 @@
     uint32_t retry_window_s;
     uint32_t directory_ttl_s;
     uint32_t watching_hosts; /* per domain; they follow the store */
+    bool first_start;        /* the hosts start together for the first time */
     uint32_t lapse_ms;       /* after a store outage, before missing
                                 server entries are removed */
 } CpSettings;
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -15,8 +15,13 @@
 #define RETRY_MAX_MS 400        /* so that a reachable store is soon used */
 #define RECOVERY_WAIT_MS 1000   /* while the operator's table retries */
 #define FIRST_HOST_WAIT_MS 2000 /* poll of the host that detects outages */
-#define PEER_CHECK_S 1          /* between checks for a watching peer */
-#define PROBE_WAIT_MS 100       /* poll while the store is unreachable */
+/* At a first start: the time for all hosts to write their rows, the time to
+ * load a table from a peer instead of the store, and between attempts. */
+#define START_SETTLE_MS 900
+#define START_LOAD_NS (5 * CP_NS_PER_S)
+#define START_POLL_MS 200
+#define PEER_CHECK_S 1    /* between checks for a watching peer */
+#define PROBE_WAIT_MS 100 /* poll while the store is unreachable */
 #define MIN_WAIT_NS (800 * CP_NS_PER_MS) /* for a response, before a stop */
 /* For a change to reach all hosts. */
 #define MAX_BEHIND_NS (400 * CP_NS_PER_MS)
@@ -28,6 +33,7 @@
 } TableInfo;
 
 static void *follow_thread(void *ctx);
+static bool load_at_start(CpEntryFollower *f, uint64_t *version);
 static bool reads_from_peer(CpEntryFollower *f, int64_t now_ns);
 static void wait_for_peer(CpEntryFollower *f, uint64_t *version);
 static void set_read_version(CpEntryFollower *f, uint64_t version);
@@ -123,6 +129,10 @@
             wait_for_peer(f, &version);
             continue;
         }
+        if (!scanned && load_at_start(f, &version)) {
+            scanned = true;
+            continue;
+        }
         CpStatus st =
             scanned ? f->store->follow(f->store->ctx, f->table, max_wait_ms(f),
                                        CpEntryFollow_OnRow, f, &version)
@@ -153,6 +163,43 @@
     return NULL;
 }
 
+/* When all hosts start together, most of them load the large tables from each
+ * other rather than from the store: each asks the host of half its rank, so
+ * that no host has to serve more than two others. Returns false if the table
+ * has to be scanned. */
+static bool
+load_at_start(CpEntryFollower *f, uint64_t *version)
+{
+    CpEntry *e = f->entry;
+    char parent[CP_NAME_BYTES];
+    if (!e->settings.first_start || *version > 0) {
+        return false;
+    }
+    if (f->table == CP_TABLE_HOSTS) { /* until all have written their rows */
+        CpSleep_ms(START_SETTLE_MS);
+        return false;
+    }
+    while (CpClock_Now_ns() - e->started_ns < START_LOAD_NS) {
+        uint64_t hosts_version = __atomic_load_n(
+            &e->followers[CP_TABLE_HOSTS].read_version, __ATOMIC_RELAXED);
+        if (hosts_version > 0 && !CpEntryHosts_GetParent(e, parent)) {
+            return false;
+        }
+        if (hosts_version > 0 &&
+            CpEntryNeighbours_LoadTable(f, parent, version) == CP_OK) {
+            CpEvent(CP_EVENT_DEPENDENCY, "table_loaded", "s:s,s:s,s:I",
+                    "table", table_info[f->table].label, "from", parent,
+                    "version", (json_int_t)*version);
+            set_read_version(f, *version);
+            return true;
+        }
+        CpSleep_ms(START_POLL_MS);
+    }
+    CpEvent(CP_EVENT_DEPENDENCY, "table_not_loaded", "s:s", "table",
+            table_info[f->table].label);
+    return false;
+}
+
 /* Returns true if this host is not a watching host and reads the table from a
  * peer that is. */
 static bool
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -15,6 +15,7 @@
 #define OWN_ROW_WAIT_NS (3 * CP_NS_PER_S)
 /* Four report intervals within this domain. */
 #define LOCAL_REPORT_TIMEOUT_NS (2 * CP_NS_PER_S)
+#define MAX_LOST_REMOTE_REPORTS 3 /* in a row, before a domain is silent */
 /* Three report intervals; then the peers of a watching host follow the store
  * themselves. */
 #define WATCHING_TIMEOUT_NS (1500 * CP_NS_PER_MS)
@@ -22,8 +23,12 @@
 #define FIRST_REPORT_TIMEOUT_NS (5 * CP_NS_PER_S)
 
 static CpEntryHost *find_host(CpEntry *e, const char *name);
+static uint32_t rank_in_domain(const CpEntry *e, const CpEntryHost *host);
 static const CpEntryHost *
 select_by_rotation(const CpEntry *e, const char *domain, uint32_t rotation);
+static void check_domain_silence(CpEntry *e, uint32_t domain_index,
+                                 uint32_t own_hosts, int64_t now_ns);
+static bool is_domain_silent(const CpEntry *e, const char *domain);
 static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
 static char *encode_host(const CpEntry *e);
 static const char *region_of(const CpEntry *e, const char *domain);
@@ -32,6 +37,8 @@
 CpEntryHosts_Init(CpEntry *e)
 {
     e->hosts = g_ptr_array_new_with_free_func(free);
+    e->domain_silent =
+        CpMem_Alloc((e->settings.domain_count + 1) * sizeof(bool));
 }
 
 /* The row is written again if the store has lost it or never had it. */
@@ -141,16 +148,35 @@
 uint32_t
 CpEntryHosts_Rank(CpEntry *e)
 {
-    uint32_t rank = 0;
+    CpEntryHost self = {0};
+    CpStr_Copy(self.name, sizeof(self.name), e->settings.host);
+    CpStr_Copy(self.domain, sizeof(self.domain), e->settings.domain);
     pthread_mutex_lock(&e->hosts_lock);
-    for (guint i = 0; i < e->hosts->len; i++) {
+    uint32_t rank = rank_in_domain(e, &self);
+    pthread_mutex_unlock(&e->hosts_lock);
+    return rank;
+}
+
+/* The other hosts of the domain are ranked by name, as for watching. */
+bool
+CpEntryHosts_GetParent(CpEntry *e, char out[CP_NAME_BYTES])
+{
+    uint32_t rank = CpEntryHosts_Rank(e);
+    bool found = false;
+    if (rank < e->settings.watching_hosts) {
+        return false;
+    }
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len && !found; i++) {
         const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
-        rank += !h->silent && !h->leaving &&
-                strcmp(h->domain, e->settings.domain) == 0 &&
-                strcmp(h->name, e->settings.host) < 0;
+        if (strcmp(h->domain, e->settings.domain) == 0 &&
+            rank_in_domain(e, h) == rank / 2) {
+            CpStr_Copy(out, CP_NAME_BYTES, h->name);
+            found = true;
+        }
     }
     pthread_mutex_unlock(&e->hosts_lock);
-    return rank;
+    return found;
 }
 
 bool
@@ -236,6 +262,9 @@
                                   2 +
                               LOCAL_REPORT_TIMEOUT_NS;
     pthread_mutex_lock(&e->hosts_lock);
+    for (uint32_t d = 0; d < e->settings.domain_count; d++) {
+        check_domain_silence(e, d, counts.in_domain, now_ns);
+    }
     for (guint i = 0; i < e->hosts->len; i++) {
         CpEntryHost *h = g_ptr_array_index(e->hosts, i);
         bool is_local = strcmp(h->domain, e->settings.domain) == 0;
@@ -245,7 +274,8 @@
                            : is_local             ? LOCAL_REPORT_TIMEOUT_NS
                                                   : remote_limit_ns;
         bool silent = strcmp(h->name, e->settings.host) != 0 &&
-                      now_ns - since_ns > limit_ns;
+                      (now_ns - since_ns > limit_ns ||
+                       (!is_local && is_domain_silent(e, h->domain)));
         if (silent != h->silent) {
             h->silent = silent;
             CpEvent(CP_EVENT_STATE, silent ? "host_silent" : "host_heard",
@@ -256,6 +286,43 @@
     pthread_mutex_unlock(&e->hosts_lock);
 }
 
+/* A host hears each host of a large remote domain rarely, but one of them each
+ * second. If it hears none, none of them is named any more. */
+static void
+check_domain_silence(CpEntry *e, uint32_t domain_index, uint32_t own_hosts,
+                     int64_t now_ns)
+{
+    const char *domain = e->settings.domains[domain_index].name;
+    int64_t last_ns = 0;
+    uint32_t count = 0;
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        if (strcmp(h->domain, domain) == 0) {
+            count++;
+            last_ns =
+                h->last_report_ns > last_ns ? h->last_report_ns : last_ns;
+        }
+    }
+    uint32_t rounds = count > 0 ? (own_hosts + count - 1) / count : 1;
+    int64_t limit_ns = (MAX_LOST_REMOTE_REPORTS + 1) * rounds *
+                           (int64_t)CP_ENTRY_REMOTE_REPORT_INTERVAL_MS *
+                           CP_NS_PER_MS +
+                       LOCAL_REPORT_TIMEOUT_NS / 2;
+    e->domain_silent[domain_index] =
+        last_ns > 0 && now_ns - last_ns > limit_ns;
+}
+
+static bool
+is_domain_silent(const CpEntry *e, const char *domain)
+{
+    for (uint32_t i = 0; i < e->settings.domain_count; i++) {
+        if (strcmp(e->settings.domains[i].name, domain) == 0) {
+            return e->domain_silent[i];
+        }
+    }
+    return false;
+}
+
 uint32_t
 CpEntryHosts_ListUsageRecipients(CpEntry *e, const CpFleetUsage *usage,
                                  CpEntryAddress *out, uint32_t capacity)
@@ -291,11 +358,15 @@
             CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
         }
     }
+    /* Hosts of a domain begin at different places, so that each remote host
+     * hears one of them at a time, all the time. */
+    const CpEntryHost *self = find_host(e, e->settings.host);
+    uint32_t rank = self != NULL ? rank_in_domain(e, self) : 0;
     for (uint32_t d = 0;
          remote && d < e->settings.domain_count && n < capacity; d++) {
         const char *domain = e->settings.domains[d].name;
         const CpEntryHost *h =
-            select_by_rotation(e, domain, e->remote_rotation);
+            select_by_rotation(e, domain, e->remote_rotation + rank);
         if (h != NULL && strcmp(domain, e->settings.domain) != 0) {
             CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
         }
@@ -383,6 +454,20 @@
     return NULL;
 }
 
+/* Returns the rank of a host by name among the live hosts of its domain. */
+static uint32_t
+rank_in_domain(const CpEntry *e, const CpEntryHost *host)
+{
+    uint32_t rank = 0;
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        rank += !h->silent && !h->leaving &&
+                strcmp(h->domain, host->domain) == 0 &&
+                strcmp(h->name, host->name) < 0;
+    }
+    return rank;
+}
+
 /* Selects a host of a domain by rotation; NULL if the domain has none. */
 static const CpEntryHost *
 select_by_rotation(const CpEntry *e, const char *domain, uint32_t rotation)
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -57,6 +57,7 @@
     CpSettings settings;
     CpEntryAdapter adapter;
     uint64_t incarnation;
+    int64_t started_ns;
     uint32_t leaving; /* flag; atomic */
     CpTimer *timer;
     CpFleet *fleet;
@@ -83,8 +84,9 @@
     CpRoutes *routes;            /* NULL: none in force yet */
     int64_t routes_since_ns;     /* when they came into force */
 
-    pthread_mutex_t hosts_lock; /* guards hosts */
+    pthread_mutex_t hosts_lock; /* guards the next 2 */
     GPtrArray *hosts;           /* CpEntryHost */
+    bool *domain_silent;        /* no host of the domain is heard */
 
     int32_t report_fd;
     pthread_t report_thread;
@@ -139,6 +141,10 @@
  * advances *version. */
 CpStatus CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
                                         uint64_t *version);
+/* Fetches all rows of a table from a host that has read it; *version becomes
+ * the version up to which it has. */
+CpStatus CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
+                                     uint64_t *version);
 uint32_t CpEntryNeighbours_RenderState(void *ctx, const CpPageQuery *q,
                                        char **out);
 
@@ -157,6 +163,9 @@
  * The first `watching_hosts` ranks follow the store; rank 0 detects that the
  * store is unreachable. */
 uint32_t CpEntryHosts_Rank(CpEntry *e);
+/* Copies the name of the host of this domain from which this one loads the
+ * tables at a first start; returns false if it has to read the store. */
+bool CpEntryHosts_GetParent(CpEntry *e, char out[CP_NAME_BYTES]);
 /* Returns true if a peer in this domain is a watching host. */
 bool CpEntryHosts_HasWatchingPeer(CpEntry *e, int64_t now_ns);
 /* Copies the control address of a host; returns false if it has none. */
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -14,6 +14,8 @@
 
 /* Two round trips between regions, and the transfer. */
 #define STATE_TIMEOUT_MS 600
+/* For all rows of a large table over a slow link. */
+#define LOAD_TIMEOUT_MS 2500
 #define MAX_STATE_BYTES (16u * 1024 * 1024)
 
 /* The last version read of a row. */
@@ -25,7 +27,10 @@
 
 static bool load_from(CpEntry *e, const char *address);
 static json_t *render_table(CpEntryFollower *f, uint64_t after);
-static json_t *fetch_page(const char *address, const char *path);
+static CpStatus fetch_rows(CpEntryFollower *f, const char *peer,
+                           uint32_t timeout_ms, uint64_t *version);
+static json_t *fetch_page(const char *address, const char *path,
+                          uint32_t timeout_ms);
 static void apply_rows(CpEntryFollower *f, const json_t *rows);
 static bool is_held(CpEntryFollower *f, const char *key);
 static void free_row(void *p);
@@ -97,6 +102,20 @@
 CpStatus
 CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
                                uint64_t *version)
+{
+    return fetch_rows(f, peer, STATE_TIMEOUT_MS, version);
+}
+
+CpStatus
+CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
+                            uint64_t *version)
+{
+    return fetch_rows(f, peer, LOAD_TIMEOUT_MS, version);
+}
+
+static CpStatus
+fetch_rows(CpEntryFollower *f, const char *peer, uint32_t timeout_ms,
+           uint64_t *version)
 {
     char address[CP_ADDR_BYTES], path[96];
     if (!CpEntryHosts_GetControlAddress(f->entry, peer, address)) {
@@ -104,7 +123,7 @@
     }
     snprintf(path, sizeof(path), "/state?table=%d&after=%llu", (int)f->table,
              (unsigned long long)*version);
-    json_t *state = fetch_page(address, path);
+    json_t *state = fetch_page(address, path, timeout_ms);
     const json_t *table =
         json_array_get(json_object_get(state, "tables"), f->table);
     uint64_t peer_version =
@@ -174,7 +193,7 @@
 static bool
 load_from(CpEntry *e, const char *address)
 {
-    json_t *state = fetch_page(address, "/state");
+    json_t *state = fetch_page(address, "/state", STATE_TIMEOUT_MS);
     const json_t *tables = json_object_get(state, "tables");
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
         apply_rows(&e->followers[i],
@@ -190,14 +209,14 @@
 
 /* Fetches a page of another host; NULL on failure. */
 static json_t *
-fetch_page(const char *address, const char *path)
+fetch_page(const char *address, const char *path, uint32_t timeout_ms)
 {
     char url[CP_ADDR_BYTES + 128];
     GString *text = g_string_new(NULL);
     CURL *easy = curl_easy_init();
     long status = 0;
     snprintf(url, sizeof(url), "http://%s%s", address, path);
-    CpEasy_SetDefaults(easy, url, STATE_TIMEOUT_MS);
+    CpEasy_SetDefaults(easy, url, timeout_ms);
     CURLcode code = CpEasy_Perform(easy, text, MAX_STATE_BYTES, &status);
     curl_easy_cleanup(easy);
     json_t *page = NULL;
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -39,6 +39,7 @@
     e->settings = *s;
     e->adapter = *options->adapter;
     e->incarnation = CpRandom();
+    e->started_ns = CpClock_Now_ns();
     pthread_mutex_init(&e->store_lock, NULL);
     CpCond_Init(&e->store_changed);
     pthread_mutex_init(&e->routes_lock, NULL);
