--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -179,9 +179,6 @@
     ex->fd = info->connect_fd;
     ex->headers = CpHeaderLine_NewList();
     ex->request.target = CpStr_Dup(uri);
-    pthread_mutex_lock(&w->lock);
-    w->active++; /* from here on a stop waits for the request's end */
-    pthread_mutex_unlock(&w->lock);
     return ex;
 }
 
@@ -244,12 +241,10 @@
         if (ex->next != NULL) {
             ex->next->prev = ex->prev;
         }
+        w->active--;
         pthread_mutex_unlock(&w->lock);
         finish_request(ex, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     }
-    pthread_mutex_lock(&w->lock);
-    w->active--;
-    pthread_mutex_unlock(&w->lock);
     CpProxyAttempt_Clear(ex);
     g_ptr_array_unref(ex->headers);
     if (ex->body != NULL) {
@@ -339,6 +334,7 @@
         ex->next->prev = ex;
     }
     w->exchanges = ex;
+    w->active++;
     pthread_mutex_unlock(&w->lock);
     CpCounter_Add(CP_COUNT_REQUESTS, 1);
     if (ex->decided) { /* the body was too large */
