entry: hosts that start first wait for peers also with the table of hosts

Change: in the first 5 s of a first start a host that is not to watch the store waits for a report instead.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -206,8 +206,11 @@
 reads_from_peer(CpEntryFollower *f, int64_t now_ns)
 {
     CpEntry *e = f->entry;
+    /* at a first start the first reports are still to come */
+    bool starting =
+        e->settings.first_start && now_ns - e->started_ns < START_LOAD_NS;
     return CpEntryHosts_Rank(e) >= e->settings.watching_hosts &&
-           CpEntryHosts_HasWatchingPeer(e, now_ns);
+           (starting || CpEntryHosts_HasWatchingPeer(e, now_ns));
 }
 
 /* Waits until a peer has read a later version and fetches the rows from it. If
