entry: a remote host that has not reported yet is not silent after 5 s

Change: before its first report it has as long as between two reports. The directory still names hosts that have reported first. Before / after: routes_start, routes_first_start, routes_change pass.

--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -270,9 +270,11 @@
         bool is_local = strcmp(h->domain, e->settings.domain) == 0;
         int64_t since_ns =
             h->last_report_ns > 0 ? h->last_report_ns : h->row_read_ns;
-        int64_t limit_ns = h->last_report_ns == 0 ? FIRST_REPORT_TIMEOUT_NS
-                           : is_local             ? LOCAL_REPORT_TIMEOUT_NS
-                                                  : remote_limit_ns;
+        int64_t limit_ns =
+            is_local ? LOCAL_REPORT_TIMEOUT_NS : remote_limit_ns;
+        if (h->last_report_ns == 0 && limit_ns < FIRST_REPORT_TIMEOUT_NS) {
+            limit_ns = FIRST_REPORT_TIMEOUT_NS;
+        }
         bool silent = strcmp(h->name, e->settings.host) != 0 &&
                       (now_ns - since_ns > limit_ns ||
                        (!is_local && is_domain_silent(e, h->domain)));
