entry: a host reports only versions that it can serve

Cause: in the middle of a scan a host reported the highest row that it had seen; a peer then asked it for rows that it does not serve yet, and went to the store instead. Change: until the table is read up to that row it reports none. Before / after: routes_relay, routes_first_start, routes_change pass.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -316,7 +316,11 @@
 uint64_t
 CpEntryFollow_RowVersion(CpEntry *e, CpTable table)
 {
-    return __atomic_load_n(&e->followers[table].row_version, __ATOMIC_RELAXED);
+    const CpEntryFollower *f = &e->followers[table];
+    uint64_t version = __atomic_load_n(&f->row_version, __ATOMIC_RELAXED);
+    return version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)
+               ? version
+               : 0;
 }
 
 static CpStatus
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -117,7 +117,8 @@
 uint32_t CpEntryFollow_LapseLeft_ms(CpEntry *e, int64_t now_ns);
 /* Sets that time as reported by a peer that reaches the store. */
 void CpEntryFollow_SetLapseLeft(CpEntry *e, uint32_t left_ms, int64_t now_ns);
-/* Returns the highest version of the rows read from a table. */
+/* Returns the highest version of the rows read from a table; 0 while rows are
+ * missing that other hosts would expect of this one. */
 uint64_t CpEntryFollow_RowVersion(CpEntry *e, CpTable table);
 
 /* Returns true during an outage of the store and for `lapse_ms` after it, when
