--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -15,10 +15,11 @@
 #define RETRY_MAX_MS 400        /* so that a reachable store is soon used */
 #define RECOVERY_WAIT_MS 1000   /* while the operator's table retries */
 #define FIRST_HOST_WAIT_MS 2000 /* poll of the host that detects outages */
-/* At a first start: the time for all hosts to write their rows, the time to
- * load a table from a peer instead of the store, and between attempts. */
-#define START_SETTLE_MS 900
-#define START_LOAD_NS (5 * CP_NS_PER_S)
+/* At a first start: the time for some hundred hosts to write their rows, which
+ * the store takes one after the other; the time to
+ * load a table from a peer instead of the store; and between attempts. */
+#define START_SETTLE_MS 1800
+#define START_LOAD_NS (6 * CP_NS_PER_S)
 #define START_POLL_MS 200
 #define PEER_CHECK_S 1    /* between checks for a watching peer */
 #define PROBE_WAIT_MS 100 /* poll while the store is unreachable */
