--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -15,11 +15,9 @@
 #define RETRY_MAX_MS 400        /* so that a reachable store is soon used */
 #define RECOVERY_WAIT_MS 1000   /* while the operator's table retries */
 #define FIRST_HOST_WAIT_MS 2000 /* poll of the host that detects outages */
-/* At a first start: the time for some hundred hosts to write their rows, which
- * the store takes one after the other; the time to
- * load a table from a peer instead of the store; and between attempts. */
+/* At a first start: for some hundred hosts to write their rows, which the
+ * store takes one after the other; and between attempts to load a table. */
 #define START_SETTLE_MS 1800
-#define START_LOAD_NS (6 * CP_NS_PER_S)
 #define START_POLL_MS 200
 #define PEER_CHECK_S 1    /* between checks for a watching peer */
 #define PROBE_WAIT_MS 100 /* poll while the store is unreachable */
@@ -180,7 +178,7 @@
         CpSleep_ms(START_SETTLE_MS);
         return false;
     }
-    while (CpClock_Now_ns() - e->started_ns < START_LOAD_NS) {
+    while (CpEntryHosts_IsStarting(e)) {
         uint64_t hosts_version = __atomic_load_n(
             &e->followers[CP_TABLE_HOSTS].read_version, __ATOMIC_RELAXED);
         if (hosts_version > 0 && !CpEntryHosts_GetParent(e, parent)) {
@@ -208,10 +206,9 @@
 {
     CpEntry *e = f->entry;
     /* at a first start the first reports are still to come */
-    bool starting =
-        e->settings.first_start && now_ns - e->started_ns < START_LOAD_NS;
     return CpEntryHosts_Rank(e) >= e->settings.watching_hosts &&
-           (starting || CpEntryHosts_HasWatchingPeer(e, now_ns));
+           (CpEntryHosts_IsStarting(e) ||
+            CpEntryHosts_HasWatchingPeer(e, now_ns));
 }
 
 /* Waits until a peer has read a later version and fetches the rows from it. If
