entry: a connection to the store that fails for a moment makes no entry lapse

Change: entries lapse after three report intervals of their servers. An outage counts only if no call was answered for two of them (setting report_interval_ms, from the platform's settings); any answer ends it. Before / after: regress/system/routes_lapse: 10 requests reached the server, then none; after an outage of 5 s it stays in use for 2 s as before.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -59,10 +59,11 @@
     uint32_t retry_burst;   /* further retries, all hosts together */
     uint32_t retry_window_s;
     uint32_t directory_ttl_s;
-    uint32_t watching_hosts; /* per domain; they follow the store */
-    bool first_start;        /* the hosts start together for the first time */
-    uint32_t lapse_ms;       /* after a store outage, before missing
-                                server entries are removed */
+    uint32_t watching_hosts;     /* per domain; they follow the store */
+    uint32_t report_interval_ms; /* of backend servers to the store */
+    bool first_start;  /* the hosts start together for the first time */
+    uint32_t lapse_ms; /* after a store outage, before missing
+                          server entries are removed */
 } CpSettings;
 bool CpSettings_ServesRoutes(const CpSettings *s);
 
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -42,6 +42,7 @@
     CP_U32_FIELD(CpSettings, retry_window_s, 1, 3600, 10, "s"),
     CP_U32_FIELD(CpSettings, directory_ttl_s, 1, 60, 2, "s"),
     CP_U32_FIELD(CpSettings, watching_hosts, 1, 64, 2, "hosts"),
+    CP_U32_FIELD(CpSettings, report_interval_ms, 100, 60000, 1500, "ms"),
     CP_BOOL_FIELD(CpSettings, first_start, 0),
     CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2000, "ms"),
     {0},
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -40,7 +40,8 @@
 static bool should_stop(void *ctx);
 static CpStatus scan_table(CpEntryFollower *f, uint64_t *version);
 static void record_result(CpEntryFollower *f, CpStatus st);
-static void record_recovery(CpEntryFollower *f, int64_t now_ns);
+static void record_answer(CpEntryFollower *f, bool was_connected,
+                          int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 static bool has_routes(CpEntry *e);
 static bool is_store_reachable(CpEntry *e);
@@ -368,9 +369,7 @@
     f->connected = st == CP_OK;
     if (st == CP_OK) {
         CpAtomic_Store(&f->consecutive_errors, 0);
-        if (!was_connected) {
-            record_recovery(f, CpClock_Now_ns());
-        }
+        record_answer(f, was_connected, CpClock_Now_ns());
         return;
     }
     CpAtomic_Store(&f->consecutive_errors, f->consecutive_errors + 1);
@@ -387,24 +386,32 @@
 }
 
 /* The first table that is read again sets the time since which the store is
- * reachable. */
+ * reachable. Entries lapse after three report intervals of their servers, so
+ * that none can have lapsed in less than two of them without an answer: then
+ * only this host's connection had failed. */
 static void
-record_recovery(CpEntryFollower *f, int64_t now_ns)
+record_answer(CpEntryFollower *f, bool was_connected, int64_t now_ns)
 {
     CpEntry *e = f->entry;
+    int64_t min_outage_ns = 2 * e->settings.report_interval_ms * CP_NS_PER_MS;
     pthread_mutex_lock(&e->store_lock);
     if (!e->store_reachable) {
         e->store_reachable = true;
-        e->store_reachable_since_ns = now_ns;
+        if (now_ns - e->store_answered_ns >= min_outage_ns) {
+            e->store_reachable_since_ns = now_ns;
+        }
         pthread_cond_broadcast(&e->store_changed);
     }
+    e->store_answered_ns = now_ns;
     pthread_mutex_unlock(&e->store_lock);
-    CpEvent(
-        CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
-        table_info[f->table].label, "away_ms",
-        (json_int_t)(f->unreachable_since_ns == 0
-                         ? 0
-                         : (now_ns - f->unreachable_since_ns) / CP_NS_PER_MS));
+    if (!was_connected) {
+        CpEvent(CP_EVENT_DEPENDENCY, "store_regained", "s:s,s:I", "table",
+                table_info[f->table].label, "away_ms",
+                (json_int_t)(f->unreachable_since_ns == 0
+                                 ? 0
+                                 : (now_ns - f->unreachable_since_ns) /
+                                       CP_NS_PER_MS));
+    }
 }
 
 bool
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -70,13 +70,16 @@
     CpEntryFollower followers[CP_TABLE_COUNT];
     int64_t own_row_written_ns; /* by the timer's thread; 0: not yet */
 
-    pthread_mutex_t store_lock; /* guards the next 4 */
+    pthread_mutex_t store_lock; /* guards the next 5 */
     /* signalled when the store is reachable again or a peer has a later
      * version */
     pthread_cond_t store_changed;
     bool store_reachable;
-    bool store_was_unreachable;       /* it has been unreachable before */
-    int64_t store_reachable_since_ns; /* when it was last reachable again */
+    bool store_was_unreachable; /* it has been unreachable before */
+    /* when it was last reachable again after an outage that may have made
+     * entries lapse */
+    int64_t store_reachable_since_ns;
+    int64_t store_answered_ns; /* last answer to any call of the followers */
     /* flag: lapsed entries may exist; atomic */
     uint32_t lapsed_removal_due;
 
