--- /dev/null
+++ b/build-address-undefined/src/base/base_error.d
@@ -0,0 +1,3 @@
+build-address-undefined/src/base/base_error.o: src/base/base_error.c \
+ src/base/base.h
+src/base/base.h:
