--- a/build-address-undefined/src/config/config_check.d
+++ /dev/null
@@ -1,6 +0,0 @@
-build-address-undefined/src/config/config_check.o: \
- src/config/config_check.c src/config/config_int.h src/config/config.h \
- src/base/base.h
-src/config/config_int.h:
-src/config/config.h:
-src/base/base.h:
