proxy: a retry does not use a kept connection

Ruled out: servers that rest (i-2 answered again 0.5 s before). Change: attempts after the first get a connection of their own. Before / after: system/routes_late (the stand-in repeats a stale response on reused connections): 3 of 4 requests lost, now none; no caller got another's answer in either.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -52,6 +52,7 @@
     CpProxyWorker *w = ex->worker;
     CpProxyAttempt *a = &ex->attempt;
     CpProxyAttempt_Clear(ex);
+    ex->attempts++;
     a->easy = CpEasyPool_Acquire(&w->easy_pool);
     a->response_headers = CpHeaderLine_NewList();
     a->body = g_byte_array_new();
@@ -145,8 +146,9 @@
                      (long)(keep_alive_s > IDLE_MARGIN_S
                                 ? keep_alive_s - IDLE_MARGIN_S
                                 : 1));
-    /* a reused connection may close without a response */
-    if (!action->idempotent) {
+    /* A reused connection may close without a response, or have a late one of
+     * another request; a retry shall not be lost to it, too. */
+    if (!action->idempotent || ex->attempts > 1) {
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     }
 }
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -15,6 +15,7 @@
  */
 #include <errno.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -45,6 +46,7 @@
     MODE_INTERIM, /* runs it and sends interim responses without end */
     MODE_BODY,    /* runs it and sends a body without end */
     MODE_BREAK,   /* as MODE_BODY, but closes the connection after 300 KB */
+    MODE_LATE,    /* before the response, repeats one of an earlier request */
     MODE_UNTIL,   /* runs it and marks the end by closing the connection */
     MODE_COUNT
 } Mode;
@@ -92,15 +94,20 @@
     [MODE_INTERIM] = "interim",
     [MODE_BODY] = "body",
     [MODE_BREAK] = "break",
+    [MODE_LATE] = "late",
     [MODE_UNTIL] = "until",
 };
 
+static const char stale_response[] =
+    "HTTP/1.1 200 OK\r\nChestnutpaddle-Attempt-Id: stale\r\n"
+    "Chestnutpaddle-Response-Seal: stale\r\nContent-Length: 5\r\n\r\nstale";
 static uint64_t break_at_bytes = 300 * 1024; /* in MODE_BREAK */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards all below */
 static Server servers[MAX_SERVERS];
-static GHashTable *run_counts;       /* request id -> runs */
-static GHashTable *last_timeouts_ms; /* request id -> timeout */
+static uint8_t port_uses[UINT16_MAX + 1]; /* requests by client port */
+static GHashTable *run_counts;            /* request id -> runs */
+static GHashTable *last_timeouts_ms;      /* request id -> timeout */
 /* Totals of all servers, for /stats. */
 static uint64_t arrived, run_total, refused, wrong_instance, cancelled,
     longest_timeout_ms, over_slots;
@@ -127,6 +134,10 @@
 static void end_large(void *ctx);
 static ssize_t read_endless(void *ctx, uint64_t pos, char *out,
                             size_t capacity);
+static void note_use(int32_t fd);
+static bool is_reused(int32_t fd);
+static uint32_t client_port(int32_t fd);
+static void send_stale(int32_t fd);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
@@ -212,17 +223,11 @@
 on_completed(void *ctx, struct MHD_Connection *conn, void **state,
              enum MHD_RequestTerminationCode code)
 {
-    static const char extra[] =
-        "HTTP/1.1 200 OK\r\nChestnutpaddle-Attempt-Id: stale\r\n"
-        "Chestnutpaddle-Response-Seal: stale\r\nContent-Length: "
-        "5\r\n\r\nstale";
     Request *q = *state;
     (void)ctx, (void)conn, (void)code;
     if (q != NULL) {
-        if (q->send_extra &&
-            send(q->fd, extra, sizeof(extra) - 1, MSG_NOSIGNAL) < 0) {
-            fprintf(stderr,
-                    "standin-routed: cannot send the extra response\n");
+        if (q->send_extra) {
+            send_stale(q->fd);
         }
         g_string_free(q->body, TRUE);
         free(q);
@@ -316,6 +321,7 @@
         timeout_ms > longest_timeout_ms ? timeout_ms : longest_timeout_ms;
     g_hash_table_replace(last_timeouts_ms, g_strdup(id),
                          GUINT_TO_POINTER(timeout_ms));
+    note_use(q->fd);
     Mode mode = s->mode;
     if (s->mode_requests_left > 0 && --s->mode_requests_left == 0) {
         s->mode = MODE_OK;
@@ -360,6 +366,9 @@
         send_endless(q->fd, mode);
         return MHD_NO;
     }
+    if (mode == MODE_LATE && is_reused(q->fd)) {
+        send_stale(q->fd);
+    }
     if (mode == MODE_UNTIL) {
         send_until_close(q->fd, id, seal);
         return MHD_NO;
@@ -479,6 +488,42 @@
     return (ssize_t)capacity;
 }
 
+/* Counts a request on a connection, by the client's port; under the lock. */
+static void
+note_use(int32_t fd)
+{
+    uint32_t port = client_port(fd);
+    port_uses[port] += port_uses[port] < UINT8_MAX;
+}
+
+static bool
+is_reused(int32_t fd)
+{
+    pthread_mutex_lock(&lock);
+    bool reused = port_uses[client_port(fd)] > 1;
+    pthread_mutex_unlock(&lock);
+    return reused;
+}
+
+static uint32_t
+client_port(int32_t fd)
+{
+    struct sockaddr_in client = {0};
+    socklen_t n = sizeof(client);
+    return getpeername(fd, (struct sockaddr *)&client, &n) == 0
+               ? ntohs(client.sin_port)
+               : 0;
+}
+
+static void
+send_stale(int32_t fd)
+{
+    if (send(fd, stale_response, sizeof(stale_response) - 1, MSG_NOSIGNAL) <
+        0) {
+        fprintf(stderr, "standin-routed: cannot send the extra response\n");
+    }
+}
+
 /* Sends until the client disconnects. */
 static void
 send_endless(int32_t fd, Mode mode)
