--- a/review/tools/common.sh
+++ b/review/tools/common.sh
@@ -129,7 +129,7 @@
     printf '{"resourceKind":"services","metadata":{"name":"%s"},"spec":{"healthPath":"/health","maxConnections":660,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":3.6}}' "$1"
 }
 limits() {
-    printf '{"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":1000000,"headerTimeoutMs":3000,"idleTimeoutMs":%s}}' "${1:-15000}"
+    printf '{"resourceKind":"limits","metadata":{},"spec":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":%s}}' "${1:-15000}"
 }
 # put_config VERSION RESOURCE...: writes a desired state.
 put_config() {
--- a/review/tools/lab.c
+++ b/review/tools/lab.c
@@ -16,6 +16,10 @@
  *   Sends one request on a new connection; prints STATUS and the seal or "-".
  * lab load ADDRESS METHOD PATH HOST PREFIX PER_S SECONDS TIMEOUT_MS RECORD
  *   Sends requests at a steady rate, each on a new connection.
+ * lab keep ADDRESS METHOD PATH HOST PREFIX COUNT SECONDS TIMEOUT_MS RECORD
+ *   Sends requests one after the other on each of COUNT kept connections.
+ * lab upload ADDRESS PATH HOST ID MB TIMEOUT_MS RECORD
+ *   Sends a POST with a body of that many MB on a new connection.
  * lab put STORE TABLE KEY VALUE | lab remove STORE TABLE KEY
  *   Writes or removes a row of the store; prints the status.
  * lab get ADDRESS PATH
@@ -393,6 +397,114 @@
     return status;
 }
 
+/* Sends requests on one connection until *ctx's time is over; records a closed
+ * connection as status 0. */
+typedef struct {
+    Call call;
+    const char *prefix;
+    int64_t until_ms;
+} Keeper;
+
+static void *
+keep_thread(void *ctx)
+{
+    Keeper *k = ctx;
+    Message *m = malloc(sizeof(*m));
+    int fd = -1;
+    for (int i = 0; now_ms() < k->until_ms; i++) {
+        char text[1024], seal[64] = "-";
+        int status = 0;
+        if (fd < 0) {
+            fd = connect_to(k->call.address);
+        }
+        if (fd < 0) {
+            sleep_ms(50);
+            continue;
+        }
+        int n = snprintf(text, sizeof(text),
+                         "%s %s HTTP/1.1\r\nHost: %s\r\n"
+                         "Chestnutpaddle-Attempt-Id: %s-%d\r\n"
+                         "Chestnutpaddle-Timeout-Ms: %d\r\n"
+                         "Content-Length: 3\r\n\r\nx=1",
+                         k->call.method, k->call.path, k->call.host, k->prefix,
+                         i, k->call.timeout_ms);
+        record(k->call.record, "sent %s-%d %s", k->prefix, i, k->call.address);
+        int64_t until_ms = now_ms() + k->call.timeout_ms;
+        if (send_all(fd, text, (size_t)n) && receive_head(fd, m, until_ms) &&
+            receive_body(fd, m, until_ms)) {
+            status = atoi(m->text + strlen("HTTP/1.1 "));
+            find_header(m, "Chestnutpaddle-Response-Seal", seal, 64);
+        }
+        record(k->call.record, "answer %s-%d %d %s", k->prefix, i, status,
+               seal);
+        if (status == 0 || find_header(m, "Connection", text, 64)) {
+            close(fd);
+            fd = -1;
+        }
+    }
+    free(m);
+    return NULL;
+}
+
+static int
+run_keep(char **arg)
+{
+    int count = atoi(arg[5]);
+    pthread_t threads[64];
+    for (int i = 0; i < count && i < 64; i++) {
+        char *prefix;
+        Keeper *k = malloc(sizeof(*k));
+        if (asprintf(&prefix, "%s%d", arg[4], i) < 0) {
+            return 2;
+        }
+        *k = (Keeper){.call = {.address = arg[0],
+                               .method = arg[1],
+                               .path = arg[2],
+                               .host = arg[3],
+                               .timeout_ms = atoi(arg[7]),
+                               .record = arg[8]},
+                      .prefix = prefix,
+                      .until_ms = now_ms() + (int64_t)(atof(arg[6]) * 1000)};
+        pthread_create(&threads[i], NULL, keep_thread, k);
+    }
+    for (int i = 0; i < count && i < 64; i++) {
+        pthread_join(threads[i], NULL);
+    }
+    return 0;
+}
+
+static int
+run_upload(char **arg)
+{
+    char head[1024], seal[64] = "-", *block = calloc(1, CHUNK_BYTES);
+    Message *m = malloc(sizeof(*m));
+    size_t left = (size_t)(atof(arg[4]) * 1024 * 1024);
+    int64_t until_ms = now_ms() + atoi(arg[5]);
+    int status = 0, fd = connect_to(arg[0]);
+    int n = snprintf(head, sizeof(head),
+                     "POST %s HTTP/1.1\r\nHost: %s\r\n"
+                     "Chestnutpaddle-Attempt-Id: %s\r\n"
+                     "Chestnutpaddle-Timeout-Ms: %s\r\n"
+                     "Content-Length: %zu\r\n\r\n",
+                     arg[1], arg[2], arg[3], arg[5], left);
+    record(arg[6], "sent %s %s", arg[3], arg[0]);
+    bool ok = fd >= 0 && send_all(fd, head, (size_t)n);
+    while (ok && left > 0) {
+        size_t size = left < CHUNK_BYTES ? left : CHUNK_BYTES;
+        ok = send_all(fd, block, size);
+        left -= size;
+    }
+    if (ok && receive_head(fd, m, until_ms) &&
+        receive_body(fd, m, until_ms)) {
+        status = atoi(m->text + strlen("HTTP/1.1 "));
+        find_header(m, "Chestnutpaddle-Response-Seal", seal, 64);
+    }
+    record(arg[6], "answer %s %d %s", arg[3], status, seal);
+    free(block);
+    free(m);
+    return 0;
+}
+
 static void *
 call_thread(void *ctx)
 {
@@ -541,6 +653,12 @@
     if (strcmp(verb, "load") == 0 && argc == 11) {
         return run_load(argv + 2);
     }
+    if (strcmp(verb, "keep") == 0 && argc == 11) {
+        return run_keep(argv + 2);
+    }
+    if (strcmp(verb, "upload") == 0 && argc == 9) {
+        return run_upload(argv + 2);
+    }
     if (strcmp(verb, "put") == 0 && argc == 6) {
         return change_row(argv[2], argv[3], argv[4], argv[5]);
     }
