proxy: a response that ends inside its head is not a success

The check of id and seal runs at the blank line, which had not come. A refusal cut in its head was believed as well: a payment that had run was answered 503. Ruled out: a lax check of the head (not called); resets, ends after the head, and bodies cut under their length or in chunks (502 before and after). Change: an attempt whose head was not received to its end is a broken one.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -262,7 +262,8 @@
     else if (a->oversized) {
         out->reason = CP_REASON_ANSWER_TOO_LARGE;
     }
-    else if (code != CURLE_OK) {
+    else if (code != CURLE_OK || a->head_ns == 0) {
+        /* libcurl reports no error for an end inside the head. */
         out->reason = a->status != 0 ? CP_REASON_ANSWER_TRUNCATED
                                      : CP_REASON_SERVER_FAILED;
     }
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -5,9 +5,10 @@
  * a response of N bytes, its id repeated, spread over M ms.
  *
  * /control?mode=M&ms=N&times=K sets the failure mode of the server addressed,
- * for its next K requests if K is given, and its service time; instance=I
- * changes its instance name; leaving=1 makes its responses announce that it
- * leaves, and retry_after=TEXT adds that to its refusals. Counted for all
+ * for its next K requests if K is given, and its service time; status=N is the
+ * status of its responses in the mode "status"; instance=I changes its
+ * instance name; leaving=1 makes its responses announce that it leaves, and
+ * retry_after=TEXT adds that to its refusals. Counted for all
  * servers together and served by each: /stats has the totals, /ran?id=ID how
  * often a request ran, /told?id=ID the last timeout sent with it in ms, and
  * /runs the run count of every id. /arrived counts the requests received by
@@ -48,6 +49,17 @@
     MODE_BREAK,   /* as MODE_BODY, but closes the connection after 300 KB */
     MODE_LATE,    /* before the response, repeats one of an earlier request */
     MODE_UNTIL,   /* runs it and marks the end by closing the connection */
+    MODE_STATUS,  /* runs it and responds with a status of its own */
+    /* The rest run it and close the connection after a part of the response,
+     * in order unless they reset it. */
+    MODE_CUT_STATUS,  /* after the status line */
+    MODE_CUT_ID,      /* in the head, after the id */
+    MODE_CUT_SEAL,    /* in the head, after the seal */
+    MODE_CUT_LENGTH,  /* in the head, after the length */
+    MODE_CUT_REFUSAL, /* in the head of a refusal */
+    MODE_CUT_INTERIM, /* after an interim response */
+    MODE_CUT_CHUNK,   /* before the last chunk */
+    MODE_CUT_RESET,   /* as MODE_CUT_SEAL, by a reset */
     MODE_COUNT
 } Mode;
 
@@ -58,6 +70,7 @@
     uint64_t service_ms;
     Mode mode;
     uint64_t mode_requests_left; /* before the mode ends; 0: no limit */
+    uint32_t status;             /* in MODE_STATUS */
     uint64_t inflight;
     uint64_t arrived;
     bool leaving;
@@ -96,6 +109,34 @@
     [MODE_BREAK] = "break",
     [MODE_LATE] = "late",
     [MODE_UNTIL] = "until",
+    [MODE_STATUS] = "status",
+    [MODE_CUT_STATUS] = "cut-status",
+    [MODE_CUT_ID] = "cut-id",
+    [MODE_CUT_SEAL] = "cut-seal",
+    [MODE_CUT_LENGTH] = "cut-length",
+    [MODE_CUT_REFUSAL] = "cut-refusal",
+    [MODE_CUT_INTERIM] = "cut-interim",
+    [MODE_CUT_CHUNK] = "cut-chunk",
+    [MODE_CUT_RESET] = "cut-reset",
+};
+
+#define CUT_HEAD "HTTP/1.1 200 OK\r\n"
+#define CUT_ID CUT_HEAD "Chestnutpaddle-Attempt-Id: %s\r\n"
+#define CUT_SEAL CUT_ID "Chestnutpaddle-Response-Seal: %s\r\n"
+/* What is sent of a response in the modes that cut it: formats for its id and
+ * its seal. */
+static const char *const cut_responses[MODE_COUNT] = {
+    [MODE_CUT_STATUS] = CUT_HEAD,
+    [MODE_CUT_ID] = CUT_ID,
+    [MODE_CUT_SEAL] = CUT_SEAL,
+    [MODE_CUT_LENGTH] = CUT_SEAL "Content-Length: 5\r\n",
+    [MODE_CUT_REFUSAL] =
+        "HTTP/1.1 503 Service Unavailable\r\n"
+        "Chestnutpaddle-Attempt-Id: %s\r\nChestnutpaddle-Not-Executed: 1\r\n",
+    [MODE_CUT_INTERIM] = "HTTP/1.1 102 Processing\r\n\r\n",
+    [MODE_CUT_CHUNK] =
+        CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n",
+    [MODE_CUT_RESET] = CUT_SEAL,
 };
 
 static const char stale_response[] =
@@ -140,6 +181,7 @@
 static void send_stale(int32_t fd);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
+static void send_cut(int32_t fd, Mode mode, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
 static ssize_t read_short(void *ctx, uint64_t pos, char *out, size_t capacity);
 
@@ -247,6 +289,7 @@
     }
     s->service_ms = CpStandin_GetQueryNumber(conn, "ms", s->service_ms);
     s->mode_requests_left = CpStandin_GetQueryNumber(conn, "times", 0);
+    s->status = (uint32_t)CpStandin_GetQueryNumber(conn, "status", 500);
     const char *instance =
         CpStandin_GetQueryText(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
@@ -323,6 +366,9 @@
                          GUINT_TO_POINTER(timeout_ms));
     note_use(q->fd);
     Mode mode = s->mode;
+    uint32_t status = mode == MODE_STATUS  ? s->status
+                      : mode == MODE_ERROR ? 500
+                                           : 200;
     if (s->mode_requests_left > 0 && --s->mode_requests_left == 0) {
         s->mode = MODE_OK;
     }
@@ -373,6 +419,10 @@
         send_until_close(q->fd, id, seal);
         return MHD_NO;
     }
+    if (cut_responses[mode] != NULL) {
+        send_cut(q->fd, mode, id, seal);
+        return MHD_NO;
+    }
     uint64_t large_bytes = CpStandin_GetQueryNumber(conn, "bytes", 0);
     char *text =
         g_strdup_printf(BODY_PREFIX "%s %s %s\n", method, url, q->body->str);
@@ -401,8 +451,7 @@
         MHD_add_response_header(r, "Chestnutpaddle-Response-Seal", seal);
     }
     q->send_extra = mode == MODE_EXTRA;
-    enum MHD_Result ok =
-        MHD_queue_response(conn, mode == MODE_ERROR ? 500 : 200, r);
+    enum MHD_Result ok = MHD_queue_response(conn, status, r);
     MHD_destroy_response(r);
     return ok;
 }
@@ -571,6 +620,21 @@
     g_string_free(text, TRUE);
 }
 
+static void
+send_cut(int32_t fd, Mode mode, const char *id, const char *seal)
+{
+    char *text = g_strdup_printf(cut_responses[mode], id, seal);
+    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
+        fprintf(stderr, "standin-routed: cannot send a part of a response\n");
+    }
+    const struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
+    if (mode == MODE_CUT_RESET &&
+        connect(fd, &nowhere, sizeof(nowhere)) != 0) {
+        fprintf(stderr, "standin-routed: cannot reset a connection\n");
+    }
+    g_free(text);
+}
+
 /* Waits for the service time or the request's timeout (0: none), whichever is
  * shorter; returns false if the client disconnects meanwhile. */
 static bool
