proxy: a trailer is not part of the head

Cause: libcurl passes the lines of a trailer to the callback for headers, and on_header() read them as the head. A faulty server's "not executed" in a trailer made a payment that had run a refusal: it ran at three servers, and its caller got 503. Ruled out: ids in a trailer (502 before, as the answer of another request). Change: lines after the end of the head are dropped; they still count against the limit of a head.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -353,6 +353,9 @@
         a->oversized = true;
         return 0;
     }
+    if (a->head_ns > 0) { /* a trailer, which is dropped */
+        return n;
+    }
     while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
         end--;
     }
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -50,8 +50,8 @@
     MODE_LATE,    /* before the response, repeats one of an earlier request */
     MODE_UNTIL,   /* runs it and marks the end by closing the connection */
     MODE_STATUS,  /* runs it and responds with a status of its own */
-    /* The rest run it and close the connection after a part of the response,
-     * in order unless they reset it. */
+    /* The rest run it, send a text and close the connection: after a part of
+     * the response, and in order, unless said otherwise. */
     MODE_CUT_STATUS,  /* after the status line */
     MODE_CUT_ID,      /* in the head, after the id */
     MODE_CUT_SEAL,    /* in the head, after the seal */
@@ -60,6 +60,7 @@
     MODE_CUT_INTERIM, /* after an interim response */
     MODE_CUT_CHUNK,   /* before the last chunk */
     MODE_CUT_RESET,   /* as MODE_CUT_SEAL, by a reset */
+    MODE_TRAILER,     /* after the response, with a refusal in its trailer */
     MODE_COUNT
 } Mode;
 
@@ -118,14 +119,15 @@
     [MODE_CUT_INTERIM] = "cut-interim",
     [MODE_CUT_CHUNK] = "cut-chunk",
     [MODE_CUT_RESET] = "cut-reset",
+    [MODE_TRAILER] = "trailer",
 };
 
 #define CUT_HEAD "HTTP/1.1 200 OK\r\n"
 #define CUT_ID CUT_HEAD "Chestnutpaddle-Attempt-Id: %s\r\n"
 #define CUT_SEAL CUT_ID "Chestnutpaddle-Response-Seal: %s\r\n"
-/* What is sent of a response in the modes that cut it: formats for its id and
- * its seal. */
-static const char *const cut_responses[MODE_COUNT] = {
+/* What is sent in the modes that send a text: formats for the response's id
+ * and its seal. */
+static const char *const raw_responses[MODE_COUNT] = {
     [MODE_CUT_STATUS] = CUT_HEAD,
     [MODE_CUT_ID] = CUT_ID,
     [MODE_CUT_SEAL] = CUT_SEAL,
@@ -137,6 +139,10 @@
     [MODE_CUT_CHUNK] =
         CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n",
     [MODE_CUT_RESET] = CUT_SEAL,
+    [MODE_TRAILER] = CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n"
+                              "5\r\nwhole\r\n0\r\n"
+                              "Chestnutpaddle-Not-Executed: 1\r\n"
+                              "\r\n",
 };
 
 static const char stale_response[] =
@@ -181,7 +187,7 @@
 static void send_stale(int32_t fd);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
-static void send_cut(int32_t fd, Mode mode, const char *id, const char *seal);
+static void send_raw(int32_t fd, Mode mode, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
 static ssize_t read_short(void *ctx, uint64_t pos, char *out, size_t capacity);
 
@@ -419,8 +425,8 @@
         send_until_close(q->fd, id, seal);
         return MHD_NO;
     }
-    if (cut_responses[mode] != NULL) {
-        send_cut(q->fd, mode, id, seal);
+    if (raw_responses[mode] != NULL) {
+        send_raw(q->fd, mode, id, seal);
         return MHD_NO;
     }
     uint64_t large_bytes = CpStandin_GetQueryNumber(conn, "bytes", 0);
@@ -621,9 +627,9 @@
 }
 
 static void
-send_cut(int32_t fd, Mode mode, const char *id, const char *seal)
+send_raw(int32_t fd, Mode mode, const char *id, const char *seal)
 {
-    char *text = g_strdup_printf(cut_responses[mode], id, seal);
+    char *text = g_strdup_printf(raw_responses[mode], id, seal);
     if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
         fprintf(stderr, "standin-routed: cannot send a part of a response\n");
     }
