http: a response that ends inside its head is not delivered

A refusal without the end of its head was reported as "not run", though the server had run the request. The lines of a trailer were read as the head: a whole response was reported as another request's. Ruled out: ends after the head (502 before and after, system/answers). Change: only a head that was received to its end makes a success or a refusal; a trailer is dropped. Before / after: system/cut: "000" four times, "503 not-run" twice, one of two whole responses lost; "502 may-have-run" six times, both whole responses.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -32,8 +32,9 @@
     bool wants_start;
     bool wants_cancel;
     bool finished;
-    bool sent;    /* request bytes may have been sent */
-    bool expired; /* the slot or deadline expired before sending */
+    bool sent;          /* request bytes may have been sent */
+    bool expired;       /* the slot or deadline expired before sending */
+    bool head_received; /* completely */
     bool head_delivered;
     bool chunked;
     bool has_length;
@@ -296,9 +297,6 @@
     if (already_finished) {
         return;
     }
-    if (code == CURLE_OK && !d->head_delivered && !d->not_run) {
-        deliver_head(d);
-    }
     classify_result(d, code, &r);
     if (d->easy != NULL) {
         curl_multi_remove_handle(w->multi, d->easy);
@@ -332,7 +330,7 @@
     if (d->head_delivered) {
         r->verdict = CP_RAN;
     }
-    if (d->not_run) {
+    if (d->not_run && d->head_received) {
         r->verdict = CP_NOT_RUN;
         r->outcome = CP_OUTCOME_REFUSED;
         r->reason = CP_REASON_SERVER_REFUSED;
@@ -350,10 +348,13 @@
         r->outcome = CP_OUTCOME_UNSENT;
         r->reason = CP_REASON_NO_SERVER;
     }
-    else if (code == CURLE_OK) {
+    else if (code == CURLE_OK && d->head_received) {
         r->outcome = CP_OUTCOME_OK;
         r->reason = CP_REASON_NONE;
     }
+    else if (code == CURLE_OK) { /* libcurl's result of an end in the head */
+        r->reason = CP_REASON_ANSWER_TRUNCATED;
+    }
     else if (!d->sent) {
         r->outcome = CP_OUTCOME_UNREACHABLE;
         r->reason = CP_REASON_CONNECT_FAILED;
@@ -430,6 +431,9 @@
     char value[CP_CONTENT_TYPE_BYTES];
     long status = 0;
     n *= size;
+    if (d->head_received) { /* a trailer, which is dropped */
+        return n;
+    }
     if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
         d->head.length_bytes = CP_LENGTH_UNKNOWN;
         d->has_length = d->chunked = false;
@@ -463,6 +467,7 @@
         if (d->mismatched || !framed) {
             return 0;
         }
+        d->head_received = true;
         if (!d->not_run) {
             deliver_head(d);
         }
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -17,6 +17,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -36,6 +37,11 @@
     MODE_SHORT,      /* truncates the body at half its length */
     MODE_SHORT_LAST, /* truncates the last byte of the body */
     MODE_UNFRAMED,   /* neither Content-Length nor chunked encoding */
+    /* The rest send a text and close the connection. */
+    MODE_CUT_STATUS,  /* the head up to the status line */
+    MODE_CUT_LENGTH,  /* the head up to the length */
+    MODE_CUT_REFUSAL, /* the head of a refusal, without its end */
+    MODE_TRAILER,     /* a response of another server's id in its trailer */
     MODE_COUNT
 } Mode;
 
@@ -81,6 +87,23 @@
     [MODE_SHORT] = "short",
     [MODE_SHORT_LAST] = "short-last",
     [MODE_UNFRAMED] = "unframed",
+    [MODE_CUT_STATUS] = "cut-status",
+    [MODE_CUT_LENGTH] = "cut-length",
+    [MODE_CUT_REFUSAL] = "cut-refusal",
+    [MODE_TRAILER] = "trailer",
+};
+
+#define HEAD_WITH_ID "HTTP/1.1 200 OK\r\n" CP_HEADER_REQUEST_ID ": %s\r\n"
+/* What is sent in the modes that send a text: formats for the request's id. */
+static const char *const raw_responses[MODE_COUNT] = {
+    [MODE_CUT_STATUS] = "HTTP/1.1 200 OK\r\n",
+    [MODE_CUT_LENGTH] = HEAD_WITH_ID "Content-Length: 0\r\n",
+    [MODE_CUT_REFUSAL] =
+        "HTTP/1.1 503 Service Unavailable\r\n" CP_HEADER_REQUEST_ID
+        ": %s\r\n" CP_HEADER_VERDICT ": not-run\r\n",
+    [MODE_TRAILER] = HEAD_WITH_ID "Transfer-Encoding: chunked\r\n\r\n"
+                                  "5\r\nwhole\r\n0\r\n" CP_HEADER_REQUEST_ID
+                                  ": another\r\n\r\n",
 };
 
 static Server servers[MAX_SERVERS];
@@ -104,6 +127,7 @@
                           uint64_t work_ms);
 static enum MHD_Result respond(struct MHD_Connection *conn, Request *q,
                                Mode mode);
+static void send_raw(struct MHD_Connection *conn, Mode mode);
 static ssize_t read_block(void *ctx, uint64_t pos, char *out, size_t capacity);
 static void count_effect(struct MHD_Connection *conn, Server *s);
 static enum MHD_Result handle_control(struct MHD_Connection *conn, Server *s);
@@ -263,6 +287,10 @@
     if (!simulate_work(conn, q, work_ms) || mode == MODE_LOSE) {
         return MHD_NO;
     }
+    if (raw_responses[mode] != NULL) {
+        send_raw(conn, mode);
+        return MHD_NO;
+    }
     return respond(conn, q, mode);
 }
 
@@ -373,6 +401,20 @@
     return ok;
 }
 
+static void
+send_raw(struct MHD_Connection *conn, Mode mode)
+{
+    int32_t fd =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    const char *id = CpStandin_GetHeader(conn, CP_HEADER_REQUEST_ID);
+    char *text = g_strdup_printf(raw_responses[mode], id != NULL ? id : "");
+    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
+        fprintf(stderr, "standin-server: cannot send a response\n");
+    }
+    g_free(text);
+}
+
 /* Body callback. Releases the slot with the last block, before the host can
  * receive it and send the next request. */
 static ssize_t
