http: calls to the store and to other hosts fail if the head is cut

A write to the store whose response ended after the status line of a success counted as done: apply reported success for a configuration that was never stored. Ruled out: reads, whose empty body is no JSON; a lost response (resolved by reading before and after). Change: a response that ends inside its head is CURLE_PARTIAL_FILE, so that the effect of the call is unknown.

--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -12,6 +12,7 @@
 
 static int on_prereq(void *ctx, char *local, char *remote, int local_port,
                      int remote_port);
+static size_t on_head_line(char *data, size_t size, size_t n, void *ctx);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 
 CURL *
@@ -61,11 +62,15 @@
 CpEasy_Perform(CURL *e, GString *body, size_t max_bytes, long *status)
 {
     BodyBuffer r = {body, max_bytes};
+    bool head_complete = false;
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head_line);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head_complete);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
     CURLcode code = curl_easy_perform(e);
     curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
-    return code;
+    /* The library reports no error for an end inside the head. */
+    return code == CURLE_OK && !head_complete ? CURLE_PARTIAL_FILE : code;
 }
 
 bool
@@ -117,6 +122,22 @@
     return CURL_PREREQFUNC_OK;
 }
 
+/* The head ends at the blank line; that of an interim response is followed by
+ * another one. */
+static size_t
+on_head_line(char *data, size_t size, size_t n, void *ctx)
+{
+    bool *complete = ctx;
+    n *= size;
+    if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
+        *complete = false;
+    }
+    else if (n > 0 && (data[0] == '\r' || data[0] == '\n')) {
+        *complete = true;
+    }
+    return n;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -4,10 +4,12 @@
  * POST /control?mode=M&ms=N sets a failure mode: "up" (none), "down" closes
  * connections, "slow" delays each response by N ms, "stale" serves range reads
  * from a copy of the rows made at the time of the call, "lose" commits
- * transactions but closes the connection without a response, "busy" responds
- * 503, "silent" closes the connection after N ms. POST /control?compact=1
- * discards the change history; with drop_table=T&drop_key=K also a row or its
- * deletion mark, so that followers see neither the row nor its removal.
+ * transactions but closes the connection without a response, "cut" does no
+ * write and closes the connection after the status line of a success, "busy"
+ * responds 503, "silent" closes the connection after N ms. POST
+ * /control?compact=1 discards the change history; with drop_table=T&drop_key=K
+ * also a row or its deletion mark, so that followers see neither the row nor
+ * its removal.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -15,6 +17,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include "standin.h"
@@ -29,6 +32,7 @@
     MODE_SLOW,
     MODE_STALE,
     MODE_LOSE,
+    MODE_CUT,
     MODE_BUSY,
     MODE_SILENT,
     MODE_COUNT
@@ -59,9 +63,9 @@
 } Endpoint;
 
 static const char *const mode_names[MODE_COUNT] = {
-    [MODE_UP] = "up",         [MODE_DOWN] = "down", [MODE_SLOW] = "slow",
-    [MODE_STALE] = "stale",   [MODE_LOSE] = "lose", [MODE_BUSY] = "busy",
-    [MODE_SILENT] = "silent",
+    [MODE_UP] = "up",       [MODE_DOWN] = "down",     [MODE_SLOW] = "slow",
+    [MODE_STALE] = "stale", [MODE_LOSE] = "lose",     [MODE_CUT] = "cut",
+    [MODE_BUSY] = "busy",   [MODE_SILENT] = "silent",
 };
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards all below */
@@ -84,6 +88,7 @@
 static enum MHD_Result handle_control(struct MHD_Connection *conn);
 static enum MHD_Result dispatch(struct MHD_Connection *conn, const char *url,
                                 const char *method, const GString *body);
+static bool cut_response(struct MHD_Connection *conn);
 static uint32_t transact(struct MHD_Connection *conn, const char *suffix,
                          const GString *body, char **out);
 static uint32_t get_rows(struct MHD_Connection *conn, const char *suffix,
@@ -228,6 +233,9 @@
     char *text = NULL;
     uint32_t status = 404;
     bool close_without_response = false;
+    if (strcmp(method, "GET") != 0 && cut_response(conn)) {
+        return MHD_NO;
+    }
     pthread_mutex_lock(&lock);
     for (const Endpoint *e = endpoints; e->url_prefix != NULL; e++) {
         size_t prefix_bytes = strlen(e->url_prefix);
@@ -250,6 +258,23 @@
                              text != NULL ? text : g_strdup("{}\n"));
 }
 
+/* In MODE_CUT, sends the status line of a success and returns true. */
+static bool
+cut_response(struct MHD_Connection *conn)
+{
+    static const char line[] = "HTTP/1.1 200 OK\r\n";
+    int32_t fd =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    pthread_mutex_lock(&lock);
+    bool is_cut = mode == MODE_CUT;
+    pthread_mutex_unlock(&lock);
+    if (is_cut && send(fd, line, sizeof(line) - 1, MSG_NOSIGNAL) < 0) {
+        fprintf(stderr, "standin-platform: cannot send a status line\n");
+    }
+    return is_cut;
+}
+
 /* Applies all writes and removals in one transaction if every precondition
  * holds. Otherwise returns 412 and the current rows of the preconditions. */
 static uint32_t
