proxy: a server's failure is not answered as a success

Such a status is not passed on, as it promises "not run"; the status sent in its place is that of the attempt's reason, which was "none" for every answer below 500, with the status 200. Ruled out: retries that fail, 500, 503 and 504, which had reasons (502 before and after). The 101 of the case was the head that did not end. Change: an attempt has no reason only if it was a success, and the status of "none" is 502, so that no response of this host's own can be a success.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -140,7 +140,7 @@
 const char *CpReason_Name(CpReason reason);
 /* Returns a description for callers and operators. */
 const char *CpReason_Text(CpReason reason);
-/* Returns the HTTP status sent to the caller. */
+/* Returns the HTTP status sent to the caller, which is never a success. */
 uint32_t CpReason_HttpStatus(CpReason reason);
 /* Returns the seconds for Retry-After; 0 where a retry would not help. */
 uint32_t CpReason_RetryAfter_s(CpReason reason);
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -37,7 +37,8 @@
 };
 
 static const ReasonInfo reasons[CP_REASON_COUNT] = {
-    [CP_REASON_NONE] = {"none", "answered", 200, 0},
+    /* no response that a host makes itself is a success */
+    [CP_REASON_NONE] = {"none", "no reason is known", 502, 0},
     [CP_REASON_QUEUE_FULL] = {"queue_full", "the queue is full", 503, 1},
     [CP_REASON_WOULD_MISS_DEADLINE] =
         {"would_miss_deadline", "the expected wait exceeds the deadline", 503,
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -73,7 +73,7 @@
 /* How an attempt ended. */
 typedef struct {
     CpAttemptOutcome outcome;
-    CpReason reason;
+    CpReason reason; /* CP_REASON_NONE: a success, with a status of 2xx */
     CpVerdict verdict;
     uint32_t status; /* of the response; 0: none */
     int64_t latency_ns;
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -284,7 +284,9 @@
     else {
         out->verdict = CP_RAN;
         out->outcome = CP_ATTEMPT_ANSWERED;
-        out->reason = CP_REASON_NONE;
+        if (a->status < 300) {
+            out->reason = CP_REASON_NONE;
+        }
     }
 }
 
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -61,6 +61,7 @@
     MODE_CUT_CHUNK,   /* before the last chunk */
     MODE_CUT_RESET,   /* as MODE_CUT_SEAL, by a reset */
     MODE_TRAILER,     /* after the response, with a refusal in its trailer */
+    MODE_UPGRADE,     /* after a status 101 that was not asked for */
     MODE_COUNT
 } Mode;
 
@@ -120,6 +121,7 @@
     [MODE_CUT_CHUNK] = "cut-chunk",
     [MODE_CUT_RESET] = "cut-reset",
     [MODE_TRAILER] = "trailer",
+    [MODE_UPGRADE] = "upgrade",
 };
 
 #define CUT_HEAD "HTTP/1.1 200 OK\r\n"
@@ -139,6 +141,10 @@
     [MODE_CUT_CHUNK] =
         CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n",
     [MODE_CUT_RESET] = CUT_SEAL,
+    [MODE_UPGRADE] =
+        "HTTP/1.1 101 Switching Protocols\r\n"
+        "Chestnutpaddle-Attempt-Id: %s\r\n"
+        "Chestnutpaddle-Response-Seal: %s\r\nContent-Length: 5\r\n\r\nwrong",
     [MODE_TRAILER] = CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n"
                               "5\r\nwhole\r\n0\r\n"
                               "Chestnutpaddle-Not-Executed: 1\r\n"
