entry: a peer states from which version its removals are complete

It asks for the rows after its version. The peer had started, or scanned, since the removal and held no mark of it; its version was taken over all the same. Evacuations that were taken back and rows of hosts were missed in the same way. Ruled out: a lost report or a failed fetch (both in the logs as good). Change: a follower keeps the version from which its marks are complete, set by each scan and passed on with the rows. A host behind it gets all rows and removes what they lack; an equal digest of the rows shows that nothing is lacking. Rows without that version, of an earlier build, are not used and the store is read. Rows that a host holds already are not applied again.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -340,7 +340,7 @@
                                  f, version);
     int64_t now_ns = CpClock_Now_ns();
     if (st == CP_OK) {
-        CpEntryNeighbours_EndScan(f);
+        CpEntryNeighbours_EndScan(f, *version);
     }
     if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
         bool lapsed = CpEntryFollow_MayHaveLapsed(e, now_ns);
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -41,8 +41,11 @@
     bool connected; /* this and the next 2: used by the thread only */
     int64_t unreachable_since_ns; /* start of the last outage; 0: none */
     int64_t call_started_ns;
-    pthread_mutex_t rows_lock; /* guards the next 2 */
+    pthread_mutex_t rows_lock; /* guards the next 3 */
     uint32_t scan_number;      /* incremented by each scan */
+    /* From this version on, `rows` has a mark of each row that was removed. A
+     * scan shows no removals, so that it starts anew there. 0: none read. */
+    uint64_t removals_version;
     GHashTable *rows; /* last read version of each, served to other hosts */
     uint32_t consecutive_errors; /* atomic */
     uint64_t row_version;        /* highest of all rows read; atomic */
@@ -136,13 +139,16 @@
 /* Returns false if a later version of the row is held: copies of other hosts
  * may lag. */
 bool CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row);
-/* Rows that a scan did not contain are removed at its end. */
+/* Rows that a scan did not contain are removed at its end; `version` is that
+ * of the scan. */
 void CpEntryNeighbours_BeginScan(CpEntryFollower *f);
-void CpEntryNeighbours_EndScan(CpEntryFollower *f);
+void CpEntryNeighbours_EndScan(CpEntryFollower *f, uint64_t version);
 /* Loads all tables from the first neighbour that has routes. */
 void CpEntryNeighbours_LoadTables(CpEntry *e);
 /* Fetches the rows that a peer has read after *version, applies them and
- * advances *version. */
+ * advances *version. Rows that the peer lacks and whose removal it cannot list
+ * are removed. CP_ERR_PARSE: it has no later version, or does not state from
+ * which version its removals are complete. */
 CpStatus CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
                                         uint64_t *version);
 /* Fetches all rows of a table from a host that has read it; *version becomes
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -26,13 +26,18 @@
 } CachedRow;
 
 static bool load_from(CpEntry *e, const char *address);
-static json_t *render_table(CpEntryFollower *f, uint64_t after);
+static json_t *render_table(CpEntryFollower *f, uint64_t after,
+                            uint64_t digest);
 static CpStatus fetch_rows(CpEntryFollower *f, const char *peer,
                            uint32_t timeout_ms, uint64_t *version);
 static json_t *fetch_page(const char *address, const char *path,
                           uint32_t timeout_ms);
 static void apply_rows(CpEntryFollower *f, const json_t *rows);
-static bool is_held(CpEntryFollower *f, const char *key);
+static bool is_newer(CpEntryFollower *f, const CpFeedRow *row,
+                     uint64_t read_version);
+static void remove_unlisted(CpEntryFollower *f, const json_t *rows,
+                            uint64_t version);
+static uint64_t rows_digest(CpEntryFollower *f);
 static void free_row(void *p);
 
 void
@@ -73,7 +78,7 @@
 }
 
 void
-CpEntryNeighbours_EndScan(CpEntryFollower *f)
+CpEntryNeighbours_EndScan(CpEntryFollower *f, uint64_t version)
 {
     GHashTableIter it;
     void *value;
@@ -84,6 +89,7 @@
             g_hash_table_iter_remove(&it);
         }
     }
+    f->removals_version = version;
     pthread_mutex_unlock(&f->rows_lock);
 }
 
@@ -117,12 +123,16 @@
 fetch_rows(CpEntryFollower *f, const char *peer, uint32_t timeout_ms,
            uint64_t *version)
 {
-    char address[CP_ADDR_BYTES], path[96];
+    char address[CP_ADDR_BYTES], path[128];
     if (!CpEntryHosts_GetControlAddress(f->entry, peer, address)) {
         return CpError_Set(CP_ERR_NOT_FOUND, "no control address of %s", peer);
     }
-    snprintf(path, sizeof(path), "/state?table=%d&after=%llu", (int)f->table,
-             (unsigned long long)*version);
+    pthread_mutex_lock(&f->rows_lock);
+    uint64_t digest = rows_digest(f);
+    pthread_mutex_unlock(&f->rows_lock);
+    snprintf(path, sizeof(path), "/state?table=%d&after=%llu&digest=%llu",
+             (int)f->table, (unsigned long long)*version,
+             (unsigned long long)digest);
     json_t *state = fetch_page(address, path, timeout_ms);
     const json_t *table =
         json_array_get(json_object_get(state, "tables"), f->table);
@@ -132,10 +142,26 @@
         json_decref(state);
         return CpError_Set(CP_ERR_PARSE, "%s has no later version", peer);
     }
+    uint64_t removals_version = (uint64_t)json_integer_value(
+        json_object_get(table, "removals_version"));
+    if (removals_version == 0) { /* a host of an earlier build */
+        json_decref(state);
+        return CpError_Set(CP_ERR_PARSE, "%s does not state its removals",
+                           peer);
+    }
     uint32_t lapse_left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
+    const json_t *rows = json_object_get(table, "rows");
     CpEntryFollow_SetLapseLeft(f->entry, lapse_left_ms, CpClock_Now_ns());
-    apply_rows(f, json_object_get(table, "rows"));
+    apply_rows(f, rows);
+    if (json_is_true(json_object_get(table, "all_rows"))) {
+        remove_unlisted(f, rows, peer_version);
+    }
+    pthread_mutex_lock(&f->rows_lock);
+    if (*version < removals_version) { /* the marks in between are missing */
+        f->removals_version = removals_version;
+    }
+    pthread_mutex_unlock(&f->rows_lock);
     *version = peer_version;
     json_decref(state);
     return CP_OK;
@@ -147,13 +173,14 @@
     CpEntry *e = ctx;
     const char *wanted_table = CpPageQuery_Get(q, "table");
     uint64_t after = strtoull(CpPageQuery_Get(q, "after"), NULL, 10);
+    uint64_t digest = strtoull(CpPageQuery_Get(q, "digest"), NULL, 10);
     json_t *tables = json_array();
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
         bool wanted =
             wanted_table[0] == '\0' || strtoul(wanted_table, NULL, 10) == i;
-        json_array_append_new(tables,
-                              wanted ? render_table(&e->followers[i], after)
-                                     : json_null());
+        json_array_append_new(
+            tables, wanted ? render_table(&e->followers[i], after, digest)
+                           : json_null());
     }
     json_t *root = json_pack("{s:o}", "tables", tables);
     *out = json_dumps(root, JSON_COMPACT);
@@ -162,9 +189,10 @@
 }
 
 /* Renders the rows of a table after a version, and the version up to which the
- * table was read. */
+ * table was read; all rows if some that were removed after the version are not
+ * marked. An equal digest shows that the other host has none of these. */
 static json_t *
-render_table(CpEntryFollower *f, uint64_t after)
+render_table(CpEntryFollower *f, uint64_t after, uint64_t digest)
 {
     json_t *rows = json_array();
     GHashTableIter it;
@@ -173,10 +201,12 @@
      * than never */
     uint64_t version = __atomic_load_n(&f->read_version, __ATOMIC_RELAXED);
     pthread_mutex_lock(&f->rows_lock);
+    uint64_t removals_version = f->removals_version;
+    bool all_rows = after < removals_version && digest != rows_digest(f);
     g_hash_table_iter_init(&it, f->rows);
     while (g_hash_table_iter_next(&it, &key, &value)) {
         const CachedRow *cached = value;
-        if (cached->version > after) {
+        if (all_rows || cached->version > after) {
             json_array_append_new(
                 rows, json_pack("{s:s,s:s?,s:I}", "key", (const char *)key,
                                 "value", cached->value, "version",
@@ -185,7 +215,9 @@
     }
     pthread_mutex_unlock(&f->rows_lock);
     return json_pack(
-        "{s:I,s:i,s:o}", "version", (json_int_t)version, "lapse_left_ms",
+        "{s:I,s:I,s:b,s:i,s:o}", "version", (json_int_t)version,
+        "removals_version", (json_int_t)removals_version, "all_rows", all_rows,
+        "lapse_left_ms",
         (int)CpEntryFollow_LapseLeft_ms(f->entry, CpClock_Now_ns()), "rows",
         rows);
 }
@@ -232,8 +264,9 @@
     return page;
 }
 
-/* Rows older than the held ones change nothing, and neither do those that are
- * not held though this host has read the table beyond them: they are gone. */
+/* Rows that are no later than the held ones change nothing, and neither do
+ * those that are not held though this host has read the table beyond them:
+ * they are gone. */
 static void
 apply_rows(CpEntryFollower *f, const json_t *rows)
 {
@@ -254,19 +287,76 @@
                          .deleted = value == NULL,
                          .version = (uint64_t)json_integer_value(
                              json_object_get(o, "version"))};
-        if (row.version > read_version || is_held(f, key)) {
+        if (is_newer(f, &row, read_version)) {
             CpEntryFollow_OnRow(f, &row);
         }
     }
 }
 
 static bool
-is_held(CpEntryFollower *f, const char *key)
+is_newer(CpEntryFollower *f, const CpFeedRow *row, uint64_t read_version)
 {
     pthread_mutex_lock(&f->rows_lock);
-    bool held = g_hash_table_contains(f->rows, key);
+    const CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    uint64_t known_version = held != NULL ? held->version : read_version;
     pthread_mutex_unlock(&f->rows_lock);
-    return held;
+    return row->version > known_version;
+}
+
+/* Removes the rows that a list of all rows as of a version does not have. */
+static void
+remove_unlisted(CpEntryFollower *f, const json_t *rows, uint64_t version)
+{
+    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    void *key, *value;
+    json_t *o;
+    size_t k;
+    json_array_foreach(rows, k, o)
+    {
+        const char *name = json_string_value(json_object_get(o, "key"));
+        if (name != NULL) {
+            g_hash_table_add(listed, (char *)name);
+        }
+    }
+    pthread_mutex_lock(&f->rows_lock);
+    g_hash_table_iter_init(&it, f->rows);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const CachedRow *cached = value;
+        if (cached->value != NULL && cached->version <= version &&
+            !g_hash_table_contains(listed, key)) {
+            g_ptr_array_add(gone, g_strdup(key));
+        }
+    }
+    pthread_mutex_unlock(&f->rows_lock);
+    for (guint i = 0; i < gone->len; i++) {
+        CpFeedRow row = {.key = g_ptr_array_index(gone, i),
+                         .value = "",
+                         .deleted = true,
+                         .version = version};
+        CpEntryFollow_OnRow(f, &row);
+    }
+    g_ptr_array_unref(gone);
+    g_hash_table_unref(listed);
+}
+
+/* Returns a digest of the rows that exist, independent of their order; called
+ * under the rows' lock. */
+static uint64_t
+rows_digest(CpEntryFollower *f)
+{
+    GHashTableIter it;
+    void *key, *value;
+    uint64_t digest = 0;
+    g_hash_table_iter_init(&it, f->rows);
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const CachedRow *cached = value;
+        if (cached->value != NULL) {
+            digest ^= CpHash_Str(key, cached->version);
+        }
+    }
+    return digest;
 }
 
 static void
