entry: a host reports the version of its scan

Cause: hosts ask a peer for rows when it reports a later version, which was that of the latest row it had read. A scan has no row for what was removed: where removals were the only changes, the peer reported nothing new, and the others missed them. Change: after a scan the version of the scan is reported. Each scan makes the hosts of the domain ask once; the digest keeps the answers short.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -341,6 +341,8 @@
     int64_t now_ns = CpClock_Now_ns();
     if (st == CP_OK) {
         CpEntryNeighbours_EndScan(f, *version);
+        /* A row may have been removed at any version up to this one. */
+        CpEntryFollow_RaiseRowVersion(f, *version);
     }
     if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
         bool lapsed = CpEntryFollow_MayHaveLapsed(e, now_ns);
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -48,7 +48,9 @@
     uint64_t removals_version;
     GHashTable *rows; /* last read version of each, served to other hosts */
     uint32_t consecutive_errors; /* atomic */
-    uint64_t row_version;        /* highest of all rows read; atomic */
+    /* highest of all rows read, and of the removals that a scan implies;
+     * atomic */
+    uint64_t row_version;
     uint64_t read_version; /* the table is read completely up to it; atomic */
     uint64_t peer_version; /* highest that a peer has read; atomic */
     char peer_host[CP_NAME_BYTES]; /* that peer; guarded by store_lock */
@@ -133,6 +135,8 @@
 
 /* rows: applies a row of a table; `ctx` is a CpEntryFollower */
 void CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row);
+/* Sets the version that this host reports to others, unless it is higher. */
+void CpEntryFollow_RaiseRowVersion(CpEntryFollower *f, uint64_t version);
 
 /* neighbours: rows of the tables that hosts fetch from each other */
 void CpEntryNeighbours_Init(CpEntryFollower *f);
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -10,9 +10,7 @@
 CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row)
 {
     CpEntryFollower *f = ctx;
-    if (row->version > __atomic_load_n(&f->row_version, __ATOMIC_RELAXED)) {
-        __atomic_store_n(&f->row_version, row->version, __ATOMIC_RELAXED);
-    }
+    CpEntryFollow_RaiseRowVersion(f, row->version);
     if (!CpEntryNeighbours_UpdateRow(f, row)) {
         CpEvent(CP_EVENT_STATE, "row_older", "s:s,s:I", "key", row->key,
                 "row_version", (json_int_t)row->version);
@@ -33,6 +31,14 @@
     }
 }
 
+void
+CpEntryFollow_RaiseRowVersion(CpEntryFollower *f, uint64_t version)
+{
+    if (version > __atomic_load_n(&f->row_version, __ATOMIC_RELAXED)) {
+        __atomic_store_n(&f->row_version, version, __ATOMIC_RELAXED);
+    }
+}
+
 static void
 on_operator_row(CpEntry *e, const CpFeedRow *row)
 {
