entry: the first read after an error returns at once

An entry that went during a cut may have lapsed; its server stays in use for 2 s and is then given up, unless the last read of the table was an error. A reset after the cut was one, and the next read, a long poll, returns with a change or after 10 s. A host that reads from a peer waited for a change without a bound. Ruled out: the window of 2 s and the time at which the removal was read (both in the log as they should be). Change: the first read of the store after an error waits 0.1 s at most, and a host that reads from a peer does it too. Its reads in place of a peer are handled as all others: a pause after an error, and a scan where the history is gone, which counted as an outage.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -34,9 +34,9 @@
 static void *follow_thread(void *ctx);
 static bool load_at_start(CpEntryFollower *f, uint64_t *version);
 static bool reads_from_peer(CpEntryFollower *f, int64_t now_ns);
-static void wait_for_peer(CpEntryFollower *f, uint64_t *version);
+static bool read_from_peer(CpEntryFollower *f, uint64_t *version);
 static void set_read_version(CpEntryFollower *f, uint64_t version);
-static uint32_t max_wait_ms(const CpEntryFollower *f);
+static uint32_t max_wait_ms(const CpEntryFollower *f, bool instead_of_peer);
 static bool should_stop(void *ctx);
 static CpStatus scan_table(CpEntryFollower *f, uint64_t *version);
 static void record_result(CpEntryFollower *f, CpStatus st);
@@ -125,18 +125,19 @@
     for (;;) {
         uint64_t before = version;
         f->call_started_ns = CpClock_Now_ns();
-        if (scanned && reads_from_peer(f, f->call_started_ns)) {
-            wait_for_peer(f, &version);
+        bool has_peer = scanned && reads_from_peer(f, f->call_started_ns);
+        if (has_peer && read_from_peer(f, &version)) {
             continue;
         }
         if (!scanned && load_at_start(f, &version)) {
             scanned = true;
             continue;
         }
-        CpStatus st =
-            scanned ? f->store->follow(f->store->ctx, f->table, max_wait_ms(f),
-                                       CpEntryFollow_OnRow, f, &version)
-                    : scan_table(f, &version);
+        CpStatus st = scanned
+                          ? f->store->follow(f->store->ctx, f->table,
+                                             max_wait_ms(f, has_peer),
+                                             CpEntryFollow_OnRow, f, &version)
+                          : scan_table(f, &version);
         if (st == CP_ERR_RANGE) { /* the history is gone: scan again */
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
                     table_info[f->table].label);
@@ -212,10 +213,12 @@
             CpEntryHosts_HasWatchingPeer(e, now_ns));
 }
 
-/* Waits until a peer has read a later version and fetches the rows from it. If
- * the peer does not provide them, reads the store. */
-static void
-wait_for_peer(CpEntryFollower *f, uint64_t *version)
+/* Waits for a while until a peer has read a later version and fetches the rows
+ * from it. Returns false if the store has to be read: the peer does not
+ * provide the rows, or the last read failed, so that what was missing then is
+ * not known to be gone. */
+static bool
+read_from_peer(CpEntryFollower *f, uint64_t *version)
 {
     CpEntry *e = f->entry;
     char peer[CP_NAME_BYTES];
@@ -231,20 +234,17 @@
     CpStr_Copy(peer, sizeof(peer), f->peer_host);
     pthread_mutex_unlock(&e->store_lock);
     if (!behind) {
-        return;
+        return CpAtomic_Load(&f->consecutive_errors) == 0;
     }
     if (CpEntryNeighbours_FetchChanges(f, peer, version) != CP_OK) {
         CpEvent(CP_EVENT_DEPENDENCY, "neighbour_gave_nothing", "s:s,s:s,s:s",
                 "name", peer, "table", table_info[f->table].label, "error",
                 CpError_Message());
-        CpStatus st = f->store->follow(f->store->ctx, f->table, PROBE_WAIT_MS,
-                                       CpEntryFollow_OnRow, f, version);
-        record_result(f, st);
-    }
-    else {
-        CpAtomic_Store(&f->consecutive_errors, 0);
+        return false;
     }
+    CpAtomic_Store(&f->consecutive_errors, 0);
     set_read_version(f, *version);
+    return true;
 }
 
 static void
@@ -263,11 +263,13 @@
            CpEntryHosts_Rank(e) < e->settings.watching_hosts;
 }
 
+/* After an error any response is of use: it shows that the store is reachable,
+ * and that the table was read since. */
 static uint32_t
-max_wait_ms(const CpEntryFollower *f)
+max_wait_ms(const CpEntryFollower *f, bool instead_of_peer)
 {
     CpEntry *e = f->entry;
-    if (!is_store_reachable(e)) { /* any response shows that it is reachable */
+    if (instead_of_peer || !f->connected || !is_store_reachable(e)) {
         return PROBE_WAIT_MS;
     }
     return f->table == CP_TABLE_OPERATOR && CpEntryHosts_Rank(e) == 0
