entry: a pause after each error of a follower

Cause: where the store answered 503 to reads of one table and served the others, a host read it without a pause. Ruled out: an outage of the whole store (paced before and after). Change: while the store is reachable they pause as the operator's table does.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -451,8 +451,8 @@
     pthread_mutex_unlock(&e->store_lock);
 }
 
-/* Only the operator's table probes the store at this rate; the others wait
- * longer or until it is reachable. */
+/* While the store is unreachable, only the operator's table probes it at this
+ * rate; the others wait longer or until it is reachable. */
 static void
 back_off(CpEntryFollower *f)
 {
@@ -463,7 +463,7 @@
     }
     ms = ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS;
     ms = ms / 2 + (uint32_t)(CpRandom() % (ms / 2 + 1));
-    if (f->table == CP_TABLE_OPERATOR) {
+    if (f->table == CP_TABLE_OPERATOR || is_store_reachable(e)) {
         CpSleep_ms(ms);
         return;
     }
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -6,7 +6,8 @@
  * from a copy of the rows made at the time of the call, "lose" commits
  * transactions but closes the connection without a response, "cut" does no
  * write and closes the connection after the status line of a success, "busy"
- * responds 503, "silent" closes the connection after N ms. POST
+ * responds 503, "silent" closes the connection after N ms. busy_table=T
+ * responds 503 to reads of table T, whatever the mode; "none" ends that. POST
  * /control?compact=1 discards the change history; with drop_table=T&drop_key=K
  * also a row or its deletion mark, so that followers see neither the row nor
  * its removal.
@@ -75,6 +76,7 @@
 static GHashTable *objects;
 static Mode mode;
 static uint64_t delay_ms; /* in MODE_SLOW and MODE_SILENT */
+static char busy_table[CP_NAME_BYTES];
 static uint64_t read_count, write_count;
 static uint64_t last_version;          /* of the last transaction */
 static uint64_t history_start_version; /* older changes are discarded */
@@ -207,6 +209,8 @@
         }
     }
     delay_ms = CpStandin_GetQueryNumber(conn, "ms", delay_ms);
+    CpStr_Copy(busy_table, sizeof(busy_table),
+               CpStandin_GetQueryText(conn, "busy_table", busy_table));
     if (mode == MODE_STALE) {
         stale_rows = copy_rows();
     }
@@ -242,7 +246,12 @@
         if (strncmp(url, e->url_prefix, prefix_bytes) == 0 &&
             strcmp(method, e->method) == 0) {
             *(e->is_write ? &write_count : &read_count) += 1;
-            status = e->handle(conn, url + prefix_bytes, body, &text);
+            bool is_busy = !e->is_write &&
+                           strcmp(CpStandin_GetQueryText(conn, "table", ""),
+                                  busy_table) == 0;
+            status = is_busy
+                         ? 503
+                         : e->handle(conn, url + prefix_bytes, body, &text);
             close_without_response =
                 e->handle == transact && mode == MODE_LOSE;
             break;
