proxy: no "not run" at the deadline if an earlier attempt may have run

Cause: a request whose response was lost and whose next attempt was still connecting at its deadline got 503. CpProxyFront_OnDeadline() looked at the attempt in progress only. Ruled out: the policy's own failures (502 where an attempt may have run); requests that are not idempotent (never sent again after such an attempt). Change: the exchange keeps whether an attempt that ended may have run.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -90,6 +90,7 @@
         result.outcome = CP_ATTEMPT_TIMED_OUT;
     }
     CpProxyAttempt_Abort(ex);
+    ex->may_have_run |= result.verdict != CP_NOT_RUN;
     p->on_attempt_ended(p->ctx, &ex->request, &result, &action);
     CpProxyFront_Execute(ex, &action);
 }
@@ -229,6 +230,7 @@
         CpProxyFront_Resume(ex);
         return;
     }
+    ex->may_have_run |= result.verdict != CP_NOT_RUN;
     p->on_attempt_ended(p->ctx, &ex->request, &result, &action);
     CpProxyFront_Execute(ex, &action);
 }
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -120,13 +120,15 @@
 CpProxyFront_OnDeadline(CpProxyExchange *ex)
 {
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
-    bool sent = ex->attempt.sent;
+    bool may_have_run = ex->may_have_run || ex->attempt.sent;
     p->on_attempt_abandoned(p->ctx, &ex->request, CP_ATTEMPT_TIMED_OUT,
                             CpClock_Now_ns() - ex->attempt.started_ns);
     CpProxyAttempt_Abort(ex);
     ex->decided = true;
-    set_failure(
-        ex, sent ? CP_REASON_DEADLINE_PASSED : CP_REASON_CONNECT_FAILED, 0);
+    set_failure(ex,
+                may_have_run ? CP_REASON_DEADLINE_PASSED
+                             : CP_REASON_CONNECT_FAILED,
+                0);
     CpProxyFront_Resume(ex);
 }
 
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -28,6 +28,7 @@
 
 #define POLL_INTERVAL_MS 5 /* checks whether the client has disconnected */
 #define MAX_SERVERS 64
+#define DEAF_CONNECTIONS 4 /* more than a queue of length 0 takes */
 #define BODY_PREFIX "answer to "
 #define LARGE_BLOCK_BYTES (8 * 1024)
 #define UNTIL_CLOSE_BYTES (100 * 1024) /* in MODE_UNTIL */
@@ -77,6 +78,7 @@
     uint64_t arrived;
     bool leaving;
     char retry_after[32]; /* "": none */
+    struct MHD_Daemon *daemon;
 } Server;
 
 typedef struct {
@@ -173,6 +175,7 @@
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
                          enum MHD_RequestTerminationCode code);
 static enum MHD_Result handle_control(struct MHD_Connection *conn, Server *s);
+static void stop_accepting(Server *s);
 static enum MHD_Result respond_stats(struct MHD_Connection *conn);
 static enum MHD_Result respond_runs(struct MHD_Connection *conn);
 static enum MHD_Result run_request(struct MHD_Connection *conn, Server *s,
@@ -200,7 +203,6 @@
 int
 main(int argc, char **argv)
 {
-    struct MHD_Daemon *daemons[MAX_SERVERS];
     CpStandin_BlockSignals();
     run_counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     last_timeouts_ms =
@@ -213,11 +215,11 @@
         s->slots = strtoull(fields[2], NULL, 10);
         s->service_ms = strtoull(fields[3], NULL, 10);
         g_strfreev(fields);
-        daemons[i] = CpStandin_Listen(s->address, on_request, s, on_completed);
+        s->daemon = CpStandin_Listen(s->address, on_request, s, on_completed);
     }
     CpStandin_WaitForStop();
     for (int i = 1; i < argc && i < MAX_SERVERS; i++) {
-        MHD_stop_daemon(daemons[i]);
+        MHD_stop_daemon(servers[i].daemon);
     }
     return 0;
 }
@@ -309,9 +311,33 @@
     CpStr_Copy(s->retry_after, sizeof(s->retry_after),
                CpStandin_GetQueryText(conn, "retry_after", ""));
     pthread_mutex_unlock(&lock);
+    if (CpStandin_GetQueryNumber(conn, "deaf", 0) != 0) {
+        stop_accepting(s);
+    }
     return CpStandin_Respond(conn, 200, g_strdup("{}\n"));
 }
 
+/* Fills the queue of connections that are not accepted, so that the kernel
+ * ignores further ones. The sockets stay open. */
+static void
+stop_accepting(Server *s)
+{
+    struct sockaddr_storage sa;
+    uint32_t n = CpAddress_Parse(s->address, &sa);
+    int32_t listen_fd = MHD_quiesce_daemon(s->daemon);
+    if (listen_fd < 0 || listen(listen_fd, 0) != 0) {
+        fprintf(stderr, "standin-routed: cannot stop accepting\n");
+        return;
+    }
+    for (uint32_t i = 0; i < DEAF_CONNECTIONS; i++) {
+        int32_t fd = socket(sa.ss_family, SOCK_STREAM | SOCK_NONBLOCK, 0);
+        if (connect(fd, (struct sockaddr *)&sa, n) != 0 &&
+            errno != EINPROGRESS) {
+            fprintf(stderr, "standin-routed: cannot fill the queue\n");
+        }
+    }
+}
+
 static enum MHD_Result
 respond_stats(struct MHD_Connection *conn)
 {
