entry: a host that stops sends nothing that would outlast it

Cause: a payment that came 1.4 s after the signal, to a server that takes 2.2 s, was passed on and cut without a response at the end of the stop timeout (4 s). What such a request takes was known and not looked at. Ruled out: requests in flight at the signal, and short ones until 42% of the timeout (answered before and after); later ones (refused as not run). Change: the choice of a server gets the time that this host has left, and refuses a request that is expected to last longer, at once and as not run. Before / after: system/routes_stop: "long 000, ran 1", one active at the end; "long 503, ran 0", none active. A request that takes unusually long is still cut.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -35,6 +35,7 @@
     CpFleetChoice last;
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     uint32_t tried_count;
+    uint32_t host_left_ms;           /* 0: the host does not end */
     char home_region[CP_NAME_BYTES]; /* region of requests; "any": all */
     uint64_t random;                 /* of requests */
     uint64_t response_bytes;         /* of the responses that end attempts */
@@ -218,7 +219,8 @@
         s->now_ns += m * CP_NS_PER_MS;
     }
     else if (sscanf(line, "parts %u", &s->warmup_hosts) == 1 ||
-             sscanf(line, "home region %47s", s->home_region) == 1) {
+             sscanf(line, "home region %47s", s->home_region) == 1 ||
+             sscanf(line, "host ends in %u ms", &s->host_left_ms) == 1) {
         s->tried_count = 0;
     }
     else if (sscanf(line, "choose %63s %63s goal %u", a, b, &m) == 3) {
@@ -291,6 +293,7 @@
                                   strcmp(object, "-") == 0 ? NULL : object,
                               .goal_left_ms = goal_ms,
                               .deadline_left_ms = 3000,
+                              .host_left_ms = s->host_left_ms,
                               .tried_count = s->tried_count,
                               .random = s->random};
     char home_regions[1][CP_NAME_BYTES];
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -63,7 +63,8 @@
     CpEntryAdapter adapter;
     uint64_t incarnation;
     int64_t started_ns;
-    uint32_t leaving; /* flag; atomic */
+    uint32_t leaving;   /* flag; atomic */
+    int64_t stop_by_ns; /* when requests in flight are cut; 0: never; atomic */
     CpTimer *timer;
     CpFleet *fleet;
     CpProxy *proxy;
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -8,7 +8,8 @@
 #define DRAIN_POLL_MS 20
 /* Callers use a response of the directory up to three times its time to live,
  * but switch from a host that closes their connections. Requests are accepted
- * for this share of the stop timeout, and those in flight have the rest. */
+ * for this share of the stop timeout, unless they would last beyond it, and
+ * those in flight have the rest. */
 #define SERVE_SHARE_PERCENT 42
 #define STOP_MARGIN_MS 500 /* to end the threads within the stop timeout */
 
@@ -110,6 +111,7 @@
     int64_t timeout_ns = e->settings.stop_timeout_s * CP_NS_PER_S;
     int64_t serve_until_ns = start_ns + timeout_ns * SERVE_SHARE_PERCENT / 100;
     int64_t stop_by_ns = start_ns + timeout_ns - STOP_MARGIN_MS * CP_NS_PER_MS;
+    __atomic_store_n(&e->stop_by_ns, stop_by_ns, __ATOMIC_RELAXED);
     CpAtomic_Store(&e->leaving, 1);
     CpProxy_CloseAfterResponses(e->proxy);
     CpEvent(CP_EVENT_PROCESS, "leaving", "s:i", "active",
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -59,6 +59,7 @@
 static CpReason choose_server(CpEntry *e, const CpRequest *rq,
                               const RequestState *s, int64_t now_ns,
                               CpFleetChoice *out);
+static uint32_t host_left_ms(CpEntry *e, int64_t now_ns);
 static void retry_or_fail(CpEntry *e, CpRequest *rq, RequestState *s,
                           const CpAttemptResult *a, CpProxyAction *out);
 static bool may_forward(const CpAttemptResult *a);
@@ -330,6 +331,7 @@
                         : goal_ms > 0  ? (uint32_t)goal_ms
                                        : 0,
         .deadline_left_ms = (uint32_t)left_ms,
+        .host_left_ms = host_left_ms(e, now_ns),
         .tried_count = s->tried_count,
         .home_region_count = s->route->home_region_count,
         .home_regions = s->route->home_regions,
@@ -340,6 +342,20 @@
     return CpFleet_Choose(e->fleet, &request, now_ns, out);
 }
 
+/* Returns the time until this host cuts the requests in flight; 0: it does not
+ * stop. */
+static uint32_t
+host_left_ms(CpEntry *e, int64_t now_ns)
+{
+    int64_t stop_by_ns = __atomic_load_n(&e->stop_by_ns, __ATOMIC_RELAXED);
+    if (stop_by_ns == 0) {
+        return 0;
+    }
+    return stop_by_ns - now_ns > CP_NS_PER_MS
+               ? (uint32_t)((stop_by_ns - now_ns) / CP_NS_PER_MS)
+               : 1;
+}
+
 /* Sends the request to another server if that is safe: it was not run, or its
  * route is idempotent. Otherwise, or if a limit is reached, the caller gets
  * the failure. */
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -102,6 +102,7 @@
     const char *object; /* that servers cache; NULL: none */
     uint32_t goal_left_ms;
     uint32_t deadline_left_ms;
+    uint32_t host_left_ms; /* until this host ends; 0: it does not */
     const char *tried[CP_FLEET_MAX_TRIED]; /* instances of earlier attempts */
     uint32_t tried_count;
     uint32_t home_region_count; /* regions where it may run; 0: all */
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -410,6 +410,10 @@
     if (best->wait_us > q->request->deadline_left_ms * INT64_C(1000)) {
         return CP_REASON_WOULD_MISS_DEADLINE;
     }
+    if (q->request->host_left_ms > 0 &&
+        best->cost_us > q->request->host_left_ms * INT64_C(1000)) {
+        return CP_REASON_HOST_LEAVING;
+    }
     if (best->cost_us > q->request->goal_left_ms * INT64_C(1000) &&
         (best->wait_us > 0 || (is_load_high(q) && !has_spare_slots(best)))) {
         return CP_REASON_WOULD_MISS_GOAL;
