regress: an earlier refusal written once more on a kept connection

Cause: a report of other operators: a refusal repeated on a kept connection is taken for that of the next request, which is then reported as not run, or sent to a second server. Ruled out, for requests that may run once: they have a connection of their own for each attempt, on which no earlier response can come. Idempotent ones use kept connections and can take such a refusal for theirs, as servers send refusals without an id; they are sent again on a new connection.

--- a/standin/standin.h
+++ b/standin/standin.h
@@ -15,6 +15,9 @@
                                     MHD_AccessHandlerCallback on_request,
                                     void *ctx,
                                     MHD_RequestCompletedCallback on_completed);
+/* Counts a request on its connection; returns how many there were, this one
+ * included. */
+uint32_t CpStandin_CountUse(struct MHD_Connection *conn);
 /* Queues a JSON response and takes ownership of `text`. */
 enum MHD_Result CpStandin_Respond(struct MHD_Connection *conn, uint32_t status,
                                   char *text);
--- a/standin/standin_http.c
+++ b/standin/standin_http.c
@@ -8,6 +8,10 @@
 
 #include "standin.h"
 
+static void on_connection(void *ctx, struct MHD_Connection *conn,
+                          void **socket_context,
+                          enum MHD_ConnectionNotificationCode code);
+
 struct MHD_Daemon *
 CpStandin_Listen(const char *address, MHD_AccessHandlerCallback on_request,
                  void *ctx, MHD_RequestCompletedCallback on_completed)
@@ -24,7 +28,8 @@
         0, NULL, NULL, on_request, ctx, MHD_OPTION_SOCK_ADDR, &sockaddr,
         MHD_OPTION_THREAD_STACK_SIZE, (size_t)(128 * 1024),
         MHD_OPTION_CONNECTION_LIMIT, 4096u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        1024u, MHD_OPTION_NOTIFY_COMPLETED, on_completed, ctx, MHD_OPTION_END);
+        1024u, MHD_OPTION_NOTIFY_COMPLETED, on_completed, ctx,
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, NULL, MHD_OPTION_END);
     if (daemon == NULL) {
         fprintf(stderr, "standin: cannot listen on %s\n", address);
         exit(2);
@@ -32,6 +37,30 @@
     return daemon;
 }
 
+uint32_t
+CpStandin_CountUse(struct MHD_Connection *conn)
+{
+    uint32_t *uses =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context;
+    return ++*uses;
+}
+
+/* Keeps the number of requests with the connection. */
+static void
+on_connection(void *ctx, struct MHD_Connection *conn, void **socket_context,
+              enum MHD_ConnectionNotificationCode code)
+{
+    (void)ctx, (void)conn;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        *socket_context = CpMem_Alloc(sizeof(uint32_t));
+    }
+    else {
+        free(*socket_context);
+        *socket_context = NULL;
+    }
+}
+
 enum MHD_Result
 CpStandin_Respond(struct MHD_Connection *conn, uint32_t status, char *text)
 {
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -16,7 +16,6 @@
  */
 #include <errno.h>
 #include <glib.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -43,14 +42,16 @@
     MODE_UNSEALED, /* runs it and omits the seal */
     MODE_SILENT,   /* runs it and never responds */
     MODE_EXTRA,    /* runs it and sends a second response after the first */
+    MODE_EXTRA_REFUSAL, /* as MODE_EXTRA, a refusal without an id */
     MODE_JUNK, /* runs it and sends bytes that are no response, without end */
     MODE_HEAD, /* runs it and sends a head without end */
     MODE_INTERIM, /* runs it and sends interim responses without end */
     MODE_BODY,    /* runs it and sends a body without end */
     MODE_BREAK,   /* as MODE_BODY, but closes the connection after 300 KB */
     MODE_LATE,    /* before the response, repeats one of an earlier request */
-    MODE_UNTIL,   /* runs it and marks the end by closing the connection */
-    MODE_STATUS,  /* runs it and responds with a status of its own */
+    MODE_LATE_REFUSAL, /* as MODE_LATE, a refusal without an id */
+    MODE_UNTIL,  /* runs it and marks the end by closing the connection */
+    MODE_STATUS, /* runs it and responds with a status of its own */
     /* The rest run it, send a text and close the connection: after a part of
      * the response, and in order, unless said otherwise. */
     MODE_CUT_STATUS,  /* after the status line */
@@ -83,8 +84,8 @@
 
 typedef struct {
     GString *body;
-    int32_t fd; /* the connection's socket */
-    bool send_extra;
+    int32_t fd;        /* the connection's socket */
+    const char *extra; /* sent after the response; NULL: nothing */
 } Request;
 
 /* A large response while it is sent. */
@@ -106,12 +107,14 @@
     [MODE_UNSEALED] = "unsealed",
     [MODE_SILENT] = "silent",
     [MODE_EXTRA] = "extra",
+    [MODE_EXTRA_REFUSAL] = "extra-refusal",
     [MODE_JUNK] = "junk",
     [MODE_HEAD] = "head",
     [MODE_INTERIM] = "interim",
     [MODE_BODY] = "body",
     [MODE_BREAK] = "break",
     [MODE_LATE] = "late",
+    [MODE_LATE_REFUSAL] = "late-refusal",
     [MODE_UNTIL] = "until",
     [MODE_STATUS] = "status",
     [MODE_CUT_STATUS] = "cut-status",
@@ -156,13 +159,15 @@
 static const char stale_response[] =
     "HTTP/1.1 200 OK\r\nChestnutpaddle-Attempt-Id: stale\r\n"
     "Chestnutpaddle-Response-Seal: stale\r\nContent-Length: 5\r\n\r\nstale";
+static const char stale_refusal[] =
+    "HTTP/1.1 503 Service Unavailable\r\nChestnutpaddle-Not-Executed: 1\r\n"
+    "Content-Length: 3\r\n\r\n{}\n";
 static uint64_t break_at_bytes = 300 * 1024; /* in MODE_BREAK */
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards all below */
 static Server servers[MAX_SERVERS];
-static uint8_t port_uses[UINT16_MAX + 1]; /* requests by client port */
-static GHashTable *run_counts;            /* request id -> runs */
-static GHashTable *last_timeouts_ms;      /* request id -> timeout */
+static GHashTable *run_counts;       /* request id -> runs */
+static GHashTable *last_timeouts_ms; /* request id -> timeout */
 /* Totals of all servers, for /stats. */
 static uint64_t arrived, run_total, refused, wrong_instance, cancelled,
     longest_timeout_ms, over_slots;
@@ -190,10 +195,7 @@
 static void end_large(void *ctx);
 static ssize_t read_endless(void *ctx, uint64_t pos, char *out,
                             size_t capacity);
-static void note_use(int32_t fd);
-static bool is_reused(int32_t fd);
-static uint32_t client_port(int32_t fd);
-static void send_stale(int32_t fd);
+static void send_stale(int32_t fd, const char *text);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
 static void send_raw(int32_t fd, Mode mode, const char *id, const char *seal);
@@ -273,8 +275,8 @@
     return run_request(conn, ctx, q, url, method);
 }
 
-/* Frees the request. In MODE_EXTRA, first sends a second response, which the
- * client may take for the response to its next request. */
+/* Frees the request. In the modes for it, first sends a second response, which
+ * the client may take for the response to its next request. */
 static void
 on_completed(void *ctx, struct MHD_Connection *conn, void **state,
              enum MHD_RequestTerminationCode code)
@@ -282,8 +284,8 @@
     Request *q = *state;
     (void)ctx, (void)conn, (void)code;
     if (q != NULL) {
-        if (q->send_extra) {
-            send_stale(q->fd);
+        if (q->extra != NULL) {
+            send_stale(q->fd, q->extra);
         }
         g_string_free(q->body, TRUE);
         free(q);
@@ -395,6 +397,7 @@
     if (id == NULL) {
         return refuse(conn, s, 400);
     }
+    bool is_reused = CpStandin_CountUse(conn) > 1;
     pthread_mutex_lock(&lock);
     arrived++;
     s->arrived++;
@@ -402,7 +405,6 @@
         timeout_ms > longest_timeout_ms ? timeout_ms : longest_timeout_ms;
     g_hash_table_replace(last_timeouts_ms, g_strdup(id),
                          GUINT_TO_POINTER(timeout_ms));
-    note_use(q->fd);
     Mode mode = s->mode;
     uint32_t status = mode == MODE_STATUS  ? s->status
                       : mode == MODE_ERROR ? 500
@@ -450,8 +452,8 @@
         send_endless(q->fd, mode);
         return MHD_NO;
     }
-    if (mode == MODE_LATE && is_reused(q->fd)) {
-        send_stale(q->fd);
+    if ((mode == MODE_LATE || mode == MODE_LATE_REFUSAL) && is_reused) {
+        send_stale(q->fd, mode == MODE_LATE ? stale_response : stale_refusal);
     }
     if (mode == MODE_UNTIL) {
         send_until_close(q->fd, id, seal);
@@ -488,7 +490,9 @@
     if (mode != MODE_UNSEALED) {
         MHD_add_response_header(r, "Chestnutpaddle-Response-Seal", seal);
     }
-    q->send_extra = mode == MODE_EXTRA;
+    q->extra = mode == MODE_EXTRA           ? stale_response
+               : mode == MODE_EXTRA_REFUSAL ? stale_refusal
+                                            : NULL;
     enum MHD_Result ok = MHD_queue_response(conn, status, r);
     MHD_destroy_response(r);
     return ok;
@@ -575,38 +579,10 @@
     return (ssize_t)capacity;
 }
 
-/* Counts a request on a connection, by the client's port; under the lock. */
 static void
-note_use(int32_t fd)
+send_stale(int32_t fd, const char *text)
 {
-    uint32_t port = client_port(fd);
-    port_uses[port] += port_uses[port] < UINT8_MAX;
-}
-
-static bool
-is_reused(int32_t fd)
-{
-    pthread_mutex_lock(&lock);
-    bool reused = port_uses[client_port(fd)] > 1;
-    pthread_mutex_unlock(&lock);
-    return reused;
-}
-
-static uint32_t
-client_port(int32_t fd)
-{
-    struct sockaddr_in client = {0};
-    socklen_t n = sizeof(client);
-    return getpeername(fd, (struct sockaddr *)&client, &n) == 0
-               ? ntohs(client.sin_port)
-               : 0;
-}
-
-static void
-send_stale(int32_t fd)
-{
-    if (send(fd, stale_response, sizeof(stale_response) - 1, MSG_NOSIGNAL) <
-        0) {
+    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
         fprintf(stderr, "standin-routed: cannot send the extra response\n");
     }
 }
