proxy: bound what a host holds of all responses

Cause: a response that is collected was bounded to 1 MB, the sum of them was not. A faulty server that sends 900 KB of a body and no more, to 200 requests at once, made a host grow by 174 MB, more than a process may have. Ruled out: endless heads and bodies of a single response (bounded before); small responses, which are not touched. Change: a worker counts what it holds. Beyond its part of 24 MB a collected response is given up at 64 KB, and a streamed one waits there for its caller.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -4,8 +4,9 @@
  * small response is buffered before any of it is forwarded, so that the
  * request can be retried if the response breaks off. A large one is streamed,
  * because its caller would otherwise wait for it twice; if it breaks off, the
- * caller's connection is closed early. Both parts of a response are bounded: a
- * server in trouble may send bytes without end.
+ * caller's connection is closed early. Both parts of a response are bounded,
+ * and so is what a host holds of all bodies: a server in trouble may send
+ * bytes without end.
  */
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -26,6 +27,10 @@
 #define MAX_BUFFERED_BYTES (1024u * 1024) /* if not streamed */
 #define STREAM_MIN_BYTES (16u * 1024)     /* less arrives in one TCP window */
 #define STREAM_BUFFER_BYTES (256u * 1024) /* buffered for one slow caller */
+/* Of all responses of this host, divided among its workers; beyond it, each
+ * response may still hold a little. */
+#define MAX_HELD_BYTES (24u * 1024 * 1024)
+#define MIN_BUFFERED_BYTES (64u * 1024)
 
 static void set_request(CpProxyExchange *ex, const CpProxyAction *action,
                         int64_t left_ms);
@@ -106,6 +111,7 @@
     if (a->body != NULL) {
         g_byte_array_unref(a->body);
     }
+    ex->worker->held_bytes -= a->held_bytes;
     memset(a, 0, sizeof(*a));
 }
 
@@ -489,17 +495,23 @@
     CpProxyExchange *ex = ctx;
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
-    if (a->streamed && a->body->len + n > STREAM_BUFFER_BYTES) {
+    CpProxyWorker *w = ex->worker;
+    bool many_held =
+        w->held_bytes + n > MAX_HELD_BYTES / w->proxy->options.threads &&
+        a->body->len + n > MIN_BUFFERED_BYTES;
+    if (a->streamed && (many_held || a->body->len + n > STREAM_BUFFER_BYTES)) {
         a->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    if (a->body->len + n > MAX_BUFFERED_BYTES) {
+    if (many_held || a->body->len + n > MAX_BUFFERED_BYTES) {
         a->oversized = true;
         return 0;
     }
     uint64_t before = a->body_bytes;
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
+    a->held_bytes += n;
+    w->held_bytes += n;
     if (a->streamed) {
         CpProxyFront_Resume(ex);
     }
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -425,6 +425,8 @@
     if (n > 0) {
         memcpy(out, a->body->data, n);
         g_byte_array_remove_range(a->body, 0, n);
+        a->held_bytes -= n;
+        ex->worker->held_bytes -= n;
         CpProxyAttempt_Resume(ex);
         return (ssize_t)n;
     }
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -32,6 +32,7 @@
     GPtrArray *response_headers; /* CpHeaderLine of the response */
     GByteArray *body;    /* of the response; streamed: the part not sent yet */
     uint64_t body_bytes; /* received */
+    uint64_t held_bytes; /* received and not yet sent to the caller */
     /* streamed: of the complete body; MHD_SIZE_UNKNOWN: not announced */
     uint64_t content_length_bytes;
     uint64_t head_bytes; /* received, of interim responses too */
@@ -82,7 +83,8 @@
     CpProxyExchange *exchanges;
     uint32_t active;
     int64_t next_deadline_ns;
-    bool has_resumed; /* the daemon has resumed connections to run */
+    uint64_t held_bytes; /* of all attempts */
+    bool has_resumed;    /* the daemon has resumed connections to run */
     CpEasyPool easy_pool;
 };
 
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -30,6 +30,7 @@
 #define DEAF_CONNECTIONS 4 /* more than a queue of length 0 takes */
 #define BODY_PREFIX "answer to "
 #define LARGE_BLOCK_BYTES (8 * 1024)
+#define HOARD_BYTES (900 * 1024)       /* in MODE_HOARD */
 #define UNTIL_CLOSE_BYTES (100 * 1024) /* in MODE_UNTIL */
 
 typedef enum {
@@ -51,6 +52,7 @@
     MODE_LATE,    /* before the response, repeats one of an earlier request */
     MODE_LATE_REFUSAL, /* as MODE_LATE, a refusal without an id */
     MODE_UNTIL,  /* runs it and marks the end by closing the connection */
+    MODE_HOARD,  /* runs it, sends 900 KB of a failure and no more */
     MODE_STATUS, /* runs it and responds with a status of its own */
     /* The rest run it, send a text and close the connection: after a part of
      * the response, and in order, unless said otherwise. */
@@ -116,6 +118,7 @@
     [MODE_LATE] = "late",
     [MODE_LATE_REFUSAL] = "late-refusal",
     [MODE_UNTIL] = "until",
+    [MODE_HOARD] = "hoard",
     [MODE_STATUS] = "status",
     [MODE_CUT_STATUS] = "cut-status",
     [MODE_CUT_ID] = "cut-id",
@@ -198,6 +201,8 @@
 static void send_stale(int32_t fd, const char *text);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
+static void send_hoard(int32_t fd, const char *id, const char *seal);
+static bool send_all(int32_t fd, const GString *text);
 static void send_raw(int32_t fd, Mode mode, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
 static ssize_t read_short(void *ctx, uint64_t pos, char *out, size_t capacity);
@@ -459,6 +464,10 @@
         send_until_close(q->fd, id, seal);
         return MHD_NO;
     }
+    if (mode == MODE_HOARD) {
+        send_hoard(q->fd, id, seal);
+        return MHD_NO;
+    }
     if (raw_responses[mode] != NULL) {
         send_raw(q->fd, mode, id, seal);
         return MHD_NO;
@@ -620,18 +629,47 @@
     for (uint32_t i = 0; i < UNTIL_CLOSE_BYTES; i++) {
         g_string_append_c(text, 'u');
     }
+    send_all(fd, text);
+    g_string_free(text, TRUE);
+}
+
+/* Sends a part of a chunk and waits until the client disconnects. */
+static void
+send_hoard(int32_t fd, const char *id, const char *seal)
+{
+    struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "HTTP/1.1 500 Internal Server Error\r\n"
+                    "Chestnutpaddle-Attempt-Id: %s\r\n"
+                    "Chestnutpaddle-Response-Seal: %s\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n%x\r\n",
+                    id, seal, 2 * HOARD_BYTES);
+    for (uint32_t i = 0; i < HOARD_BYTES; i++) {
+        g_string_append_c(text, 'h');
+    }
+    if (send_all(fd, text)) {
+        poll(&p, 1, -1);
+    }
+    g_string_free(text, TRUE);
+}
+
+/* Returns false if the client disconnects. */
+static bool
+send_all(int32_t fd, const GString *text)
+{
     for (size_t at = 0; at < text->len;) {
         ssize_t n = send(fd, text->str + at, text->len - at, MSG_NOSIGNAL);
         struct pollfd p = {.fd = fd, .events = POLLOUT};
         if (n < 0 && errno != EAGAIN) {
-            break;
+            return false;
         }
         if (n < 0) {
             poll(&p, 1, POLL_INTERVAL_MS);
         }
         at += n > 0 ? (size_t)n : 0;
     }
-    g_string_free(text, TRUE);
+    return true;
 }
 
 static void
