standin: callers read the headers of a response after the call

They saw neither id nor seal, and regress/system/ soak_routes called all answers wrong. Ruled out: the product's calls (none sets the callback). Change: the callers read the headers from the library after the call.

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -36,7 +36,8 @@
  * outlive the call. */
 void CpEasy_SendOnce(CURL *e, bool *sent);
 /* Performs the call and appends the response body; the call fails if it is
- * longer than max_bytes, or if the response ends inside its head. */
+ * longer than max_bytes, or if the response ends inside its head. Uses the
+ * callbacks for headers and data. */
 CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
                         long *status);
 
--- a/standin/standin_callers.c
+++ b/standin/standin_callers.c
@@ -102,7 +102,8 @@
 static void choose_host(Caller *c, bool must_change);
 static bool lookup_hosts(Caller *c);
 static void update_hosts(Caller *c, const GString *text);
-static size_t on_header(char *data, size_t size, size_t n, void *ctx);
+static void read_headers(CURL *easy, Attempt *a);
+static const char *find_header(CURL *easy, const char *name);
 static uint64_t next_random(Caller *c);
 
 int
@@ -213,12 +214,11 @@
     curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
                      (long)CONNECT_TIMEOUT_MS);
     CpEasy_SendOnce(c->easy, &a->sent);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, a);
     if (a->pay) {
         curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, a->id);
     }
     CURLcode code = CpEasy_Perform(c->easy, body, MAX_RESPONSE_BYTES, &status);
+    read_headers(c->easy, a);
     Result r = check_response(code, a, status, body);
     pthread_mutex_lock(&output_lock);
     printf("%s %s %s %ld %lld %s %lld\n", a->id,
@@ -361,25 +361,26 @@
     json_decref(root);
 }
 
-static size_t
-on_header(char *data, size_t size, size_t n, void *ctx)
+static void
+read_headers(CURL *easy, Attempt *a)
 {
-    Attempt *a = ctx;
-    char value[LINE_BYTES];
-    (void)size;
-    if (CpEasy_MatchHeader(data, n, "Chestnutpaddle-Attempt-Id", value,
-                           sizeof(value))) {
-        a->id_echoed = strcmp(value, a->id) == 0;
-    }
-    else if (CpEasy_MatchHeader(data, n, "Chestnutpaddle-Response-Seal", value,
-                                sizeof(value))) {
-        a->sealed = true;
-    }
-    else if (CpEasy_MatchHeader(data, n, "Retry-After", value,
-                                sizeof(value))) {
-        a->retry_after_ms = (uint32_t)(strtod(value, NULL) * 1000);
+    const char *id = find_header(easy, "Chestnutpaddle-Attempt-Id");
+    const char *retry_after = find_header(easy, "Retry-After");
+    a->id_echoed = id != NULL && strcmp(id, a->id) == 0;
+    a->sealed = find_header(easy, "Chestnutpaddle-Response-Seal") != NULL;
+    if (retry_after != NULL) {
+        a->retry_after_ms = (uint32_t)(strtod(retry_after, NULL) * 1000);
     }
-    return n;
+}
+
+/* Returns the value of a header of the last response, or NULL. */
+static const char *
+find_header(CURL *easy, const char *name)
+{
+    struct curl_header *h;
+    return curl_easy_header(easy, name, 0, CURLH_HEADER, -1, &h) == CURLHE_OK
+               ? h->value
+               : NULL;
 }
 
 static uint64_t
