--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -8,11 +8,13 @@
  * for its next K requests if K is given, and its service time; status=N is the
  * status of its responses in the mode "status"; instance=I changes its
  * instance name; leaving=1 makes its responses announce that it leaves, and
- * retry_after=TEXT adds that to its refusals. Counted for all
- * servers together and served by each: /stats has the totals, /ran?id=ID how
- * often a request ran, /told?id=ID the last timeout sent with it in ms, and
- * /runs the run count of every id. /arrived counts the requests received by
- * the server addressed.
+ * retry_after=TEXT adds that to its refusals; deaf=1 makes connections to the
+ * server hang until the process ends.
+ *
+ * Counted for all servers together and served by each: /stats has the totals,
+ * /ran?id=ID how often a request ran, /told?id=ID the last timeout sent with
+ * it in ms, and /runs the run count of every id. /arrived counts the requests
+ * received by the server addressed.
  */
 #include <errno.h>
 #include <glib.h>
