--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -225,7 +225,7 @@
     pthread_mutex_lock(&e->store_lock);
     bool behind =
         __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
-    if (!behind) {
+    if (!behind && CpAtomic_Load(&f->consecutive_errors) == 0) {
         CpCond_Wait_ns(&e->store_changed, &e->store_lock,
                        PEER_CHECK_S * CP_NS_PER_S);
         behind =
