host: no "not run" for a request of which an attempt may have run

Its response was lost, the next attempt found no server, and the verdict of the last attempt alone was passed on. Ruled out: requests that may run once (not sent again after such an attempt). Change: the exchange keeps the verdict and the reason of the last attempt that may have run; a failure has these, if there is one.

--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -10,6 +10,7 @@
 #define MAX_SHIFT_REFUSALS 4
 
 static CpReason check_request_limit(CpNode *n, const CpExchange *ex);
+static void fail_request(CpNode *n, CpExchange *ex, CpReason reason);
 static bool may_retry(CpNode *n, CpExchange *ex, CpVerdict verdict,
                       CpReason reason);
 static bool refused_locally(CpNode *n, const CpExchange *ex, CpReason reason);
@@ -61,15 +62,13 @@
 {
     CpView *v = CpView_Retain(n);
     if (v == NULL) {
-        CpExchange_Fail(ex, CP_NOT_RUN, CP_REASON_NOT_CONFIGURED);
-        CpDispatch_End(n, ex);
+        fail_request(n, ex, CP_REASON_NOT_CONFIGURED);
         return;
     }
     uint32_t host = choose_host(n, v, ex);
     ex->attempts++;
     if (host == CP_NO_INDEX) {
-        CpExchange_Fail(ex, CP_NOT_RUN, CP_REASON_NO_HOST);
-        CpDispatch_End(n, ex);
+        fail_request(n, ex, CP_REASON_NO_HOST);
     }
     else {
         if (ex->tried_host_count < CP_MAX_TRIED_HOSTS) {
@@ -91,13 +90,16 @@
 CpDispatch_OnAttemptFailed(CpNode *n, CpExchange *ex, CpVerdict verdict,
                            CpReason reason)
 {
+    if (verdict != CP_NOT_RUN) {
+        ex->ran_verdict = verdict;
+        ex->ran_reason = reason;
+    }
     if (may_retry(n, ex, verdict, reason)) {
         CpCounter_Add(CP_COUNT_RETRIES, 1);
         CpDispatch_Send(n, ex);
         return;
     }
-    CpExchange_Fail(ex, verdict, reason);
-    CpDispatch_End(n, ex);
+    fail_request(n, ex, reason);
 }
 
 void
@@ -107,6 +109,16 @@
     CpExchange_Release(ex);
 }
 
+/* Fails a request whose last attempt was not run, or may have run, for
+ * `reason`. "Not run" is true only if no earlier attempt may have run. */
+static void
+fail_request(CpNode *n, CpExchange *ex, CpReason reason)
+{
+    bool not_run = ex->ran_verdict == CP_NOT_RUN;
+    CpExchange_Fail(ex, ex->ran_verdict, not_run ? reason : ex->ran_reason);
+    CpDispatch_End(n, ex);
+}
+
 /* Reserves part of this host's request limit for the more urgent ranks. */
 static CpReason
 check_request_limit(CpNode *n, const CpExchange *ex)
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -110,6 +110,9 @@
     char server_address[CP_ADDR_BYTES];
     void *pool; /* the host's pool that granted the slot */
     uint32_t attempts;
+    /* Of the last attempt that may have run the request; CP_NOT_RUN: none. */
+    CpVerdict ran_verdict;
+    CpReason ran_reason;
     uint32_t tried_hosts[CP_MAX_TRIED_HOSTS]; /* that it was sent to */
     uint32_t tried_host_count;
     uint32_t shift_refusals; /* by traffic shifts at their cap */
