entry, proxy, http: one mechanism each for full lists, heads and deadlines

The rows held now decide it for scans and peers alike, and each removal is applied like one that was read. The scans of fleet and hosts go. - Whether a request may have run was kept by the policy and, for the deadline, by the exchange; the front end made up the failure. The policy decides it. - The lines of a head and an end inside it were told apart in three places; easy has a function for each. - reads_from_peer() and read_from_peer() differed by a letter; a page of rows without its rows is refused.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -20,7 +20,7 @@
 #define START_SETTLE_MS 1800
 #define START_POLL_MS 200
 #define PEER_CHECK_S 1    /* between checks for a watching peer */
-#define PROBE_WAIT_MS 100 /* poll while the store is unreachable */
+#define PROBE_WAIT_MS 100 /* poll after an error, and instead of a peer */
 #define MIN_WAIT_NS (800 * CP_NS_PER_MS) /* for a response, before a stop */
 /* For a change to reach all hosts. */
 #define MAX_BEHIND_NS (400 * CP_NS_PER_MS)
@@ -34,7 +34,7 @@
 static void *follow_thread(void *ctx);
 static bool load_at_start(CpEntryFollower *f, uint64_t *version);
 static bool reads_from_peer(CpEntryFollower *f, int64_t now_ns);
-static bool read_from_peer(CpEntryFollower *f, uint64_t *version);
+static bool fetch_from_peer(CpEntryFollower *f, uint64_t *version);
 static void set_read_version(CpEntryFollower *f, uint64_t version);
 static uint32_t max_wait_ms(const CpEntryFollower *f, bool instead_of_peer);
 static bool should_stop(void *ctx);
@@ -126,7 +126,7 @@
         uint64_t before = version;
         f->call_started_ns = CpClock_Now_ns();
         bool has_peer = scanned && reads_from_peer(f, f->call_started_ns);
-        if (has_peer && read_from_peer(f, &version)) {
+        if (has_peer && fetch_from_peer(f, &version)) {
             continue;
         }
         if (!scanned && load_at_start(f, &version)) {
@@ -218,7 +218,7 @@
  * provide the rows, or the last read failed, so that what was missing then is
  * not known to be gone. */
 static bool
-read_from_peer(CpEntryFollower *f, uint64_t *version)
+fetch_from_peer(CpEntryFollower *f, uint64_t *version)
 {
     CpEntry *e = f->entry;
     char peer[CP_NAME_BYTES];
@@ -327,42 +327,14 @@
 static CpStatus
 scan_table(CpEntryFollower *f, uint64_t *version)
 {
-    CpEntry *e = f->entry;
-    CpEntryNeighbours_BeginScan(f);
-    if (f->table == CP_TABLE_SERVERS) {
-        CpFleet_BeginScan(e->fleet);
-    }
-    if (f->table == CP_TABLE_HOSTS) {
-        CpEntryHosts_BeginScan(e);
-    }
-    if (f->table == CP_TABLE_OPERATOR) {
-        CpFleet_BeginEvacuationScan(e->fleet);
-    }
+    CpEntryNeighbours_BeginList(f);
     CpStatus st = f->store->scan(f->store->ctx, f->table, CpEntryFollow_OnRow,
                                  f, version);
-    int64_t now_ns = CpClock_Now_ns();
     if (st == CP_OK) {
-        CpEntryNeighbours_EndScan(f, *version);
+        CpEntryNeighbours_EndList(f, *version, *version);
         /* A row may have been removed at any version up to this one. */
         CpEntryFollow_RaiseRowVersion(f, *version);
     }
-    if (st == CP_OK && f->table == CP_TABLE_SERVERS) {
-        bool lapsed = CpEntryFollow_MayHaveLapsed(e, now_ns);
-        CpFleet_EndScan(e->fleet, lapsed, now_ns);
-        if (lapsed) {
-            CpAtomic_Store(&e->lapsed_removal_due, 1);
-        }
-    }
-    if (st == CP_OK && f->table == CP_TABLE_OPERATOR) {
-        uint32_t n = CpFleet_EndEvacuationScan(e->fleet, now_ns);
-        if (n > 0) {
-            CpEvent(CP_EVENT_STATE, "evacuations_over", "s:i", "domains",
-                    (int)n);
-        }
-    }
-    if (st == CP_OK && f->table == CP_TABLE_HOSTS) {
-        CpEntryHosts_EndScan(e);
-    }
     return st;
 }
 
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -116,28 +116,6 @@
             row->key, "row_version", (json_int_t)row->version);
 }
 
-void
-CpEntryHosts_BeginScan(CpEntry *e)
-{
-    pthread_mutex_lock(&e->hosts_lock);
-    for (guint i = 0; i < e->hosts->len; i++) {
-        ((CpEntryHost *)g_ptr_array_index(e->hosts, i))->unseen = true;
-    }
-    pthread_mutex_unlock(&e->hosts_lock);
-}
-
-void
-CpEntryHosts_EndScan(CpEntry *e)
-{
-    pthread_mutex_lock(&e->hosts_lock);
-    for (guint i = e->hosts->len; i-- > 0;) {
-        if (((CpEntryHost *)g_ptr_array_index(e->hosts, i))->unseen) {
-            g_ptr_array_remove_index(e->hosts, i);
-        }
-    }
-    pthread_mutex_unlock(&e->hosts_lock);
-}
-
 uint32_t
 CpEntryHosts_Count(CpEntry *e)
 {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -19,7 +19,6 @@
     char control[CP_ADDR_BYTES]; /* "": none */
     uint64_t incarnation;
     uint64_t previous_incarnation; /* its reports are late; 0: none */
-    bool unseen;                   /* not found yet by the current scan */
     bool leaving;
     bool silent; /* its reports have timed out */
     uint64_t last_report_sequence;
@@ -42,9 +41,10 @@
     int64_t unreachable_since_ns; /* start of the last outage; 0: none */
     int64_t call_started_ns;
     pthread_mutex_t rows_lock; /* guards the next 3 */
-    uint32_t scan_number;      /* incremented by each scan */
+    uint32_t list_number;      /* incremented by each list of all rows */
     /* From this version on, `rows` has a mark of each row that was removed. A
-     * scan shows no removals, so that it starts anew there. 0: none read. */
+     * list of all rows has no marks, so that they start anew there. 0: none
+     * read. */
     uint64_t removals_version;
     GHashTable *rows; /* last read version of each, served to other hosts */
     uint32_t consecutive_errors; /* atomic */
@@ -144,10 +144,12 @@
 /* Returns false if a later version of the row is held: copies of other hosts
  * may lag. */
 bool CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row);
-/* Rows that a scan did not contain are removed at its end; `version` is that
- * of the scan. */
-void CpEntryNeighbours_BeginScan(CpEntryFollower *f);
-void CpEntryNeighbours_EndScan(CpEntryFollower *f, uint64_t version);
+/* Begin and end a list of all rows as of `version`. Rows that it did not
+ * contain are removed at its end, as if their removal had been read; marks of
+ * removals are complete from `removals_version` on. */
+void CpEntryNeighbours_BeginList(CpEntryFollower *f);
+void CpEntryNeighbours_EndList(CpEntryFollower *f, uint64_t version,
+                               uint64_t removals_version);
 /* Loads all tables from the first neighbour that has routes. */
 void CpEntryNeighbours_LoadTables(CpEntry *e);
 /* Fetches the rows that a peer has read after *version, applies them and
@@ -170,8 +172,6 @@
 void CpEntryHosts_Tick(void *ctx, int64_t now_ns);
 void CpEntryHosts_RemoveOwnRow(CpEntry *e);
 void CpEntryHosts_OnRow(CpEntry *e, const CpFeedRow *row);
-void CpEntryHosts_BeginScan(CpEntry *e);
-void CpEntryHosts_EndScan(CpEntry *e);
 /* Counts the known hosts; at least 1. */
 uint32_t CpEntryHosts_Count(CpEntry *e);
 /* Returns this host's rank by name among the live hosts of its domain, from 0.
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -22,7 +22,7 @@
 typedef struct {
     char *value; /* NULL: deleted */
     uint64_t version;
-    uint32_t scan_number; /* the last scan that contained it */
+    uint32_t list_number; /* the last list of all rows that contained it */
 } CachedRow;
 
 static bool load_from(CpEntry *e, const char *address);
@@ -33,10 +33,8 @@
 static json_t *fetch_page(const char *address, const char *path,
                           uint32_t timeout_ms);
 static void apply_rows(CpEntryFollower *f, const json_t *rows);
-static bool is_newer(CpEntryFollower *f, const CpFeedRow *row,
-                     uint64_t read_version);
-static void remove_unlisted(CpEntryFollower *f, const json_t *rows,
-                            uint64_t version);
+static bool mark_listed(CpEntryFollower *f, const CpFeedRow *row,
+                        uint64_t read_version);
 static uint64_t rows_digest(CpEntryFollower *f);
 static void free_row(void *p);
 
@@ -62,7 +60,7 @@
                         : is_text    ? g_strndup(row->value, row->value_bytes)
                                      : g_strdup("");
         cached->version = row->version;
-        cached->scan_number = f->scan_number;
+        cached->list_number = f->list_number;
         g_hash_table_replace(f->rows, g_strdup(row->key), cached);
     }
     pthread_mutex_unlock(&f->rows_lock);
@@ -70,27 +68,45 @@
 }
 
 void
-CpEntryNeighbours_BeginScan(CpEntryFollower *f)
+CpEntryNeighbours_BeginList(CpEntryFollower *f)
 {
     pthread_mutex_lock(&f->rows_lock);
-    f->scan_number++;
+    f->list_number++;
     pthread_mutex_unlock(&f->rows_lock);
 }
 
 void
-CpEntryNeighbours_EndScan(CpEntryFollower *f, uint64_t version)
+CpEntryNeighbours_EndList(CpEntryFollower *f, uint64_t version,
+                          uint64_t removals_version)
 {
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
-    void *value;
+    void *key, *value;
     pthread_mutex_lock(&f->rows_lock);
     g_hash_table_iter_init(&it, f->rows);
-    while (g_hash_table_iter_next(&it, NULL, &value)) {
-        if (((const CachedRow *)value)->scan_number != f->scan_number) {
+    while (g_hash_table_iter_next(&it, &key, &value)) {
+        const CachedRow *cached = value;
+        if (cached->list_number == f->list_number ||
+            cached->version > version) {
+            continue;
+        }
+        if (cached->value != NULL) {
+            g_ptr_array_add(gone, g_strdup(key));
+        }
+        else { /* older than the marks that are complete */
             g_hash_table_iter_remove(&it);
         }
     }
-    f->removals_version = version;
+    f->removals_version = removals_version;
     pthread_mutex_unlock(&f->rows_lock);
+    for (guint i = 0; i < gone->len; i++) {
+        CpFeedRow row = {.key = g_ptr_array_index(gone, i),
+                         .value = "",
+                         .deleted = true,
+                         .version = version};
+        CpEntryFollow_OnRow(f, &row);
+    }
+    g_ptr_array_unref(gone);
 }
 
 void
@@ -144,24 +160,28 @@
     }
     uint64_t removals_version = (uint64_t)json_integer_value(
         json_object_get(table, "removals_version"));
-    if (removals_version == 0) { /* a host of an earlier build */
+    const json_t *rows = json_object_get(table, "rows");
+    if (removals_version == 0 || !json_is_array(rows)) { /* an earlier build */
         json_decref(state);
         return CpError_Set(CP_ERR_PARSE, "%s does not state its removals",
                            peer);
     }
     uint32_t lapse_left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
-    const json_t *rows = json_object_get(table, "rows");
+    bool all_rows = json_is_true(json_object_get(table, "all_rows"));
     CpEntryFollow_SetLapseLeft(f->entry, lapse_left_ms, CpClock_Now_ns());
+    if (all_rows) {
+        CpEntryNeighbours_BeginList(f);
+    }
     apply_rows(f, rows);
-    if (json_is_true(json_object_get(table, "all_rows"))) {
-        remove_unlisted(f, rows, peer_version);
+    if (all_rows) {
+        CpEntryNeighbours_EndList(f, peer_version, removals_version);
     }
-    pthread_mutex_lock(&f->rows_lock);
-    if (*version < removals_version) { /* the marks in between are missing */
+    else if (*version < removals_version) { /* equal digests */
+        pthread_mutex_lock(&f->rows_lock);
         f->removals_version = removals_version;
+        pthread_mutex_unlock(&f->rows_lock);
     }
-    pthread_mutex_unlock(&f->rows_lock);
     *version = peer_version;
     json_decref(state);
     return CP_OK;
@@ -287,60 +307,27 @@
                          .deleted = value == NULL,
                          .version = (uint64_t)json_integer_value(
                              json_object_get(o, "version"))};
-        if (is_newer(f, &row, read_version)) {
+        if (mark_listed(f, &row, read_version)) {
             CpEntryFollow_OnRow(f, &row);
         }
     }
 }
 
+/* Marks the held row as listed; returns true if `row` is newer than what this
+ * host knows. */
 static bool
-is_newer(CpEntryFollower *f, const CpFeedRow *row, uint64_t read_version)
+mark_listed(CpEntryFollower *f, const CpFeedRow *row, uint64_t read_version)
 {
     pthread_mutex_lock(&f->rows_lock);
-    const CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    if (held != NULL) {
+        held->list_number = f->list_number;
+    }
     uint64_t known_version = held != NULL ? held->version : read_version;
     pthread_mutex_unlock(&f->rows_lock);
     return row->version > known_version;
 }
 
-/* Removes the rows that a list of all rows as of a version does not have. */
-static void
-remove_unlisted(CpEntryFollower *f, const json_t *rows, uint64_t version)
-{
-    GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
-    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
-    GHashTableIter it;
-    void *key, *value;
-    json_t *o;
-    size_t k;
-    json_array_foreach(rows, k, o)
-    {
-        const char *name = json_string_value(json_object_get(o, "key"));
-        if (name != NULL) {
-            g_hash_table_add(listed, (char *)name);
-        }
-    }
-    pthread_mutex_lock(&f->rows_lock);
-    g_hash_table_iter_init(&it, f->rows);
-    while (g_hash_table_iter_next(&it, &key, &value)) {
-        const CachedRow *cached = value;
-        if (cached->value != NULL && cached->version <= version &&
-            !g_hash_table_contains(listed, key)) {
-            g_ptr_array_add(gone, g_strdup(key));
-        }
-    }
-    pthread_mutex_unlock(&f->rows_lock);
-    for (guint i = 0; i < gone->len; i++) {
-        CpFeedRow row = {.key = g_ptr_array_index(gone, i),
-                         .value = "",
-                         .deleted = true,
-                         .version = version};
-        CpEntryFollow_OnRow(f, &row);
-    }
-    g_ptr_array_unref(gone);
-    g_hash_table_unref(listed);
-}
-
 /* Returns a digest of the rows that exist, independent of their order; called
  * under the rows' lock. */
 static uint64_t
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -48,8 +48,9 @@
 static void on_stream_ended(void *ctx, CpRequest *rq,
                             const CpAttemptResult *a);
 static bool should_abandon(void *ctx, CpRequest *rq);
-static void on_attempt_abandoned(void *ctx, CpRequest *rq,
-                                 CpAttemptOutcome outcome, int64_t latency_ns);
+static void on_deadline(void *ctx, CpRequest *rq, bool sent,
+                        int64_t latency_ns, CpProxyAction *out);
+static void on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns);
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
 static void get_limits(void *ctx, CpRouteLimits *out);
@@ -82,7 +83,8 @@
                            .may_stream = may_stream,
                            .on_stream_ended = on_stream_ended,
                            .should_abandon = should_abandon,
-                           .on_attempt_abandoned = on_attempt_abandoned,
+                           .on_deadline = on_deadline,
+                           .on_cancelled = on_cancelled,
                            .on_request_ended = on_request_ended,
                            .get_limits = get_limits,
                            .ctx = e};
@@ -191,14 +193,27 @@
 }
 
 static void
-on_attempt_abandoned(void *ctx, CpRequest *rq, CpAttemptOutcome outcome,
-                     int64_t latency_ns)
+on_deadline(void *ctx, CpRequest *rq, bool sent, int64_t latency_ns,
+            CpProxyAction *out)
+{
+    CpEntry *e = ctx;
+    RequestState *s = rq->policy_data;
+    s->may_have_run |= sent;
+    report_attempt(e, s, CP_ATTEMPT_TIMED_OUT, NULL, latency_ns);
+    set_failure(s,
+                s->may_have_run ? CP_REASON_DEADLINE_PASSED
+                                : CP_REASON_CONNECT_FAILED,
+                0, out);
+}
+
+static void
+on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns)
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
     if (s != NULL && s->choice.instance[0] != '\0') {
         s->may_have_run = true; /* its response was not received */
-        report_attempt(e, s, outcome, NULL, latency_ns);
+        report_attempt(e, s, CP_ATTEMPT_CANCELLED, NULL, latency_ns);
     }
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -77,21 +77,10 @@
 /* Removes the servers whose entries lapsed and have not reappeared. Returns
  * how many. */
 uint32_t CpFleet_RemoveLapsed(CpFleet *f, int64_t now_ns);
-/* Marks every server as unseen; the scan that follows updates those that
- * exist. */
-void CpFleet_BeginScan(CpFleet *f);
-/* Removes the servers that the scan did not update; `lapsed` as for
- * CpFleet_RemoveServer(). */
-void CpFleet_EndScan(CpFleet *f, bool lapsed, int64_t now_ns);
 /* Takes a domain out of use, or returns it to use; on its return its servers
  * are cold. */
 void CpFleet_SetEvacuated(CpFleet *f, const char *domain, bool evacuated,
                           int64_t now_ns);
-/* Begins and ends a scan of the operator's evacuations. At the end, domains
- * that the scan did not set as evacuated are returned to use; returns how
- * many. */
-void CpFleet_BeginEvacuationScan(CpFleet *f);
-uint32_t CpFleet_EndEvacuationScan(CpFleet *f, int64_t now_ns);
 /* Sets how long a service's servers stay cold, and the rate of requests to
  * each cold one, in thousandths a second; 0: no limit. */
 void CpFleet_SetWarmup(CpFleet *f, const char *service, uint32_t warmup_ms,
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -47,7 +47,6 @@
     uint32_t domain_index; /* CP_FLEET_MAX_DOMAINS: not configured */
     int64_t entry_ns;      /* when the entry was read */
     bool lapsed;   /* entry missing after a store outage, not yet removed */
-    bool unseen;   /* not found yet by the current scan */
     bool replaced; /* another instance responded at its address */
     uint32_t inflight;       /* requests of this host */
     bool leaving;            /* announced in a response */
@@ -151,8 +150,6 @@
     CpFleetDomain *domains;
     uint32_t own_domain_index; /* CP_FLEET_MAX_DOMAINS: not configured */
     uint32_t evacuated[CP_FLEET_MAX_DOMAINS]; /* flags, atomic */
-    /* flags, atomic: set as evacuated by the current scan */
-    uint32_t evacuated_in_scan[CP_FLEET_MAX_DOMAINS];
     uint32_t evacuations; /* changes of `evacuated`; atomic */
     /* of each domain, and of those that are not configured */
     CpLocality localities[CP_FLEET_MAX_DOMAINS + 1];
--- a/src/fleet/fleet_table.c
+++ b/src/fleet/fleet_table.c
@@ -16,8 +16,6 @@
 
 static void remove_from_service(CpFleet *f, CpFleetService *s, void *ctx);
 static void remove_server(CpFleetService *s, CpFleetServer *server);
-static void begin_scan(CpFleet *f, CpFleetService *s, void *ctx);
-static void end_scan(CpFleet *f, CpFleetService *s, void *ctx);
 static void remove_lapsed(CpFleet *f, CpFleetService *s, void *ctx);
 static void mark_cold(CpFleet *f, CpFleetService *s, void *ctx);
 static void free_service(void *p);
@@ -90,7 +88,7 @@
         g_hash_table_insert(s->by_hash, &server->hash, server);
     }
     else if (is_older(entry, &server->entry)) {
-        server->unseen = server->lapsed = false;
+        server->lapsed = false;
         pthread_mutex_unlock(&shard->lock);
         return;
     }
@@ -105,7 +103,7 @@
     server->entry = *entry;
     server->entry_ns = now_ns;
     server->domain_index = domain_index(f, entry->domain);
-    server->unseen = server->lapsed = server->replaced = false;
+    server->lapsed = server->replaced = false;
     if (!entry->draining) {
         CpFleet_ApplyNote(f, server, now_ns);
     }
@@ -137,19 +135,6 @@
     return sweep.count;
 }
 
-void
-CpFleet_BeginScan(CpFleet *f)
-{
-    CpFleet_ForEachService(f, begin_scan, NULL);
-}
-
-void
-CpFleet_EndScan(CpFleet *f, bool lapsed, int64_t now_ns)
-{
-    Sweep sweep = {.lapsed = lapsed, .now_ns = now_ns};
-    CpFleet_ForEachService(f, end_scan, &sweep);
-}
-
 void
 CpFleet_SetEvacuated(CpFleet *f, const char *domain, bool evacuated,
                      int64_t now_ns)
@@ -164,32 +149,9 @@
         CpFleet_ForEachService(f, mark_cold, &sweep);
     }
     CpAtomic_Store(&f->evacuated[i], evacuated);
-    CpAtomic_Store(&f->evacuated_in_scan[i], evacuated);
     __atomic_add_fetch(&f->evacuations, 1, __ATOMIC_RELAXED);
 }
 
-void
-CpFleet_BeginEvacuationScan(CpFleet *f)
-{
-    for (uint32_t i = 0; i < f->options.domain_count; i++) {
-        CpAtomic_Store(&f->evacuated_in_scan[i], 0);
-    }
-}
-
-uint32_t
-CpFleet_EndEvacuationScan(CpFleet *f, int64_t now_ns)
-{
-    uint32_t count = 0;
-    for (uint32_t i = 0; i < f->options.domain_count; i++) {
-        if (CpAtomic_Load(&f->evacuated[i]) &&
-            !CpAtomic_Load(&f->evacuated_in_scan[i])) {
-            CpFleet_SetEvacuated(f, f->domains[i].name, false, now_ns);
-            count++;
-        }
-    }
-    return count;
-}
-
 void
 CpFleet_SetWarmup(CpFleet *f, const char *service, uint32_t warmup_ms,
                   uint32_t warmup_per_s_milli)
@@ -287,35 +249,6 @@
     g_ptr_array_remove_fast(s->servers, server);
 }
 
-static void
-begin_scan(CpFleet *f, CpFleetService *s, void *ctx)
-{
-    (void)f, (void)ctx;
-    for (uint32_t i = 0; i < s->servers->len; i++) {
-        ((CpFleetServer *)g_ptr_array_index(s->servers, i))->unseen = true;
-    }
-}
-
-static void
-end_scan(CpFleet *f, CpFleetService *s, void *ctx)
-{
-    const Sweep *sweep = ctx;
-    (void)f;
-    for (uint32_t i = s->servers->len; i-- > 0;) {
-        CpFleetServer *server = g_ptr_array_index(s->servers, i);
-        if (!server->unseen) {
-            continue;
-        }
-        if (sweep->lapsed && !server->entry.draining) {
-            server->lapsed = true;
-            server->unseen = false;
-        }
-        else {
-            remove_server(s, server);
-        }
-    }
-}
-
 static void
 remove_lapsed(CpFleet *f, CpFleetService *s, void *ctx)
 {
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -41,6 +41,18 @@
 CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
                         long *status);
 
+/* What a line of a response head is, as the library passes it. Lines of a
+ * trailer come in the same way, after the head. */
+typedef enum {
+    CP_HEAD_STATUS = 0, /* begins a head; interim responses have one, too */
+    CP_HEAD_FIELD,
+    CP_HEAD_END /* the blank line */
+} CpHeadLine;
+CpHeadLine CpEasy_ClassifyHeadLine(const char *line, size_t n);
+/* Returns the result of a call: CURLE_PARTIAL_FILE instead of CURLE_OK if the
+ * response ended inside its head, for which the library reports no error. */
+CURLcode CpEasy_CheckHead(CURLcode code, bool head_received);
+
 /* Returns true if a line of a response head, as the library passes it, is the
  * header `name`, and copies its value, cut to fit, without the line end. */
 bool CpEasy_MatchHeader(const char *line, size_t n, const char *name,
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -327,6 +327,7 @@
                            .verdict = d->sent ? CP_MAY_HAVE_RUN : CP_NOT_RUN,
                            .outcome = CP_OUTCOME_FAILED,
                            .reason = CP_REASON_SERVER_FAILED};
+    code = CpEasy_CheckHead(code, d->head_received);
     if (d->head_delivered) {
         r->verdict = CP_RAN;
     }
@@ -348,13 +349,10 @@
         r->outcome = CP_OUTCOME_UNSENT;
         r->reason = CP_REASON_NO_SERVER;
     }
-    else if (code == CURLE_OK && d->head_received) {
+    else if (code == CURLE_OK) {
         r->outcome = CP_OUTCOME_OK;
         r->reason = CP_REASON_NONE;
     }
-    else if (code == CURLE_OK) { /* libcurl's result of an end in the head */
-        r->reason = CP_REASON_ANSWER_TRUNCATED;
-    }
     else if (!d->sent) {
         r->outcome = CP_OUTCOME_UNREACHABLE;
         r->reason = CP_REASON_CONNECT_FAILED;
@@ -434,7 +432,8 @@
     if (d->head_received) { /* a trailer, which is dropped */
         return n;
     }
-    if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
+    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
+    if (line == CP_HEAD_STATUS) {
         d->head.length_bytes = CP_LENGTH_UNKNOWN;
         d->has_length = d->chunked = false;
         return n;
@@ -460,7 +459,7 @@
                                 sizeof(value))) {
         d->mismatched = strcmp(value, d->head.location) != 0;
     }
-    else if (n <= 2 && status >= 200) { /* the blank line */
+    else if (line == CP_HEAD_END && status >= 200) {
         d->head.status = (uint32_t)status;
         bool framed =
             d->has_length || d->chunked || status == 204 || status == 304;
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -62,15 +62,32 @@
 CpEasy_Perform(CURL *e, GString *body, size_t max_bytes, long *status)
 {
     BodyBuffer r = {body, max_bytes};
-    bool head_complete = false;
+    bool head_received = false;
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head_line);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head_complete);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head_received);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
     CURLcode code = curl_easy_perform(e);
     curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
-    /* The library reports no error for an end inside the head. */
-    return code == CURLE_OK && !head_complete ? CURLE_PARTIAL_FILE : code;
+    return CpEasy_CheckHead(code, head_received);
+}
+
+CpHeadLine
+CpEasy_ClassifyHeadLine(const char *line, size_t n)
+{
+    if (n > 5 && strncmp(line, "HTTP/", 5) == 0) {
+        return CP_HEAD_STATUS;
+    }
+    while (n > 0 && (line[n - 1] == '\r' || line[n - 1] == '\n')) {
+        n--;
+    }
+    return n == 0 ? CP_HEAD_END : CP_HEAD_FIELD;
+}
+
+CURLcode
+CpEasy_CheckHead(CURLcode code, bool head_received)
+{
+    return code == CURLE_OK && !head_received ? CURLE_PARTIAL_FILE : code;
 }
 
 bool
@@ -122,20 +139,15 @@
     return CURL_PREREQFUNC_OK;
 }
 
-/* The head ends at the blank line; that of an interim response is followed by
- * another one. */
 static size_t
 on_head_line(char *data, size_t size, size_t n, void *ctx)
 {
-    bool *complete = ctx;
-    n *= size;
-    if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
-        *complete = false;
-    }
-    else if (n > 0 && (data[0] == '\r' || data[0] == '\n')) {
-        *complete = true;
+    bool *received = ctx;
+    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n * size);
+    if (line != CP_HEAD_FIELD) {
+        *received = line == CP_HEAD_END;
     }
-    return n;
+    return n * size;
 }
 
 static size_t
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -112,10 +112,12 @@
                             const CpAttemptResult *a);
     /* Decides whether an attempt whose own deadline passed is abandoned. */
     bool (*should_abandon)(void *ctx, CpRequest *rq);
-    /* The caller disconnected, or the request's deadline passed, during an
-     * attempt. */
-    void (*on_attempt_abandoned)(void *ctx, CpRequest *rq,
-                                 CpAttemptOutcome outcome, int64_t latency_ns);
+    /* The request's deadline passed during an attempt, whose request may have
+     * been sent; sets how the request fails. */
+    void (*on_deadline)(void *ctx, CpRequest *rq, bool sent,
+                        int64_t latency_ns, CpProxyAction *out);
+    /* The caller disconnected during an attempt. */
+    void (*on_cancelled)(void *ctx, CpRequest *rq, int64_t latency_ns);
     /* The response was sent, or the caller disconnected. */
     void (*on_request_ended)(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -95,7 +95,6 @@
         result.outcome = CP_ATTEMPT_TIMED_OUT;
     }
     CpProxyAttempt_Abort(ex);
-    ex->may_have_run |= result.verdict != CP_NOT_RUN;
     p->on_attempt_ended(p->ctx, &ex->request, &result, &action);
     CpProxyFront_Execute(ex, &action);
 }
@@ -236,7 +235,6 @@
         CpProxyFront_Resume(ex);
         return;
     }
-    ex->may_have_run |= result.verdict != CP_NOT_RUN;
     p->on_attempt_ended(p->ctx, &ex->request, &result, &action);
     CpProxyFront_Execute(ex, &action);
 }
@@ -270,8 +268,7 @@
     else if (a->oversized) {
         out->reason = CP_REASON_ANSWER_TOO_LARGE;
     }
-    else if (code != CURLE_OK || a->head_ns == 0) {
-        /* libcurl reports no error for an end inside the head. */
+    else if (CpEasy_CheckHead(code, a->head_ns > 0) != CURLE_OK) {
         out->reason = a->status != 0 ? CP_REASON_ANSWER_TRUNCATED
                                      : CP_REASON_SERVER_FAILED;
     }
@@ -315,8 +312,8 @@
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     if (ex->attempt.easy != NULL) {
         ex->disconnected = true;
-        p->on_attempt_abandoned(p->ctx, &ex->request, CP_ATTEMPT_CANCELLED,
-                                CpClock_Now_ns() - ex->attempt.started_ns);
+        p->on_cancelled(p->ctx, &ex->request,
+                        CpClock_Now_ns() - ex->attempt.started_ns);
         CpProxyAttempt_Abort(ex);
     }
 }
@@ -357,6 +354,7 @@
     CpProxyExchange *ex = ctx;
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
+    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
     size_t end = n;
     a->head_bytes += n;
     if (a->head_bytes > MAX_HEAD_BYTES) {
@@ -369,7 +367,7 @@
     while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
         end--;
     }
-    if (n > 5 && strncmp(data, "HTTP/", 5) == 0) {
+    if (line == CP_HEAD_STATUS) {
         long status = 0;
         curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
         a->status = (uint32_t)status;
@@ -377,7 +375,7 @@
         g_ptr_array_set_size(a->response_headers, 0);
         return n;
     }
-    if (end == 0) { /* the end of the head */
+    if (line == CP_HEAD_END) {
         bool final = a->status >= 200;
         if (final && !is_valid_head(a)) {
             a->mismatched = true;
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -120,16 +120,11 @@
 CpProxyFront_OnDeadline(CpProxyExchange *ex)
 {
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
-    bool may_have_run = ex->may_have_run || ex->attempt.sent;
-    p->on_attempt_abandoned(p->ctx, &ex->request, CP_ATTEMPT_TIMED_OUT,
-                            CpClock_Now_ns() - ex->attempt.started_ns);
+    CpProxyAction action = {0};
+    p->on_deadline(p->ctx, &ex->request, ex->attempt.sent,
+                   CpClock_Now_ns() - ex->attempt.started_ns, &action);
     CpProxyAttempt_Abort(ex);
-    ex->decided = true;
-    set_failure(ex,
-                may_have_run ? CP_REASON_DEADLINE_PASSED
-                             : CP_REASON_CONNECT_FAILED,
-                0);
-    CpProxyFront_Resume(ex);
+    CpProxyFront_Execute(ex, &action);
 }
 
 void
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -53,7 +53,6 @@
     GByteArray *body;
     uint64_t max_body_bytes;
     uint32_t attempts;        /* started */
-    bool may_have_run;        /* in an attempt that has ended */
     uint32_t framing_headers; /* that tell where the request's body ends */
     int64_t deadline_ns;      /* 0: not sent yet */
     bool knows_chunks;        /* the caller speaks HTTP/1.1 */
