--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -50,6 +50,7 @@
                         const char *value);
 static bool is_valid_head(const CpProxyAttempt *a);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
+static void hold(CpProxyExchange *ex, int64_t bytes);
 
 void
 CpProxyAttempt_Start(CpProxyExchange *ex, const CpProxyAction *action)
@@ -110,7 +111,7 @@
     if (a->body != NULL) {
         g_byte_array_unref(a->body);
     }
-    ex->worker->held_bytes -= a->held_bytes;
+    hold(ex, -(int64_t)a->held_bytes);
     memset(a, 0, sizeof(*a));
 }
 
@@ -296,9 +297,11 @@
 }
 
 void
-CpProxyAttempt_Resume(CpProxyExchange *ex)
+CpProxyAttempt_Consume(CpProxyExchange *ex, uint32_t n)
 {
     CpProxyAttempt *a = &ex->attempt;
+    g_byte_array_remove_range(a->body, 0, n);
+    hold(ex, -(int64_t)n);
     if (a->paused && a->body->len < STREAM_BUFFER_BYTES / 2 &&
         a->easy != NULL) {
         a->paused = false;
@@ -493,23 +496,23 @@
     CpProxyExchange *ex = ctx;
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
-    CpProxyWorker *w = ex->worker;
-    bool many_held =
+    const CpProxyWorker *w = ex->worker;
+    bool host_is_full =
         w->held_bytes + n > MAX_HELD_BYTES / w->proxy->options.threads &&
         a->body->len + n > MIN_BUFFERED_BYTES;
-    if (a->streamed && (many_held || a->body->len + n > STREAM_BUFFER_BYTES)) {
+    if (a->streamed &&
+        (host_is_full || a->body->len + n > STREAM_BUFFER_BYTES)) {
         a->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    if (many_held || a->body->len + n > MAX_BUFFERED_BYTES) {
+    if (host_is_full || a->body->len + n > MAX_BUFFERED_BYTES) {
         a->oversized = true;
         return 0;
     }
     uint64_t before = a->body_bytes;
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
-    a->held_bytes += n;
-    w->held_bytes += n;
+    hold(ex, (int64_t)n);
     if (a->streamed) {
         CpProxyFront_Resume(ex);
     }
@@ -518,3 +521,11 @@
     }
     return n;
 }
+
+/* Counts bytes of responses that are held, or released if negative. */
+static void
+hold(CpProxyExchange *ex, int64_t bytes)
+{
+    ex->attempt.held_bytes += (uint64_t)bytes;
+    ex->worker->held_bytes += (uint64_t)bytes;
+}
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -419,10 +419,7 @@
     guint n = a->body->len < capacity ? a->body->len : (guint)capacity;
     if (n > 0) {
         memcpy(out, a->body->data, n);
-        g_byte_array_remove_range(a->body, 0, n);
-        a->held_bytes -= n;
-        ex->worker->held_bytes -= n;
-        CpProxyAttempt_Resume(ex);
+        CpProxyAttempt_Consume(ex, n);
         return (ssize_t)n;
     }
     if (a->easy == NULL) { /* the attempt has ended */
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -137,8 +137,9 @@
 void CpProxyAttempt_Start(CpProxyExchange *ex, const CpProxyAction *action);
 /* Handles the attempts that the multi handle reports as ended. */
 void CpProxyAttempt_CollectEnded(CpProxyWorker *w);
-/* Resumes a response that was paused until its caller reads on. */
-void CpProxyAttempt_Resume(CpProxyExchange *ex);
+/* Removes bytes of a streamed response that were sent to the caller, and
+ * resumes it if it was paused for that. */
+void CpProxyAttempt_Consume(CpProxyExchange *ex, uint32_t n);
 /* Aborts an attempt in progress after its caller disconnected, and reports it
  * to the policy. */
 void CpProxyAttempt_Cancel(CpProxyExchange *ex);
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -15,6 +15,11 @@
                                     MHD_AccessHandlerCallback on_request,
                                     void *ctx,
                                     MHD_RequestCompletedCallback on_completed);
+/* Returns the socket of a connection. */
+int32_t CpStandin_Socket(struct MHD_Connection *conn);
+/* Sends bytes on a socket, beside the library; returns false if the client
+ * disconnects. */
+bool CpStandin_Send(int32_t fd, const char *data, size_t size_bytes);
 /* Counts a request on its connection; returns how many there were, this one
  * included. */
 uint32_t CpStandin_CountUse(struct MHD_Connection *conn);
--- a/standin/standin_http.c
+++ b/standin/standin_http.c
@@ -1,13 +1,18 @@
 /* Helpers on top of libmicrohttpd for the stand-ins. */
+#include <errno.h>
+#include <poll.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 
 #include "standin.h"
 
+#define SEND_POLL_MS 5 /* checks whether the client reads on */
+
 static void on_connection(void *ctx, struct MHD_Connection *conn,
                           void **socket_context,
                           enum MHD_ConnectionNotificationCode code);
@@ -37,6 +42,30 @@
     return daemon;
 }
 
+int32_t
+CpStandin_Socket(struct MHD_Connection *conn)
+{
+    return MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+        ->connect_fd;
+}
+
+bool
+CpStandin_Send(int32_t fd, const char *data, size_t size_bytes)
+{
+    for (size_t at = 0; at < size_bytes;) {
+        ssize_t n = send(fd, data + at, size_bytes - at, MSG_NOSIGNAL);
+        struct pollfd p = {.fd = fd, .events = POLLOUT};
+        if (n < 0 && errno != EAGAIN) {
+            return false;
+        }
+        if (n < 0) {
+            poll(&p, 1, SEND_POLL_MS);
+        }
+        at += n > 0 ? (size_t)n : 0;
+    }
+    return true;
+}
+
 uint32_t
 CpStandin_CountUse(struct MHD_Connection *conn)
 {
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -18,7 +18,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
 
 #include "standin.h"
@@ -272,14 +271,11 @@
 cut_response(struct MHD_Connection *conn)
 {
     static const char line[] = "HTTP/1.1 200 OK\r\n";
-    int32_t fd =
-        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd;
     pthread_mutex_lock(&lock);
     bool is_cut = mode == MODE_CUT;
     pthread_mutex_unlock(&lock);
-    if (is_cut && send(fd, line, sizeof(line) - 1, MSG_NOSIGNAL) < 0) {
-        fprintf(stderr, "standin-platform: cannot send a status line\n");
+    if (is_cut) {
+        CpStandin_Send(CpStandin_Socket(conn), line, sizeof(line) - 1);
     }
     return is_cut;
 }
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -200,11 +200,9 @@
 static void end_large(void *ctx);
 static ssize_t read_endless(void *ctx, uint64_t pos, char *out,
                             size_t capacity);
-static void send_stale(int32_t fd, const char *text);
 static void send_endless(int32_t fd, Mode mode);
 static void send_until_close(int32_t fd, const char *id, const char *seal);
 static void send_hoard(int32_t fd, const char *id, const char *seal);
-static bool send_all(int32_t fd, const GString *text);
 static void send_raw(int32_t fd, Mode mode, const char *id, const char *seal);
 static bool simulate_work(Server *s, int32_t fd, uint64_t timeout_ms);
 static ssize_t read_short(void *ctx, uint64_t pos, char *out, size_t capacity);
@@ -243,9 +241,7 @@
     if (q == NULL) {
         q = CpMem_Alloc(sizeof(*q));
         q->body = g_string_new(NULL);
-        q->fd =
-            MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-                ->connect_fd;
+        q->fd = CpStandin_Socket(conn);
         *state = q;
         return MHD_YES;
     }
@@ -292,7 +288,7 @@
     (void)ctx, (void)conn, (void)code;
     if (q != NULL) {
         if (q->extra != NULL) {
-            send_stale(q->fd, q->extra);
+            CpStandin_Send(q->fd, q->extra, strlen(q->extra));
         }
         g_string_free(q->body, TRUE);
         free(q);
@@ -460,7 +456,8 @@
         return MHD_NO;
     }
     if ((mode == MODE_LATE || mode == MODE_LATE_REFUSAL) && is_reused) {
-        send_stale(q->fd, mode == MODE_LATE ? stale_response : stale_refusal);
+        const char *stale = mode == MODE_LATE ? stale_response : stale_refusal;
+        CpStandin_Send(q->fd, stale, strlen(stale));
     }
     if (mode == MODE_UNTIL) {
         send_until_close(q->fd, id, seal);
@@ -590,14 +587,6 @@
     return (ssize_t)capacity;
 }
 
-static void
-send_stale(int32_t fd, const char *text)
-{
-    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-        fprintf(stderr, "standin-routed: cannot send the extra response\n");
-    }
-}
-
 /* Sends until the client disconnects. */
 static void
 send_endless(int32_t fd, Mode mode)
@@ -607,16 +596,10 @@
     const char *text = mode == MODE_JUNK      ? "no such thing "
                        : mode == MODE_INTERIM ? interim
                                               : line;
-    bool ok = mode != MODE_HEAD ||
-              send(fd, "HTTP/1.1 200 OK\r\n", 17, MSG_NOSIGNAL) == 17;
+    bool ok =
+        mode != MODE_HEAD || CpStandin_Send(fd, CUT_HEAD, strlen(CUT_HEAD));
     while (ok) {
-        ssize_t n = send(fd, text, strlen(text), MSG_NOSIGNAL);
-        if (n < 0 && errno == EAGAIN) {
-            struct pollfd p = {.fd = fd, .events = POLLOUT};
-            poll(&p, 1, POLL_INTERVAL_MS);
-            continue;
-        }
-        ok = n >= 0;
+        ok = CpStandin_Send(fd, text, strlen(text));
     }
 }
 
@@ -631,7 +614,7 @@
     for (uint32_t i = 0; i < UNTIL_CLOSE_BYTES; i++) {
         g_string_append_c(text, 'u');
     }
-    send_all(fd, text);
+    CpStandin_Send(fd, text->str, text->len);
     g_string_free(text, TRUE);
 }
 
@@ -650,37 +633,17 @@
     for (uint32_t i = 0; i < HOARD_BYTES; i++) {
         g_string_append_c(text, 'h');
     }
-    if (send_all(fd, text)) {
+    if (CpStandin_Send(fd, text->str, text->len)) {
         poll(&p, 1, -1);
     }
     g_string_free(text, TRUE);
 }
 
-/* Returns false if the client disconnects. */
-static bool
-send_all(int32_t fd, const GString *text)
-{
-    for (size_t at = 0; at < text->len;) {
-        ssize_t n = send(fd, text->str + at, text->len - at, MSG_NOSIGNAL);
-        struct pollfd p = {.fd = fd, .events = POLLOUT};
-        if (n < 0 && errno != EAGAIN) {
-            return false;
-        }
-        if (n < 0) {
-            poll(&p, 1, POLL_INTERVAL_MS);
-        }
-        at += n > 0 ? (size_t)n : 0;
-    }
-    return true;
-}
-
 static void
 send_raw(int32_t fd, Mode mode, const char *id, const char *seal)
 {
     char *text = g_strdup_printf(raw_responses[mode], id, seal);
-    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-        fprintf(stderr, "standin-routed: cannot send a part of a response\n");
-    }
+    CpStandin_Send(fd, text, strlen(text));
     const struct sockaddr nowhere = {.sa_family = AF_UNSPEC};
     if (mode == MODE_CUT_RESET &&
         connect(fd, &nowhere, sizeof(nowhere)) != 0) {
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -17,7 +17,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -312,9 +311,7 @@
 wait_for_slot(struct MHD_Connection *conn, Request *q)
 {
     Server *s = q->server;
-    int32_t fd =
-        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd;
+    int32_t fd = CpStandin_Socket(conn);
     pthread_mutex_lock(&s->lock);
     uint64_t sequence = s->arrivals++;
     while (sequence >= s->slots + s->releases) {
@@ -343,9 +340,7 @@
     const char *deadline = CpStandin_GetHeader(conn, CP_HEADER_DEADLINE);
     uint64_t deadline_ms =
         deadline ? strtoull(deadline, NULL, 10) : UINT64_MAX;
-    int32_t fd =
-        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd;
+    int32_t fd = CpStandin_Socket(conn);
     int64_t start_ns = CpClock_Now_ns();
     for (;;) {
         uint64_t elapsed_ms =
@@ -404,14 +399,10 @@
 static void
 send_raw(struct MHD_Connection *conn, Mode mode)
 {
-    int32_t fd =
-        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-            ->connect_fd;
+    int32_t fd = CpStandin_Socket(conn);
     const char *id = CpStandin_GetHeader(conn, CP_HEADER_REQUEST_ID);
     char *text = g_strdup_printf(raw_responses[mode], id != NULL ? id : "");
-    if (send(fd, text, strlen(text), MSG_NOSIGNAL) < 0) {
-        fprintf(stderr, "standin-server: cannot send a response\n");
-    }
+    CpStandin_Send(fd, text, strlen(text));
     g_free(text);
 }
 
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -62,6 +62,13 @@
     put_row op config "{\"configVersion\":$version,\"baseVersion\":1,\"resources\":[$all,{\"resourceKind\":\"limits\",\"metadata\":{},\"spec\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":${MAX_BODY_BYTES:-1000},\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}}]}"
 }
 
+# put_single_config TIMEOUT-MS: puts configuration 5, in which the server i-3
+# alone serves /get2/ and /pay2/.
+put_single_config() {
+    server_row i-3 s2 "$S3" wa 4 ready 2
+    put_config 5 "$(route_json get2 a.example /get2/ idempotent "$1" s2)" "$(route_json pay2 a.example /pay2/ non_idempotent "$1" s2)"
+}
+
 S1=127.${NET}2.1.1:8000 S2=127.${NET}2.1.2:8000 S3=127.${NET}2.3.1:8000
 start_routed_servers() {
     spawn routed "$B/standin-routed" "$S1,i-1,4,20" "$S2,i-2,4,20" "$S3,i-3,4,20"
@@ -91,6 +98,18 @@
         done
     done
 }
+# reads_from_na1: waits until na-2, which is no watching host, knows na-1, and
+# ends the long polls that it began before: it then reads all tables from na-1.
+reads_from_na1() {
+    wait_for 3 eval 'curl -s "http://$(ip_of_host na-2):7001/resolve?name=a.example&region=x&zone=na" | grep -q "$(ip_of_host na-1):7000"' || return 1
+    sleep 2
+    put_config 6
+    server_row i-5 s2 127.${NET}2.1.9:8000 nb 4 ready 1
+    put_row hosts nobody '{}'
+    sleep 2
+}
+# answers: waits until /get2/ is served after failures.
+answers() { wait_for 8 eval '[ "$(send_request na-1 b$RANDOM GET /get2/1 | cut -c1-3)" = 200 ]' && echo "answers again"; }
 # metric HOST NAME: value of a metric.
 metric() { curl -s "http://$(ip_of_host "$1"):7003/metrics" | awk -v n="$2" '$1 == n {print $2}'; }
 has_version() { [ "$(metric "$1" chestnutpaddle_routes_version)" = "$2" ]; }
