proxy, http: logs tell in which way a response was not one response

Change: what a response's own bytes say is checked as they come (CpResponseCheck): status and field lines, headers that come once, one length or chunks, another head inside the body, bytes after the end. Nothing is decided by it yet. The line "flawed" names the flaw, the bytes received, whether the connection had been used before, and whether bytes followed; counters for flawed responses, connections opened to servers and connections on which other bytes came.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -77,6 +77,17 @@
     CP_REASON_COUNT
 } CpReason;
 
+/* Why what a connection delivered is not one whole response. */
+typedef enum {
+    CP_FLAW_NONE = 0,
+    CP_FLAW_HEAD_CUT,    /* the connection ended inside the head */
+    CP_FLAW_HEAD_MIXED,  /* a line is malformed, or of another response */
+    CP_FLAW_UNFRAMED,    /* nothing tells where the body ends */
+    CP_FLAW_BODY_MIXED,  /* another response begins inside the body */
+    CP_FLAW_BODY_LONGER, /* bytes follow that begin no response */
+    CP_FLAW_COUNT
+} CpFlaw;
+
 /* Counters other than the per-reason ones. */
 typedef enum {
     CP_COUNT_LOOKUPS = 0,
@@ -113,6 +124,9 @@
     CP_COUNT_LINK_WAITS,
     CP_COUNT_CANCELLED,
     CP_COUNT_REPORTS_UNSENT,
+    CP_COUNT_SERVER_CONNECTIONS,
+    CP_COUNT_CONNECTIONS_SPENT,
+    CP_COUNT_RESPONSES_FLAWED,
     CP_COUNTER_COUNT
 } CpCounter;
 
@@ -136,6 +150,9 @@
 /* Parses a verdict's name; CP_MAY_HAVE_RUN for any other text. */
 CpVerdict CpVerdict_Parse(const char *text);
 
+/* Returns the name used in logs. */
+const char *CpFlaw_Name(CpFlaw flaw);
+
 /* Returns the name used in metrics and the Chestnutpaddle-Reason header. */
 const char *CpReason_Name(CpReason reason);
 /* Returns a description for callers and operators. */
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -64,6 +64,14 @@
     [CP_COUNT_LINK_WAITS] = {"link_waits", "Sends that waited for a link"},
     [CP_COUNT_REPORTS_UNSENT] = {"reports_unsent",
                                  "Reports to hosts that could not be sent"},
+    [CP_COUNT_SERVER_CONNECTIONS] = {"server_connections",
+                                     "Connections opened to servers"},
+    [CP_COUNT_CONNECTIONS_SPENT] =
+        {"server_connections_spent",
+         "Connections not used again for what a server sent on them"},
+    [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
+                                   "Responses of servers that were cut, mixed "
+                                   "or not framed"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -36,6 +36,15 @@
     [CP_RAN] = "ran",
 };
 
+static const char *const flaw_names[CP_FLAW_COUNT] = {
+    [CP_FLAW_NONE] = "none",
+    [CP_FLAW_HEAD_CUT] = "head_cut",
+    [CP_FLAW_HEAD_MIXED] = "head_mixed",
+    [CP_FLAW_UNFRAMED] = "unframed",
+    [CP_FLAW_BODY_MIXED] = "body_mixed",
+    [CP_FLAW_BODY_LONGER] = "body_longer",
+};
+
 static const ReasonInfo reasons[CP_REASON_COUNT] = {
     /* no response that a host makes itself is a success */
     [CP_REASON_NONE] = {"none", "no reason is known", 502, 0},
@@ -146,6 +155,12 @@
     return CP_MAY_HAVE_RUN;
 }
 
+const char *
+CpFlaw_Name(CpFlaw flaw)
+{
+    return flaw_names[flaw];
+}
+
 const char *
 CpReason_Name(CpReason reason)
 {
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -70,6 +70,8 @@
                            CpAttemptOutcome outcome, const CpAttemptResult *a,
                            int64_t latency_ns);
 static void log_attempt(const CpRequest *rq, const RequestState *s);
+static void log_flaw(const CpRequest *rq, const RequestState *s,
+                     const CpAttemptResult *a);
 static bool withdraw_retry(CpEntry *e, int64_t now_ns);
 static void refund_retry(CpEntry *e);
 static void deposit_retry(CpEntry *e, int64_t now_ns);
@@ -126,6 +128,7 @@
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
     report_attempt(e, s, a->outcome, a, a->latency_ns);
+    log_flaw(rq, s, a);
     if (a->verdict == CP_NOT_RUN) {
         s->not_run_attempts++;
         s->attempts--;
@@ -168,6 +171,7 @@
     RequestState *s = rq->policy_data;
     s->may_have_run = true;
     report_attempt(ctx, s, a->outcome, a, a->latency_ns);
+    log_flaw(rq, s, a);
 }
 
 /* Abandons an attempt only if the budget allows a retry and another server has
@@ -489,6 +493,21 @@
             (json_int_t)s->routes_age_ms);
 }
 
+/* Logs a response that was not one whole response, and one that other bytes
+ * followed. */
+static void
+log_flaw(const CpRequest *rq, const RequestState *s, const CpAttemptResult *a)
+{
+    if (a->flaw != CP_FLAW_NONE || a->spent_by > 0) {
+        CpEvent(CP_EVENT_RETRY, "flawed", "s:s,s:s,s:s,s:s,s:i,s:I,s:b,s:i",
+                "request", rq->id, "instance", s->choice.instance, "flaw",
+                CpFlaw_Name(a->flaw), "end", CpAttemptOutcome_Name(a->outcome),
+                "status", (int)a->status, "body_bytes",
+                (json_int_t)a->response_bytes, "reused", (int)a->reused,
+                "followed_by", (int)a->spent_by);
+    }
+}
+
 static bool
 withdraw_retry(CpEntry *e, int64_t now_ns)
 {
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -53,6 +53,56 @@
  * response ended inside its head, for which the library reports no error. */
 CURLcode CpEasy_CheckHead(CURLcode code, bool head_received);
 
+/* How the end of a response's body is marked. */
+typedef enum {
+    CP_FRAMING_UNKNOWN = 0, /* the head is not complete */
+    CP_FRAMING_EMPTY,       /* there is no body */
+    CP_FRAMING_LENGTH,
+    CP_FRAMING_CHUNKS,
+    CP_FRAMING_CLOSE /* by the end of the connection */
+} CpFraming;
+
+/* What a response's own bytes say about it, as they are received. */
+typedef struct {
+    CURL *easy;
+    const char *const *single_headers; /* at most one line each; up to 32 */
+    const char *id_header;             /* NULL: responses have no id */
+    const char *id;                    /* of the request */
+    CpFraming framing;
+    CpFlaw flaw;
+    uint32_t status;
+    bool head_received; /* of the final response */
+    bool is_head;       /* the request's method is HEAD */
+    bool has_status;    /* the status line was received */
+    bool promises_more; /* the connection is kept after the response */
+    bool has_length;
+    bool is_chunked;
+    uint32_t seen; /* bits of single_headers */
+    uint64_t length_bytes;
+    uint64_t body_bytes;
+    uint64_t raw_bytes; /* of the body, with its framing */
+    char following[8];  /* the first bytes after the response */
+    uint32_t following_bytes;
+    bool is_in_head;  /* the body's last lines look like a head */
+    curl_socket_t fd; /* of the connection; CURL_SOCKET_BAD: not known */
+    char line[160];   /* the last bytes of the body's last line */
+    uint64_t line_bytes;
+} CpResponseCheck;
+
+/* Begins the check of the response to a call. Sets the debug callback of `e`;
+ * `c` has to outlive the call. The caller passes on each line of a head, and
+ * each block of the body before it uses it, and aborts when there is a
+ * flaw. */
+void CpResponseCheck_Begin(CpResponseCheck *c, CURL *e);
+/* Returns what the line is; sets a flaw if it cannot be of one response. */
+CpHeadLine CpResponseCheck_OnHeadLine(CpResponseCheck *c, const char *line,
+                                      size_t n);
+void CpResponseCheck_OnBody(CpResponseCheck *c, const char *data, size_t n);
+/* Ends the check and sets the remaining flaws, unless the call failed. Returns
+ * the result of the call, CURLE_PARTIAL_FILE instead of CURLE_OK if there is a
+ * flaw. */
+CURLcode CpResponseCheck_End(CpResponseCheck *c, CURLcode code);
+
 /* Returns true if a line of a response head, as the library passes it, is the
  * header `name`, and copies its value, cut to fit, without the line end. */
 bool CpEasy_MatchHeader(const char *line, size_t n, const char *name,
--- /dev/null
+++ b/src/http/http_response.c
@@ -0,0 +1,381 @@
+/*
+ * Whether what a connection delivers is one whole response. The library reads
+ * heads line by line and takes bodies by the last length; a server that breaks
+ * off a response and begins another one on the same connection makes one head,
+ * or one body, of both.
+ */
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+#include "http/easy.h"
+
+#define STATUS_MARK "HTTP/1."
+#define STATUS_MARK_BYTES (sizeof(STATUS_MARK) - 1)
+#define STATUS_BYTES 12 /* "HTTP/1.1 200" */
+#define MAX_LENGTH_DIGITS 18
+
+static void begin_head(CpResponseCheck *c);
+static bool is_status(const char *text, size_t n);
+static bool contains_status(const char *line, size_t n);
+static bool read_status(CpResponseCheck *c, const char *line, size_t n);
+static bool read_field(CpResponseCheck *c, const char *line, size_t n);
+static bool read_value(CpResponseCheck *c, const char *name, size_t name_bytes,
+                       const char *value, size_t value_bytes);
+static bool is_token(const char *text, size_t n);
+static bool equals(const char *text, size_t n, const char *name);
+static void set_framing(CpResponseCheck *c);
+static void add_to_line(CpResponseCheck *c, const char *data, size_t n);
+static void read_body_line(CpResponseCheck *c);
+static int32_t find_single(const CpResponseCheck *c, const char *name,
+                           size_t name_bytes);
+static int on_debug(CURL *e, curl_infotype type, char *data, size_t n,
+                    void *ctx);
+static void on_raw(CpResponseCheck *c, const char *data, size_t n);
+static void read_following(CpResponseCheck *c, curl_socket_t fd);
+static void check_following(CpResponseCheck *c);
+
+void
+CpResponseCheck_Begin(CpResponseCheck *c, CURL *e)
+{
+    c->easy = e;
+    c->fd = CURL_SOCKET_BAD;
+    begin_head(c);
+    curl_easy_setopt(e, CURLOPT_DEBUGFUNCTION, on_debug);
+    curl_easy_setopt(e, CURLOPT_DEBUGDATA, c);
+}
+
+CpHeadLine
+CpResponseCheck_OnHeadLine(CpResponseCheck *c, const char *line, size_t n)
+{
+    bool ok;
+    if (c->head_received) { /* a trailer */
+        return CP_HEAD_FIELD;
+    }
+    if (n > 0 && line[n - 1] == '\n') {
+        n--;
+    }
+    if (n > 0 && line[n - 1] == '\r') {
+        n--;
+    }
+    if (n == 0 && c->has_status) {
+        if (c->status >= 200) {
+            set_framing(c);
+        }
+        else { /* an interim response; another head follows */
+            begin_head(c);
+        }
+        return CP_HEAD_END;
+    }
+    bool begins = !c->has_status;
+    ok = begins ? read_status(c, line, n) : read_field(c, line, n);
+    if (!ok) {
+        c->flaw = CP_FLAW_HEAD_MIXED;
+    }
+    return begins ? CP_HEAD_STATUS : CP_HEAD_FIELD;
+}
+
+/* Reads the body as lines. */
+void
+CpResponseCheck_OnBody(CpResponseCheck *c, const char *data, size_t n)
+{
+    const char *end = data + n;
+    c->body_bytes += n;
+    while (data < end && c->flaw == CP_FLAW_NONE) {
+        const char *lf = memchr(data, '\n', (size_t)(end - data));
+        add_to_line(c, data, (size_t)((lf != NULL ? lf : end) - data));
+        if (lf == NULL) {
+            break;
+        }
+        read_body_line(c);
+        c->line_bytes = 0;
+        data = lf + 1;
+    }
+    if (c->framing == CP_FRAMING_LENGTH && c->body_bytes >= c->length_bytes) {
+        read_following(c, c->fd);
+        check_following(c);
+    }
+}
+
+CURLcode
+CpResponseCheck_End(CpResponseCheck *c, CURLcode code)
+{
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
+    read_following(c, fd);
+    if (code == CURLE_OK && !c->head_received && c->flaw == CP_FLAW_NONE) {
+        c->flaw = CP_FLAW_HEAD_CUT;
+    }
+    if (code == CURLE_OK && c->framing == CP_FRAMING_LENGTH) {
+        check_following(c);
+    }
+    if (code == CURLE_OK && c->flaw != CP_FLAW_NONE) {
+        code = CURLE_PARTIAL_FILE;
+    }
+    return code;
+}
+
+static void
+begin_head(CpResponseCheck *c)
+{
+    c->status = 0;
+    c->seen = 0;
+    c->has_status = c->promises_more = c->has_length = c->is_chunked = false;
+}
+
+/* Returns true if the text begins with a version and a status. */
+static bool
+is_status(const char *text, size_t n)
+{
+    return n >= STATUS_BYTES &&
+           memcmp(text, STATUS_MARK, STATUS_MARK_BYTES) == 0 &&
+           g_ascii_isdigit(text[7]) && text[8] == ' ' &&
+           g_ascii_isdigit(text[9]) && g_ascii_isdigit(text[10]) &&
+           g_ascii_isdigit(text[11]) &&
+           (n == STATUS_BYTES || text[STATUS_BYTES] == ' ');
+}
+
+static bool
+contains_status(const char *line, size_t n)
+{
+    const char *end = line + n, *at = line;
+    while ((at = memmem(at, (size_t)(end - at), STATUS_MARK,
+                        STATUS_MARK_BYTES)) != NULL) {
+        if (is_status(at, (size_t)(end - at))) {
+            return true;
+        }
+        at++;
+    }
+    return false;
+}
+
+static bool
+read_status(CpResponseCheck *c, const char *line, size_t n)
+{
+    if (!is_status(line, n) ||
+        contains_status(line + STATUS_BYTES, n - STATUS_BYTES)) {
+        return false;
+    }
+    c->has_status = true;
+    c->status = (uint32_t)((line[9] - '0') * 100 + (line[10] - '0') * 10 +
+                           line[11] - '0');
+    return c->status >= 100;
+}
+
+static bool
+read_field(CpResponseCheck *c, const char *line, size_t n)
+{
+    const char *colon = memchr(line, ':', n);
+    if (colon == NULL || !is_token(line, (size_t)(colon - line)) ||
+        contains_status(line, n)) {
+        return false;
+    }
+    const char *value = colon + 1, *end = line + n;
+    for (const char *at = value; at < end; at++) {
+        if ((unsigned char)*at < ' ' && *at != '\t') {
+            return false;
+        }
+    }
+    while (value < end && (*value == ' ' || *value == '\t')) {
+        value++;
+    }
+    while (end > value && (end[-1] == ' ' || end[-1] == '\t')) {
+        end--;
+    }
+    return read_value(c, line, (size_t)(colon - line), value,
+                      (size_t)(end - value));
+}
+
+static bool
+read_value(CpResponseCheck *c, const char *name, size_t name_bytes,
+           const char *value, size_t value_bytes)
+{
+    int32_t single = find_single(c, name, name_bytes);
+    if (single >= 0) {
+        if ((c->seen & 1u << single) != 0) {
+            return false;
+        }
+        c->seen |= 1u << single;
+    }
+    if (equals(name, name_bytes, "Keep-Alive")) {
+        c->promises_more = true;
+    }
+    else if (equals(name, name_bytes, "Transfer-Encoding")) {
+        if (c->is_chunked || c->has_length ||
+            !equals(value, value_bytes, "chunked")) {
+            return false;
+        }
+        c->is_chunked = true;
+    }
+    else if (equals(name, name_bytes, "Content-Length")) {
+        if (c->has_length || c->is_chunked || value_bytes == 0 ||
+            value_bytes > MAX_LENGTH_DIGITS) {
+            return false;
+        }
+        c->has_length = true;
+        c->length_bytes = 0;
+        for (size_t i = 0; i < value_bytes; i++) {
+            if (!g_ascii_isdigit(value[i])) {
+                return false;
+            }
+            c->length_bytes =
+                c->length_bytes * 10 + (uint64_t)(value[i] - '0');
+        }
+    }
+    return true;
+}
+
+static bool
+is_token(const char *text, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!g_ascii_isalnum(text[i]) &&
+            (text[i] == '\0' || strchr("!#$%&'*+-.^_`|~", text[i]) == NULL)) {
+            return false;
+        }
+    }
+    return n > 0;
+}
+
+static bool
+equals(const char *text, size_t n, const char *name)
+{
+    return strlen(name) == n && strncasecmp(text, name, n) == 0;
+}
+
+/* The head is complete. A body without a length ends with its connection,
+ * unless the same head promises to keep that. */
+static void
+set_framing(CpResponseCheck *c)
+{
+    c->head_received = true;
+    c->framing = c->is_head || c->status == 204 || c->status == 304
+                     ? CP_FRAMING_EMPTY
+                 : c->is_chunked     ? CP_FRAMING_CHUNKS
+                 : c->has_length     ? CP_FRAMING_LENGTH
+                 : !c->promises_more ? CP_FRAMING_CLOSE
+                                     : CP_FRAMING_UNKNOWN;
+    if (c->framing == CP_FRAMING_UNKNOWN && c->flaw == CP_FLAW_NONE) {
+        c->flaw = CP_FLAW_UNFRAMED;
+    }
+    /* From here on the library passes the bytes as received, with those that
+     * follow the response. */
+    curl_easy_setopt(c->easy, CURLOPT_VERBOSE, 1L);
+}
+
+/* Keeps the last bytes of a line. */
+static void
+add_to_line(CpResponseCheck *c, const char *data, size_t n)
+{
+    size_t kept = c->line_bytes < sizeof(c->line) ? (size_t)c->line_bytes
+                                                  : sizeof(c->line);
+    c->line_bytes += n;
+    if (n >= sizeof(c->line)) {
+        memcpy(c->line, data + n - sizeof(c->line), sizeof(c->line));
+        return;
+    }
+    if (kept + n > sizeof(c->line)) {
+        size_t dropped = kept + n - sizeof(c->line);
+        memmove(c->line, c->line + dropped, kept - dropped);
+        kept -= dropped;
+    }
+    memcpy(c->line + kept, data, n);
+}
+
+/* Looks for the head of another response to this request: a status line, after
+ * which a field has the request's id. A body that only the end of its
+ * connection ends may have no such field at all. */
+static void
+read_body_line(CpResponseCheck *c)
+{
+    bool whole = c->line_bytes <= sizeof(c->line);
+    size_t n = whole ? (size_t)c->line_bytes : sizeof(c->line);
+    if (n > 0 && c->line[n - 1] == '\r') {
+        n--;
+    }
+    if (contains_status(c->line, n)) {
+        c->is_in_head = true;
+        return;
+    }
+    const char *colon = memchr(c->line, ':', n);
+    if (!c->is_in_head || !whole || colon == NULL ||
+        !is_token(c->line, (size_t)(colon - c->line))) {
+        c->is_in_head = false;
+        return;
+    }
+    size_t name_bytes = (size_t)(colon - c->line);
+    const char *value = colon + 1, *end = c->line + n;
+    while (value < end && *value == ' ') {
+        value++;
+    }
+    bool is_own = c->id_header != NULL &&
+                  equals(c->line, name_bytes, c->id_header) &&
+                  equals(value, (size_t)(end - value), c->id);
+    if (is_own || (c->framing == CP_FRAMING_CLOSE &&
+                   find_single(c, c->line, name_bytes) >= 0)) {
+        c->flaw = CP_FLAW_BODY_MIXED;
+    }
+}
+
+/* Returns the index of a header that a head has once; -1: it may be
+ * repeated. */
+static int32_t
+find_single(const CpResponseCheck *c, const char *name, size_t name_bytes)
+{
+    for (int32_t i = 0;
+         c->single_headers != NULL && c->single_headers[i] != NULL; i++) {
+        if (equals(name, name_bytes, c->single_headers[i])) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static int
+on_debug(CURL *e, curl_infotype type, char *data, size_t n, void *ctx)
+{
+    (void)e;
+    if (type == CURLINFO_DATA_IN) {
+        on_raw(ctx, data, n);
+    }
+    return 0;
+}
+
+static void
+on_raw(CpResponseCheck *c, const char *data, size_t n)
+{
+    uint64_t left_bytes =
+        c->length_bytes > c->raw_bytes ? c->length_bytes - c->raw_bytes : 0;
+    if (c->framing == CP_FRAMING_LENGTH && n > left_bytes &&
+        c->following_bytes == 0) {
+        size_t more = n - (size_t)left_bytes;
+        c->following_bytes =
+            (uint32_t)(more < sizeof(c->following) ? more
+                                                   : sizeof(c->following));
+        memcpy(c->following, data + left_bytes, c->following_bytes);
+    }
+    c->raw_bytes += n;
+}
+
+/* Reads what the connection holds after the response, and leaves it there. */
+static void
+read_following(CpResponseCheck *c, curl_socket_t fd)
+{
+    if (fd != CURL_SOCKET_BAD && c->following_bytes == 0) {
+        ssize_t n = recv(fd, c->following, sizeof(c->following),
+                         MSG_PEEK | MSG_DONTWAIT);
+        c->following_bytes = n > 0 ? (uint32_t)n : 0;
+    }
+}
+
+/* A response that follows shows that the body has ended; other bytes are part
+ * of a body that is longer than announced. */
+static void
+check_following(CpResponseCheck *c)
+{
+    size_t n = c->following_bytes < STATUS_MARK_BYTES ? c->following_bytes
+                                                      : STATUS_MARK_BYTES;
+    if (c->flaw == CP_FLAW_NONE && memcmp(c->following, STATUS_MARK, n) != 0) {
+        c->flaw = CP_FLAW_BODY_LONGER;
+    }
+}
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -41,6 +41,7 @@
 static void set_body(CpProxyExchange *ex);
 static void add_header(CpProxyAttempt *a, const char *name, const char *value);
 static void end_attempt(CpProxyExchange *ex, CURLcode code);
+static void count_connection(const CpProxyExchange *ex);
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
                          CpAttemptResult *out);
 static void stream_if_allowed(CpProxyExchange *ex, bool received_much);
@@ -127,6 +128,12 @@
     curl_easy_setopt(e, CURLOPT_ERRORBUFFER, ex->attempt.error);
     /* retries are decided by the policy */
     CpEasy_SendOnce(e, &ex->attempt.sent);
+    ex->attempt.check.single_headers = ex->worker->proxy->single_headers;
+    ex->attempt.check.id_header =
+        ex->worker->proxy->options.headers->request_id;
+    ex->attempt.check.id = ex->request.id;
+    ex->attempt.check.is_head = strcmp(ex->request.method, "HEAD") == 0;
+    CpResponseCheck_Begin(&ex->attempt.check, e);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, ex);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
@@ -225,7 +232,9 @@
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     CpAttemptResult result;
     CpProxyAction action = {0};
+    CpResponseCheck_End(&ex->attempt.check, code);
     classify_end(ex, code, &result);
+    count_connection(ex);
     CpProxyAttempt_Abort(ex);
     if (ex->attempt.streamed) {
         ex->attempt.complete = code == CURLE_OK;
@@ -240,11 +249,24 @@
     CpProxyFront_Execute(ex, &action);
 }
 
+static void
+count_connection(const CpProxyExchange *ex)
+{
+    const CpResponseCheck *c = &ex->attempt.check;
+    long opened = 0;
+    curl_easy_getinfo(ex->attempt.easy, CURLINFO_NUM_CONNECTS, &opened);
+    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
+}
+
 /* Determines how the attempt ended and whether the request may have run. */
 static void
 classify_end(const CpProxyExchange *ex, CURLcode code, CpAttemptResult *out)
 {
     const CpProxyAttempt *a = &ex->attempt;
+    long opened = 0;
+    curl_easy_getinfo(a->easy, CURLINFO_NUM_CONNECTS, &opened);
     *out = (CpAttemptResult){
         .latency_ns = CpClock_Now_ns() - a->started_ns,
         .status = a->status,
@@ -255,6 +277,9 @@
         .leaving = a->leaving,
         .pause_ms = a->status == 503 ? a->retry_after_ms : 0,
         .response_bytes = a->body_bytes,
+        .flaw = a->check.flaw,
+        .reused = a->sent && opened == 0,
+        .spent_by = a->check.following_bytes,
         .verdict = CP_MAY_HAVE_RUN,
         .outcome = CP_ATTEMPT_BROKEN,
         .reason = CP_REASON_SERVER_FAILED};
@@ -358,6 +383,7 @@
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
     CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
+    CpResponseCheck_OnHeadLine(&a->check, data, n);
     size_t end = n;
     a->head_bytes += n;
     if (a->head_bytes > MAX_HEAD_BYTES) {
@@ -509,6 +535,7 @@
         a->oversized = true;
         return 0;
     }
+    CpResponseCheck_OnBody(&a->check, data, n);
     uint64_t before = a->body_bytes;
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -8,6 +8,8 @@
 #include "http/easy.h"
 #include "proxy/proxy.h"
 
+#define CP_SINGLE_HEADERS 6
+
 typedef struct CpProxyWorker CpProxyWorker;
 
 /* One attempt at a server; part of its exchange. */
@@ -16,7 +18,8 @@
     struct curl_slist *request_headers;
     char error[CURL_ERROR_SIZE];
     char url[CP_ADDR_BYTES + 16];
-    bool sent;       /* its first byte may have been sent */
+    bool sent; /* its first byte may have been sent */
+    CpResponseCheck check;
     bool id_matches; /* the response has the request's id */
     bool mismatched; /* the response is not that of this request */
     bool sealed;
@@ -94,6 +97,8 @@
     char interface[CP_ADDR_BYTES + 8];
     uint32_t closing;  /* flag: responses close their connections; atomic */
     uint32_t refusing; /* flag: new requests are refused; atomic */
+    /* headers that a response has once; the last is NULL */
+    const char *single_headers[CP_SINGLE_HEADERS + 1];
     /* shortest timeout of idle connections that a server announced; atomic */
     uint32_t server_keep_alive_s;
     CpProxyWorker *workers;
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -40,6 +40,11 @@
     p->workers = CpMem_Alloc(options->threads * sizeof(*p->workers));
     CpStr_Copy(p->interface, sizeof(p->interface), "host!");
     g_strlcat(p->interface, options->source_ip, sizeof(p->interface));
+    const char *const single[CP_SINGLE_HEADERS] = {
+        options->headers->request_id,  options->headers->seal,
+        options->headers->not_run,     options->headers->server_load,
+        options->headers->warmup_left, options->headers->leaving};
+    memcpy(p->single_headers, single, sizeof(single));
     *out = p;
     p->listen_fd = CpSocket_Bind(options->listen);
     if (p->listen_fd < 0) {
@@ -171,11 +176,16 @@
                        void *socket_ctx)
 {
     CpProxyWorker *w = ctx;
-    (void)easy, (void)socket_ctx;
+    CpProxyExchange *ex = NULL;
+    (void)socket_ctx;
     if (what == CURL_POLL_REMOVE) {
         epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
         return 0;
     }
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &ex);
+    if (ex != NULL) {
+        ex->attempt.check.fd = fd;
+    }
     watch_fd(w, fd, EVENT_SERVER,
              ((what & CURL_POLL_IN) ? EPOLLIN : 0u) |
                  ((what & CURL_POLL_OUT) ? EPOLLOUT : 0u));
