proxy: a head with lines of two responses is no response

Callers saw: a success that the server had answered with a failure, a body of 2 bytes with a length of our own, and header lines of another response. Cause: the head was read line by line; the last id, seal and length counted, whichever response they were of, and a status line inside a head began the list anew. Ruled out: the id check (both heads may have the request's id, and a shorter second response none); connections in use again (it happens on fresh ones). Change: a head is one of one response: one status line, at its beginning, and none inside another line; fields with a name; the id, the seal, the length and other fields of ours once; one length or chunks. Otherwise the attempt is broken, and what the head says of load, leaving and pauses is not used.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -283,12 +283,16 @@
         .verdict = CP_MAY_HAVE_RUN,
         .outcome = CP_ATTEMPT_BROKEN,
         .reason = CP_REASON_SERVER_FAILED};
+    if (a->check.flaw == CP_FLAW_HEAD_MIXED) { /* not known whose they are */
+        out->has_load = out->leaving = false;
+        out->status = out->warmup_left_ms = out->pause_ms = 0;
+    }
     if (!a->sent) {
         out->verdict = CP_NOT_RUN;
         out->outcome = CP_ATTEMPT_UNREACHABLE;
         out->reason = CP_REASON_CONNECT_FAILED;
     }
-    else if (a->mismatched) {
+    else if (a->mismatched || a->check.flaw == CP_FLAW_HEAD_MIXED) {
         out->reason = CP_REASON_ANSWER_CROSSED;
     }
     else if (a->oversized) {
@@ -382,8 +386,7 @@
     CpProxyExchange *ex = ctx;
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
-    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
-    CpResponseCheck_OnHeadLine(&a->check, data, n);
+    CpHeadLine line = CpResponseCheck_OnHeadLine(&a->check, data, n);
     size_t end = n;
     a->head_bytes += n;
     if (a->head_bytes > MAX_HEAD_BYTES) {
@@ -396,10 +399,11 @@
     while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
         end--;
     }
+    if (a->check.flaw == CP_FLAW_HEAD_MIXED) {
+        return 0;
+    }
     if (line == CP_HEAD_STATUS) {
-        long status = 0;
-        curl_easy_getinfo(a->easy, CURLINFO_RESPONSE_CODE, &status);
-        a->status = (uint32_t)status;
+        a->status = a->check.status;
         a->id_matches = a->mismatched = a->sealed = a->not_run = false;
         g_ptr_array_set_size(a->response_headers, 0);
         return n;
@@ -470,7 +474,7 @@
     CpProxyAttempt *a = &ex->attempt;
     if (strcasecmp(name, names->request_id) == 0) {
         a->id_matches = strcmp(value, ex->request.id) == 0;
-        a->mismatched = !a->id_matches;
+        a->mismatched |= !a->id_matches;
     }
     else if (strcasecmp(name, names->seal) == 0) {
         a->sealed = value[0] != '\0';
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -68,6 +68,9 @@
     MODE_CUT_RESET,   /* as MODE_CUT_SEAL, by a reset */
     MODE_TRAILER,     /* after the response, with a refusal in its trailer */
     MODE_UPGRADE,     /* after a status 101 that was not asked for */
+    MODE_JOIN_STATUS, /* a success cut in its head, then a failure */
+    MODE_JOIN_LENGTH, /* cut in its head, then a shorter response */
+    MODE_JOIN_ID,     /* of another request and cut, then the response */
     MODE_COUNT
 } Mode;
 
@@ -132,11 +135,14 @@
     [MODE_CUT_RESET] = "cut-reset",
     [MODE_TRAILER] = "trailer",
     [MODE_UPGRADE] = "upgrade",
+    [MODE_JOIN_STATUS] = "join-status",
+    [MODE_JOIN_LENGTH] = "join-length",
+    [MODE_JOIN_ID] = "join-id",
 };
 
 #define CUT_HEAD "HTTP/1.1 200 OK\r\n"
-#define CUT_ID CUT_HEAD "Chestnutpaddle-Attempt-Id: %s\r\n"
-#define CUT_SEAL CUT_ID "Chestnutpaddle-Response-Seal: %s\r\n"
+#define CUT_ID CUT_HEAD "Chestnutpaddle-Attempt-Id: %1$s\r\n"
+#define CUT_SEAL CUT_ID "Chestnutpaddle-Response-Seal: %2$s\r\n"
 /* What is sent in the modes that send a text: formats for the response's id
  * and its seal. */
 static const char *const raw_responses[MODE_COUNT] = {
@@ -144,21 +150,32 @@
     [MODE_CUT_ID] = CUT_ID,
     [MODE_CUT_SEAL] = CUT_SEAL,
     [MODE_CUT_LENGTH] = CUT_SEAL "Content-Length: 5\r\n",
-    [MODE_CUT_REFUSAL] =
-        "HTTP/1.1 503 Service Unavailable\r\n"
-        "Chestnutpaddle-Attempt-Id: %s\r\nChestnutpaddle-Not-Executed: 1\r\n",
+    [MODE_CUT_REFUSAL] = "HTTP/1.1 503 Service Unavailable\r\n"
+                         "Chestnutpaddle-Attempt-Id: %1$s\r\n"
+                         "Chestnutpaddle-Not-Executed: 1\r\n",
     [MODE_CUT_INTERIM] = "HTTP/1.1 102 Processing\r\n\r\n",
     [MODE_CUT_CHUNK] =
         CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n5\r\nwrong\r\n",
     [MODE_CUT_RESET] = CUT_SEAL,
     [MODE_UPGRADE] =
         "HTTP/1.1 101 Switching Protocols\r\n"
-        "Chestnutpaddle-Attempt-Id: %s\r\n"
-        "Chestnutpaddle-Response-Seal: %s\r\nContent-Length: 5\r\n\r\nwrong",
+        "Chestnutpaddle-Attempt-Id: %1$s\r\n"
+        "Chestnutpaddle-Response-Seal: %2$s\r\nContent-Length: 5\r\n\r\nwrong",
     [MODE_TRAILER] = CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n"
                               "5\r\nwhole\r\n0\r\n"
                               "Chestnutpaddle-Not-Executed: 1\r\n"
                               "\r\n",
+    [MODE_JOIN_STATUS] = CUT_SEAL "Keep-Alive: timeout=1"
+                                  "HTTP/1.1 500 Internal Server Error\r\n"
+                                  "Chestnutpaddle-Attempt-Id: %1$s\r\n"
+                                  "Chestnutpaddle-Response-Seal: %2$s\r\n"
+                                  "Content-Length: 5\r\n\r\nwrong",
+    [MODE_JOIN_LENGTH] = CUT_SEAL "Content-Length: 20" CUT_HEAD
+                                  "Chestnutpaddle-Response-Seal: other\r\n"
+                                  "Content-Length: 2\r\n\r\nok",
+    [MODE_JOIN_ID] = CUT_HEAD "Chestnutpaddle-Attempt-Id: another\r\n"
+                              "X-Of: another\r\nKeep-Alive: 1" CUT_SEAL
+                              "Content-Length: 5\r\n\r\nwhole",
 };
 
 static const char stale_response[] =
