proxy: a body is whole only if nothing contradicts its end

Callers saw: a 200 with a length of our own over a part of a server's body, over one that another response had filled up, or over one without an end. Cause: a body counted as whole when the library reported no error: when as many bytes had come as the length said, whatever followed, or when a connection was closed in order, though the same head had promised to keep it. Ruled out: resets and short bodies (the library reports them); chunks (their sizes must fit, so that a joined response nearly always breaks them). Change: bytes that follow a body by length are looked at, those that the library has read (its debug callback passes them before it cuts them off) and those that wait on the connection, before the last block is passed on. If they begin a response, the body has ended, and the response is delivered as before: a second copy takes nothing from the first. Other bytes are the rest of a longer body. A body in which the head of a response with this request's id begins is not one server's body; one that only its connection ends may have no head of ours in it. A head without a length whose connection is to be kept is refused.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -232,7 +232,7 @@
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     CpAttemptResult result;
     CpProxyAction action = {0};
-    CpResponseCheck_End(&ex->attempt.check, code);
+    code = CpResponseCheck_End(&ex->attempt.check, code);
     classify_end(ex, code, &result);
     count_connection(ex);
     CpProxyAttempt_Abort(ex);
@@ -292,7 +292,8 @@
         out->outcome = CP_ATTEMPT_UNREACHABLE;
         out->reason = CP_REASON_CONNECT_FAILED;
     }
-    else if (a->mismatched || a->check.flaw == CP_FLAW_HEAD_MIXED) {
+    else if (a->mismatched || a->check.flaw == CP_FLAW_HEAD_MIXED ||
+             a->check.flaw == CP_FLAW_BODY_MIXED) {
         out->reason = CP_REASON_ANSWER_CROSSED;
     }
     else if (a->oversized) {
@@ -399,7 +400,7 @@
     while (end > 0 && (data[end - 1] == '\r' || data[end - 1] == '\n')) {
         end--;
     }
-    if (a->check.flaw == CP_FLAW_HEAD_MIXED) {
+    if (a->check.flaw != CP_FLAW_NONE) {
         return 0;
     }
     if (line == CP_HEAD_STATUS) {
@@ -540,6 +541,9 @@
         return 0;
     }
     CpResponseCheck_OnBody(&a->check, data, n);
+    if (a->check.flaw != CP_FLAW_NONE) {
+        return 0;
+    }
     uint64_t before = a->body_bytes;
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -58,19 +58,24 @@
     MODE_STATUS, /* runs it and responds with a status of its own */
     /* The rest run it, send a text and close the connection: after a part of
      * the response, and in order, unless said otherwise. */
-    MODE_CUT_STATUS,  /* after the status line */
-    MODE_CUT_ID,      /* in the head, after the id */
-    MODE_CUT_SEAL,    /* in the head, after the seal */
-    MODE_CUT_LENGTH,  /* in the head, after the length */
-    MODE_CUT_REFUSAL, /* in the head of a refusal */
-    MODE_CUT_INTERIM, /* after an interim response */
-    MODE_CUT_CHUNK,   /* before the last chunk */
-    MODE_CUT_RESET,   /* as MODE_CUT_SEAL, by a reset */
-    MODE_TRAILER,     /* after the response, with a refusal in its trailer */
-    MODE_UPGRADE,     /* after a status 101 that was not asked for */
-    MODE_JOIN_STATUS, /* a success cut in its head, then a failure */
-    MODE_JOIN_LENGTH, /* cut in its head, then a shorter response */
-    MODE_JOIN_ID,     /* of another request and cut, then the response */
+    MODE_CUT_STATUS,   /* after the status line */
+    MODE_CUT_ID,       /* in the head, after the id */
+    MODE_CUT_SEAL,     /* in the head, after the seal */
+    MODE_CUT_LENGTH,   /* in the head, after the length */
+    MODE_CUT_REFUSAL,  /* in the head of a refusal */
+    MODE_CUT_INTERIM,  /* after an interim response */
+    MODE_CUT_CHUNK,    /* before the last chunk */
+    MODE_CUT_RESET,    /* as MODE_CUT_SEAL, by a reset */
+    MODE_TRAILER,      /* after the response, with a refusal in its trailer */
+    MODE_UPGRADE,      /* after a status 101 that was not asked for */
+    MODE_JOIN_STATUS,  /* a success cut in its head, then a failure */
+    MODE_JOIN_LENGTH,  /* cut in its head, then a shorter response */
+    MODE_JOIN_ID,      /* of another request and cut, then the response */
+    MODE_JOIN_BODY,    /* cut in its body, then the whole response */
+    MODE_JOIN_END,     /* cut in a body without a length, then a response */
+    MODE_SHORT_LENGTH, /* whole, of a body longer than its length */
+    MODE_UNFRAMED, /* without a length, on a connection that is to be kept */
+    MODE_COPY,     /* whole, and once more */
     MODE_COUNT
 } Mode;
 
@@ -138,6 +143,11 @@
     [MODE_JOIN_STATUS] = "join-status",
     [MODE_JOIN_LENGTH] = "join-length",
     [MODE_JOIN_ID] = "join-id",
+    [MODE_JOIN_BODY] = "join-body",
+    [MODE_JOIN_END] = "join-end",
+    [MODE_SHORT_LENGTH] = "short-length",
+    [MODE_UNFRAMED] = "unframed",
+    [MODE_COPY] = "copy",
 };
 
 #define CUT_HEAD "HTTP/1.1 200 OK\r\n"
@@ -176,6 +186,18 @@
     [MODE_JOIN_ID] = CUT_HEAD "Chestnutpaddle-Attempt-Id: another\r\n"
                               "X-Of: another\r\nKeep-Alive: 1" CUT_SEAL
                               "Content-Length: 5\r\n\r\nwhole",
+    [MODE_JOIN_BODY] = CUT_SEAL
+    "Content-Length: 99\r\n\r\npart" CUT_SEAL "Content-Length: 99\r\n\r\n"
+    "a body of some length, so that a part of it is needed to "
+    "fill up the length of the one that was cut",
+    [MODE_JOIN_END] = CUT_SEAL
+    "\r\npart of a body that has no length" CUT_HEAD
+    "Chestnutpaddle-Response-Seal: other\r\nContent-Length: 2\r\n\r\nok",
+    [MODE_SHORT_LENGTH] =
+        CUT_SEAL "Content-Length: 5\r\n\r\nwhole body of a server",
+    [MODE_UNFRAMED] = CUT_SEAL "Keep-Alive: timeout=10\r\n\r\nwhole",
+    [MODE_COPY] = CUT_SEAL "Content-Length: 5\r\n\r\nwhole" CUT_SEAL
+                           "Content-Length: 5\r\n\r\nwhole",
 };
 
 static const char stale_response[] =
