proxy: a connection on which other bytes came is not used again

Callers saw: requests lost to an earlier one's second response (another attempt, 502 where none was left), and 503 for a refusal that was not theirs (requests that may be repeated only; others have a connection of their own). Ruled out: the server's idle timeout (the connections were used 50 ms later). Change: a connection is used again only if the response had a length or chunks, was read to its end, and nothing followed, neither read nor waiting. An idle one is watched; what comes on it, or its end, ends it. It is shut down and emptied: the library takes one that is only shut down for usable while bytes are left.

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -53,6 +53,10 @@
  * response ended inside its head, for which the library reports no error. */
 CURLcode CpEasy_CheckHead(CURLcode code, bool head_received);
 
+/* Ends an idle connection that the library keeps, so that it opens another
+ * one. */
+void CpEasy_EndConnection(curl_socket_t fd);
+
 /* How the end of a response's body is marked. */
 typedef enum {
     CP_FRAMING_UNKNOWN = 0, /* the head is not complete */
@@ -81,11 +85,13 @@
     uint64_t length_bytes;
     uint64_t body_bytes;
     uint64_t raw_bytes; /* of the body, with its framing */
+    char raw_tail[4];   /* its last bytes */
     char following[8];  /* the first bytes after the response */
     uint32_t following_bytes;
-    bool is_in_head;  /* the body's last lines look like a head */
-    curl_socket_t fd; /* of the connection; CURL_SOCKET_BAD: not known */
-    char line[160];   /* the last bytes of the body's last line */
+    bool is_in_head;       /* the body's last lines look like a head */
+    curl_socket_t fd;      /* of the connection; CURL_SOCKET_BAD: not known */
+    curl_socket_t idle_fd; /* after the end, if it can be used again */
+    char line[160];        /* the last bytes of the body's last line */
     uint64_t line_bytes;
 } CpResponseCheck;
 
@@ -100,7 +106,7 @@
 void CpResponseCheck_OnBody(CpResponseCheck *c, const char *data, size_t n);
 /* Ends the check and sets the remaining flaws, unless the call failed. Returns
  * the result of the call, CURLE_PARTIAL_FILE instead of CURLE_OK if there is a
- * flaw. */
+ * flaw. A connection that cannot be used again is ended. */
 CURLcode CpResponseCheck_End(CpResponseCheck *c, CURLcode code);
 
 /* Returns true if a line of a response head, as the library passes it, is the
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -2,6 +2,7 @@
 #include <math.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "http/easy.h"
 
@@ -72,6 +73,16 @@
     return CpEasy_CheckHead(code, head_received);
 }
 
+/* The library takes a connection for usable while it holds bytes to read. */
+void
+CpEasy_EndConnection(curl_socket_t fd)
+{
+    char dropped[4096];
+    shutdown(fd, SHUT_RDWR);
+    while (recv(fd, dropped, sizeof(dropped), MSG_DONTWAIT) > 0) {
+    }
+}
+
 CpHeadLine
 CpEasy_ClassifyHeadLine(const char *line, size_t n)
 {
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -39,7 +39,7 @@
 CpResponseCheck_Begin(CpResponseCheck *c, CURL *e)
 {
     c->easy = e;
-    c->fd = CURL_SOCKET_BAD;
+    c->fd = c->idle_fd = CURL_SOCKET_BAD;
     begin_head(c);
     curl_easy_setopt(e, CURLOPT_DEBUGFUNCTION, on_debug);
     curl_easy_setopt(e, CURLOPT_DEBUGDATA, c);
@@ -112,6 +112,20 @@
     if (code == CURLE_OK && c->flaw != CP_FLAW_NONE) {
         code = CURLE_PARTIAL_FILE;
     }
+    /* The library drops what it has read after a body in chunks, of which only
+     * the last bytes show, and after an empty one. */
+    bool is_clean =
+        code == CURLE_OK && c->following_bytes == 0 &&
+        (c->framing == CP_FRAMING_LENGTH
+             ? c->length_bytes > 0
+             : c->framing == CP_FRAMING_CHUNKS &&
+                   memcmp(c->raw_tail, "\r\n\r\n", sizeof(c->raw_tail)) == 0);
+    if (fd != CURL_SOCKET_BAD && is_clean) {
+        c->idle_fd = fd;
+    }
+    else if (fd != CURL_SOCKET_BAD) {
+        CpEasy_EndConnection(fd);
+    }
     return code;
 }
 
@@ -344,6 +358,7 @@
 static void
 on_raw(CpResponseCheck *c, const char *data, size_t n)
 {
+    size_t tail_bytes = n < sizeof(c->raw_tail) ? n : sizeof(c->raw_tail);
     uint64_t left_bytes =
         c->length_bytes > c->raw_bytes ? c->length_bytes - c->raw_bytes : 0;
     if (c->framing == CP_FRAMING_LENGTH && n > left_bytes &&
@@ -355,6 +370,10 @@
         memcpy(c->following, data + left_bytes, c->following_bytes);
     }
     c->raw_bytes += n;
+    memmove(c->raw_tail, c->raw_tail + tail_bytes,
+            sizeof(c->raw_tail) - tail_bytes);
+    memcpy(c->raw_tail + sizeof(c->raw_tail) - tail_bytes,
+           data + n - tail_bytes, tail_bytes);
 }
 
 /* Reads what the connection holds after the response, and leaves it there. */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -236,6 +236,9 @@
     classify_end(ex, code, &result);
     count_connection(ex);
     CpProxyAttempt_Abort(ex);
+    if (ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
+        CpProxyWorker_WatchIdle(ex->worker, ex->attempt.check.idle_fd);
+    }
     if (ex->attempt.streamed) {
         ex->attempt.complete = code == CURLE_OK;
         ex->action.reason = code == CURLE_OPERATION_TIMEDOUT
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -110,6 +110,8 @@
 /* Watches a caller's connection for a disconnect while its request is in
  * flight. */
 void CpProxyWorker_Watch(CpProxyWorker *w, CpProxyExchange *ex);
+/* Watches an idle connection to a server, on which nothing may come. */
+void CpProxyWorker_WatchIdle(CpProxyWorker *w, int32_t fd);
 void CpProxyWorker_Unwatch(CpProxyWorker *w, CpProxyExchange *ex);
 /* Schedules a check of the exchange at its next deadline. */
 void CpProxyWorker_ScheduleDeadline(CpProxyWorker *w,
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -21,6 +21,7 @@
     EVENT_WAKE = 1,
     EVENT_DAEMON,
     EVENT_SERVER,
+    EVENT_IDLE, /* a connection to a server that no attempt uses */
     EVENT_CALLER
 } EventType;
 
@@ -28,6 +29,7 @@
 static void watch_fd(CpProxyWorker *w, int32_t fd, EventType type,
                      uint32_t events);
 static void handle_event(CpProxyWorker *w, const struct epoll_event *e);
+static void end_idle(CpProxyWorker *w, int32_t fd);
 static void run_timers(CpProxyWorker *w, int64_t now_ns);
 static int next_wait_ms(CpProxyWorker *w, int64_t now_ns);
 
@@ -149,6 +151,12 @@
     }
 }
 
+void
+CpProxyWorker_WatchIdle(CpProxyWorker *w, int32_t fd)
+{
+    watch_fd(w, fd, EVENT_IDLE, EPOLLIN | EPOLLRDHUP);
+}
+
 void
 CpProxyWorker_Unwatch(CpProxyWorker *w, CpProxyExchange *ex)
 {
@@ -265,6 +273,9 @@
         flags |= (e->events & (EPOLLERR | EPOLLHUP)) ? CURL_CSELECT_ERR : 0;
         curl_multi_socket_action(w->multi, fd, flags, &running);
         break;
+    case EVENT_IDLE:
+        end_idle(w, fd);
+        break;
     case EVENT_CALLER:
         ex = g_hash_table_lookup(w->exchanges_by_fd, GINT_TO_POINTER(fd));
         if (ex != NULL) {
@@ -274,6 +285,23 @@
     }
 }
 
+/* Ends an idle connection on which bytes came or which its server closed; the
+ * library would use it again. */
+static void
+end_idle(CpProxyWorker *w, int32_t fd)
+{
+    char byte;
+    ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n < 0 && (errno == EAGAIN || errno == ENOTCONN)) {
+        return; /* the descriptor has become that of another connection */
+    }
+    if (n > 0) {
+        CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
+    }
+    CpEasy_EndConnection(fd);
+    epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
+}
+
 static void
 run_timers(CpProxyWorker *w, int64_t now_ns)
 {
