http: a response that follows chunks is noticed; joins at each byte as a script

Cause: after a body in chunks that a second one follows in the same read, the last bytes are those of a whole response, so that the connection was used again.

--- a/regress/regress.h
+++ b/regress/regress.h
@@ -12,6 +12,7 @@
 void CpDrive_Admit(FILE *in, FILE *out);
 void CpDrive_Config(FILE *in, FILE *out);
 void CpDrive_Fleet(FILE *in, FILE *out);
+void CpDrive_Http(FILE *in, FILE *out);
 void CpDrive_Member(FILE *in, FILE *out);
 void CpDrive_Once(FILE *in, FILE *out);
 void CpDrive_Platform(FILE *in, FILE *out);
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -12,6 +12,7 @@
 
 #define STATUS_MARK "HTTP/1."
 #define STATUS_MARK_BYTES (sizeof(STATUS_MARK) - 1)
+#define LAST_CHUNK "0\r\n\r\n"
 #define STATUS_BYTES 12 /* "HTTP/1.1 200" */
 #define MAX_LENGTH_DIGITS 18
 
@@ -112,8 +113,8 @@
     if (code == CURLE_OK && c->flaw != CP_FLAW_NONE) {
         code = CURLE_PARTIAL_FILE;
     }
-    /* The library drops what it has read after a body in chunks, of which only
-     * the last bytes show, and after an empty one. */
+    /* The library drops what it has read after a body in chunks, in which a
+     * response that follows shows, and after an empty one. */
     bool is_clean =
         code == CURLE_OK && c->following_bytes == 0 &&
         (c->framing == CP_FRAMING_LENGTH
@@ -369,6 +370,12 @@
                                                    : sizeof(c->following));
         memcpy(c->following, data + left_bytes, c->following_bytes);
     }
+    if (c->framing == CP_FRAMING_CHUNKS &&
+        memmem(data, n, LAST_CHUNK STATUS_MARK,
+               sizeof(LAST_CHUNK STATUS_MARK) - 1) != NULL) {
+        c->following_bytes = STATUS_MARK_BYTES;
+        memcpy(c->following, STATUS_MARK, STATUS_MARK_BYTES);
+    }
     c->raw_bytes += n;
     memmove(c->raw_tail, c->raw_tail + tail_bytes,
             sizeof(c->raw_tail) - tail_bytes);
