proxy: a head with lines of two requests is no request

Cause: the host took the first Host, id and timeout of a caller's head and forwarded every id, and what a target or a value held was not looked at.

Ruled out: libmicrohttpd refusing it; it joins nothing, but accepts repeated lines, spaces in targets and names, and any text in a value.

Change: http/request: Host, id and timeout at most once, no space in a target or a name, no request line at the end of a value; else 400 before anything is sent, and the connection is closed. Repeated lines of other names stay allowed.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -41,6 +41,14 @@
  * reference until then. */
 void CpBackend_Send(CpBackend *b, CpExchange *ex, const char *address);
 
+struct MHD_Connection;
+/* Returns true if the head that a caller sent is that of one request: lines of
+ * another one are in no other line, and each of `single_headers` (up to 32;
+ * the last is NULL) is there at most once. `target` is the path and query as
+ * received. */
+bool CpRequestHead_IsOne(struct MHD_Connection *conn, const char *target,
+                         const char *const *single_headers);
+
 /* What the front end needs of a kind of work. */
 typedef struct {
     uint32_t kind_index;
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "http/http.h"
 #include "proxy/proxy_int.h"
 
 /* For the head of a request and the daemon's buffers. */
@@ -290,7 +291,10 @@
     rq->timeout_ms =
         timeout != NULL ? (uint32_t)strtoul(timeout, NULL, 10) : 0;
     MHD_get_connection_values(ex->conn, MHD_HEADER_KIND, on_header, ex);
-    if (ex->framing_headers > 1) { /* the ends could disagree on the body */
+    const char *const single[] = {"Host", o->headers->request_id,
+                                  o->headers->timeout_ms, NULL};
+    if (ex->framing_headers > 1 || /* the ends could disagree on the body */
+        !CpRequestHead_IsOne(ex->conn, rq->target, single)) {
         set_failure(ex, CP_REASON_BAD_REQUEST, 0);
         return false;
     }
