proxy: a head that a server can read in another way is refused

A coding other than "chunked" was read until the caller closed, and never answered.

Ruled out: the library's strictness option; it concerns the Host line alone.

Change: http/request: names and the method are tokens; no control characters but tabs in values, none in the target; one header tells where the body ends, and a coding is "chunked"; the head is no longer than its lines, so that nothing is hidden between them (MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE). A head with more than one space after a colon is refused with it; lines without a space, and ends of lines without a carriage return, stay allowed.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -42,11 +42,14 @@
 void CpBackend_Send(CpBackend *b, CpExchange *ex, const char *address);
 
 struct MHD_Connection;
-/* Returns true if the head that a caller sent is that of one request: lines of
- * another one are in no other line, and each of `single_headers` (up to 32;
- * the last is NULL) is there at most once. `target` is the path and query as
+/* Returns true if the head that a caller sent is that of one request, which a
+ * server can read in no other way: names are tokens, nothing is hidden between
+ * the lines, one header at most tells where the body ends, lines of another
+ * request are in no other line, and each of `single_headers` (up to 32; the
+ * last is NULL) is there at most once. `target` is the path and query as
  * received. */
-bool CpRequestHead_IsOne(struct MHD_Connection *conn, const char *target,
+bool CpRequestHead_IsOne(struct MHD_Connection *conn, const char *method,
+                         const char *target,
                          const char *const *single_headers);
 
 /* What the front end needs of a kind of work. */
--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -3,6 +3,7 @@
  * with lines of two requests, and heads that the host and a server can read in
  * different ways.
  */
+#include <glib.h>
 #include <microhttpd.h>
 #include <string.h>
 #include <strings.h>
@@ -10,27 +11,45 @@
 #include "http/http.h"
 
 #define VERSION_MARK " HTTP/1."
+#define VERSION_BYTES 8   /* "HTTP/1.1" */
+#define SEPARATOR_BYTES 2 /* ": " */
+#define LINE_END_BYTES 2
+#define DELETE 0x7f
 
 typedef struct {
     const char *const *single_headers;
-    uint32_t seen; /* bits of single_headers */
+    uint32_t seen;            /* bits of single_headers */
+    uint32_t framing_headers; /* that tell where the body ends */
+    size_t bytes;             /* of the lines seen, each written as usual */
     bool ok;
 } Head;
 
 static enum MHD_Result on_line(void *ctx, enum MHD_ValueKind kind,
                                const char *name, size_t name_bytes,
                                const char *value, size_t value_bytes);
+static bool is_token(const char *text, size_t n);
+static bool is_printable(const char *text, size_t n, char lowest);
 static bool is_first_of_its_name(Head *h, const char *name);
+static bool is_known_framing(Head *h, const char *name, const char *value);
 static bool ends_in_request_line(const char *value, size_t n);
 
 bool
-CpRequestHead_IsOne(struct MHD_Connection *conn, const char *target,
-                    const char *const *single_headers)
+CpRequestHead_IsOne(struct MHD_Connection *conn, const char *method,
+                    const char *target, const char *const *single_headers)
 {
+    size_t method_bytes = strlen(method), target_bytes = strlen(target);
     Head h = {.single_headers = single_headers,
-              .ok = strchr(target, ' ') == NULL};
+              .bytes = method_bytes + 1 + target_bytes + 1 + VERSION_BYTES +
+                       2 * LINE_END_BYTES,
+              .ok = is_token(method, method_bytes) &&
+                    is_printable(target, target_bytes, '!')};
     MHD_get_connection_values_n(conn, MHD_HEADER_KIND, on_line, &h);
-    return h.ok;
+    /* The library drops what follows a NUL, and joins a continued line with
+     * its name. */
+    return h.ok && h.framing_headers <= 1 &&
+           MHD_get_connection_info(conn,
+                                   MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                   ->header_size <= h.bytes;
 }
 
 static enum MHD_Result
@@ -39,12 +58,41 @@
 {
     Head *h = ctx;
     (void)kind;
-    h->ok &= memchr(name, ' ', name_bytes) == NULL &&
-             is_first_of_its_name(h, name) &&
-             !ends_in_request_line(value, value_bytes);
+    h->bytes += name_bytes + SEPARATOR_BYTES + value_bytes + LINE_END_BYTES;
+    h->ok &=
+        is_token(name, name_bytes) && is_printable(value, value_bytes, ' ') &&
+        is_first_of_its_name(h, name) && is_known_framing(h, name, value) &&
+        !ends_in_request_line(value, value_bytes);
     return MHD_YES;
 }
 
+static bool
+is_token(const char *text, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!g_ascii_isalnum(text[i]) &&
+            (text[i] == '\0' || strchr("!#$%&'*+-.^_`|~", text[i]) == NULL)) {
+            return false;
+        }
+    }
+    return n > 0;
+}
+
+/* Returns true if no byte is a control character, but tabs between words, or
+ * below `lowest`. */
+static bool
+is_printable(const char *text, size_t n, char lowest)
+{
+    for (size_t i = 0; i < n; i++) {
+        unsigned char c = (unsigned char)text[i];
+        if ((c < (unsigned char)lowest && !(c == '\t' && lowest == ' ')) ||
+            c == DELETE) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static bool
 is_first_of_its_name(Head *h, const char *name)
 {
@@ -58,6 +106,16 @@
     return true;
 }
 
+/* Returns false if the header leaves it open where the body ends. */
+static bool
+is_known_framing(Head *h, const char *name, const char *value)
+{
+    bool is_encoding = strcasecmp(name, "Transfer-Encoding") == 0;
+    h->framing_headers +=
+        is_encoding || strcasecmp(name, "Content-Length") == 0;
+    return !is_encoding || strcasecmp(value, "chunked") == 0;
+}
+
 /* Returns true if a request line ends the value: the request was broken off
  * in this line, and another one begun. */
 static bool
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -293,8 +293,7 @@
     MHD_get_connection_values(ex->conn, MHD_HEADER_KIND, on_header, ex);
     const char *const single[] = {"Host", o->headers->request_id,
                                   o->headers->timeout_ms, NULL};
-    if (ex->framing_headers > 1 || /* the ends could disagree on the body */
-        !CpRequestHead_IsOne(ex->conn, rq->target, single)) {
+    if (!CpRequestHead_IsOne(ex->conn, method, rq->target, single)) {
         set_failure(ex, CP_REASON_BAD_REQUEST, 0);
         return false;
     }
@@ -312,8 +311,6 @@
     CpProxyExchange *ex = ctx;
     const CpHeaderNames *h = ex->worker->proxy->options.headers;
     (void)kind;
-    ex->framing_headers += strcasecmp(name, "Content-Length") == 0 ||
-                           strcasecmp(name, "Transfer-Encoding") == 0;
     if (!CpHeader_IsUnforwarded(name) &&
         strcasecmp(name, h->timeout_ms) != 0 &&
         strcasecmp(name, h->target_instance) != 0) {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -55,11 +55,10 @@
     GPtrArray *headers; /* CpHeaderLine, to be forwarded */
     GByteArray *body;
     uint64_t max_body_bytes;
-    uint32_t attempts;        /* started */
-    uint32_t framing_headers; /* that tell where the request's body ends */
-    int64_t deadline_ns;      /* 0: not sent yet */
-    bool knows_chunks;        /* the caller speaks HTTP/1.1 */
-    bool head_received;       /* of the request */
+    uint32_t attempts;   /* started */
+    int64_t deadline_ns; /* 0: not sent yet */
+    bool knows_chunks;   /* the caller speaks HTTP/1.1 */
+    bool head_received;  /* of the request */
     bool started;
     bool suspended;
     bool watched;      /* the connection is watched for a disconnect */
