proxy: headers that a Connection header names end with their connection

Cause: the host dropped a fixed list of headers that concern one connection; one that the caller or the server names in its own Connection header was passed on.

Ruled out: dropping all that is named; a server that names the seal would lose it, and its success would come without one, so an id and a seal always pass.

Change: proxy/front keeps Connection lines until the headers are passed on, and then removes them with what they name.

Measured: regress/system/routes_hop: before, 2 of 2 callers' headers reached the server and the server's header its caller, now none; a header of the same name that no Connection header names still passes, and so do an id and a seal that one names.

--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -27,6 +27,9 @@
 static bool read_head(CpProxyExchange *ex, const char *method);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
                                  const char *name, const char *value);
+static void remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names);
+static bool is_hop_header(const char *name, char **named,
+                          const CpHeaderNames *names);
 static void begin_request(CpProxyExchange *ex);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
@@ -37,8 +40,8 @@
 static struct MHD_Response *failure_response(CpProxyExchange *ex);
 static void finish_request(CpProxyExchange *ex, bool sent);
 
+/* Besides Connection and those that it names. */
 static const char *const unforwarded_headers[] = {
-    "Connection",
     "Keep-Alive",
     "Proxy-Connection",
     "Proxy-Authenticate",
@@ -291,6 +294,7 @@
     rq->timeout_ms =
         timeout != NULL ? (uint32_t)strtoul(timeout, NULL, 10) : 0;
     MHD_get_connection_values(ex->conn, MHD_HEADER_KIND, on_header, ex);
+    remove_hop_headers(ex->headers, o->headers);
     const char *const single[] = {"Host", o->headers->request_id,
                                   o->headers->timeout_ms, NULL};
     if (!CpRequestHead_IsOne(ex->conn, method, rq->target, single)) {
@@ -320,6 +324,46 @@
     return MHD_YES;
 }
 
+/* Removes the Connection headers and those that they name: they concern only
+ * the connection on which they were received. */
+static void
+remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names)
+{
+    GString *options = g_string_new(NULL);
+    for (guint i = lines->len; i-- > 0;) {
+        const CpHeaderLine *h = g_ptr_array_index(lines, i);
+        if (strcasecmp(h->name, "Connection") == 0) {
+            g_string_append_printf(options, "%s,", h->value);
+            g_ptr_array_remove_index(lines, i);
+        }
+    }
+    char **named = g_strsplit_set(options->str, ", \t", -1);
+    for (guint i = lines->len; i-- > 0 && options->len > 0;) {
+        const CpHeaderLine *h = g_ptr_array_index(lines, i);
+        if (is_hop_header(h->name, named, names)) {
+            g_ptr_array_remove_index(lines, i);
+        }
+    }
+    g_strfreev(named);
+    g_string_free(options, TRUE);
+}
+
+/* An id or a seal never is one, whatever names it. */
+static bool
+is_hop_header(const char *name, char **named, const CpHeaderNames *names)
+{
+    if (strcasecmp(name, names->request_id) == 0 ||
+        strcasecmp(name, names->seal) == 0) {
+        return false;
+    }
+    for (char **at = named; *at != NULL; at++) {
+        if (strcasecmp(name, *at) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 begin_request(CpProxyExchange *ex)
 {
@@ -394,6 +438,8 @@
             n, body,
             body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
     }
+    remove_hop_headers(a->response_headers,
+                       ex->worker->proxy->options.headers);
     for (guint i = 0; i < a->response_headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(a->response_headers, i);
         MHD_add_response_header(r, h->name, h->value);
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -134,7 +134,8 @@
 void CpHeaderLine_Add(GPtrArray *list, const char *name, size_t name_bytes,
                       const char *value, size_t value_bytes);
 /* Returns true for headers that are not forwarded: those of one connection
- * only, and those that are set anew. */
+ * only, and those that are set anew. Connection is kept until the lines are
+ * passed on, as it names others. */
 bool CpHeader_IsUnforwarded(const char *name);
 
 /* attempt: attempts at backend servers */
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -76,6 +76,7 @@
     MODE_SHORT_LENGTH, /* whole, of a body longer than its length */
     MODE_UNFRAMED, /* without a length, on a connection that is to be kept */
     MODE_COPY,     /* whole, and once more */
+    MODE_HOP,      /* after the response, with headers of its connection */
     MODE_COUNT
 } Mode;
 
@@ -140,6 +141,7 @@
     [MODE_CUT_RESET] = "cut-reset",
     [MODE_TRAILER] = "trailer",
     [MODE_UPGRADE] = "upgrade",
+    [MODE_HOP] = "hop",
     [MODE_JOIN_STATUS] = "join-status",
     [MODE_JOIN_LENGTH] = "join-length",
     [MODE_JOIN_ID] = "join-id",
@@ -171,6 +173,11 @@
         "HTTP/1.1 101 Switching Protocols\r\n"
         "Chestnutpaddle-Attempt-Id: %1$s\r\n"
         "Chestnutpaddle-Response-Seal: %2$s\r\nContent-Length: 5\r\n\r\nwrong",
+    [MODE_HOP] = CUT_SEAL
+    "Connection: X-Hop, close\r\nX-Hop: 1\r\nX-End: 2\r\nX-Empty:\r\n"
+    "Connection: Chestnutpaddle-Response-Seal\r\nKeep-Alive: timeout=9\r\n"
+    "Date: Mon, 01 Jan 2001 00:00:00 GMT\r\nTrailer: X-Sum\r\n"
+    "Content-Length: 5\r\n\r\nwhole",
     [MODE_TRAILER] = CUT_SEAL "Transfer-Encoding: chunked\r\n\r\n"
                               "5\r\nwhole\r\n0\r\n"
                               "Chestnutpaddle-Not-Executed: 1\r\n"
@@ -213,7 +220,7 @@
 static GHashTable *run_counts;       /* request id -> runs */
 static GHashTable *last_timeouts_ms; /* request id -> timeout */
 /* Totals of all servers, for /stats. */
-static uint64_t arrived, run_total, refused, wrong_instance, cancelled,
+static uint64_t arrived, run_total, refused, wrong_instance, cancelled, hops,
     longest_timeout_ms, over_slots;
 static uint64_t large_aborted; /* the client disconnected during the body */
 
@@ -395,14 +402,14 @@
     }
     char *text = g_strdup_printf(
         "{\"arrived\":%llu,\"runs\":%llu,\"refused\":%llu,\"wrong\":%llu,"
-        "\"cancelled\":%llu,\"longest_ms\":%llu,\"over\":%llu,"
+        "\"cancelled\":%llu,\"hops\":%llu,\"longest_ms\":%llu,\"over\":%llu,"
         "\"large_left\":%llu,"
         "\"doubled\":%u}\n",
         (unsigned long long)arrived, (unsigned long long)run_total,
         (unsigned long long)refused, (unsigned long long)wrong_instance,
-        (unsigned long long)cancelled, (unsigned long long)longest_timeout_ms,
-        (unsigned long long)over_slots, (unsigned long long)large_aborted,
-        repeated);
+        (unsigned long long)cancelled, (unsigned long long)hops,
+        (unsigned long long)longest_timeout_ms, (unsigned long long)over_slots,
+        (unsigned long long)large_aborted, repeated);
     pthread_mutex_unlock(&lock);
     return CpStandin_Respond(conn, 200, text);
 }
@@ -443,6 +450,7 @@
     pthread_mutex_lock(&lock);
     arrived++;
     s->arrived++;
+    hops += CpStandin_GetHeader(conn, "X-Hop") != NULL;
     longest_timeout_ms =
         timeout_ms > longest_timeout_ms ? timeout_ms : longest_timeout_ms;
     g_hash_table_replace(last_timeouts_ms, g_strdup(id),
