proxy: an answer to HEAD gives the length that the server gave

Cause: the host answered HEAD with an empty body of its own, for which libmicrohttpd writes "Content-Length: 0". A caller that compares the length with that of a GET takes the object for empty.

Ruled out: the server's header passed through; libmicrohttpd refuses lengths that it did not set itself.

Change: proxy/front: the response to HEAD has the server's length, or none.

Measured: regress/system/routes_head: before, 0 for bodies of 24 and 60,000 bytes; now the server's lengths. The connection serves the next request, before and now.

--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -34,7 +34,8 @@
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
 static struct MHD_Response *server_response(CpProxyExchange *ex);
-static struct MHD_Response *streamed_response(CpProxyExchange *ex);
+static struct MHD_Response *streamed_response(CpProxyExchange *ex,
+                                              uint64_t content_length_bytes);
 static ssize_t read_stream(void *ctx, uint64_t pos, char *out,
                            size_t capacity);
 static struct MHD_Response *failure_response(CpProxyExchange *ex);
@@ -428,7 +429,11 @@
     CpProxyAttempt *a = &ex->attempt;
     struct MHD_Response *r;
     if (a->streamed) {
-        r = streamed_response(ex);
+        r = streamed_response(ex, a->content_length_bytes);
+    }
+    else if (a->check.is_head && a->status != 204 && a->status != 304) {
+        r = streamed_response(ex, a->check.has_length ? a->check.length_bytes
+                                                      : MHD_SIZE_UNKNOWN);
     }
     else {
         guint n = a->body->len;
@@ -447,12 +452,12 @@
     return r;
 }
 
+/* The body of an answer to HEAD is never read. */
 static struct MHD_Response *
-streamed_response(CpProxyExchange *ex)
+streamed_response(CpProxyExchange *ex, uint64_t content_length_bytes)
 {
-    return MHD_create_response_from_callback(ex->attempt.content_length_bytes,
-                                             STREAM_BLOCK_BYTES, read_stream,
-                                             ex, NULL);
+    return MHD_create_response_from_callback(
+        content_length_bytes, STREAM_BLOCK_BYTES, read_stream, ex, NULL);
 }
 
 /* Copies the next bytes of a streamed response. If there are none yet, the
