--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -8,6 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "http/http.h"
 #include "proxy/proxy_int.h"
 
 /* For the head of a request and the daemon's buffers. */
@@ -26,18 +27,22 @@
 static bool read_head(CpProxyExchange *ex, const char *method);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
                                  const char *name, const char *value);
+static void remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names);
+static bool is_hop_header(const char *name, char **named,
+                          const CpHeaderNames *names);
 static void begin_request(CpProxyExchange *ex);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
 static struct MHD_Response *server_response(CpProxyExchange *ex);
-static struct MHD_Response *streamed_response(CpProxyExchange *ex);
+static struct MHD_Response *streamed_response(CpProxyExchange *ex,
+                                              uint64_t content_length_bytes);
 static ssize_t read_stream(void *ctx, uint64_t pos, char *out,
                            size_t capacity);
 static struct MHD_Response *failure_response(CpProxyExchange *ex);
 static void finish_request(CpProxyExchange *ex, bool sent);
 
+/* Besides Connection and those that it names. */
 static const char *const unforwarded_headers[] = {
-    "Connection",
     "Keep-Alive",
     "Proxy-Connection",
     "Proxy-Authenticate",
@@ -290,7 +295,10 @@
     rq->timeout_ms =
         timeout != NULL ? (uint32_t)strtoul(timeout, NULL, 10) : 0;
     MHD_get_connection_values(ex->conn, MHD_HEADER_KIND, on_header, ex);
-    if (ex->framing_headers > 1) { /* the ends could disagree on the body */
+    remove_hop_headers(ex->headers, o->headers);
+    const char *const single[] = {"Host", o->headers->request_id,
+                                  o->headers->timeout_ms, NULL};
+    if (!CpRequestHead_IsOne(ex->conn, method, rq->target, single)) {
         set_failure(ex, CP_REASON_BAD_REQUEST, 0);
         return false;
     }
@@ -308,8 +316,6 @@
     CpProxyExchange *ex = ctx;
     const CpHeaderNames *h = ex->worker->proxy->options.headers;
     (void)kind;
-    ex->framing_headers += strcasecmp(name, "Content-Length") == 0 ||
-                           strcasecmp(name, "Transfer-Encoding") == 0;
     if (!CpHeader_IsUnforwarded(name) &&
         strcasecmp(name, h->timeout_ms) != 0 &&
         strcasecmp(name, h->target_instance) != 0) {
@@ -319,6 +325,46 @@
     return MHD_YES;
 }
 
+/* Removes the Connection headers and those that they name: they concern only
+ * the connection on which they were received. */
+static void
+remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names)
+{
+    GString *options = g_string_new(NULL);
+    for (guint i = lines->len; i-- > 0;) {
+        const CpHeaderLine *h = g_ptr_array_index(lines, i);
+        if (strcasecmp(h->name, "Connection") == 0) {
+            g_string_append_printf(options, "%s,", h->value);
+            g_ptr_array_remove_index(lines, i);
+        }
+    }
+    char **named = g_strsplit_set(options->str, ", \t", -1);
+    for (guint i = lines->len; i-- > 0 && options->len > 0;) {
+        const CpHeaderLine *h = g_ptr_array_index(lines, i);
+        if (is_hop_header(h->name, named, names)) {
+            g_ptr_array_remove_index(lines, i);
+        }
+    }
+    g_strfreev(named);
+    g_string_free(options, TRUE);
+}
+
+/* An id or a seal never is one, whatever names it. */
+static bool
+is_hop_header(const char *name, char **named, const CpHeaderNames *names)
+{
+    if (strcasecmp(name, names->request_id) == 0 ||
+        strcasecmp(name, names->seal) == 0) {
+        return false;
+    }
+    for (char **at = named; *at != NULL; at++) {
+        if (strcasecmp(name, *at) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 begin_request(CpProxyExchange *ex)
 {
@@ -383,7 +429,11 @@
     CpProxyAttempt *a = &ex->attempt;
     struct MHD_Response *r;
     if (a->streamed) {
-        r = streamed_response(ex);
+        r = streamed_response(ex, a->content_length_bytes);
+    }
+    else if (a->check.is_head && a->status != 204 && a->status != 304) {
+        r = streamed_response(ex, a->check.has_length ? a->check.length_bytes
+                                                      : MHD_SIZE_UNKNOWN);
     }
     else {
         guint n = a->body->len;
@@ -393,6 +443,8 @@
             n, body,
             body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
     }
+    remove_hop_headers(a->response_headers,
+                       ex->worker->proxy->options.headers);
     for (guint i = 0; i < a->response_headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(a->response_headers, i);
         MHD_add_response_header(r, h->name, h->value);
@@ -400,12 +452,12 @@
     return r;
 }
 
+/* The body of an answer to HEAD is never read. */
 static struct MHD_Response *
-streamed_response(CpProxyExchange *ex)
+streamed_response(CpProxyExchange *ex, uint64_t content_length_bytes)
 {
-    return MHD_create_response_from_callback(ex->attempt.content_length_bytes,
-                                             STREAM_BLOCK_BYTES, read_stream,
-                                             ex, NULL);
+    return MHD_create_response_from_callback(
+        content_length_bytes, STREAM_BLOCK_BYTES, read_stream, ex, NULL);
 }
 
 /* Copies the next bytes of a streamed response. If there are none yet, the
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -55,11 +55,10 @@
     GPtrArray *headers; /* CpHeaderLine, to be forwarded */
     GByteArray *body;
     uint64_t max_body_bytes;
-    uint32_t attempts;        /* started */
-    uint32_t framing_headers; /* that tell where the request's body ends */
-    int64_t deadline_ns;      /* 0: not sent yet */
-    bool knows_chunks;        /* the caller speaks HTTP/1.1 */
-    bool head_received;       /* of the request */
+    uint32_t attempts;   /* started */
+    int64_t deadline_ns; /* 0: not sent yet */
+    bool knows_chunks;   /* the caller speaks HTTP/1.1 */
+    bool head_received;  /* of the request */
     bool started;
     bool suspended;
     bool watched;      /* the connection is watched for a disconnect */
@@ -137,7 +136,8 @@
 void CpHeaderLine_Add(GPtrArray *list, const char *name, size_t name_bytes,
                       const char *value, size_t value_bytes);
 /* Returns true for headers that are not forwarded: those of one connection
- * only, and those that are set anew. */
+ * only, and those that are set anew. Connection is kept until the lines are
+ * passed on, as it names others. */
 bool CpHeader_IsUnforwarded(const char *name);
 
 /* attempt: attempts at backend servers */
