standin, regress: responses of the store that are joined on one connection

Cause: the stand-in of the store always sent one whole response for each call; nothing showed what hosts and the command line make of two in one, of a late copy, or of a call that the library sends again.

--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -11,6 +11,13 @@
  * /control?compact=1 discards the change history; with drop_table=T&drop_key=K
  * also a row or its deletion mark, so that followers see neither the row nor
  * its removal.
+ * mix=X&mix_path=P sets a second fault, of the calls whose path begins with P:
+ * responses that are joined on one connection. "head" sends a head with the
+ * status mix_status that breaks off in a line, before the response; "body" one
+ * that breaks off in its body; "copy" sends the response twice; "late" sends
+ * the last success of the connection once more as soon as a call arrives,
+ * "first" the first one; "drop" performs the call and closes a connection that
+ * was used before; "none" ends that. mix_count=N: for N calls only.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -25,6 +32,8 @@
 #define PATH_SEPARATOR "\x01" /* between table, part and key */
 #define DEFAULT_PAGE_ROWS 500
 #define MAX_LONG_POLL_MS 30000 /* upper bound of waitMs */
+#define MIX_DELAY_MS 20        /* from a late response to that of the call */
+#define BROKEN_BODY_BYTES 120  /* announced, in MIX_BODY */
 
 typedef enum {
     MODE_UP = 0,
@@ -38,6 +47,23 @@
     MODE_COUNT
 } Mode;
 
+typedef enum {
+    MIX_NONE = 0,
+    MIX_HEAD,
+    MIX_BODY,
+    MIX_COPY,
+    MIX_LATE,
+    MIX_FIRST,
+    MIX_DROP,
+    MIX_COUNT
+} Mix;
+
+/* Bodies of successful responses that a connection has carried. */
+typedef struct {
+    char *first;
+    char *last;
+} SentBodies;
+
 /* A row, or the deletion mark of a removed row. */
 typedef struct {
     char *table;
@@ -68,6 +94,16 @@
     [MODE_BUSY] = "busy",   [MODE_SILENT] = "silent",
 };
 
+static const char *const mix_names[MIX_COUNT] = {
+    [MIX_NONE] = "none", [MIX_HEAD] = "head", [MIX_BODY] = "body",
+    [MIX_COPY] = "copy", [MIX_LATE] = "late", [MIX_FIRST] = "first",
+    [MIX_DROP] = "drop",
+};
+
+static void free_sent_bodies(gpointer p);
+/* Each connection has a thread of its own. */
+static GPrivate sent_bodies = G_PRIVATE_INIT(free_sent_bodies);
+
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER; /* guards all below */
 static pthread_cond_t changed; /* signalled on changes of rows or mode */
 static GTree *rows;            /* path -> Row */
@@ -76,7 +112,11 @@
 static Mode mode;
 static uint64_t delay_ms; /* in MODE_SLOW and MODE_SILENT */
 static char busy_table[CP_NAME_BYTES];
-static uint64_t read_count, write_count;
+static Mix mix;
+static char mix_path[CP_NAME_BYTES];
+static uint64_t mix_status = 200;
+static uint64_t mix_left; /* calls that the fault still meets */
+static uint64_t read_count, write_count, connection_count;
 static uint64_t last_version;          /* of the last transaction */
 static uint64_t history_start_version; /* older changes are discarded */
 
@@ -88,7 +128,14 @@
                          enum MHD_RequestTerminationCode code);
 static enum MHD_Result handle_control(struct MHD_Connection *conn);
 static enum MHD_Result dispatch(struct MHD_Connection *conn, const char *url,
-                                const char *method, const GString *body);
+                                const char *method, const GString *body,
+                                bool is_kept);
+static enum MHD_Result respond(struct MHD_Connection *conn, Mix m,
+                               uint32_t status, char *text);
+static Mix mix_of(const char *url);
+static SentBodies *get_sent_bodies(void);
+static void send_whole(struct MHD_Connection *conn, uint32_t status,
+                       const char *text);
 static bool cut_response(struct MHD_Connection *conn);
 static uint32_t transact(struct MHD_Connection *conn, const char *suffix,
                          const GString *body, char **out);
@@ -118,6 +165,8 @@
     {"/blob-put/", "PUT", true, put_object},
     {"/blob-get/", "GET", false, get_object},
     {"/blob-drop/", "DELETE", true, remove_object},
+    /* the page of a host: an object without a name */
+    {"/state", "GET", false, get_object},
     {0},
 };
 
@@ -168,9 +217,11 @@
     if (strcmp(url, "/control") == 0) {
         return handle_control(conn);
     }
+    bool is_kept = CpStandin_CountUse(conn) > 1;
     pthread_mutex_lock(&lock);
     Mode current_mode = mode;
     uint64_t current_delay_ms = delay_ms;
+    connection_count += !is_kept;
     pthread_mutex_unlock(&lock);
     if (current_mode == MODE_SLOW || current_mode == MODE_SILENT) {
         CpStandin_Sleep_ms(current_delay_ms);
@@ -181,7 +232,7 @@
     if (current_mode == MODE_BUSY) {
         return CpStandin_Respond(conn, 503, g_strdup("{}\n"));
     }
-    return dispatch(conn, url, method, q->body);
+    return dispatch(conn, url, method, q->body, is_kept);
 }
 
 static void
@@ -208,9 +259,19 @@
         }
     }
     delay_ms = CpStandin_GetQueryNumber(conn, "ms", delay_ms);
+    const char *mix_name = CpStandin_GetQueryText(conn, "mix", "");
+    for (uint32_t i = 0; i < MIX_COUNT; i++) {
+        if (strcmp(mix_name, mix_names[i]) == 0) {
+            mix = i;
+        }
+    }
+    CpStr_Copy(mix_path, sizeof(mix_path),
+               CpStandin_GetQueryText(conn, "mix_path", mix_path));
+    mix_status = CpStandin_GetQueryNumber(conn, "mix_status", mix_status);
+    mix_left = CpStandin_GetQueryNumber(conn, "mix_count", UINT64_MAX);
     CpStr_Copy(busy_table, sizeof(busy_table),
                CpStandin_GetQueryText(conn, "busy_table", busy_table));
-    if (mode == MODE_STALE) {
+    if (strcmp(mode_name, mode_names[MODE_STALE]) == 0) {
         stale_rows = copy_rows();
     }
     const char *table = CpStandin_GetQueryText(conn, "drop_table", "");
@@ -223,22 +284,33 @@
     }
     pthread_cond_broadcast(&changed);
     char *text = g_strdup_printf(
-        "{\"mode\":\"%s\",\"reads\":%llu,\"writes\":%llu}\n", mode_names[mode],
-        (unsigned long long)read_count, (unsigned long long)write_count);
+        "{\"mode\":\"%s\",\"reads\":%llu,\"writes\":%llu,"
+        "\"connections\":%llu}\n",
+        mode_names[mode], (unsigned long long)read_count,
+        (unsigned long long)write_count, (unsigned long long)connection_count);
     pthread_mutex_unlock(&lock);
     return CpStandin_Respond(conn, 200, text);
 }
 
 static enum MHD_Result
 dispatch(struct MHD_Connection *conn, const char *url, const char *method,
-         const GString *body)
+         const GString *body, bool is_kept)
 {
     char *text = NULL;
     uint32_t status = 404;
+    Mix m = mix_of(url);
+    const SentBodies *sent = get_sent_bodies();
     bool close_without_response = false;
     if (strcmp(method, "GET") != 0 && cut_response(conn)) {
         return MHD_NO;
     }
+    const char *earlier = m == MIX_LATE    ? sent->last
+                          : m == MIX_FIRST ? sent->first
+                                           : NULL;
+    if (earlier != NULL) {
+        send_whole(conn, 200, earlier);
+        CpStandin_Sleep_ms(MIX_DELAY_MS);
+    }
     pthread_mutex_lock(&lock);
     for (const Endpoint *e = endpoints; e->url_prefix != NULL; e++) {
         size_t prefix_bytes = strlen(e->url_prefix);
@@ -258,12 +330,88 @@
     }
     bool is_down = mode == MODE_DOWN;
     pthread_mutex_unlock(&lock);
-    if (close_without_response || is_down) {
+    if (close_without_response || is_down || (m == MIX_DROP && is_kept)) {
         g_free(text);
         return MHD_NO;
     }
-    return CpStandin_Respond(conn, status,
-                             text != NULL ? text : g_strdup("{}\n"));
+    return respond(conn, m, status, text != NULL ? text : g_strdup("{}\n"));
+}
+
+/* Responds, after a response that breaks off or the same one if these are
+ * mixed. */
+static enum MHD_Result
+respond(struct MHD_Connection *conn, Mix m, uint32_t status, char *text)
+{
+    SentBodies *sent = get_sent_bodies();
+    char *part = NULL;
+    if (m == MIX_HEAD) {
+        part = g_strdup_printf("HTTP/1.1 %u X\r\nContent-Type: applica",
+                               (uint32_t)mix_status);
+    }
+    if (m == MIX_BODY) {
+        part = g_strdup_printf("HTTP/1.1 200 OK\r\nContent-Type: "
+                               "application/json\r\nContent-Length: "
+                               "%u\r\n\r\n{\"rows\":[",
+                               BROKEN_BODY_BYTES);
+    }
+    if (part != NULL) {
+        CpStandin_Send(CpStandin_Socket(conn), part, strlen(part));
+        g_free(part);
+    }
+    if (m == MIX_COPY) {
+        send_whole(conn, status, text);
+    }
+    if (status == 200) {
+        sent->first = sent->first != NULL ? sent->first : g_strdup(text);
+        g_free(sent->last);
+        sent->last = g_strdup(text);
+    }
+    return CpStandin_Respond(conn, status, text);
+}
+
+/* Returns the fault of calls to this path. */
+static Mix
+mix_of(const char *url)
+{
+    pthread_mutex_lock(&lock);
+    bool is_met =
+        mix_left > 0 && strncmp(url, mix_path, strlen(mix_path)) == 0;
+    mix_left -= is_met;
+    Mix m = is_met ? mix : MIX_NONE;
+    pthread_mutex_unlock(&lock);
+    return m;
+}
+
+static SentBodies *
+get_sent_bodies(void)
+{
+    SentBodies *sent = g_private_get(&sent_bodies);
+    if (sent == NULL) {
+        sent = CpMem_Alloc(sizeof(*sent));
+        g_private_set(&sent_bodies, sent);
+    }
+    return sent;
+}
+
+static void
+free_sent_bodies(gpointer p)
+{
+    SentBodies *sent = p;
+    g_free(sent->first);
+    g_free(sent->last);
+    free(sent);
+}
+
+/* Sends a whole response beside the library. */
+static void
+send_whole(struct MHD_Connection *conn, uint32_t status, const char *text)
+{
+    char *response =
+        g_strdup_printf("HTTP/1.1 %u X\r\nContent-Type: application/json\r\n"
+                        "Content-Length: %zu\r\n\r\n%s",
+                        status, strlen(text), text);
+    CpStandin_Send(CpStandin_Socket(conn), response, strlen(response));
+    g_free(response);
 }
 
 /* In MODE_CUT, sends the status line of a success and returns true. */
