http: calls of our own believe only one whole response

Cause: CpEasy_Perform took a head line by line: a head that broke off, and that of the next response on the connection, counted as one, with the status of the first and the body of the second. So did the store's client, the command line and hosts that read a page of another host. A refused write was reported as done, one that was done as refused.

Ruled out: decoding alone. JSON shows a joined body, but the outcome of a write is in the status, and objects need not be JSON.

Change: CpEasy_Perform uses CpResponseCheck; a response with a flaw fails the call, is counted and ends its connection. Bodies of these calls are text without status lines (has_text_body), so that one shows another response; these responses have no id that would.

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -36,10 +36,12 @@
  * outlive the call. */
 void CpEasy_SendOnce(CURL *e, bool *sent);
 /* Performs the call and appends the response body; the call fails if it is
- * longer than max_bytes, or if the response ends inside its head. Uses the
- * callbacks for headers and data. */
+ * longer than max_bytes, or if what was received is not one whole response with
+ * a body of text. Uses the callbacks for headers, data and debugging. */
 CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
                         long *status);
+/* Ends the connection of the last call, so that no later one uses it. */
+void CpEasy_Disconnect(CURL *e);
 
 /* What a line of a response head is, as the library passes it. Lines of a
  * trailer come in the same way, after the head. */
@@ -72,6 +74,7 @@
     const char *const *single_headers; /* at most one line each; up to 32 */
     const char *id_header;             /* NULL: responses have no id */
     const char *id;                    /* of the request */
+    bool has_text_body; /* no part of it can be taken for a status line */
     CpFraming framing;
     CpFlaw flaw;
     uint32_t status;
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -6,10 +6,16 @@
 
 #include "http/easy.h"
 
+/* A response while it is received. */
 typedef struct {
     GString *body;
     size_t max_bytes;
-} BodyBuffer;
+    CpResponseCheck check;
+} Response;
+
+/* Headers that a response has at most once. */
+static const char *const single_headers[] = {"Content-Type", "Date", "Server",
+                                             NULL};
 
 static int on_prereq(void *ctx, char *local, char *remote, int local_port,
                      int remote_port);
@@ -62,15 +68,35 @@
 CURLcode
 CpEasy_Perform(CURL *e, GString *body, size_t max_bytes, long *status)
 {
-    BodyBuffer r = {body, max_bytes};
-    bool head_received = false;
+    Response r = {.body = body,
+                  .max_bytes = max_bytes,
+                  .check = {.single_headers = single_headers,
+                            .has_text_body = true}};
+    CpResponseCheck_Begin(&r.check, e);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head_line);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, &head_received);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, &r);
     curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
-    CURLcode code = curl_easy_perform(e);
+    CURLcode code = CpResponseCheck_End(&r.check, curl_easy_perform(e));
+    curl_easy_setopt(e, CURLOPT_VERBOSE, 0L);
+    curl_easy_setopt(e, CURLOPT_DEBUGDATA, NULL);
     curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
-    return CpEasy_CheckHead(code, head_received);
+    if (r.check.flaw == CP_FLAW_NONE) {
+        return code;
+    }
+    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, 1);
+    CpEasy_Disconnect(e);
+    return CURLE_PARTIAL_FILE;
+}
+
+void
+CpEasy_Disconnect(CURL *e)
+{
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    curl_easy_getinfo(e, CURLINFO_ACTIVESOCKET, &fd);
+    if (fd != CURL_SOCKET_BAD) {
+        shutdown(fd, SHUT_RDWR);
+    }
 }
 
 /* The library takes a connection for usable while it holds bytes to read. */
@@ -153,20 +179,19 @@
 static size_t
 on_head_line(char *data, size_t size, size_t n, void *ctx)
 {
-    bool *received = ctx;
-    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n * size);
-    if (line != CP_HEAD_FIELD) {
-        *received = line == CP_HEAD_END;
-    }
-    return n * size;
+    Response *r = ctx;
+    n *= size;
+    CpResponseCheck_OnHeadLine(&r->check, data, n);
+    return r->check.flaw == CP_FLAW_NONE ? n : 0;
 }
 
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
-    BodyBuffer *r = ctx;
+    Response *r = ctx;
     n *= size;
-    if (n > r->max_bytes - r->body->len) {
+    CpResponseCheck_OnBody(&r->check, data, n);
+    if (r->check.flaw != CP_FLAW_NONE || n > r->max_bytes - r->body->len) {
         return 0;
     }
     g_string_append_len(r->body, data, (gssize)n);
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -104,6 +104,9 @@
     curl_socket_t fd = CURL_SOCKET_BAD;
     curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
     read_following(c, fd);
+    if (code == CURLE_OK && c->has_text_body && c->line_bytes > 0) {
+        read_body_line(c); /* the last one, without an end */
+    }
     if (code == CURLE_OK && !c->head_received && c->flaw == CP_FLAW_NONE) {
         c->flaw = CP_FLAW_HEAD_CUT;
     }
@@ -310,6 +313,7 @@
     }
     if (contains_status(c->line, n)) {
         c->is_in_head = true;
+        c->flaw = c->has_text_body ? CP_FLAW_BODY_MIXED : c->flaw;
         return;
     }
     const char *colon = memchr(c->line, ':', n);
