http: no call on a kept connection on which bytes wait

Cause: the library uses a kept connection again though bytes wait on it, and takes them for the response to the next call. Responses of the store have no id that would tell.

Change: before a call, the connection of the handle's last call is looked at; if bytes or its end wait, it is shut down and the library opens another one.

What arrives after the call was sent is not told in this way.

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -36,8 +36,9 @@
  * outlive the call. */
 void CpEasy_SendOnce(CURL *e, bool *sent);
 /* Performs the call and appends the response body; the call fails if it is
- * longer than max_bytes, or if what was received is not one whole response with
- * a body of text. Uses the callbacks for headers, data and debugging. */
+ * longer than max_bytes, or if what was received is not one whole response
+ * with a body of text. A kept connection on which bytes wait is not used. Uses
+ * the callbacks for headers, data and debugging. */
 CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
                         long *status);
 /* Ends the connection of the last call, so that no later one uses it. */
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -17,6 +17,7 @@
 static const char *const single_headers[] = {"Content-Type", "Date", "Server",
                                              NULL};
 
+static void drop_unless_quiet(CURL *e);
 static int on_prereq(void *ctx, char *local, char *remote, int local_port,
                      int remote_port);
 static size_t on_head_line(char *data, size_t size, size_t n, void *ctx);
@@ -68,10 +69,11 @@
 CURLcode
 CpEasy_Perform(CURL *e, GString *body, size_t max_bytes, long *status)
 {
-    Response r = {.body = body,
-                  .max_bytes = max_bytes,
-                  .check = {.single_headers = single_headers,
-                            .has_text_body = true}};
+    Response r = {
+        .body = body,
+        .max_bytes = max_bytes,
+        .check = {.single_headers = single_headers, .has_text_body = true}};
+    drop_unless_quiet(e);
     CpResponseCheck_Begin(&r.check, e);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head_line);
     curl_easy_setopt(e, CURLOPT_HEADERDATA, &r);
@@ -95,7 +97,7 @@
     curl_socket_t fd = CURL_SOCKET_BAD;
     curl_easy_getinfo(e, CURLINFO_ACTIVESOCKET, &fd);
     if (fd != CURL_SOCKET_BAD) {
-        shutdown(fd, SHUT_RDWR);
+        CpEasy_EndConnection(fd);
     }
 }
 
@@ -109,6 +111,20 @@
     }
 }
 
+/* Ends the connection of the last call if anything waits on it: the library
+ * would take it for the response to the next call. */
+static void
+drop_unless_quiet(CURL *e)
+{
+    curl_socket_t fd = CURL_SOCKET_BAD;
+    char byte;
+    curl_easy_getinfo(e, CURLINFO_ACTIVESOCKET, &fd);
+    if (fd != CURL_SOCKET_BAD &&
+        recv(fd, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) >= 0) {
+        CpEasy_Disconnect(e);
+    }
+}
+
 CpHeadLine
 CpEasy_ClassifyHeadLine(const char *line, size_t n)
 {
