http: white space before a value does not hide anything

Cause: the check that nothing is hidden between the lines of a head counted one space after each colon; a caller that sends more, which is proper, got 400. Change: the white space between the name and the value counts as it was sent.

--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -13,6 +13,7 @@
 #define VERSION_MARK " HTTP/1."
 #define VERSION_BYTES 8   /* "HTTP/1.1" */
 #define SEPARATOR_BYTES 2 /* ": " */
+#define MAX_SEPARATOR_BYTES 256
 #define LINE_END_BYTES 2
 #define DELETE 0x7f
 
@@ -27,6 +28,7 @@
 static enum MHD_Result on_line(void *ctx, enum MHD_ValueKind kind,
                                const char *name, size_t name_bytes,
                                const char *value, size_t value_bytes);
+static size_t separator_bytes(const char *colon, const char *value);
 static bool is_token(const char *text, size_t n);
 static bool is_printable(const char *text, size_t n, char lowest);
 static bool is_first_of_its_name(Head *h, const char *name);
@@ -58,7 +60,8 @@
 {
     Head *h = ctx;
     (void)kind;
-    h->bytes += name_bytes + SEPARATOR_BYTES + value_bytes + LINE_END_BYTES;
+    h->bytes += name_bytes + separator_bytes(name + name_bytes, value) +
+                value_bytes + LINE_END_BYTES;
     h->ok &=
         is_token(name, name_bytes) && is_printable(value, value_bytes, ' ') &&
         is_first_of_its_name(h, name) && is_known_framing(h, name, value) &&
@@ -66,6 +69,19 @@
     return MHD_YES;
 }
 
+/* Returns the bytes of the colon and the white space after it. Name and value
+ * are parts of what was received, unless the library has changed the line. */
+static size_t
+separator_bytes(const char *colon, const char *value)
+{
+    size_t n = (size_t)((uintptr_t)value - (uintptr_t)colon);
+    if (n == 0 || n > MAX_SEPARATOR_BYTES ||
+        strspn(colon + 1, " \t") < n - 1) {
+        return SEPARATOR_BYTES;
+    }
+    return n > SEPARATOR_BYTES ? n : SEPARATOR_BYTES;
+}
+
 static bool
 is_token(const char *text, size_t n)
 {
