--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -6,7 +6,8 @@
  *
  * /control?mode=M sets the failure mode of the server addressed, or with
  * every=1 of all servers; further arguments are ms=N (service time), factor=N
- * (percent of the service time), health=leaving|serving and reset=1 (of the
+ * (percent of the service time), health=leaving|serving, probe=M (failure mode
+ * of /health: ok, cut-head, joined, longer or error) and reset=1 (of the
  * counters). /stats has the counters of each server, /key?key=K the effects of
  * one key, /doubled the keys with more than one effect.
  */
@@ -17,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -27,6 +29,8 @@
 #define BLOCK_BYTES (32 * 1024)
 #define MAX_SERVERS 256
 #define MAX_SECONDS 4096 /* with counters per second; later runs have none */
+#define JOINED_WAIT_MS 1000 /* for the host to close the connection */
+#define SECOND_DELAY_MS 30
 
 typedef enum {
     MODE_OK = 0,
@@ -36,14 +40,36 @@
     MODE_SHORT,      /* truncates the body at half its length */
     MODE_SHORT_LAST, /* truncates the last byte of the body */
     MODE_UNFRAMED,   /* neither Content-Length nor chunked encoding */
-    /* The rest send a text and close the connection. */
+    /* The next ones send a text and close the connection. */
     MODE_CUT_STATUS,  /* the head up to the status line */
     MODE_CUT_LENGTH,  /* the head up to the length */
     MODE_CUT_REFUSAL, /* the head of a refusal, without its end */
     MODE_TRAILER,     /* a response of another server's id in its trailer */
+    /* The rest send a part of a response and a whole one on one connection. */
+    MODE_JOIN_VALUE,    /* cut inside a value of the head */
+    MODE_JOIN_ID,       /* the same, of another request's response */
+    MODE_JOIN_DIGITS,   /* cut inside the length */
+    MODE_JOIN_REFUSAL,  /* the head of a refusal, cut inside a value */
+    MODE_JOIN_BODY,     /* cut inside the body */
+    MODE_JOIN_LAST,     /* cut before the last byte of the body */
+    MODE_JOIN_CHUNKS,   /* cut inside a chunk */
+    MODE_JOIN_SIZE,     /* cut inside the size of the first chunk */
+    MODE_TWO_LENGTHS,   /* no part; a second, short length in the head */
+    MODE_SECOND,        /* a whole response, and a whole one */
+    MODE_SECOND_CHUNKS, /* the same, in chunks */
+    MODE_SECOND_LATE,   /* the same, the second one later */
     MODE_COUNT
 } Mode;
 
+typedef enum {
+    PROBE_OK = 0,
+    PROBE_CUT_HEAD, /* the head without its end */
+    PROBE_JOINED,   /* cut inside the body, and a whole response */
+    PROBE_LONGER,   /* bytes after the announced length */
+    PROBE_ERROR,    /* status 500 */
+    PROBE_COUNT
+} ProbeMode;
+
 typedef struct {
     pthread_mutex_t lock; /* guards the fields that change after the start */
     char address[CP_ADDR_BYTES];
@@ -52,6 +78,7 @@
     uint64_t service_ms;
     uint64_t factor_percent; /* of the service time */
     bool leaving;            /* reported by /health */
+    ProbeMode probe_mode;    /* of /health */
     Mode mode;
     uint64_t inflight;
     uint64_t peak_inflight;
@@ -59,6 +86,8 @@
     uint64_t runs;
     uint64_t cancelled;   /* the host closed the connection */
     uint64_t expired;     /* the deadline passed */
+    uint64_t reused;      /* connections used again after a second response */
+    uint64_t connections; /* on which requests to run came */
     uint64_t last_run_ms; /* since the start of the process */
     pthread_cond_t slot_released;
     uint64_t arrivals;                  /* sequence of the next request */
@@ -90,6 +119,24 @@
     [MODE_CUT_LENGTH] = "cut-length",
     [MODE_CUT_REFUSAL] = "cut-refusal",
     [MODE_TRAILER] = "trailer",
+    [MODE_JOIN_VALUE] = "join-value",
+    [MODE_JOIN_ID] = "join-id",
+    [MODE_JOIN_DIGITS] = "join-digits",
+    [MODE_JOIN_REFUSAL] = "join-refusal",
+    [MODE_JOIN_BODY] = "join-body",
+    [MODE_JOIN_LAST] = "join-last",
+    [MODE_JOIN_CHUNKS] = "join-chunks",
+    [MODE_JOIN_SIZE] = "join-size",
+    [MODE_TWO_LENGTHS] = "two-lengths",
+    [MODE_SECOND] = "second",
+    [MODE_SECOND_CHUNKS] = "second-chunks",
+    [MODE_SECOND_LATE] = "second-late",
+};
+
+static const char *const probe_mode_names[PROBE_COUNT] = {
+    [PROBE_OK] = "ok",         [PROBE_CUT_HEAD] = "cut-head",
+    [PROBE_JOINED] = "joined", [PROBE_LONGER] = "longer",
+    [PROBE_ERROR] = "error",
 };
 
 #define HEAD_WITH_ID "HTTP/1.1 200 OK\r\n" CP_HEADER_REQUEST_ID ": %s\r\n"
@@ -105,6 +152,15 @@
                                   ": another\r\n\r\n",
 };
 
+/* Responses of /health that are sent as a text: formats for the state. */
+static const char *const probe_texts[PROBE_COUNT] = {
+    [PROBE_CUT_HEAD] = "HTTP/1.1 200 OK\r\n",
+    [PROBE_JOINED] = "HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n"
+                     "{\"sta"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n%s",
+    [PROBE_LONGER] = "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n%s",
+};
+
 static Server servers[MAX_SERVERS];
 static uint32_t server_count;
 static pthread_mutex_t effects_lock =
@@ -127,6 +183,13 @@
 static enum MHD_Result respond(struct MHD_Connection *conn, Request *q,
                                Mode mode);
 static void send_raw(struct MHD_Connection *conn, Mode mode);
+static void send_joined(struct MHD_Connection *conn, Request *q, Mode mode);
+static size_t find_cut(const Request *q, const GString *text, Mode mode);
+static GString *format_response(const Request *q, const char *id, Mode mode,
+                                bool closes);
+static bool is_used_again(int32_t fd);
+static enum MHD_Result respond_health(struct MHD_Connection *conn,
+                                      const Server *s);
 static ssize_t read_block(void *ctx, uint64_t pos, char *out, size_t capacity);
 static void count_effect(struct MHD_Connection *conn, Server *s);
 static enum MHD_Result handle_control(struct MHD_Connection *conn, Server *s);
@@ -218,10 +281,7 @@
         return respond_doubled(conn);
     }
     if (strcmp(url, "/health") == 0) {
-        return CpStandin_Respond(conn, 200,
-                                 g_strdup(s->leaving
-                                              ? "{\"state\":\"leaving\"}\n"
-                                              : "{\"state\":\"serving\"}\n"));
+        return respond_health(conn, s);
     }
     return run_request(conn, q);
 }
@@ -262,8 +322,10 @@
     q->started = true;
     q->tag = CpStandin_GetQueryNumber(conn, "tag", 0);
     q->size_bytes = CpStandin_GetQueryNumber(conn, "size", 64);
+    bool is_new = CpStandin_CountUse(conn) == 1;
     pthread_mutex_lock(&s->lock);
     Mode mode = s->mode;
+    s->connections += is_new;
     bool is_full = s->inflight >= s->slots;
     if (mode != MODE_REFUSE) {
         s->inflight++;
@@ -290,6 +352,10 @@
         send_raw(conn, mode);
         return MHD_NO;
     }
+    if (mode >= MODE_JOIN_VALUE) {
+        send_joined(conn, q, mode);
+        return MHD_NO;
+    }
     return respond(conn, q, mode);
 }
 
@@ -406,6 +472,126 @@
     g_free(text);
 }
 
+/* Sends the responses and waits until the host closes the connection or uses
+ * it again. */
+static void
+send_joined(struct MHD_Connection *conn, Request *q, Mode mode)
+{
+    int32_t fd = CpStandin_Socket(conn);
+    const char *given = CpStandin_GetHeader(conn, CP_HEADER_REQUEST_ID);
+    const char *id = given != NULL ? given : "";
+    const char *other = "0000000000000000";
+    bool is_second = mode >= MODE_SECOND;
+    bool closes = CpStandin_GetQueryNumber(conn, "close", 0) != 0;
+    GString *text =
+        format_response(q, mode == MODE_JOIN_ID ? other : id, mode, closes);
+    GString *second = format_response(q, is_second ? other : id, mode, closes);
+    if (mode == MODE_JOIN_REFUSAL) {
+        g_string_printf(text, raw_responses[MODE_CUT_REFUSAL], id);
+        g_string_append(text, "Content-Type: text");
+    }
+    else {
+        g_string_truncate(text, find_cut(q, text, mode));
+    }
+    release_slot(q);
+    if (mode == MODE_SECOND_LATE) {
+        CpStandin_Send(fd, text->str, text->len);
+        CpStandin_Sleep_ms(SECOND_DELAY_MS);
+        g_string_truncate(text, 0);
+    }
+    if (mode != MODE_TWO_LENGTHS) {
+        g_string_append_len(text, second->str, (gssize)second->len);
+    }
+    CpStandin_Send(fd, text->str, text->len);
+    g_string_free(text, TRUE);
+    g_string_free(second, TRUE);
+    bool used_again = is_used_again(fd);
+    pthread_mutex_lock(&q->server->lock);
+    q->server->reused += is_second && used_again;
+    pthread_mutex_unlock(&q->server->lock);
+}
+
+/* Returns where the first response breaks off. */
+static size_t
+find_cut(const Request *q, const GString *text, Mode mode)
+{
+    size_t body_at = (size_t)(strstr(text->str, "\r\n\r\n") - text->str) + 4;
+    const char *line;
+    switch (mode) {
+    case MODE_JOIN_VALUE:
+    case MODE_JOIN_ID:
+        return (size_t)(strstr(text->str, "octet") - text->str);
+    case MODE_JOIN_DIGITS:
+        line = strstr(text->str, "Content-Length: ");
+        return (size_t)(line - text->str) + strlen("Content-Length: ") + 1;
+    case MODE_JOIN_BODY:
+    case MODE_JOIN_CHUNKS:
+        return body_at + (size_t)q->size_bytes / 2;
+    case MODE_JOIN_SIZE:
+        return body_at + 2;
+    case MODE_JOIN_LAST:
+        return text->len - 1;
+    default:
+        return text->len;
+    }
+}
+
+static GString *
+format_response(const Request *q, const char *id, Mode mode, bool closes)
+{
+    size_t n = (size_t)q->size_bytes;
+    bool chunked = mode == MODE_JOIN_CHUNKS || mode == MODE_JOIN_SIZE ||
+                   mode == MODE_SECOND_CHUNKS;
+    char *body = CpMem_Alloc(n + 1);
+    CpStandin_FillBody(q->tag, 0, body, n);
+    GString *text = g_string_new("HTTP/1.1 200 OK\r\n");
+    g_string_append_printf(text, CP_HEADER_REQUEST_ID ": %s\r\n", id);
+    g_string_append(text, "Content-Type: application/octet-stream\r\n");
+    if (closes) {
+        g_string_append(text, "Connection: close\r\n");
+    }
+    if (chunked) {
+        g_string_append_printf(
+            text, "Transfer-Encoding: chunked\r\n\r\n%08zx\r\n", n);
+    }
+    else {
+        g_string_append_printf(text, "Content-Length: %zu\r\n", n);
+        if (mode == MODE_TWO_LENGTHS) {
+            g_string_append_printf(text, "Content-Length: %zu\r\n", n / 2);
+        }
+        g_string_append(text, "\r\n");
+    }
+    g_string_append_len(text, body, (gssize)n);
+    g_string_append(text, chunked ? "\r\n0\r\n\r\n" : "");
+    free(body);
+    return text;
+}
+
+/* Waits for the next request on the connection, or its end. */
+static bool
+is_used_again(int32_t fd)
+{
+    struct pollfd p = {.fd = fd, .events = POLLIN};
+    char byte;
+    return poll(&p, 1, JOINED_WAIT_MS) > 0 &&
+           recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+static enum MHD_Result
+respond_health(struct MHD_Connection *conn, const Server *s)
+{
+    const char *state =
+        s->leaving ? "{\"state\":\"leaving\"}\n" : "{\"state\":\"serving\"}\n";
+    if (s->probe_mode == PROBE_OK || s->probe_mode == PROBE_ERROR) {
+        return CpStandin_Respond(conn, s->probe_mode == PROBE_OK ? 200 : 500,
+                                 g_strdup(state));
+    }
+    char *text = g_strdup_printf(probe_texts[s->probe_mode], state);
+    CpStandin_Send(CpStandin_Socket(conn), text, strlen(text));
+    g_free(text);
+    return MHD_NO;
+}
+
 /* Body callback. Releases the slot with the last block, before the host can
  * receive it and send the next request. */
 static ssize_t
@@ -459,6 +645,7 @@
 {
     const char *mode_name = CpStandin_GetQueryText(conn, "mode", "");
     const char *health_state = CpStandin_GetQueryText(conn, "health", NULL);
+    const char *probe_mode = CpStandin_GetQueryText(conn, "probe", "");
     bool all_servers = CpStandin_GetQueryNumber(conn, "every", 0) != 0;
     for (uint32_t k = 0; k < server_count; k++) {
         Server *server = &servers[k];
@@ -475,13 +662,18 @@
             CpStandin_GetQueryNumber(conn, "factor", server->factor_percent);
         server->service_ms =
             CpStandin_GetQueryNumber(conn, "ms", server->service_ms);
+        for (uint32_t i = 0; i < PROBE_COUNT; i++) {
+            if (strcmp(probe_mode, probe_mode_names[i]) == 0) {
+                server->probe_mode = i;
+            }
+        }
         if (health_state != NULL) {
             server->leaving = strcmp(health_state, "leaving") == 0;
         }
         if (CpStandin_GetQueryNumber(conn, "reset", 0) != 0) {
             server->peak_inflight = server->inflight;
             server->over_slots = server->runs = server->cancelled =
-                server->expired = 0;
+                server->expired = server->reused = server->connections = 0;
         }
         pthread_mutex_unlock(&server->lock);
     }
@@ -518,12 +710,13 @@
         json_array_append_new(all, json_integer((json_int_t)s->all_runs[i]));
     }
     json_t *o = json_pack(
-        "{s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "address",
+        "{s:s,s:s,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:o,s:o}", "address",
         s->address, "domain", s->domain, "slots", (json_int_t)s->slots,
         "inflight", (json_int_t)s->inflight, "peak",
         (json_int_t)s->peak_inflight, "over", (json_int_t)s->over_slots,
         "runs", (json_int_t)s->runs, "cancelled", (json_int_t)s->cancelled,
-        "expired", (json_int_t)s->expired, "last_run_ms",
+        "expired", (json_int_t)s->expired, "reused", (json_int_t)s->reused,
+        "connections", (json_int_t)s->connections, "last_run_ms",
         (json_int_t)s->last_run_ms, "foreign", foreign, "all", all);
     pthread_mutex_unlock(&s->lock);
     return o;
