http: kinds accept only the head of one response

Cause: the client of backend servers read heads line by line: the last id won, also over one of another request, a verdict was kept over the head that followed, the last length counted. The head of a response that was cut inside a value and the one of the response after it made one head, answered as a success, or as a refusal of which the verdict was the first response's. Ruled out: a cut at the end of a line: the library refuses a status line there, as it has no colon (CURLE_WEIRD_SERVER_REPLY). Change: CpResponseCheck reads the head in place of lines of its own. Status, length and framing are the check's; a head is accepted with one id, the request's, and one length or chunks. A refusal may lack the id, as before; another id counts, whatever follows it. A response without an id is no answer now (it was one): servers have to echo it. Responses that are not one whole response are counted, as for routes.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "http/easy.h"
 #include "http/http.h"
@@ -16,6 +15,7 @@
 #define POLL_MS 1000
 #define DEADLINE_MARGIN_MS 2 /* leaves time to respond to the caller */
 #define URL_BYTES (CP_TARGET_BYTES + 128)
+#define REQUEST_ID_BYTES 17
 
 typedef struct Worker Worker;
 
@@ -32,16 +32,17 @@
     bool wants_start;
     bool wants_cancel;
     bool finished;
-    bool sent;          /* request bytes may have been sent */
-    bool expired;       /* the slot or deadline expired before sending */
-    bool head_received; /* completely */
+    bool sent;     /* request bytes may have been sent */
+    bool expired;  /* the slot or deadline expired before sending */
+    bool accepted; /* the head is complete and this request's */
     bool head_delivered;
-    bool chunked;
-    bool has_length;
-    bool not_run;    /* the server reports that it did not run the request */
+    bool has_id;     /* the response is for this request */
     bool mismatched; /* the response is for another request */
+    bool not_run;    /* the server reports that it did not run the request */
     bool cancelled;
     int64_t started_ns;
+    char request_id[REQUEST_ID_BYTES];
+    CpResponseCheck check;
     CpResponseHead head;
 } Dispatch;
 
@@ -70,6 +71,7 @@
 static void set_body(Dispatch *d);
 static void add_header(Dispatch *d, const char *name, const char *value);
 static void finish_dispatch(Worker *w, Dispatch *d, CURLcode code);
+static void count_connection(const Dispatch *d);
 static void classify_result(Dispatch *d, CURLcode code, CpBackendResult *r);
 static void post_dispatch(Dispatch *d, bool start, bool cancel);
 static void on_pipe_ready(void *ctx);
@@ -79,8 +81,13 @@
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
+static bool accept_head(Dispatch *d);
 static void deliver_head(Dispatch *d);
 
+/* Headers of responses that are read, besides those of the check. */
+static const char *const single_headers[] = {
+    CP_HEADER_REQUEST_ID, CP_HEADER_VERDICT, "Content-Type", NULL};
+
 CpStatus
 CpBackend_New(const CpBackendOptions *options, CpBackend **out)
 {
@@ -229,14 +236,17 @@
     if (!ex->idempotent) {
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     }
-    add_header(d, "Expect", "");
-    add_header(d, "Content-Type", ex->content_type);
-    snprintf(text, sizeof(text), "%016llx",
+    snprintf(d->request_id, sizeof(d->request_id), "%016llx",
              (unsigned long long)CpHash(&ex->id, sizeof(ex->id),
                                         (uint64_t)ex->started_ns));
-    add_header(d, CP_HEADER_REQUEST_ID, text);
-    /* holds the request id until the head is complete, for on_header() */
-    CpStr_Copy(d->head.location, sizeof(d->head.location), text);
+    d->check.single_headers = single_headers;
+    d->check.id_header = CP_HEADER_REQUEST_ID;
+    d->check.id = d->request_id;
+    d->check.is_head = strcmp(ex->method, "HEAD") == 0;
+    CpResponseCheck_Begin(&d->check, e);
+    add_header(d, "Expect", "");
+    add_header(d, "Content-Type", ex->content_type);
+    add_header(d, CP_HEADER_REQUEST_ID, d->request_id);
     snprintf(text, sizeof(text), "%lld",
              (long long)(left_ms > 0 ? left_ms : 1));
     add_header(d, CP_HEADER_DEADLINE, text);
@@ -262,7 +272,7 @@
                          ex->inline_body_bytes > 0 ? (char *)ex->inline_body
                                                    : "");
     }
-    if (strcmp(ex->method, "HEAD") == 0) {
+    if (d->check.is_head) {
         curl_easy_setopt(d->easy, CURLOPT_NOBODY, 1L);
     }
     else {
@@ -297,6 +307,10 @@
     if (already_finished) {
         return;
     }
+    if (d->easy != NULL) {
+        code = CpResponseCheck_End(&d->check, code);
+        count_connection(d);
+    }
     classify_result(d, code, &r);
     if (d->easy != NULL) {
         curl_multi_remove_handle(w->multi, d->easy);
@@ -318,6 +332,17 @@
     CpExchange_Release(ex);
 }
 
+static void
+count_connection(const Dispatch *d)
+{
+    const CpResponseCheck *c = &d->check;
+    long opened = 0;
+    curl_easy_getinfo(d->easy, CURLINFO_NUM_CONNECTS, &opened);
+    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
+}
+
 /* Sets whether the request may have run, and why there is no response. */
 static void
 classify_result(Dispatch *d, CURLcode code, CpBackendResult *r)
@@ -327,16 +352,16 @@
                            .verdict = d->sent ? CP_MAY_HAVE_RUN : CP_NOT_RUN,
                            .outcome = CP_OUTCOME_FAILED,
                            .reason = CP_REASON_SERVER_FAILED};
-    code = CpEasy_CheckHead(code, d->head_received);
     if (d->head_delivered) {
         r->verdict = CP_RAN;
     }
-    if (d->not_run && d->head_received) {
+    if (d->not_run && d->accepted && d->check.flaw == CP_FLAW_NONE) {
         r->verdict = CP_NOT_RUN;
         r->outcome = CP_OUTCOME_REFUSED;
         r->reason = CP_REASON_SERVER_REFUSED;
     }
-    else if (d->mismatched) {
+    else if (d->mismatched || d->check.flaw == CP_FLAW_HEAD_MIXED ||
+             d->check.flaw == CP_FLAW_BODY_MIXED) {
         r->reason = CP_REASON_ANSWER_CROSSED;
     }
     else if (d->cancelled) {
@@ -426,54 +451,59 @@
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
     Dispatch *d = ctx;
+    CpResponseCheck *c = &d->check;
     char value[CP_CONTENT_TYPE_BYTES];
-    long status = 0;
     n *= size;
-    if (d->head_received) { /* a trailer, which is dropped */
+    CpHeadLine line = CpResponseCheck_OnHeadLine(c, data, n);
+    if (c->flaw != CP_FLAW_NONE) {
+        return 0;
+    }
+    if (d->accepted) { /* a trailer, which is dropped */
         return n;
     }
-    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
     if (line == CP_HEAD_STATUS) {
-        d->head.length_bytes = CP_LENGTH_UNKNOWN;
-        d->has_length = d->chunked = false;
-        return n;
+        d->has_id = d->not_run = false;
+        d->head.content_type[0] = '\0';
     }
-    curl_easy_getinfo(d->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (CpEasy_MatchHeader(data, n, "Content-Length", value, sizeof(value))) {
-        d->head.length_bytes = strtoull(value, NULL, 10);
-        d->has_length = true;
+    else if (line == CP_HEAD_END) {
+        if (c->head_received && !accept_head(d)) {
+            return 0;
+        }
     }
     else if (CpEasy_MatchHeader(data, n, "Content-Type", value,
                                 sizeof(value))) {
         CpStr_Copy(d->head.content_type, sizeof(d->head.content_type), value);
     }
-    else if (CpEasy_MatchHeader(data, n, "Transfer-Encoding", value,
-                                sizeof(value))) {
-        d->chunked = strcasecmp(value, "chunked") == 0;
-    }
     else if (CpEasy_MatchHeader(data, n, CP_HEADER_VERDICT, value,
                                 sizeof(value))) {
-        d->not_run = status == 503 && CpVerdict_Parse(value) == CP_NOT_RUN;
+        d->not_run = c->status == 503 && CpVerdict_Parse(value) == CP_NOT_RUN;
     }
     else if (CpEasy_MatchHeader(data, n, CP_HEADER_REQUEST_ID, value,
                                 sizeof(value))) {
-        d->mismatched = strcmp(value, d->head.location) != 0;
-    }
-    else if (line == CP_HEAD_END && status >= 200) {
-        d->head.status = (uint32_t)status;
-        bool framed =
-            d->has_length || d->chunked || status == 204 || status == 304;
-        if (d->mismatched || !framed) {
-            return 0;
-        }
-        d->head_received = true;
-        if (!d->not_run) {
-            deliver_head(d);
-        }
+        d->has_id = strcmp(value, d->request_id) == 0;
+        d->mismatched |= !d->has_id;
     }
     return n;
 }
 
+/* Accepts a complete head if the response is this request's and its end will
+ * show. A refusal may lack the id. */
+static bool
+accept_head(Dispatch *d)
+{
+    const CpResponseCheck *c = &d->check;
+    bool is_framed =
+        c->has_length || c->is_chunked || c->status == 204 || c->status == 304;
+    d->mismatched |= !d->has_id && !d->not_run;
+    d->accepted = !d->mismatched && is_framed;
+    d->head.status = c->status;
+    d->head.length_bytes = c->has_length ? c->length_bytes : CP_LENGTH_UNKNOWN;
+    if (d->accepted && !d->not_run) {
+        deliver_head(d);
+    }
+    return d->accepted;
+}
+
 static size_t
 on_body(char *data, size_t size, size_t n, void *ctx)
 {
@@ -506,7 +536,6 @@
 deliver_head(Dispatch *d)
 {
     CpResponseHead head = d->head;
-    head.location[0] = '\0'; /* held the request id */
     head.verdict = CP_RAN;
     CpStr_Copy(head.server, sizeof(head.server), d->address);
     d->head_delivered = CpExchange_DeliverHead(d->ex, &head);
