http: kinds pass on a body only while it is one response's

Cause: a body was written into the pipe as it came and taken for whole when as many bytes had come as announced. A response that was cut inside its body and the one that followed it made a body of the announced length. Ruled out: to break the pipe at the end of the call: the caller's front end has answered with the length, so that the last byte makes its response complete. Change: the check looks at each block before it is written, once a block fits into the pipe; with the last byte it looks at what the connection holds. The library does not tell the socket of a call that is running: the client notes those that it opens, by local port and server.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
 
 #include "http/easy.h"
 #include "http/http.h"
@@ -25,6 +28,7 @@
     Worker *worker;
     CpExchange *ex;
     CURL *easy;
+    curl_socket_t opened_fd; /* of a connection that is not used yet */
     struct curl_slist *headers;
     char address[CP_ADDR_BYTES];
     char url[URL_BYTES];
@@ -54,6 +58,9 @@
     bool stopping;
     CURLM *multi;
     CpEasyPool easy_pool;
+    /* The open connections: local port and server to socket, and back. */
+    GHashTable *sockets;
+    GHashTable *connections;
 };
 
 struct CpBackend {
@@ -76,8 +83,11 @@
 static void post_dispatch(Dispatch *d, bool start, bool cancel);
 static void on_pipe_ready(void *ctx);
 static void on_cancel(void *ctx, CpExchange *ex);
-static int on_prereq(void *ctx, char *local, char *remote, int local_port,
-                     int remote_port);
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static int on_close(void *ctx, curl_socket_t fd);
+static int on_prereq(void *ctx, char *remote, char *local, int remote_port,
+                     int local_port);
+static void find_socket(Dispatch *d, int local_port);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
@@ -105,6 +115,8 @@
         w->multi = curl_multi_init();
         curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS,
                           (long)MAX_IDLE_CONNECTIONS);
+        w->sockets = g_hash_table_new(g_direct_hash, g_direct_equal);
+        w->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     }
     *out = b;
     return CP_OK;
@@ -133,7 +145,9 @@
         curl_multi_wakeup(w->multi);
         pthread_join(w->thread, NULL);
         CpEasyPool_Clear(&w->easy_pool);
-        curl_multi_cleanup(w->multi);
+        curl_multi_cleanup(w->multi); /* closes connections */
+        g_hash_table_destroy(w->sockets);
+        g_hash_table_destroy(w->connections);
         pthread_mutex_destroy(&w->lock);
     }
     free(b->workers);
@@ -227,6 +241,11 @@
     curl_easy_setopt(e, CURLOPT_INTERFACE, w->backend->interface);
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+    d->opened_fd = CURL_SOCKET_BAD;
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, d);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, w);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, d);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -428,15 +447,56 @@
     post_dispatch(ctx, false, true);
 }
 
+static int
+on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+    Dispatch *d = ctx;
+    (void)purpose;
+    d->opened_fd = fd;
+    return CURL_SOCKOPT_OK;
+}
+
+static int
+on_close(void *ctx, curl_socket_t fd)
+{
+    Worker *w = ctx;
+    void *connection =
+        g_hash_table_lookup(w->connections, GINT_TO_POINTER(fd));
+    if (connection != NULL) {
+        g_hash_table_remove(w->sockets, connection);
+        g_hash_table_remove(w->connections, GINT_TO_POINTER(fd));
+    }
+    return close(fd);
+}
+
+/* Finds the socket of the connection that the library has chosen, as it tells
+ * only the ports of one in use. */
+static void
+find_socket(Dispatch *d, int local_port)
+{
+    Worker *w = d->worker;
+    void *connection =
+        GSIZE_TO_POINTER((gsize)CpHash_Str(d->address, (uint64_t)local_port));
+    if (d->opened_fd != CURL_SOCKET_BAD) {
+        void *fd = GINT_TO_POINTER(d->opened_fd);
+        g_hash_table_replace(w->sockets, connection, fd);
+        g_hash_table_replace(w->connections, fd, connection);
+        d->opened_fd = CURL_SOCKET_BAD;
+    }
+    void *fd = g_hash_table_lookup(w->sockets, connection);
+    d->check.fd = fd != NULL ? GPOINTER_TO_INT(fd) : CURL_SOCKET_BAD;
+}
+
 /* Called after the connect and right before the first byte is sent, the last
  * point at which the request is known not to have run. */
 static int
-on_prereq(void *ctx, char *local, char *remote, int local_port,
-          int remote_port)
+on_prereq(void *ctx, char *remote, char *local, int remote_port,
+          int local_port)
 {
     Dispatch *d = ctx;
     int64_t now_ns = CpClock_Now_ns();
-    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    (void)remote, (void)local, (void)remote_port;
+    find_socket(d, local_port);
     if (now_ns >= d->ex->item.slot_expires_ns ||
         now_ns >= d->ex->deadline_ns) {
         CpCounter_Add(CP_COUNT_LOANS_LAPSED, 1);
@@ -509,13 +569,16 @@
 {
     Dispatch *d = ctx;
     n *= size;
-    if (d->not_run) {
-        return n;
-    }
-    if (!CpPipe_CanWrite(d->ex->response_body, (uint32_t)n)) {
+    if (!d->not_run && !CpPipe_CanWrite(d->ex->response_body, (uint32_t)n)) {
         return CURL_WRITEFUNC_PAUSE;
     }
-    CpPipe_Write(d->ex->response_body, data, (uint32_t)n);
+    CpResponseCheck_OnBody(&d->check, data, n);
+    if (d->check.flaw != CP_FLAW_NONE) {
+        return 0;
+    }
+    if (!d->not_run) {
+        CpPipe_Write(d->ex->response_body, data, (uint32_t)n);
+    }
     return n;
 }
 
