http: kinds use no connection on which bytes came after a response

Cause: the library uses an idle connection again on which bytes are waiting. The end of the check ends a connection that bytes have followed by then; those that come later, a second response after a pause, were taken for the next request's response, and an attempt was lost to them. Ruled out: to watch idle connections as routes do: the library's own poll (curl_multi_poll) is used here, and what it would tell is known too late when the next request is being sent. Change: right before the first byte the connection is looked at; if it holds bytes, or its socket is not known, the request is sent on a connection of its own. Nothing was sent until then, so that this is no attempt.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <glib.h>
@@ -38,6 +39,7 @@
     bool finished;
     bool sent;     /* request bytes may have been sent */
     bool expired;  /* the slot or deadline expired before sending */
+    bool spent;    /* the connection chosen holds bytes; nothing was sent */
     bool accepted; /* the head is complete and this request's */
     bool head_delivered;
     bool has_id;     /* the response is for this request */
@@ -74,6 +76,7 @@
 static void *worker_thread(void *ctx);
 static bool drain_inbox(Worker *w);
 static void start_dispatch(Worker *w, Dispatch *d);
+static void restart_dispatch(Worker *w, Dispatch *d);
 static void set_options(Worker *w, Dispatch *d);
 static void set_body(Dispatch *d);
 static void add_header(Dispatch *d, const char *name, const char *value);
@@ -87,7 +90,7 @@
 static int on_close(void *ctx, curl_socket_t fd);
 static int on_prereq(void *ctx, char *remote, char *local, int remote_port,
                      int local_port);
-static void find_socket(Dispatch *d, int local_port);
+static bool find_socket(Dispatch *d, int local_port);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
@@ -182,7 +185,12 @@
         while ((msg = curl_multi_info_read(w->multi, &left)) != NULL) {
             Dispatch *d;
             curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &d);
-            finish_dispatch(w, d, msg->data.result);
+            if (d->spent) {
+                restart_dispatch(w, d);
+            }
+            else {
+                finish_dispatch(w, d, msg->data.result);
+            }
         }
         curl_multi_poll(w->multi, NULL, 0, POLL_MS, NULL);
     }
@@ -227,6 +235,17 @@
     curl_multi_add_handle(w->multi, d->easy);
 }
 
+/* Sends the request on a connection of its own. */
+static void
+restart_dispatch(Worker *w, Dispatch *d)
+{
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
+    curl_multi_remove_handle(w->multi, d->easy);
+    d->spent = false;
+    curl_easy_setopt(d->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(w->multi, d->easy);
+}
+
 static void
 set_options(Worker *w, Dispatch *d)
 {
@@ -470,21 +489,27 @@
 }
 
 /* Finds the socket of the connection that the library has chosen, as it tells
- * only the ports of one in use. */
-static void
+ * only the ports of one in use. Returns false if the connection holds bytes
+ * that came after an earlier response. */
+static bool
 find_socket(Dispatch *d, int local_port)
 {
     Worker *w = d->worker;
+    char byte;
     void *connection =
         GSIZE_TO_POINTER((gsize)CpHash_Str(d->address, (uint64_t)local_port));
     if (d->opened_fd != CURL_SOCKET_BAD) {
         void *fd = GINT_TO_POINTER(d->opened_fd);
         g_hash_table_replace(w->sockets, connection, fd);
         g_hash_table_replace(w->connections, fd, connection);
+        d->check.fd = d->opened_fd;
         d->opened_fd = CURL_SOCKET_BAD;
+        return true;
     }
     void *fd = g_hash_table_lookup(w->sockets, connection);
     d->check.fd = fd != NULL ? GPOINTER_TO_INT(fd) : CURL_SOCKET_BAD;
+    return fd != NULL &&
+           recv(d->check.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
 /* Called after the connect and right before the first byte is sent, the last
@@ -496,13 +521,16 @@
     Dispatch *d = ctx;
     int64_t now_ns = CpClock_Now_ns();
     (void)remote, (void)local, (void)remote_port;
-    find_socket(d, local_port);
     if (now_ns >= d->ex->item.slot_expires_ns ||
         now_ns >= d->ex->deadline_ns) {
         CpCounter_Add(CP_COUNT_LOANS_LAPSED, 1);
         d->expired = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!find_socket(d, local_port)) {
+        d->spent = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     d->sent = true;
     return CURL_PREREQFUNC_OK;
 }
