host: a health response counts only if it is one whole response

Cause: the probe took the text of any body that ended without an error: of an error, of parts of two responses, of a response that more bytes followed; and of a head that was cut it took that the server does not leave. A server was taken as leaving, or one that leaves as serving again. Of bodies of more than 512 bytes a block was left out. Ruled out: a body cut short: the library reports it. Change: CpResponseCheck reads the response. Its state counts with status 200 and a length or chunks; with 503 only if it reports that the server leaves, so that one that is failing does not count as serving. A status line in the body shows another response, as probes have no id. Bodies of more than 4 KB say nothing.

--- a/src/host/host_health.c
+++ b/src/host/host_health.c
@@ -11,11 +11,12 @@
 
 #define PERIOD_MS 700
 #define TIMEOUT_MS 500
-#define BODY_BYTES 512
+#define BODY_BYTES 4096
 
 typedef struct {
     CpServerAddress server;
     char url[CP_ADDR_BYTES + 32];
+    CpResponseCheck check;
     char body[BODY_BYTES];
     size_t body_bytes;
 } Probe;
@@ -23,6 +24,8 @@
 static void *health_thread(void *ctx);
 static void start_probes(CpNode *n, CURLM *multi);
 static uint32_t collect_responses(CpNode *n, CURLM *multi);
+static void take_state(CpNode *n, const Probe *p);
+static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 
 CpStatus
@@ -84,6 +87,9 @@
                  p->server.address);
         CpEasy_SetDefaults(e, p->url, TIMEOUT_MS);
         curl_easy_setopt(e, CURLOPT_PRIVATE, p);
+        CpResponseCheck_Begin(&p->check, e);
+        curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
+        curl_easy_setopt(e, CURLOPT_HEADERDATA, p);
         curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
         curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
         curl_multi_add_handle(multi, e);
@@ -102,9 +108,8 @@
         CURL *e = msg->easy_handle;
         CURLcode code = msg->data.result;
         curl_easy_getinfo(e, CURLINFO_PRIVATE, &p);
-        if (code == CURLE_OK) {
-            CpPool_SetDraining(n, p->server.name, CP_DRAIN_HEALTH,
-                               strstr(p->body, "\"leaving\"") != NULL);
+        if (CpResponseCheck_End(&p->check, code) == CURLE_OK) {
+            take_state(n, p);
         }
         curl_multi_remove_handle(multi, e);
         curl_easy_cleanup(e);
@@ -114,14 +119,40 @@
     return completed;
 }
 
+/* Takes the state from one whole response; others say nothing. A server that
+ * leaves may report it with 503. */
+static void
+take_state(CpNode *n, const Probe *p)
+{
+    const CpResponseCheck *c = &p->check;
+    bool leaving = strstr(p->body, "\"leaving\"") != NULL;
+    bool is_framed = c->has_length || c->is_chunked;
+    if (is_framed && memmem(p->body, p->body_bytes, "HTTP/1.", 7) == NULL &&
+        (c->status == 200 || (c->status == 503 && leaving))) {
+        CpPool_SetDraining(n, p->server.name, CP_DRAIN_HEALTH, leaving);
+    }
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+    Probe *p = ctx;
+    n *= size;
+    CpResponseCheck_OnHeadLine(&p->check, data, n);
+    return p->check.flaw == CP_FLAW_NONE ? n : 0;
+}
+
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
     Probe *p = ctx;
     n *= size;
-    if (p->body_bytes + n < sizeof(p->body)) {
-        memcpy(p->body + p->body_bytes, data, n);
-        p->body_bytes += n;
+    CpResponseCheck_OnBody(&p->check, data, n);
+    if (p->check.flaw != CP_FLAW_NONE ||
+        p->body_bytes + n >= sizeof(p->body)) {
+        return 0;
     }
+    memcpy(p->body + p->body_bytes, data, n);
+    p->body_bytes += n;
     return n;
 }
