--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -6,7 +6,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
 
 #include "http/easy.h"
 #include "http/http.h"
@@ -15,6 +18,7 @@
 #define CONNECT_TIMEOUT_MS 1000
 #define POLL_MS 1000
 #define DEADLINE_MARGIN_MS 2 /* leaves time to respond to the caller */
+#define REQUEST_ID_BYTES 17
 
 typedef struct Worker Worker;
 
@@ -24,6 +28,7 @@
     Worker *worker;
     CpExchange *ex;
     CURL *easy;
+    curl_socket_t opened_fd; /* of a connection that is not used yet */
     struct curl_slist *headers;
     char address[CP_ADDR_BYTES];
     char url[CP_ADDR_BYTES + 16];
@@ -31,16 +36,18 @@
     bool wants_start;
     bool wants_cancel;
     bool finished;
-    bool sent;          /* request bytes may have been sent */
-    bool expired;       /* the slot or deadline expired before sending */
-    bool head_received; /* completely */
+    bool sent;     /* request bytes may have been sent */
+    bool expired;  /* the slot or deadline expired before sending */
+    bool spent;    /* the connection chosen holds bytes; nothing was sent */
+    bool accepted; /* the head is complete and this request's */
     bool head_delivered;
-    bool chunked;
-    bool has_length;
-    bool not_run;    /* the server reports that it did not run the request */
+    bool has_id;     /* the response is for this request */
     bool mismatched; /* the response is for another request */
+    bool not_run;    /* the server reports that it did not run the request */
     bool cancelled;
     int64_t started_ns;
+    char request_id[REQUEST_ID_BYTES];
+    CpResponseCheck check;
     CpResponseHead head;
 } Dispatch;
 
@@ -52,6 +59,9 @@
     bool stopping;
     CURLM *multi;
     CpEasyPool easy_pool;
+    /* The open connections: local port and server to socket, and back. */
+    GHashTable *sockets;
+    GHashTable *connections;
 };
 
 struct CpBackend {
@@ -65,21 +75,31 @@
 static void *worker_thread(void *ctx);
 static bool drain_inbox(Worker *w);
 static void start_dispatch(Worker *w, Dispatch *d);
+static void restart_dispatch(Worker *w, Dispatch *d);
 static void set_options(Worker *w, Dispatch *d);
 static void set_body(Dispatch *d);
 static void add_header(Dispatch *d, const char *name, const char *value);
 static void finish_dispatch(Worker *w, Dispatch *d, CURLcode code);
+static void count_connection(const Dispatch *d);
 static void classify_result(Dispatch *d, CURLcode code, CpBackendResult *r);
 static void post_dispatch(Dispatch *d, bool start, bool cancel);
 static void on_pipe_ready(void *ctx);
 static void on_cancel(void *ctx, CpExchange *ex);
-static int on_prereq(void *ctx, char *local, char *remote, int local_port,
-                     int remote_port);
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
+static int on_close(void *ctx, curl_socket_t fd);
+static int on_prereq(void *ctx, char *remote, char *local, int remote_port,
+                     int local_port);
+static bool find_socket(Dispatch *d, int local_port);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
+static bool accept_head(Dispatch *d);
 static void deliver_head(Dispatch *d);
 
+/* Headers of responses that are read, besides those of the check. */
+static const char *const single_headers[] = {
+    CP_HEADER_REQUEST_ID, CP_HEADER_VERDICT, "Content-Type", NULL};
+
 CpStatus
 CpBackend_New(const CpBackendOptions *options, CpBackend **out)
 {
@@ -97,6 +117,8 @@
         w->multi = curl_multi_init();
         curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS,
                           (long)MAX_IDLE_CONNECTIONS);
+        w->sockets = g_hash_table_new(g_direct_hash, g_direct_equal);
+        w->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
     }
     *out = b;
     return CP_OK;
@@ -125,7 +147,9 @@
         curl_multi_wakeup(w->multi);
         pthread_join(w->thread, NULL);
         CpEasyPool_Clear(&w->easy_pool);
-        curl_multi_cleanup(w->multi);
+        curl_multi_cleanup(w->multi); /* closes connections */
+        g_hash_table_destroy(w->sockets);
+        g_hash_table_destroy(w->connections);
         pthread_mutex_destroy(&w->lock);
     }
     free(b->workers);
@@ -160,7 +184,12 @@
         while ((msg = curl_multi_info_read(w->multi, &left)) != NULL) {
             Dispatch *d;
             curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &d);
-            finish_dispatch(w, d, msg->data.result);
+            if (d->spent) {
+                restart_dispatch(w, d);
+            }
+            else {
+                finish_dispatch(w, d, msg->data.result);
+            }
         }
         curl_multi_poll(w->multi, NULL, 0, POLL_MS, NULL);
     }
@@ -205,6 +234,17 @@
     curl_multi_add_handle(w->multi, d->easy);
 }
 
+/* Sends the request on a connection of its own. */
+static void
+restart_dispatch(Worker *w, Dispatch *d)
+{
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
+    curl_multi_remove_handle(w->multi, d->easy);
+    d->spent = false;
+    curl_easy_setopt(d->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(w->multi, d->easy);
+}
+
 static void
 set_options(Worker *w, Dispatch *d)
 {
@@ -220,6 +260,11 @@
     curl_easy_setopt(e, CURLOPT_INTERFACE, w->backend->interface);
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
+    d->opened_fd = CURL_SOCKET_BAD;
+    curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, d);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, w);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, d);
     curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
@@ -229,14 +274,17 @@
     if (!ex->idempotent) {
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     }
-    add_header(d, "Expect", "");
-    add_header(d, "Content-Type", ex->content_type);
-    snprintf(text, sizeof(text), "%016llx",
+    snprintf(d->request_id, sizeof(d->request_id), "%016llx",
              (unsigned long long)CpHash(&ex->id, sizeof(ex->id),
                                         (uint64_t)ex->started_ns));
-    add_header(d, CP_HEADER_REQUEST_ID, text);
-    /* holds the request id until the head is complete, for on_header() */
-    CpStr_Copy(d->head.location, sizeof(d->head.location), text);
+    d->check.single_headers = single_headers;
+    d->check.id_header = CP_HEADER_REQUEST_ID;
+    d->check.id = d->request_id;
+    d->check.is_head = strcmp(ex->method, "HEAD") == 0;
+    CpResponseCheck_Begin(&d->check, e);
+    add_header(d, "Expect", "");
+    add_header(d, "Content-Type", ex->content_type);
+    add_header(d, CP_HEADER_REQUEST_ID, d->request_id);
     snprintf(text, sizeof(text), "%lld",
              (long long)(left_ms > 0 ? left_ms : 1));
     add_header(d, CP_HEADER_DEADLINE, text);
@@ -262,7 +310,7 @@
                          ex->inline_body_bytes > 0 ? (char *)ex->inline_body
                                                    : "");
     }
-    if (strcmp(ex->method, "HEAD") == 0) {
+    if (d->check.is_head) {
         curl_easy_setopt(d->easy, CURLOPT_NOBODY, 1L);
     }
     else {
@@ -297,6 +345,10 @@
     if (already_finished) {
         return;
     }
+    if (d->easy != NULL) {
+        code = CpResponseCheck_End(&d->check, code);
+        count_connection(d);
+    }
     classify_result(d, code, &r);
     if (d->easy != NULL) {
         curl_multi_remove_handle(w->multi, d->easy);
@@ -318,6 +370,17 @@
     CpExchange_Release(ex);
 }
 
+static void
+count_connection(const Dispatch *d)
+{
+    const CpResponseCheck *c = &d->check;
+    long opened = 0;
+    curl_easy_getinfo(d->easy, CURLINFO_NUM_CONNECTS, &opened);
+    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
+}
+
 /* Sets whether the request may have run, and why there is no response. */
 static void
 classify_result(Dispatch *d, CURLcode code, CpBackendResult *r)
@@ -327,16 +390,16 @@
                            .verdict = d->sent ? CP_MAY_HAVE_RUN : CP_NOT_RUN,
                            .outcome = CP_OUTCOME_FAILED,
                            .reason = CP_REASON_SERVER_FAILED};
-    code = CpEasy_CheckHead(code, d->head_received);
     if (d->head_delivered) {
         r->verdict = CP_RAN;
     }
-    if (d->not_run && d->head_received) {
+    if (d->not_run && d->accepted && d->check.flaw == CP_FLAW_NONE) {
         r->verdict = CP_NOT_RUN;
         r->outcome = CP_OUTCOME_REFUSED;
         r->reason = CP_REASON_SERVER_REFUSED;
     }
-    else if (d->mismatched) {
+    else if (d->mismatched || d->check.flaw == CP_FLAW_HEAD_MIXED ||
+             d->check.flaw == CP_FLAW_BODY_MIXED) {
         r->reason = CP_REASON_ANSWER_CROSSED;
     }
     else if (d->cancelled) {
@@ -403,21 +466,71 @@
     post_dispatch(ctx, false, true);
 }
 
+static int
+on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+    Dispatch *d = ctx;
+    (void)purpose;
+    d->opened_fd = fd;
+    return CURL_SOCKOPT_OK;
+}
+
+static int
+on_close(void *ctx, curl_socket_t fd)
+{
+    Worker *w = ctx;
+    void *connection =
+        g_hash_table_lookup(w->connections, GINT_TO_POINTER(fd));
+    if (connection != NULL) {
+        g_hash_table_remove(w->sockets, connection);
+        g_hash_table_remove(w->connections, GINT_TO_POINTER(fd));
+    }
+    return close(fd);
+}
+
+/* Finds the socket of the connection that the library has chosen, as it tells
+ * only the ports of one in use. Returns false if the connection holds bytes
+ * that came after an earlier response. */
+static bool
+find_socket(Dispatch *d, int local_port)
+{
+    Worker *w = d->worker;
+    char byte;
+    void *connection =
+        GSIZE_TO_POINTER((gsize)CpHash_Str(d->address, (uint64_t)local_port));
+    if (d->opened_fd != CURL_SOCKET_BAD) {
+        void *fd = GINT_TO_POINTER(d->opened_fd);
+        g_hash_table_replace(w->sockets, connection, fd);
+        g_hash_table_replace(w->connections, fd, connection);
+        d->check.fd = d->opened_fd;
+        d->opened_fd = CURL_SOCKET_BAD;
+        return true;
+    }
+    void *fd = g_hash_table_lookup(w->sockets, connection);
+    d->check.fd = fd != NULL ? GPOINTER_TO_INT(fd) : CURL_SOCKET_BAD;
+    return fd != NULL &&
+           recv(d->check.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
 /* Called after the connect and right before the first byte is sent, the last
  * point at which the request is known not to have run. */
 static int
-on_prereq(void *ctx, char *local, char *remote, int local_port,
-          int remote_port)
+on_prereq(void *ctx, char *remote, char *local, int remote_port,
+          int local_port)
 {
     Dispatch *d = ctx;
     int64_t now_ns = CpClock_Now_ns();
-    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    (void)remote, (void)local, (void)remote_port;
     if (now_ns >= d->ex->item.slot_expires_ns ||
         now_ns >= d->ex->deadline_ns) {
         CpCounter_Add(CP_COUNT_LOANS_LAPSED, 1);
         d->expired = true;
         return CURL_PREREQFUNC_ABORT;
     }
+    if (!find_socket(d, local_port)) {
+        d->spent = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
     d->sent = true;
     return CURL_PREREQFUNC_OK;
 }
@@ -426,66 +539,74 @@
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
     Dispatch *d = ctx;
+    CpResponseCheck *c = &d->check;
     char value[CP_CONTENT_TYPE_BYTES];
-    long status = 0;
     n *= size;
-    if (d->head_received) { /* a trailer, which is dropped */
+    CpHeadLine line = CpResponseCheck_OnHeadLine(c, data, n);
+    if (c->flaw != CP_FLAW_NONE) {
+        return 0;
+    }
+    if (d->accepted) { /* a trailer, which is dropped */
         return n;
     }
-    CpHeadLine line = CpEasy_ClassifyHeadLine(data, n);
     if (line == CP_HEAD_STATUS) {
-        d->head.length_bytes = CP_LENGTH_UNKNOWN;
-        d->has_length = d->chunked = false;
-        return n;
+        d->has_id = d->not_run = false;
+        d->head.content_type[0] = '\0';
     }
-    curl_easy_getinfo(d->easy, CURLINFO_RESPONSE_CODE, &status);
-    if (CpEasy_MatchHeader(data, n, "Content-Length", value, sizeof(value))) {
-        d->head.length_bytes = strtoull(value, NULL, 10);
-        d->has_length = true;
+    else if (line == CP_HEAD_END) {
+        if (c->head_received && !accept_head(d)) {
+            return 0;
+        }
     }
     else if (CpEasy_MatchHeader(data, n, "Content-Type", value,
                                 sizeof(value))) {
         CpStr_Copy(d->head.content_type, sizeof(d->head.content_type), value);
     }
-    else if (CpEasy_MatchHeader(data, n, "Transfer-Encoding", value,
-                                sizeof(value))) {
-        d->chunked = strcasecmp(value, "chunked") == 0;
-    }
     else if (CpEasy_MatchHeader(data, n, CP_HEADER_VERDICT, value,
                                 sizeof(value))) {
-        d->not_run = status == 503 && CpVerdict_Parse(value) == CP_NOT_RUN;
+        d->not_run = c->status == 503 && CpVerdict_Parse(value) == CP_NOT_RUN;
     }
     else if (CpEasy_MatchHeader(data, n, CP_HEADER_REQUEST_ID, value,
                                 sizeof(value))) {
-        d->mismatched = strcmp(value, d->head.location) != 0;
-    }
-    else if (line == CP_HEAD_END && status >= 200) {
-        d->head.status = (uint32_t)status;
-        bool framed =
-            d->has_length || d->chunked || status == 204 || status == 304;
-        if (d->mismatched || !framed) {
-            return 0;
-        }
-        d->head_received = true;
-        if (!d->not_run) {
-            deliver_head(d);
-        }
+        d->has_id = strcmp(value, d->request_id) == 0;
+        d->mismatched |= !d->has_id;
     }
     return n;
 }
 
+/* Accepts a complete head if the response is this request's and its end will
+ * show. A refusal may lack the id. */
+static bool
+accept_head(Dispatch *d)
+{
+    const CpResponseCheck *c = &d->check;
+    bool is_framed =
+        c->has_length || c->is_chunked || c->status == 204 || c->status == 304;
+    d->mismatched |= !d->has_id && !d->not_run;
+    d->accepted = !d->mismatched && is_framed;
+    d->head.status = c->status;
+    d->head.length_bytes = c->has_length ? c->length_bytes : CP_LENGTH_UNKNOWN;
+    if (d->accepted && !d->not_run) {
+        deliver_head(d);
+    }
+    return d->accepted;
+}
+
 static size_t
 on_body(char *data, size_t size, size_t n, void *ctx)
 {
     Dispatch *d = ctx;
     n *= size;
-    if (d->not_run) {
-        return n;
-    }
-    if (!CpPipe_CanWrite(d->ex->response_body, (uint32_t)n)) {
+    if (!d->not_run && !CpPipe_CanWrite(d->ex->response_body, (uint32_t)n)) {
         return CURL_WRITEFUNC_PAUSE;
     }
-    CpPipe_Write(d->ex->response_body, data, (uint32_t)n);
+    CpResponseCheck_OnBody(&d->check, data, n);
+    if (d->check.flaw != CP_FLAW_NONE) {
+        return 0;
+    }
+    if (!d->not_run) {
+        CpPipe_Write(d->ex->response_body, data, (uint32_t)n);
+    }
     return n;
 }
 
@@ -506,7 +627,6 @@
 deliver_head(Dispatch *d)
 {
     CpResponseHead head = d->head;
-    head.location[0] = '\0'; /* held the request id */
     head.verdict = CP_RAN;
     CpStr_Copy(head.server, sizeof(head.server), d->address);
     d->head_delivered = CpExchange_DeliverHead(d->ex, &head);
