follow: a pause where the store's history is gone twice in a row

Cause: a host that is told that the history is gone reads the whole table and follows it from there, without a pause. Where the history is gone again by then, each host does nothing else. A late response of that kind on the connection of a feed has the same effect, once.

Ruled out: counting it as an error. The store answers, so that missing entries have not lapsed.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -122,6 +122,7 @@
     CpEntry *e = f->entry;
     uint64_t version = 0;
     bool scanned = false;
+    bool history_gone = false; /* since the last feed that was read */
     for (;;) {
         uint64_t before = version;
         f->call_started_ns = CpClock_Now_ns();
@@ -142,8 +143,15 @@
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
                     table_info[f->table].label);
             scanned = false;
+            if (history_gone) { /* each round reads the whole table */
+                CpSleep_ms(RECOVERY_WAIT_MS);
+            }
+            history_gone = true;
             continue;
         }
+        if (st == CP_OK && scanned) {
+            history_gone = false;
+        }
         record_result(f, st);
         if (st != CP_OK) {
             if (f->table == CP_TABLE_OPERATOR && !has_routes(e)) {
--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -17,7 +17,8 @@
  * that breaks off in its body; "copy" sends the response twice; "late" sends
  * the last success of the connection once more as soon as a call arrives,
  * "first" the first one; "drop" performs the call and closes a connection that
- * was used before; "none" ends that. mix_count=N: for N calls only.
+ * was used before; "gone" responds 410; "none" ends that. mix_count=N: for N
+ * calls only.
  */
 #include <glib.h>
 #include <jansson.h>
@@ -55,6 +56,7 @@
     MIX_LATE,
     MIX_FIRST,
     MIX_DROP,
+    MIX_GONE,
     MIX_COUNT
 } Mix;
 
@@ -97,7 +99,7 @@
 static const char *const mix_names[MIX_COUNT] = {
     [MIX_NONE] = "none", [MIX_HEAD] = "head", [MIX_BODY] = "body",
     [MIX_COPY] = "copy", [MIX_LATE] = "late", [MIX_FIRST] = "first",
-    [MIX_DROP] = "drop",
+    [MIX_DROP] = "drop", [MIX_GONE] = "gone",
 };
 
 static void free_sent_bodies(gpointer p);
@@ -312,6 +314,9 @@
         CpStandin_Sleep_ms(MIX_DELAY_MS);
     }
     pthread_mutex_lock(&lock);
+    if (m == MIX_GONE) {
+        history_start_version = ++last_version;
+    }
     for (const Endpoint *e = endpoints; e->url_prefix != NULL; e++) {
         size_t prefix_bytes = strlen(e->url_prefix);
         if (strncmp(url, e->url_prefix, prefix_bytes) == 0 &&
