http: a server of kinds that echoes no id keeps its callers

Change: a response without an id counts on a connection that no other request has had, and costs that connection.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -41,6 +41,7 @@
     bool spent;    /* the connection chosen holds bytes; nothing was sent */
     bool accepted; /* the head is complete and this request's */
     bool head_delivered;
+    bool is_first;   /* the connection's first request */
     bool has_id;     /* the response is for this request */
     bool mismatched; /* the response is for another request */
     bool not_run;    /* the server reports that it did not run the request */
@@ -348,6 +349,9 @@
     if (d->easy != NULL) {
         code = CpResponseCheck_End(&d->check, code);
         count_connection(d);
+        if (!d->has_id && d->check.idle_fd != CURL_SOCKET_BAD) {
+            CpEasy_EndConnection(d->check.idle_fd);
+        }
     }
     classify_result(d, code, &r);
     if (d->easy != NULL) {
@@ -504,6 +508,7 @@
         g_hash_table_replace(w->connections, fd, connection);
         d->check.fd = d->opened_fd;
         d->opened_fd = CURL_SOCKET_BAD;
+        d->is_first = true;
         return true;
     }
     void *fd = g_hash_table_lookup(w->sockets, connection);
@@ -575,14 +580,15 @@
 }
 
 /* Accepts a complete head if the response is this request's and its end will
- * show. A refusal may lack the id. */
+ * show. It may lack the id on a connection that no other request has had or
+ * gets, and in a refusal. */
 static bool
 accept_head(Dispatch *d)
 {
     const CpResponseCheck *c = &d->check;
     bool is_framed =
         c->has_length || c->is_chunked || c->status == 204 || c->status == 304;
-    d->mismatched |= !d->has_id && !d->not_run;
+    d->mismatched |= !d->has_id && !d->not_run && !d->is_first;
     d->accepted = !d->mismatched && is_framed;
     d->head.status = c->status;
     d->head.length_bytes = c->has_length ? c->length_bytes : CP_LENGTH_UNKNOWN;
