--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -112,6 +112,9 @@
  * the result of the call, CURLE_PARTIAL_FILE instead of CURLE_OK if there is a
  * flaw. A connection that cannot be used again is ended. */
 CURLcode CpResponseCheck_End(CpResponseCheck *c, CURLcode code);
+/* Counts a call to a backend server after its end: whether it opened a
+ * connection, whether that is spent, and whether the response had a flaw. */
+void CpResponseCheck_Count(const CpResponseCheck *c);
 
 /* Returns true if a line of a response head, as the library passes it, is the
  * header `name`, and copies its value, cut to fit, without the line end. */
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -81,7 +81,6 @@
 static void set_body(Dispatch *d);
 static void add_header(Dispatch *d, const char *name, const char *value);
 static void finish_dispatch(Worker *w, Dispatch *d, CURLcode code);
-static void count_connection(const Dispatch *d);
 static void classify_result(Dispatch *d, CURLcode code, CpBackendResult *r);
 static void post_dispatch(Dispatch *d, bool start, bool cancel);
 static void on_pipe_ready(void *ctx);
@@ -348,7 +347,7 @@
     }
     if (d->easy != NULL) {
         code = CpResponseCheck_End(&d->check, code);
-        count_connection(d);
+        CpResponseCheck_Count(&d->check);
         if (!d->has_id && d->check.idle_fd != CURL_SOCKET_BAD) {
             CpEasy_EndConnection(d->check.idle_fd);
         }
@@ -374,17 +373,6 @@
     CpExchange_Release(ex);
 }
 
-static void
-count_connection(const Dispatch *d)
-{
-    const CpResponseCheck *c = &d->check;
-    long opened = 0;
-    curl_easy_getinfo(d->easy, CURLINFO_NUM_CONNECTS, &opened);
-    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
-    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
-    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
-}
-
 /* Sets whether the request may have run, and why there is no response. */
 static void
 classify_result(Dispatch *d, CURLcode code, CpBackendResult *r)
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -135,6 +135,16 @@
     return code;
 }
 
+void
+CpResponseCheck_Count(const CpResponseCheck *c)
+{
+    long opened = 0;
+    curl_easy_getinfo(c->easy, CURLINFO_NUM_CONNECTS, &opened);
+    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
+    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
+}
+
 static void
 begin_head(CpResponseCheck *c)
 {
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -41,7 +41,6 @@
 static void set_body(CpProxyExchange *ex);
 static void add_header(CpProxyAttempt *a, const char *name, const char *value);
 static void end_attempt(CpProxyExchange *ex, CURLcode code);
-static void count_connection(const CpProxyExchange *ex);
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
                          CpAttemptResult *out);
 static void stream_if_allowed(CpProxyExchange *ex, bool received_much);
@@ -234,7 +233,7 @@
     CpProxyAction action = {0};
     code = CpResponseCheck_End(&ex->attempt.check, code);
     classify_end(ex, code, &result);
-    count_connection(ex);
+    CpResponseCheck_Count(&ex->attempt.check);
     CpProxyAttempt_Abort(ex);
     if (ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
         CpProxyWorker_WatchIdle(ex->worker, ex->attempt.check.idle_fd);
@@ -252,17 +251,6 @@
     CpProxyFront_Execute(ex, &action);
 }
 
-static void
-count_connection(const CpProxyExchange *ex)
-{
-    const CpResponseCheck *c = &ex->attempt.check;
-    long opened = 0;
-    curl_easy_getinfo(ex->attempt.easy, CURLINFO_NUM_CONNECTS, &opened);
-    CpCounter_Add(CP_COUNT_SERVER_CONNECTIONS, opened > 0 ? 1 : 0);
-    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, c->following_bytes > 0 ? 1 : 0);
-    CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, c->flaw != CP_FLAW_NONE ? 1 : 0);
-}
-
 /* Determines how the attempt ended and whether the request may have run. */
 static void
 classify_end(const CpProxyExchange *ex, CURLcode code, CpAttemptResult *out)
