--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -96,6 +96,7 @@
     curl_socket_t fd;      /* of the connection; CURL_SOCKET_BAD: not known */
     curl_socket_t idle_fd; /* after the end, if it can be used again */
     char line[160];        /* the last bytes of the body's last line */
+    char line_start[160];  /* its first bytes */
     uint64_t line_bytes;
 } CpResponseCheck;
 
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -18,7 +18,7 @@
 
 static void begin_head(CpResponseCheck *c);
 static bool is_status(const char *text, size_t n);
-static bool contains_status(const char *line, size_t n);
+static const char *find_status(const char *line, size_t n);
 static bool read_status(CpResponseCheck *c, const char *line, size_t n);
 static bool read_field(CpResponseCheck *c, const char *line, size_t n);
 static bool read_value(CpResponseCheck *c, const char *name, size_t name_bytes,
@@ -29,6 +29,7 @@
 static void read_trailer(CpResponseCheck *c, const char *line, size_t n);
 static void add_to_line(CpResponseCheck *c, const char *data, size_t n);
 static void read_body_line(CpResponseCheck *c);
+static bool is_own_id(const CpResponseCheck *c, const char *line, size_t n);
 static int32_t find_single(const CpResponseCheck *c, const char *name,
                            size_t name_bytes);
 static int on_debug(CURL *e, curl_infotype type, char *data, size_t n,
@@ -51,16 +52,16 @@
 CpResponseCheck_OnHeadLine(CpResponseCheck *c, const char *line, size_t n)
 {
     bool ok;
-    if (c->head_received) {
-        read_trailer(c, line, n);
-        return CP_HEAD_FIELD;
-    }
     if (n > 0 && line[n - 1] == '\n') {
         n--;
     }
     if (n > 0 && line[n - 1] == '\r') {
         n--;
     }
+    if (c->head_received) {
+        read_trailer(c, line, n);
+        return CP_HEAD_FIELD;
+    }
     if (n == 0 && c->has_status) {
         if (c->status >= 200) {
             set_framing(c);
@@ -106,9 +107,14 @@
     curl_socket_t fd = CURL_SOCKET_BAD;
     curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
     read_following(c, fd);
-    if (code == CURLE_OK && c->has_text_body && c->line_bytes > 0) {
+    if (code == CURLE_OK && c->line_bytes > 0 &&
+        (c->has_text_body || c->framing == CP_FRAMING_CLOSE)) {
         read_body_line(c); /* the last one, without an end */
     }
+    if (code == CURLE_OK && c->framing == CP_FRAMING_CLOSE && c->is_in_head &&
+        c->flaw == CP_FLAW_NONE) {
+        c->flaw = CP_FLAW_BODY_MIXED;
+    }
     if (code == CURLE_OK && !c->head_received && c->flaw == CP_FLAW_NONE) {
         c->flaw = CP_FLAW_HEAD_CUT;
     }
@@ -121,7 +127,7 @@
     /* The library drops what it has read after a body in chunks, in which a
      * response that follows shows, and after an empty one. */
     bool is_clean =
-        code == CURLE_OK && c->following_bytes == 0 &&
+        code == CURLE_OK && c->following_bytes == 0 && !c->is_in_head &&
         (c->framing == CP_FRAMING_LENGTH
              ? c->length_bytes > 0
              : c->framing == CP_FRAMING_CHUNKS &&
@@ -165,25 +171,24 @@
            (n == STATUS_BYTES || text[STATUS_BYTES] == ' ');
 }
 
-static bool
-contains_status(const char *line, size_t n)
+/* Returns the first version and status in a line; NULL: none. */
+static const char *
+find_status(const char *line, size_t n)
 {
     const char *end = line + n, *at = line;
     while ((at = memmem(at, (size_t)(end - at), STATUS_MARK,
-                        STATUS_MARK_BYTES)) != NULL) {
-        if (is_status(at, (size_t)(end - at))) {
-            return true;
-        }
+                        STATUS_MARK_BYTES)) != NULL &&
+           !is_status(at, (size_t)(end - at))) {
         at++;
     }
-    return false;
+    return at;
 }
 
 static bool
 read_status(CpResponseCheck *c, const char *line, size_t n)
 {
     if (!is_status(line, n) ||
-        contains_status(line + STATUS_BYTES, n - STATUS_BYTES)) {
+        find_status(line + STATUS_BYTES, n - STATUS_BYTES) != NULL) {
         return false;
     }
     c->has_status = true;
@@ -197,7 +202,7 @@
 {
     const char *colon = memchr(line, ':', n);
     if (colon == NULL || !is_token(line, (size_t)(colon - line)) ||
-        contains_status(line, n)) {
+        find_status(line, n) != NULL) {
         return false;
     }
     const char *value = colon + 1, *end = line + n;
@@ -302,17 +307,22 @@
     size_t name_bytes = colon != NULL ? (size_t)(colon - line) : 0;
     if (c->flaw == CP_FLAW_NONE &&
         (equals(line, name_bytes, "Content-Length") ||
-         equals(line, name_bytes, "Transfer-Encoding"))) {
+         equals(line, name_bytes, "Transfer-Encoding") ||
+         is_own_id(c, line, n))) {
         c->flaw = CP_FLAW_BODY_MIXED;
     }
 }
 
-/* Keeps the last bytes of a line. */
+/* Keeps the first and the last bytes of a line. */
 static void
 add_to_line(CpResponseCheck *c, const char *data, size_t n)
 {
     size_t kept = c->line_bytes < sizeof(c->line) ? (size_t)c->line_bytes
                                                   : sizeof(c->line);
+    if (c->line_bytes < sizeof(c->line_start)) {
+        size_t room = sizeof(c->line_start) - (size_t)c->line_bytes;
+        memcpy(c->line_start + c->line_bytes, data, n < room ? n : room);
+    }
     c->line_bytes += n;
     if (n >= sizeof(c->line)) {
         memcpy(c->line, data + n - sizeof(c->line), sizeof(c->line));
@@ -328,7 +338,7 @@
 
 /* Looks for the head of another response to this request: a status line, after
  * which a field has the request's id. A body that only the end of its
- * connection ends may have no such field at all. */
+ * connection ends may have no field at all after one. */
 static void
 read_body_line(CpResponseCheck *c)
 {
@@ -337,29 +347,49 @@
     if (n > 0 && c->line[n - 1] == '\r') {
         n--;
     }
-    if (contains_status(c->line, n)) {
+    const char *status = find_status(c->line, n);
+    if (status != NULL) {
         c->is_in_head = true;
-        c->flaw = c->has_text_body ? CP_FLAW_BODY_MIXED : c->flaw;
+        /* a quote after it ends the string that it is part of */
+        if (c->has_text_body &&
+            memchr(status, '"', (size_t)(c->line + n - status)) == NULL) {
+            c->flaw = CP_FLAW_BODY_MIXED;
+        }
         return;
     }
-    const char *colon = memchr(c->line, ':', n);
-    if (!c->is_in_head || !whole || colon == NULL ||
-        !is_token(c->line, (size_t)(colon - c->line))) {
+    if (!c->is_in_head) {
+        return;
+    }
+    if (c->line_bytes > 0 &&
+        (c->line_start[0] == ' ' || c->line_start[0] == '\t')) {
+        return; /* continues the line before it */
+    }
+    n = whole ? n : sizeof(c->line_start);
+    const char *colon = memchr(c->line_start, ':', n);
+    if (colon == NULL ||
+        !is_token(c->line_start, (size_t)(colon - c->line_start))) {
         c->is_in_head = false;
         return;
     }
-    size_t name_bytes = (size_t)(colon - c->line);
-    const char *value = colon + 1, *end = c->line + n;
+    if (is_own_id(c, c->line_start, n) || c->framing == CP_FRAMING_CLOSE) {
+        c->flaw = CP_FLAW_BODY_MIXED;
+    }
+}
+
+/* Returns true if the line is a field with the request's id. */
+static bool
+is_own_id(const CpResponseCheck *c, const char *line, size_t n)
+{
+    const char *colon = memchr(line, ':', n);
+    if (c->id_header == NULL || colon == NULL ||
+        !equals(line, (size_t)(colon - line), c->id_header)) {
+        return false;
+    }
+    const char *value = colon + 1, *end = line + n;
     while (value < end && *value == ' ') {
         value++;
     }
-    bool is_own = c->id_header != NULL &&
-                  equals(c->line, name_bytes, c->id_header) &&
-                  equals(value, (size_t)(end - value), c->id);
-    if (is_own || (c->framing == CP_FRAMING_CLOSE &&
-                   find_single(c, c->line, name_bytes) >= 0)) {
-        c->flaw = CP_FLAW_BODY_MIXED;
-    }
+    return equals(value, (size_t)(end - value), c->id);
 }
 
 /* Returns the index of a header that a head has once; -1: it may be
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -1,5 +1,6 @@
 /* The workers and their event loops. */
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -15,8 +16,11 @@
 #define MAX_IDLE_CONNECTIONS 256 /* to servers, kept by each worker */
 #define DEFAULT_KEEP_ALIVE_S 10  /* until a server announces less */
 
-/* The source of an epoll event, in the upper half of its data; the file
- * descriptor is in the lower half. */
+/* The source of an epoll event, in the upper half of its data: a type and, for
+ * an idle connection, its local port. The file descriptor is in the lower
+ * half. */
+#define EVENT_TYPE_BITS 8
+#define EVENT_TYPE_MASK 0xffu
 typedef enum {
     EVENT_WAKE = 1,
     EVENT_DAEMON,
@@ -26,10 +30,11 @@
 } EventType;
 
 static CpStatus open_worker(CpProxy *p, uint32_t index);
-static void watch_fd(CpProxyWorker *w, int32_t fd, EventType type,
+static void watch_fd(CpProxyWorker *w, int32_t fd, uint32_t source,
                      uint32_t events);
+static uint32_t local_port(int32_t fd);
 static void handle_event(CpProxyWorker *w, const struct epoll_event *e);
-static void end_idle(CpProxyWorker *w, int32_t fd);
+static void end_idle(CpProxyWorker *w, int32_t fd, uint32_t port);
 static void run_timers(CpProxyWorker *w, int64_t now_ns);
 static int next_wait_ms(CpProxyWorker *w, int64_t now_ns);
 
@@ -154,7 +159,8 @@
 void
 CpProxyWorker_WatchIdle(CpProxyWorker *w, int32_t fd)
 {
-    watch_fd(w, fd, EVENT_IDLE, EPOLLIN | EPOLLRDHUP);
+    watch_fd(w, fd, EVENT_IDLE | local_port(fd) << EVENT_TYPE_BITS,
+             EPOLLIN | EPOLLRDHUP);
 }
 
 void
@@ -242,10 +248,10 @@
 }
 
 static void
-watch_fd(CpProxyWorker *w, int32_t fd, EventType type, uint32_t events)
+watch_fd(CpProxyWorker *w, int32_t fd, uint32_t source, uint32_t events)
 {
     struct epoll_event e = {.events = events,
-                            .data.u64 = (uint64_t)type << 32 | (uint32_t)fd};
+                            .data.u64 = (uint64_t)source << 32 | (uint32_t)fd};
     if (epoll_ctl(w->epoll_fd, EPOLL_CTL_MOD, fd, &e) != 0 &&
         epoll_ctl(w->epoll_fd, EPOLL_CTL_ADD, fd, &e) != 0) {
         CpLog(CP_LOG_WARNING, "proxy: cannot watch a socket: %s",
@@ -260,7 +266,8 @@
     int running, flags = 0;
     uint64_t count;
     CpProxyExchange *ex;
-    switch ((EventType)(e->data.u64 >> 32)) {
+    uint32_t source = (uint32_t)(e->data.u64 >> 32);
+    switch ((EventType)(source & EVENT_TYPE_MASK)) {
     case EVENT_WAKE:
         while (read(fd, &count, sizeof(count)) > 0) {
         }
@@ -274,7 +281,7 @@
         curl_multi_socket_action(w->multi, fd, flags, &running);
         break;
     case EVENT_IDLE:
-        end_idle(w, fd);
+        end_idle(w, fd, source >> EVENT_TYPE_BITS);
         break;
     case EVENT_CALLER:
         ex = g_hash_table_lookup(w->exchanges_by_fd, GINT_TO_POINTER(fd));
@@ -285,15 +292,30 @@
     }
 }
 
+/* Returns 0 for what is no connection. */
+static uint32_t
+local_port(int32_t fd)
+{
+    struct sockaddr_in sa = {0};
+    socklen_t n = sizeof(sa);
+    return getsockname(fd, (struct sockaddr *)&sa, &n) == 0 &&
+                   sa.sin_family == AF_INET
+               ? ntohs(sa.sin_port)
+               : 0;
+}
+
 /* Ends an idle connection on which bytes came or which its server closed; the
  * library would use it again. */
 static void
-end_idle(CpProxyWorker *w, int32_t fd)
+end_idle(CpProxyWorker *w, int32_t fd, uint32_t port)
 {
     char byte;
+    if (local_port(fd) != port) {
+        return; /* the descriptor has become that of another connection */
+    }
     ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == ENOTCONN)) {
-        return; /* the descriptor has become that of another connection */
+        return;
     }
     if (n > 0) {
         CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
