regress: routes_stop sends one timeout

Cause: the script added a second Timeout-Ms line to that of send_request; such heads get 400 since they may be of two requests, and the first line, 3000, was the one in force. Change: one line, 3000.

--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -124,7 +124,7 @@
     shift 4
     curl -s -m 5 -D "$W/head${REQUEST_FILE:-}" -o "$W/body${REQUEST_FILE:-}" -w '%{http_code}' -X "$request_method" \
         -H "Host: ${REQUEST_HOSTNAME:-a.example}" -H "Chestnutpaddle-Attempt-Id: $request_id" \
-        -H 'Chestnutpaddle-Timeout-Ms: 3000' \
+        -H "Chestnutpaddle-Timeout-Ms: ${REQUEST_TIMEOUT_MS:-3000}" \
         -H "Cookie: Chestnutpaddle-Affinity-Key=${REQUEST_OBJECT:-7}" "$@" \
         "http://$request_host:7000$request_path"
     echo " $(tr -d '\r\n' <"$W/body${REQUEST_FILE:-}" | cut -c1-60)"
