http, proxy, host: one way to receive a response, options apart from state

Cause: found in a reading of the whole change. Tokens were checked in two copies; the callbacks of a call were set line by line in five places; health probes collected their text beside CpEasy_Perform(); what a caller of the check says of a response stood among what the check finds out; CpEasy_ClassifyHeadLine() and CpEasy_CheckHead() were left beside the check that does their work. Ruled out: a collector for the proxy and kinds, too: they pass blocks on as they come.

--- a/regress/drive_http.c
+++ b/regress/drive_http.c
@@ -26,7 +26,7 @@
     uint32_t piece_count;
     bool delayed;    /* a piece is sent when the one before it was read */
     bool stays_open; /* after the last piece */
-    bool is_head;
+    CpResponseOptions options;
     CpResponseCheck check;
     GString *body;
     CURLcode code;
@@ -43,7 +43,7 @@
 static void run_line(void *ctx, char *line);
 static GString *make_response(const char *framing, const char *id,
                               const char *body);
-static void read_text(Script *s, const char *text, bool delayed);
+static void read_text(Script *s, const char *text, const char *how);
 static void join(Script *s, const char *how, bool delayed);
 static bool play(Play *p);
 static int32_t listen_any(char *url, size_t url_bytes);
@@ -66,7 +66,9 @@
 }
 
 /* response FRAMING BODY: sets the response, and one of the same kind to
- * another request. read BYTES, read-slowly BYTES: plays them. join HOW,
+ * another request. read BYTES, read-slowly BYTES: plays them;
+ * read-text BYTES, read-text-slowly BYTES: as a call whose response is text
+ * and whose socket is not known before its end. join HOW,
  * join-slowly HOW: plays each way to do it, byte by byte. */
 static void
 run_line(void *ctx, char *line)
@@ -90,8 +92,8 @@
         s->other = make_response(args, "b2", "the body of another response");
         fprintf(s->out, "-- %s, %zu bytes\n", args, s->response->len);
     }
-    else if (strcmp(line, "read") == 0 || strcmp(line, "read-slowly") == 0) {
-        read_text(s, args, line[4] != '\0');
+    else if (g_str_has_prefix(line, "read")) {
+        read_text(s, args, line[4] != '\0' ? line + 5 : "");
     }
     else if (strcmp(line, "join") == 0 || strcmp(line, "join-slowly") == 0) {
         join(s, args, line[4] != '\0');
@@ -128,10 +130,16 @@
 }
 
 static void
-read_text(Script *s, const char *text, bool delayed)
+read_text(Script *s, const char *text, const char *how)
 {
     char **texts = g_strsplit(text, " | ", MAX_PIECES);
-    Play p = {.server_fd = -1, .delayed = delayed, .stays_open = true};
+    Play p = {.server_fd = -1,
+              .delayed = strstr(how, "slowly") != NULL,
+              .stays_open = true,
+              .options = {.single_headers = single_headers,
+                          .id_header = "Id",
+                          .id = ID,
+                          .has_text_body = g_str_has_prefix(how, "text")}};
     for (char **at = texts; *at != NULL; at++) {
         char *piece = g_strcompress(*at);
         g_free(*at);
@@ -166,7 +174,12 @@
     bool is_copy = strcmp(how, "copy") == 0;
     uint32_t right = 0, wrong = 0, refused = 0, again = 0;
     for (size_t cut = 0; cut <= first->len; cut++) {
-        Play p = {.server_fd = -1, .delayed = delayed, .piece_count = 2};
+        Play p = {.server_fd = -1,
+                  .delayed = delayed,
+                  .piece_count = 2,
+                  .options = {.single_headers = single_headers,
+                              .id_header = "Id",
+                              .id = ID}};
         p.pieces[0] = is_copy ? second->str : first->str;
         p.piece_bytes[0] = is_copy ? second->len : cut;
         p.pieces[1] = is_copy ? first->str : second->str;
@@ -212,13 +225,8 @@
     CpEasy_SetDefaults(e, url, 1000);
     curl_easy_setopt(e, CURLOPT_OPENSOCKETFUNCTION, on_open);
     curl_easy_setopt(e, CURLOPT_OPENSOCKETDATA, p);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, p);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
-    p->check = (CpResponseCheck){
-        .single_headers = single_headers, .id_header = "Id", .id = ID};
-    CpResponseCheck_Begin(&p->check, e);
+    CpEasy_SetReceivers(e, on_header, on_body, p);
+    CpResponseCheck_Begin(&p->check, &p->options, e);
     curl_multi_add_handle(multi, e);
     for (uint32_t i = 0; running > 0 && i < MAX_ROUNDS; i++) {
         curl_multi_perform(multi, &running);
@@ -289,9 +297,10 @@
 {
     Play *p = ctx;
     (void)purpose;
-    p->check.fd =
+    curl_socket_t fd =
         socket(address->family, address->socktype, address->protocol);
-    return p->check.fd;
+    p->check.fd = p->options.has_text_body ? CURL_SOCKET_BAD : fd;
+    return fd;
 }
 
 static size_t
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -498,13 +498,13 @@
 static void
 log_flaw(const CpRequest *rq, const RequestState *s, const CpAttemptResult *a)
 {
-    if (a->flaw != CP_FLAW_NONE || a->spent_by > 0) {
+    if (a->flaw != CP_FLAW_NONE || a->following_bytes > 0) {
         CpEvent(CP_EVENT_RETRY, "flawed", "s:s,s:s,s:s,s:s,s:i,s:I,s:b,s:i",
                 "request", rq->id, "instance", s->choice.instance, "flaw",
                 CpFlaw_Name(a->flaw), "end", CpAttemptOutcome_Name(a->outcome),
                 "status", (int)a->status, "body_bytes",
                 (json_int_t)a->response_bytes, "reused", (int)a->reused,
-                "followed_by", (int)a->spent_by);
+                "followed_by", (int)a->following_bytes);
     }
 }
 
--- a/src/host/host_health.c
+++ b/src/host/host_health.c
@@ -16,17 +16,13 @@
 typedef struct {
     CpServerAddress server;
     char url[CP_ADDR_BYTES + 32];
-    CpResponseCheck check;
-    char body[BODY_BYTES];
-    size_t body_bytes;
+    CpEasyText response;
 } Probe;
 
 static void *health_thread(void *ctx);
 static void start_probes(CpNode *n, CURLM *multi);
 static uint32_t collect_responses(CpNode *n, CURLM *multi);
 static void take_state(CpNode *n, const Probe *p);
-static size_t on_header(char *data, size_t size, size_t n, void *ctx);
-static size_t on_data(char *data, size_t size, size_t n, void *ctx);
 
 CpStatus
 CpHealth_Start(CpNode *n)
@@ -87,11 +83,7 @@
                  p->server.address);
         CpEasy_SetDefaults(e, p->url, TIMEOUT_MS);
         curl_easy_setopt(e, CURLOPT_PRIVATE, p);
-        CpResponseCheck_Begin(&p->check, e);
-        curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-        curl_easy_setopt(e, CURLOPT_HEADERDATA, p);
-        curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
-        curl_easy_setopt(e, CURLOPT_WRITEDATA, p);
+        CpEasyText_Begin(&p->response, g_string_new(NULL), BODY_BYTES, e);
         curl_multi_add_handle(multi, e);
     }
     free(servers);
@@ -108,11 +100,12 @@
         CURL *e = msg->easy_handle;
         CURLcode code = msg->data.result;
         curl_easy_getinfo(e, CURLINFO_PRIVATE, &p);
-        if (CpResponseCheck_End(&p->check, code) == CURLE_OK) {
+        if (CpResponseCheck_End(&p->response.check, code) == CURLE_OK) {
             take_state(n, p);
         }
         curl_multi_remove_handle(multi, e);
         curl_easy_cleanup(e);
+        g_string_free(p->response.body, TRUE);
         free(p);
         completed++;
     }
@@ -124,35 +117,10 @@
 static void
 take_state(CpNode *n, const Probe *p)
 {
-    const CpResponseCheck *c = &p->check;
-    bool leaving = strstr(p->body, "\"leaving\"") != NULL;
-    bool is_framed = c->has_length || c->is_chunked;
-    if (is_framed && memmem(p->body, p->body_bytes, "HTTP/1.", 7) == NULL &&
-        (c->status == 200 || (c->status == 503 && leaving))) {
+    uint32_t status = p->response.check.status;
+    bool leaving = strstr(p->response.body->str, "\"leaving\"") != NULL;
+    if (p->response.check.framing != CP_FRAMING_CLOSE &&
+        (status == 200 || (status == 503 && leaving))) {
         CpPool_SetDraining(n, p->server.name, CP_DRAIN_HEALTH, leaving);
     }
 }
-
-static size_t
-on_header(char *data, size_t size, size_t n, void *ctx)
-{
-    Probe *p = ctx;
-    n *= size;
-    CpResponseCheck_OnHeadLine(&p->check, data, n);
-    return p->check.flaw == CP_FLAW_NONE ? n : 0;
-}
-
-static size_t
-on_data(char *data, size_t size, size_t n, void *ctx)
-{
-    Probe *p = ctx;
-    n *= size;
-    CpResponseCheck_OnBody(&p->check, data, n);
-    if (p->check.flaw != CP_FLAW_NONE ||
-        p->body_bytes + n >= sizeof(p->body)) {
-        return 0;
-    }
-    memcpy(p->body + p->body_bytes, data, n);
-    p->body_bytes += n;
-    return n;
-}
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -35,14 +35,11 @@
  * first byte is sent; until then the request has not run. `sent` has to
  * outlive the call. */
 void CpEasy_SendOnce(CURL *e, bool *sent);
-/* Performs the call and appends the response body; the call fails if it is
- * longer than max_bytes, or if what was received is not one whole response
- * with a body of text. A kept connection on which bytes wait is not used. Uses
- * the callbacks for headers, data and debugging. */
-CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
-                        long *status);
-/* Ends the connection of the last call, so that no later one uses it. */
-void CpEasy_Disconnect(CURL *e);
+/* Receives a line of a head, or a block of a body, as the library passes it;
+ * returns n, or 0 to fail the call. */
+typedef size_t (*CpReceiveFn)(char *data, size_t size, size_t n, void *ctx);
+void CpEasy_SetReceivers(CURL *e, CpReceiveFn on_head, CpReceiveFn on_body,
+                         void *ctx);
 
 /* What a line of a response head is, as the library passes it. Lines of a
  * trailer come in the same way, after the head. */
@@ -51,10 +48,6 @@
     CP_HEAD_FIELD,
     CP_HEAD_END /* the blank line */
 } CpHeadLine;
-CpHeadLine CpEasy_ClassifyHeadLine(const char *line, size_t n);
-/* Returns the result of a call: CURLE_PARTIAL_FILE instead of CURLE_OK if the
- * response ended inside its head, for which the library reports no error. */
-CURLcode CpEasy_CheckHead(CURLcode code, bool head_received);
 
 /* Ends an idle connection that the library keeps, so that it opens another
  * one. */
@@ -69,22 +62,32 @@
     CP_FRAMING_CLOSE /* by the end of the connection */
 } CpFraming;
 
-/* What a response's own bytes say about it, as they are received. */
+/* What is known of a response before it comes. */
 typedef struct {
-    CURL *easy;
     const char *const *single_headers; /* at most one line each; up to 32 */
     const char *id_header;             /* NULL: responses have no id */
-    const char *id;                    /* of the request */
-    bool has_text_body; /* no part of it can be taken for a status line */
-    CpFraming framing;
+    const char *id;                    /* of the request; not copied */
+    bool is_head;                      /* the request's method is HEAD */
+    /* The body is text whose lines end in no status line, unless a quote
+     * follows that: JSON, or pages of our own. */
+    bool has_text_body;
+} CpResponseOptions;
+
+/* What a response's own bytes say about it, as they are received. */
+typedef struct {
+    CpResponseOptions options;
+    CURL *easy;
+    curl_socket_t fd; /* of the connection, if the caller of the check knows
+                       * it; else CURL_SOCKET_BAD */
+    curl_socket_t idle_fd; /* after the end, if it can be used again */
     CpFlaw flaw;
-    uint32_t status;
+    CpFraming framing;
     bool head_received; /* of the final response */
-    bool is_head;       /* the request's method is HEAD */
     bool has_status;    /* the status line was received */
     bool promises_more; /* the connection is kept after the response */
     bool has_length;
     bool is_chunked;
+    uint32_t status;
     uint32_t seen; /* bits of single_headers */
     uint64_t length_bytes;
     uint64_t body_bytes;
@@ -92,19 +95,18 @@
     char raw_tail[4];   /* its last bytes */
     char following[8];  /* the first bytes after the response */
     uint32_t following_bytes;
-    bool is_in_head;       /* the body's last lines look like a head */
-    curl_socket_t fd;      /* of the connection; CURL_SOCKET_BAD: not known */
-    curl_socket_t idle_fd; /* after the end, if it can be used again */
-    char line[160];        /* the last bytes of the body's last line */
-    char line_start[160];  /* its first bytes */
-    uint64_t line_bytes;
+    bool is_in_head;      /* the body's last lines look like a head */
+    uint64_t line_bytes;  /* of the body's last line */
+    char line_start[160]; /* its first bytes */
+    char line[160];       /* its last bytes */
 } CpResponseCheck;
 
 /* Begins the check of the response to a call. Sets the debug callback of `e`;
  * `c` has to outlive the call. The caller passes on each line of a head, and
  * each block of the body before it uses it, and aborts when there is a
  * flaw. */
-void CpResponseCheck_Begin(CpResponseCheck *c, CURL *e);
+void CpResponseCheck_Begin(CpResponseCheck *c,
+                           const CpResponseOptions *options, CURL *e);
 /* Returns what the line is; sets a flaw if it cannot be of one response. */
 CpHeadLine CpResponseCheck_OnHeadLine(CpResponseCheck *c, const char *line,
                                       size_t n);
@@ -117,6 +119,22 @@
  * connection, whether that is spent, and whether the response had a flaw. */
 void CpResponseCheck_Count(const CpResponseCheck *c);
 
+/* A response with a body of text while it is received. */
+typedef struct {
+    CpResponseCheck check;
+    GString *body;
+    size_t max_bytes;
+} CpEasyText;
+/* Makes a call append the response body to `body`, and fail if that is longer
+ * than max_bytes. End the check when the call has ended. */
+void CpEasyText_Begin(CpEasyText *t, GString *body, size_t max_bytes, CURL *e);
+/* Performs the call in the same way; it fails if what was received is not one
+ * whole response. A kept connection on which bytes wait is not used. */
+CURLcode CpEasy_Perform(CURL *e, GString *body, size_t max_bytes,
+                        long *status);
+/* Ends the connection of the last call, so that no later one uses it. */
+void CpEasy_Disconnect(CURL *e);
+
 /* Returns true if a line of a response head, as the library passes it, is the
  * header `name`, and copies its value, cut to fit, without the line end. */
 bool CpEasy_MatchHeader(const char *line, size_t n, const char *name,
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -267,21 +267,19 @@
     curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, w);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, d);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, d);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, d);
+    CpEasy_SetReceivers(e, on_header, on_body, d);
     if (!ex->idempotent) {
         curl_easy_setopt(e, CURLOPT_FRESH_CONNECT, 1L);
     }
     snprintf(d->request_id, sizeof(d->request_id), "%016llx",
              (unsigned long long)CpHash(&ex->id, sizeof(ex->id),
                                         (uint64_t)ex->started_ns));
-    d->check.single_headers = single_headers;
-    d->check.id_header = CP_HEADER_REQUEST_ID;
-    d->check.id = d->request_id;
-    d->check.is_head = strcmp(ex->method, "HEAD") == 0;
-    CpResponseCheck_Begin(&d->check, e);
+    const CpResponseOptions expected = {.single_headers = single_headers,
+                                        .id_header = CP_HEADER_REQUEST_ID,
+                                        .id = d->request_id,
+                                        .is_head =
+                                            strcmp(ex->method, "HEAD") == 0};
+    CpResponseCheck_Begin(&d->check, &expected, e);
     add_header(d, "Expect", "");
     add_header(d, "Content-Type", ex->content_type);
     add_header(d, CP_HEADER_REQUEST_ID, d->request_id);
@@ -310,7 +308,7 @@
                          ex->inline_body_bytes > 0 ? (char *)ex->inline_body
                                                    : "");
     }
-    if (d->check.is_head) {
+    if (d->check.options.is_head) {
         curl_easy_setopt(d->easy, CURLOPT_NOBODY, 1L);
     }
     else {
--- a/src/http/http_easy.c
+++ b/src/http/http_easy.c
@@ -6,13 +6,6 @@
 
 #include "http/easy.h"
 
-/* A response while it is received. */
-typedef struct {
-    GString *body;
-    size_t max_bytes;
-    CpResponseCheck check;
-} Response;
-
 /* Headers that a response has at most once. */
 static const char *const single_headers[] = {"Content-Type", "Date", "Server",
                                              NULL};
@@ -66,24 +59,38 @@
     curl_easy_setopt(e, CURLOPT_PREREQDATA, sent);
 }
 
+void
+CpEasy_SetReceivers(CURL *e, CpReceiveFn on_head, CpReceiveFn on_body,
+                    void *ctx)
+{
+    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head);
+    curl_easy_setopt(e, CURLOPT_HEADERDATA, ctx);
+    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
+    curl_easy_setopt(e, CURLOPT_WRITEDATA, ctx);
+}
+
+void
+CpEasyText_Begin(CpEasyText *t, GString *body, size_t max_bytes, CURL *e)
+{
+    const CpResponseOptions options = {.single_headers = single_headers,
+                                       .has_text_body = true};
+    t->body = body;
+    t->max_bytes = max_bytes;
+    CpResponseCheck_Begin(&t->check, &options, e);
+    CpEasy_SetReceivers(e, on_head_line, on_data, t);
+}
+
 CURLcode
 CpEasy_Perform(CURL *e, GString *body, size_t max_bytes, long *status)
 {
-    Response r = {
-        .body = body,
-        .max_bytes = max_bytes,
-        .check = {.single_headers = single_headers, .has_text_body = true}};
+    CpEasyText t;
     drop_unless_quiet(e);
-    CpResponseCheck_Begin(&r.check, e);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_head_line);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, &r);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_data);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, &r);
-    CURLcode code = CpResponseCheck_End(&r.check, curl_easy_perform(e));
+    CpEasyText_Begin(&t, body, max_bytes, e);
+    CURLcode code = CpResponseCheck_End(&t.check, curl_easy_perform(e));
     curl_easy_setopt(e, CURLOPT_VERBOSE, 0L);
     curl_easy_setopt(e, CURLOPT_DEBUGDATA, NULL);
     curl_easy_getinfo(e, CURLINFO_RESPONSE_CODE, status);
-    if (r.check.flaw == CP_FLAW_NONE) {
+    if (t.check.flaw == CP_FLAW_NONE) {
         return code;
     }
     CpCounter_Add(CP_COUNT_RESPONSES_FLAWED, 1);
@@ -125,24 +132,6 @@
     }
 }
 
-CpHeadLine
-CpEasy_ClassifyHeadLine(const char *line, size_t n)
-{
-    if (n > 5 && strncmp(line, "HTTP/", 5) == 0) {
-        return CP_HEAD_STATUS;
-    }
-    while (n > 0 && (line[n - 1] == '\r' || line[n - 1] == '\n')) {
-        n--;
-    }
-    return n == 0 ? CP_HEAD_END : CP_HEAD_FIELD;
-}
-
-CURLcode
-CpEasy_CheckHead(CURLcode code, bool head_received)
-{
-    return code == CURLE_OK && !head_received ? CURLE_PARTIAL_FILE : code;
-}
-
 bool
 CpEasy_MatchHeader(const char *line, size_t n, const char *name, char *value,
                    size_t value_bytes)
@@ -195,21 +184,21 @@
 static size_t
 on_head_line(char *data, size_t size, size_t n, void *ctx)
 {
-    Response *r = ctx;
+    CpEasyText *t = ctx;
     n *= size;
-    CpResponseCheck_OnHeadLine(&r->check, data, n);
-    return r->check.flaw == CP_FLAW_NONE ? n : 0;
+    CpResponseCheck_OnHeadLine(&t->check, data, n);
+    return t->check.flaw == CP_FLAW_NONE ? n : 0;
 }
 
 static size_t
 on_data(char *data, size_t size, size_t n, void *ctx)
 {
-    Response *r = ctx;
+    CpEasyText *t = ctx;
     n *= size;
-    CpResponseCheck_OnBody(&r->check, data, n);
-    if (r->check.flaw != CP_FLAW_NONE || n > r->max_bytes - r->body->len) {
+    CpResponseCheck_OnBody(&t->check, data, n);
+    if (t->check.flaw != CP_FLAW_NONE || n > t->max_bytes - t->body->len) {
         return 0;
     }
-    g_string_append_len(r->body, data, (gssize)n);
+    g_string_append_len(t->body, data, (gssize)n);
     return n;
 }
--- a/src/http/http_int.h
+++ b/src/http/http_int.h
@@ -14,4 +14,7 @@
 enum MHD_Result CpResponse_QueueRefusal(struct MHD_Connection *conn,
                                         const CpResponseHead *head);
 
+/* Returns true if the text is a token: the name of a header or a method. */
+bool CpHttp_IsToken(const char *text, size_t n);
+
 #endif
--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -8,7 +8,7 @@
 #include <string.h>
 #include <strings.h>
 
-#include "http/http.h"
+#include "http/http_int.h"
 
 #define VERSION_MARK " HTTP/1."
 #define VERSION_BYTES 8   /* "HTTP/1.1" */
@@ -29,7 +29,6 @@
                                const char *name, size_t name_bytes,
                                const char *value, size_t value_bytes);
 static size_t separator_bytes(const char *colon, const char *value);
-static bool is_token(const char *text, size_t n);
 static bool is_printable(const char *text, size_t n, char lowest);
 static bool is_first_of_its_name(Head *h, const char *name);
 static bool is_known_framing(Head *h, const char *name, const char *value);
@@ -43,7 +42,7 @@
     Head h = {.single_headers = single_headers,
               .bytes = method_bytes + 1 + target_bytes + 1 + VERSION_BYTES +
                        2 * LINE_END_BYTES,
-              .ok = is_token(method, method_bytes) &&
+              .ok = CpHttp_IsToken(method, method_bytes) &&
                     is_printable(target, target_bytes, '!')};
     MHD_get_connection_values_n(conn, MHD_HEADER_KIND, on_line, &h);
     /* The library drops what follows a NUL, and joins a continued line with
@@ -54,6 +53,18 @@
                    ->header_size <= h.bytes;
 }
 
+bool
+CpHttp_IsToken(const char *text, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (!g_ascii_isalnum(text[i]) &&
+            (text[i] == '\0' || strchr("!#$%&'*+-.^_`|~", text[i]) == NULL)) {
+            return false;
+        }
+    }
+    return n > 0;
+}
+
 static enum MHD_Result
 on_line(void *ctx, enum MHD_ValueKind kind, const char *name,
         size_t name_bytes, const char *value, size_t value_bytes)
@@ -62,10 +73,11 @@
     (void)kind;
     h->bytes += name_bytes + separator_bytes(name + name_bytes, value) +
                 value_bytes + LINE_END_BYTES;
-    h->ok &=
-        is_token(name, name_bytes) && is_printable(value, value_bytes, ' ') &&
-        is_first_of_its_name(h, name) && is_known_framing(h, name, value) &&
-        !ends_in_request_line(value, value_bytes);
+    h->ok &= CpHttp_IsToken(name, name_bytes) &&
+             is_printable(value, value_bytes, ' ') &&
+             is_first_of_its_name(h, name) &&
+             is_known_framing(h, name, value) &&
+             !ends_in_request_line(value, value_bytes);
     return MHD_YES;
 }
 
@@ -82,18 +94,6 @@
     return n > SEPARATOR_BYTES ? n : SEPARATOR_BYTES;
 }
 
-static bool
-is_token(const char *text, size_t n)
-{
-    for (size_t i = 0; i < n; i++) {
-        if (!g_ascii_isalnum(text[i]) &&
-            (text[i] == '\0' || strchr("!#$%&'*+-.^_`|~", text[i]) == NULL)) {
-            return false;
-        }
-    }
-    return n > 0;
-}
-
 /* Returns true if no byte is a control character, but tabs between words, or
  * below `lowest`. */
 static bool
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "http/easy.h"
+#include "http/http_int.h"
 
 #define STATUS_MARK "HTTP/1."
 #define STATUS_MARK_BYTES (sizeof(STATUS_MARK) - 1)
@@ -23,7 +24,6 @@
 static bool read_field(CpResponseCheck *c, const char *line, size_t n);
 static bool read_value(CpResponseCheck *c, const char *name, size_t name_bytes,
                        const char *value, size_t value_bytes);
-static bool is_token(const char *text, size_t n);
 static bool equals(const char *text, size_t n, const char *name);
 static void set_framing(CpResponseCheck *c);
 static void read_trailer(CpResponseCheck *c, const char *line, size_t n);
@@ -39,11 +39,13 @@
 static void check_following(CpResponseCheck *c);
 
 void
-CpResponseCheck_Begin(CpResponseCheck *c, CURL *e)
+CpResponseCheck_Begin(CpResponseCheck *c, const CpResponseOptions *options,
+                      CURL *e)
 {
-    c->easy = e;
-    c->fd = c->idle_fd = CURL_SOCKET_BAD;
-    begin_head(c);
+    *c = (CpResponseCheck){.options = *options,
+                           .easy = e,
+                           .fd = CURL_SOCKET_BAD,
+                           .idle_fd = CURL_SOCKET_BAD};
     curl_easy_setopt(e, CURLOPT_DEBUGFUNCTION, on_debug);
     curl_easy_setopt(e, CURLOPT_DEBUGDATA, c);
 }
@@ -51,7 +53,6 @@
 CpHeadLine
 CpResponseCheck_OnHeadLine(CpResponseCheck *c, const char *line, size_t n)
 {
-    bool ok;
     if (n > 0 && line[n - 1] == '\n') {
         n--;
     }
@@ -72,7 +73,7 @@
         return CP_HEAD_END;
     }
     bool begins = !c->has_status;
-    ok = begins ? read_status(c, line, n) : read_field(c, line, n);
+    bool ok = begins ? read_status(c, line, n) : read_field(c, line, n);
     if (!ok) {
         c->flaw = CP_FLAW_HEAD_MIXED;
     }
@@ -108,7 +109,7 @@
     curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
     read_following(c, fd);
     if (code == CURLE_OK && c->line_bytes > 0 &&
-        (c->has_text_body || c->framing == CP_FRAMING_CLOSE)) {
+        (c->options.has_text_body || c->framing == CP_FRAMING_CLOSE)) {
         read_body_line(c); /* the last one, without an end */
     }
     if (code == CURLE_OK && c->framing == CP_FRAMING_CLOSE && c->is_in_head &&
@@ -156,7 +157,8 @@
 {
     c->status = 0;
     c->seen = 0;
-    c->has_status = c->promises_more = c->has_length = c->is_chunked = false;
+    c->has_status = c->promises_more = false;
+    c->has_length = c->is_chunked = false;
 }
 
 /* Returns true if the text begins with a version and a status. */
@@ -201,7 +203,7 @@
 read_field(CpResponseCheck *c, const char *line, size_t n)
 {
     const char *colon = memchr(line, ':', n);
-    if (colon == NULL || !is_token(line, (size_t)(colon - line)) ||
+    if (colon == NULL || !CpHttp_IsToken(line, (size_t)(colon - line)) ||
         find_status(line, n) != NULL) {
         return false;
     }
@@ -260,18 +262,6 @@
     return true;
 }
 
-static bool
-is_token(const char *text, size_t n)
-{
-    for (size_t i = 0; i < n; i++) {
-        if (!g_ascii_isalnum(text[i]) &&
-            (text[i] == '\0' || strchr("!#$%&'*+-.^_`|~", text[i]) == NULL)) {
-            return false;
-        }
-    }
-    return n > 0;
-}
-
 static bool
 equals(const char *text, size_t n, const char *name)
 {
@@ -284,7 +274,7 @@
 set_framing(CpResponseCheck *c)
 {
     c->head_received = true;
-    c->framing = c->is_head || c->status == 204 || c->status == 304
+    c->framing = c->options.is_head || c->status == 204 || c->status == 304
                      ? CP_FRAMING_EMPTY
                  : c->is_chunked     ? CP_FRAMING_CHUNKS
                  : c->has_length     ? CP_FRAMING_LENGTH
@@ -351,7 +341,7 @@
     if (status != NULL) {
         c->is_in_head = true;
         /* a quote after it ends the string that it is part of */
-        if (c->has_text_body &&
+        if (c->options.has_text_body &&
             memchr(status, '"', (size_t)(c->line + n - status)) == NULL) {
             c->flaw = CP_FLAW_BODY_MIXED;
         }
@@ -367,7 +357,7 @@
     n = whole ? n : sizeof(c->line_start);
     const char *colon = memchr(c->line_start, ':', n);
     if (colon == NULL ||
-        !is_token(c->line_start, (size_t)(colon - c->line_start))) {
+        !CpHttp_IsToken(c->line_start, (size_t)(colon - c->line_start))) {
         c->is_in_head = false;
         return;
     }
@@ -381,15 +371,15 @@
 is_own_id(const CpResponseCheck *c, const char *line, size_t n)
 {
     const char *colon = memchr(line, ':', n);
-    if (c->id_header == NULL || colon == NULL ||
-        !equals(line, (size_t)(colon - line), c->id_header)) {
+    if (c->options.id_header == NULL || colon == NULL ||
+        !equals(line, (size_t)(colon - line), c->options.id_header)) {
         return false;
     }
     const char *value = colon + 1, *end = line + n;
     while (value < end && *value == ' ') {
         value++;
     }
-    return equals(value, (size_t)(end - value), c->id);
+    return equals(value, (size_t)(end - value), c->options.id);
 }
 
 /* Returns the index of a header that a head has once; -1: it may be
@@ -397,9 +387,10 @@
 static int32_t
 find_single(const CpResponseCheck *c, const char *name, size_t name_bytes)
 {
-    for (int32_t i = 0;
-         c->single_headers != NULL && c->single_headers[i] != NULL; i++) {
-        if (equals(name, name_bytes, c->single_headers[i])) {
+    for (int32_t i = 0; c->options.single_headers != NULL &&
+                        c->options.single_headers[i] != NULL;
+         i++) {
+        if (equals(name, name_bytes, c->options.single_headers[i])) {
             return i;
         }
     }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -84,9 +84,9 @@
     uint32_t pause_ms; /* the server wants no requests for so long; 0: none */
     bool leaving;      /* the server announced that it leaves */
     uint64_t response_bytes;
-    CpFlaw flaw;       /* of the response */
-    bool reused;       /* the connection had had an earlier request */
-    uint32_t spent_by; /* bytes after the response, as far as known */
+    CpFlaw flaw;              /* of the response */
+    bool reused;              /* the connection had had an earlier request */
+    uint32_t following_bytes; /* after the response, as far as looked at */
 } CpAttemptResult;
 
 /* How a request ended for its caller. */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -127,16 +127,13 @@
     curl_easy_setopt(e, CURLOPT_ERRORBUFFER, ex->attempt.error);
     /* retries are decided by the policy */
     CpEasy_SendOnce(e, &ex->attempt.sent);
-    ex->attempt.check.single_headers = ex->worker->proxy->single_headers;
-    ex->attempt.check.id_header =
-        ex->worker->proxy->options.headers->request_id;
-    ex->attempt.check.id = ex->request.id;
-    ex->attempt.check.is_head = strcmp(ex->request.method, "HEAD") == 0;
-    CpResponseCheck_Begin(&ex->attempt.check, e);
-    curl_easy_setopt(e, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(e, CURLOPT_HEADERDATA, ex);
-    curl_easy_setopt(e, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(e, CURLOPT_WRITEDATA, ex);
+    const CpResponseOptions expected = {
+        .single_headers = ex->worker->proxy->single_headers,
+        .id_header = ex->worker->proxy->options.headers->request_id,
+        .id = ex->request.id,
+        .is_head = strcmp(ex->request.method, "HEAD") == 0};
+    CpResponseCheck_Begin(&ex->attempt.check, &expected, e);
+    CpEasy_SetReceivers(e, on_header, on_body, ex);
     set_connection(ex, action, left_ms);
     set_headers(ex, action, left_ms);
     set_body(ex);
@@ -270,7 +267,7 @@
         .response_bytes = a->body_bytes,
         .flaw = a->check.flaw,
         .reused = a->sent && opened == 0,
-        .spent_by = a->check.following_bytes,
+        .following_bytes = a->check.following_bytes,
         .verdict = CP_MAY_HAVE_RUN,
         .outcome = CP_ATTEMPT_BROKEN,
         .reason = CP_REASON_SERVER_FAILED};
@@ -290,7 +287,7 @@
     else if (a->oversized) {
         out->reason = CP_REASON_ANSWER_TOO_LARGE;
     }
-    else if (CpEasy_CheckHead(code, a->head_ns > 0) != CURLE_OK) {
+    else if (code != CURLE_OK) {
         out->reason = a->status != 0 ? CP_REASON_ANSWER_TRUNCATED
                                      : CP_REASON_SERVER_FAILED;
     }
@@ -466,7 +463,7 @@
     CpProxyAttempt *a = &ex->attempt;
     if (strcasecmp(name, names->request_id) == 0) {
         a->id_matches = strcmp(value, ex->request.id) == 0;
-        a->mismatched |= !a->id_matches;
+        a->mismatched = !a->id_matches;
     }
     else if (strcasecmp(name, names->seal) == 0) {
         a->sealed = value[0] != '\0';
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -431,7 +431,8 @@
     if (a->streamed) {
         r = streamed_response(ex, a->content_length_bytes);
     }
-    else if (a->check.is_head && a->status != 204 && a->status != 304) {
+    else if (a->check.options.is_head && a->status != 204 &&
+             a->status != 304) {
         r = streamed_response(ex, a->check.has_length ? a->check.length_bytes
                                                       : MHD_SIZE_UNKNOWN);
     }
