host: a health response that ends with its connection counts

Cause: since probes are checked, a state counted only with a length or chunks; a server that reports in HTTP/1.0, or without a length, was no longer seen leaving. Ruled out: a cut response taken for one: the text must be whole as far as its end tells, without another head in it, and a reset is none. Change: the framing of a health response is not looked at beyond the check. Before / after: system/mixed, a server that leaves and reports until its connection ends: not noticed (from reading) / noticed; cut, joined, longer and wrong responses still say nothing.

--- a/src/host/host_health.c
+++ b/src/host/host_health.c
@@ -119,8 +119,7 @@
 {
     uint32_t status = p->response.check.status;
     bool leaving = strstr(p->response.body->str, "\"leaving\"") != NULL;
-    if (p->response.check.framing != CP_FRAMING_CLOSE &&
-        (status == 200 || (status == 503 && leaving))) {
+    if (status == 200 || (status == 503 && leaving)) {
         CpPool_SetDraining(n, p->server.name, CP_DRAIN_HEALTH, leaving);
     }
 }
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -68,6 +68,7 @@
     PROBE_JOINED,   /* cut inside the body, and a whole response */
     PROBE_LONGER,   /* bytes after the announced length */
     PROBE_ERROR,    /* status 500 */
+    PROBE_UNTIL,    /* whole, without a length, until the connection ends */
     PROBE_COUNT
 } ProbeMode;
 
@@ -138,7 +139,7 @@
 static const char *const probe_mode_names[PROBE_COUNT] = {
     [PROBE_OK] = "ok",         [PROBE_CUT_HEAD] = "cut-head",
     [PROBE_JOINED] = "joined", [PROBE_LONGER] = "longer",
-    [PROBE_ERROR] = "error",
+    [PROBE_ERROR] = "error",   [PROBE_UNTIL] = "until",
 };
 
 #define HEAD_WITH_ID "HTTP/1.1 200 OK\r\n" CP_HEADER_REQUEST_ID ": %s\r\n"
@@ -161,6 +162,7 @@
                      "{\"sta"
                      "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n%s",
     [PROBE_LONGER] = "HTTP/1.1 200 OK\r\nContent-Length: 19\r\n\r\n%s",
+    [PROBE_UNTIL] = "HTTP/1.0 200 OK\r\n\r\n%s",
 };
 
 static Server servers[MAX_SERVERS];
