http: a response that announces the end of its connection is not unframed

Cause: a head with Keep-Alive and no length was refused, also where its Connection header says close; old servers send both. Ruled out: leaving the rule out: a head that has lost its length promises to go on. Change: Connection: close goes before Keep-Alive. Before / after: http/response, HTTP/1.0 with both: refused, unframed / whole. The head without Connection: close is still refused.

--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -85,6 +85,7 @@
     bool head_received; /* of the final response */
     bool has_status;    /* the status line was received */
     bool promises_more; /* the connection is kept after the response */
+    bool announces_end; /* the connection ends with the response */
     bool has_length;
     bool is_chunked;
     uint32_t status;
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -157,7 +157,7 @@
 {
     c->status = 0;
     c->seen = 0;
-    c->has_status = c->promises_more = false;
+    c->has_status = c->promises_more = c->announces_end = false;
     c->has_length = c->is_chunked = false;
 }
 
@@ -237,6 +237,9 @@
     if (equals(name, name_bytes, "Keep-Alive")) {
         c->promises_more = true;
     }
+    else if (equals(name, name_bytes, "Connection")) {
+        c->announces_end |= equals(value, value_bytes, "close");
+    }
     else if (equals(name, name_bytes, "Transfer-Encoding")) {
         if (c->is_chunked || c->has_length ||
             !equals(value, value_bytes, "chunked")) {
@@ -276,10 +279,10 @@
     c->head_received = true;
     c->framing = c->options.is_head || c->status == 204 || c->status == 304
                      ? CP_FRAMING_EMPTY
-                 : c->is_chunked     ? CP_FRAMING_CHUNKS
-                 : c->has_length     ? CP_FRAMING_LENGTH
-                 : !c->promises_more ? CP_FRAMING_CLOSE
-                                     : CP_FRAMING_UNKNOWN;
+                 : c->is_chunked                         ? CP_FRAMING_CHUNKS
+                 : c->has_length                         ? CP_FRAMING_LENGTH
+                 : c->announces_end || !c->promises_more ? CP_FRAMING_CLOSE
+                                                         : CP_FRAMING_UNKNOWN;
     if (c->framing == CP_FRAMING_UNKNOWN && c->flaw == CP_FLAW_NONE) {
         c->flaw = CP_FLAW_UNFRAMED;
     }
