http: kinds pass on a response to HEAD without a length

Cause: a response without a length or chunks is refused, as its end would not show; one to HEAD has no body whose end could be missed. Ruled out: that the library waits for a body: it is told that none comes. Change: what the check says of the framing counts; to HEAD, and with 204 and 304, there is no body.

--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -572,8 +572,7 @@
 accept_head(Dispatch *d)
 {
     const CpResponseCheck *c = &d->check;
-    bool is_framed =
-        c->has_length || c->is_chunked || c->status == 204 || c->status == 304;
+    bool is_framed = c->framing != CP_FRAMING_CLOSE;
     d->mismatched |= !d->has_id && !d->not_run && !d->is_first;
     d->accepted = !d->mismatched && is_framed;
     d->head.status = c->status;
