regress: what an idle connection gets, and what a mixed head says of its server

Cause: the review took the watch of idle connections out, and the rule that a mixed head's load, leaving and pause are not used, and no script failed. Change: routes_spent has a second response 20 ms after the first, and routes_joined_head a part of a head that announces that the server leaves.

--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -29,6 +29,7 @@
 
 #include "standin.h"
 
+#define EXTRA_IDLE_MS 20   /* before the second response in MODE_EXTRA_IDLE */
 #define POLL_INTERVAL_MS 5 /* checks whether the client has disconnected */
 #define MAX_SERVERS 64
 #define DEAF_CONNECTIONS 4 /* more than a queue of length 0 takes */
@@ -48,6 +49,7 @@
     MODE_SILENT,   /* runs it and never responds */
     MODE_EXTRA,    /* runs it and sends a second response after the first */
     MODE_EXTRA_REFUSAL, /* as MODE_EXTRA, a refusal without an id */
+    MODE_EXTRA_IDLE,    /* as MODE_EXTRA, when the client has read the first */
     MODE_JUNK, /* runs it and sends bytes that are no response, without end */
     MODE_HEAD, /* runs it and sends a head without end */
     MODE_INTERIM, /* runs it and sends interim responses without end */
@@ -73,6 +75,7 @@
     MODE_JOIN_STATUS,  /* a success cut in its head, then a failure */
     MODE_JOIN_LENGTH,  /* cut in its head, then a shorter response */
     MODE_JOIN_ID,      /* of another request and cut, then the response */
+    MODE_JOIN_LEAVING, /* a part that announces that the server leaves */
     MODE_JOIN_BODY,    /* cut in its body, then the whole response */
     MODE_JOIN_END,     /* cut in a body without a length, then a response */
     MODE_SHORT_LENGTH, /* whole, of a body longer than its length */
@@ -101,6 +104,7 @@
     GString *body;
     int32_t fd;        /* the connection's socket */
     const char *extra; /* sent after the response; NULL: nothing */
+    uint64_t extra_delay_ms;
 } Request;
 
 /* A large response while it is sent. */
@@ -123,6 +127,7 @@
     [MODE_SILENT] = "silent",
     [MODE_EXTRA] = "extra",
     [MODE_EXTRA_REFUSAL] = "extra-refusal",
+    [MODE_EXTRA_IDLE] = "extra-idle",
     [MODE_JUNK] = "junk",
     [MODE_HEAD] = "head",
     [MODE_INTERIM] = "interim",
@@ -147,6 +152,7 @@
     [MODE_JOIN_STATUS] = "join-status",
     [MODE_JOIN_LENGTH] = "join-length",
     [MODE_JOIN_ID] = "join-id",
+    [MODE_JOIN_LEAVING] = "join-leaving",
     [MODE_JOIN_BODY] = "join-body",
     [MODE_JOIN_END] = "join-end",
     [MODE_SHORT_LENGTH] = "short-length",
@@ -195,6 +201,9 @@
     [MODE_JOIN_ID] = CUT_HEAD "Chestnutpaddle-Attempt-Id: another\r\n"
                               "X-Of: another\r\nKeep-Alive: 1" CUT_SEAL
                               "Content-Length: 5\r\n\r\nwhole",
+    [MODE_JOIN_LEAVING] =
+        CUT_HEAD "Server-Leaving: 1\r\nKeep-Alive: timeout=1" CUT_SEAL
+                 "Content-Length: 5\r\n\r\nwhole",
     [MODE_JOIN_BODY] = CUT_SEAL
     "Content-Length: 99\r\n\r\npart" CUT_SEAL "Content-Length: 99\r\n\r\n"
     "a body of some length, so that a part of it is needed to "
@@ -340,6 +349,7 @@
     (void)ctx, (void)conn, (void)code;
     if (q != NULL) {
         if (q->extra != NULL) {
+            CpStandin_Sleep_ms(q->extra_delay_ms);
             CpStandin_Send(q->fd, q->extra, strlen(q->extra));
         }
         g_string_free(q->body, TRUE);
@@ -566,9 +576,10 @@
     if (mode != MODE_UNSEALED) {
         MHD_add_response_header(r, "Chestnutpaddle-Response-Seal", seal);
     }
-    q->extra = mode == MODE_EXTRA           ? stale_response
-               : mode == MODE_EXTRA_REFUSAL ? stale_refusal
-                                            : NULL;
+    q->extra_delay_ms = mode == MODE_EXTRA_IDLE ? EXTRA_IDLE_MS : 0;
+    q->extra = mode == MODE_EXTRA || mode == MODE_EXTRA_IDLE ? stale_response
+               : mode == MODE_EXTRA_REFUSAL                  ? stale_refusal
+                                                             : NULL;
     enum MHD_Result ok = MHD_queue_response(conn, status, r);
     MHD_destroy_response(r);
     return ok;
