proxy: the local port tells idle connections of IPv6, too

Cause: the port was read for IPv4 alone; with 0 for all others, the descriptor told an idle connection, which may have become that of a caller (from reading). Ruled out: a number for each watch instead: the library opens and closes the connections, and tells no number. Change: the port of both families.

--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -292,15 +292,19 @@
     }
 }
 
-/* Returns 0 for what is no connection. */
+/* Returns 0 for what is no connection of IP. */
 static uint32_t
 local_port(int32_t fd)
 {
-    struct sockaddr_in sa = {0};
+    struct sockaddr_storage sa = {0};
     socklen_t n = sizeof(sa);
-    return getsockname(fd, (struct sockaddr *)&sa, &n) == 0 &&
-                   sa.sin_family == AF_INET
-               ? ntohs(sa.sin_port)
+    if (getsockname(fd, (struct sockaddr *)&sa, &n) != 0) {
+        return 0;
+    }
+    return sa.ss_family == AF_INET
+               ? ntohs(((const struct sockaddr_in *)&sa)->sin_port)
+           : sa.ss_family == AF_INET6
+               ? ntohs(((const struct sockaddr_in6 *)&sa)->sin6_port)
                : 0;
 }
 
@@ -315,7 +319,7 @@
     }
     ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == ENOTCONN)) {
-        return;
+        return; /* nothing came, or it is not connected any more */
     }
     if (n > 0) {
         CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
