standin: one relay, one caller

Cause: standin-stutter and standin-checker were written beside standin-fault and standin-callers, with copies of their listeners, options, threads and requests. Ruled out: one program for both relays: one passes bytes on as they come, the other waits for whole responses. Change: CpStandin_RunRelay(), _ConnectTarget(), _ParseOptions(), _RunCallers() and _SetRequest().

--- a/standin/standin_callers.c
+++ b/standin/standin_callers.c
@@ -17,8 +17,6 @@
 #include "standin.h"
 
 #define LOOKUP_TIMEOUT_MS 1000
-#define CONNECT_TIMEOUT_MS 1000
-#define REQUEST_TIMEOUT_MS 3000
 #define MAX_RESPONSE_BYTES 65536
 #define MAX_LOOKUPS 3 /* directories tried in a row */
 #define OBJECT_COUNT 40
@@ -40,7 +38,6 @@
 } Result;
 
 typedef struct {
-    pthread_t thread;
     uint32_t index;
     uint64_t random_state;
     CURL *easy;
@@ -109,27 +106,15 @@
 int
 main(int argc, char **argv)
 {
-    GError *error = NULL;
-    GOptionContext *options_context = g_option_context_new("");
-    g_option_context_add_main_entries(options_context, options, NULL);
-    if (!g_option_context_parse(options_context, &argc, &argv, &error) ||
-        directories == NULL) {
-        fprintf(stderr, "standin-callers: %s\n",
-                error != NULL ? error->message : "no directory address");
-        return 2;
-    }
-    curl_global_init(CURL_GLOBAL_DEFAULT);
+    CpStandin_ParseOptions(argc, argv, options, &directories);
     Caller *callers = CpMem_Alloc((size_t)thread_count * sizeof(*callers));
     for (uint32_t i = 0; i < (uint32_t)thread_count; i++) {
         callers[i].index = i;
         callers[i].random_state = (uint64_t)seed * 1000 + i;
-        pthread_create(&callers[i].thread, NULL, run_caller, &callers[i]);
-    }
-    for (uint32_t i = 0; i < (uint32_t)thread_count; i++) {
-        pthread_join(callers[i].thread, NULL);
     }
+    CpStandin_RunCallers(run_caller, callers, sizeof(*callers),
+                         (uint32_t)thread_count);
     free(callers);
-    g_option_context_free(options_context);
     return 0;
 }
 
@@ -182,9 +167,9 @@
         if (!may_retry) {
             return;
         }
-        uint32_t wait_ms = a.retry_after_ms < REQUEST_TIMEOUT_MS / 3
+        uint32_t wait_ms = a.retry_after_ms < CP_STANDIN_TIMEOUT_MS / 3
                                ? a.retry_after_ms
-                               : REQUEST_TIMEOUT_MS / 3;
+                               : CP_STANDIN_TIMEOUT_MS / 3;
         CpStandin_Sleep_ms(wait_ms);
     }
 }
@@ -192,28 +177,13 @@
 static Result
 send_attempt(Caller *c, Attempt *a)
 {
-    char line[LINE_BYTES], url[2 * LINE_BYTES];
-    struct curl_slist *headers = NULL;
+    char url[2 * LINE_BYTES];
     GString *body = g_string_new(NULL);
     long status = 0;
     int64_t start_ns = CpClock_Now_ns();
-    curl_easy_reset(c->easy); /* keeps the connection open */
     snprintf(url, sizeof(url), "http://%s%s", c->host_address, a->path);
-    CpEasy_SetDefaults(c->easy, url, REQUEST_TIMEOUT_MS);
-    headers = curl_slist_append(headers, "Host: a.example");
-    headers = curl_slist_append(headers, "Expect:");
-    snprintf(line, sizeof(line), "Chestnutpaddle-Attempt-Id: %s", a->id);
-    headers = curl_slist_append(headers, line);
-    snprintf(line, sizeof(line), "Chestnutpaddle-Timeout-Ms: %d",
-             REQUEST_TIMEOUT_MS);
-    headers = curl_slist_append(headers, line);
-    snprintf(line, sizeof(line), "Cookie: Chestnutpaddle-Affinity-Key=%u",
-             a->object);
-    headers = curl_slist_append(headers, line);
-    curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)CONNECT_TIMEOUT_MS);
-    CpEasy_SendOnce(c->easy, &a->sent);
+    struct curl_slist *headers =
+        CpStandin_SetRequest(c->easy, url, a->id, a->object, &a->sent);
     if (a->pay) {
         curl_easy_setopt(c->easy, CURLOPT_POSTFIELDS, a->id);
     }
--- a/standin/standin_checker.c
+++ b/standin/standin_checker.c
@@ -17,8 +17,6 @@
 #include "http/easy.h"
 #include "standin.h"
 
-#define REQUEST_TIMEOUT_MS 3000
-#define CONNECT_TIMEOUT_MS 1000
 #define MAX_RESPONSE_BYTES (1024 * 1024)
 #define PAY_PERCENT 30
 #define SMALL_BYTES 16000 /* less than hosts stream */
@@ -53,7 +51,6 @@
 } Wrong;
 
 typedef struct {
-    pthread_t thread;
     uint32_t index;
     uint64_t drawn;
     const char *host_address;
@@ -135,27 +132,15 @@
 int
 main(int argc, char **argv)
 {
-    GError *error = NULL;
-    GOptionContext *options_context = g_option_context_new("");
-    g_option_context_add_main_entries(options_context, options, NULL);
-    if (!g_option_context_parse(options_context, &argc, &argv, &error) ||
-        hosts == NULL) {
-        fprintf(stderr, "standin-checker: %s\n",
-                error != NULL ? error->message : "no host address");
-        return 2;
-    }
-    curl_global_init(CURL_GLOBAL_DEFAULT);
+    CpStandin_ParseOptions(argc, argv, options, &hosts);
     Caller *callers = CpMem_Alloc((size_t)thread_count * sizeof(*callers));
     for (uint32_t i = 0; i < (uint32_t)thread_count; i++) {
         callers[i].index = i;
         callers[i].host_address = hosts[i % g_strv_length(hosts)];
-        pthread_create(&callers[i].thread, NULL, run_caller, &callers[i]);
-    }
-    for (uint32_t i = 0; i < (uint32_t)thread_count; i++) {
-        pthread_join(callers[i].thread, NULL);
     }
+    CpStandin_RunCallers(run_caller, callers, sizeof(*callers),
+                         (uint32_t)thread_count);
     free(callers);
-    g_option_context_free(options_context);
     return 0;
 }
 
@@ -212,33 +197,15 @@
 static void
 send_request(Caller *c, Request *q)
 {
-    char line[LINE_BYTES], url[2 * LINE_BYTES];
-    struct curl_slist *headers = NULL;
+    char url[2 * LINE_BYTES];
     long status = 0;
     int64_t start_ns = CpClock_Now_ns();
-    curl_easy_reset(c->easy); /* keeps the connection open */
     snprintf(url, sizeof(url), "http://%s%s?framing=%s&bytes=%llu",
              c->host_address, q->path, q->framing,
              (unsigned long long)q->body_bytes);
-    CpEasy_SetDefaults(c->easy, url, REQUEST_TIMEOUT_MS);
-    headers = curl_slist_append(headers, "Host: a.example");
-    headers = curl_slist_append(headers, "Expect:");
-    snprintf(line, sizeof(line), "Chestnutpaddle-Attempt-Id: %s", q->id);
-    headers = curl_slist_append(headers, line);
-    snprintf(line, sizeof(line), "Chestnutpaddle-Timeout-Ms: %d",
-             REQUEST_TIMEOUT_MS);
-    headers = curl_slist_append(headers, line);
-    snprintf(line, sizeof(line), "Cookie: Chestnutpaddle-Affinity-Key=%llu",
-             (unsigned long long)draw(c, OBJECT_COUNT));
-    headers = curl_slist_append(headers, line);
-    curl_easy_setopt(c->easy, CURLOPT_HTTPHEADER, headers);
-    curl_easy_setopt(c->easy, CURLOPT_CONNECTTIMEOUT_MS,
-                     (long)CONNECT_TIMEOUT_MS);
-    CpEasy_SendOnce(c->easy, &q->sent);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
-    curl_easy_setopt(c->easy, CURLOPT_HEADERDATA, q);
-    curl_easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
-    curl_easy_setopt(c->easy, CURLOPT_WRITEDATA, q);
+    struct curl_slist *headers = CpStandin_SetRequest(
+        c->easy, url, q->id, draw(c, OBJECT_COUNT), &q->sent);
+    CpEasy_SetReceivers(c->easy, on_header, on_body, q);
     curl_easy_setopt(c->easy, CURLOPT_DEBUGFUNCTION, on_debug);
     curl_easy_setopt(c->easy, CURLOPT_DEBUGDATA, q);
     curl_easy_setopt(c->easy, CURLOPT_VERBOSE, 1L);
--- a/standin/standin_fault.c
+++ b/standin/standin_fault.c
@@ -17,7 +17,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -48,12 +47,6 @@
     MODE_COUNT
 } Mode;
 
-typedef struct {
-    char listen[CP_ADDR_BYTES];
-    char target[CP_ADDR_BYTES];
-    int32_t fd; /* listening socket */
-} Route;
-
 typedef struct {
     char route[CP_ADDR_BYTES];     /* listen address; "" for all */
     char source_ip[CP_ADDR_BYTES]; /* "" for all */
@@ -77,7 +70,7 @@
 
 /* A proxied connection; its thread alone uses it. */
 typedef struct {
-    const Route *route;
+    const CpStandinRoute *route;
     char source_ip[CP_ADDR_BYTES];
     int32_t client_fd;
     int32_t target_fd;
@@ -110,8 +103,8 @@
 /* One-way latencies [from][to]. Not locked: set before the load starts. */
 static uint64_t latencies_us[OCTET_COUNT][OCTET_COUNT];
 
-static void *accept_thread(void *ctx);
-static void *connection_thread(void *ctx);
+static void relay(const CpStandinRoute *route, int32_t client_fd,
+                  const struct sockaddr_in *client);
 static bool forward_chunk(Connection *c, bool is_response);
 static void enqueue(Connection *c, bool is_response, const char *data,
                     size_t n, uint64_t delay_us);
@@ -123,7 +116,6 @@
 static void record_traffic(const Connection *c, bool is_response, size_t n);
 static uint32_t third_octet(const char *address);
 static enum MHD_Result respond_meters(struct MHD_Connection *conn);
-static void open_route(Route *r, const char *spec);
 static enum MHD_Result on_control(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
@@ -132,87 +124,27 @@
 int
 main(int argc, char **argv)
 {
-    if (argc < 3) {
-        fprintf(stderr, "usage: standin-fault CONTROL LISTEN=TARGET ...\n");
-        return 2;
-    }
-    CpStandin_BlockSignals();
-    struct MHD_Daemon *daemon =
-        CpStandin_Listen(argv[1], on_control, NULL, NULL);
-    Route *routes = CpMem_Alloc((size_t)argc * sizeof(*routes));
-    for (int i = 2; i < argc; i++) {
-        pthread_t thread;
-        open_route(&routes[i], argv[i]);
-        pthread_create(&thread, NULL, accept_thread, &routes[i]);
-        pthread_detach(thread);
-    }
-    CpStandin_WaitForStop();
-    MHD_stop_daemon(daemon);
-    return 0;
-}
-
-static void
-open_route(Route *r, const char *spec)
-{
-    char **fields = g_strsplit(spec, "=", 2);
-    CpStr_Copy(r->listen, sizeof(r->listen), fields[0]);
-    CpStr_Copy(r->target, sizeof(r->target), fields[1] ? fields[1] : "");
-    g_strfreev(fields);
-    r->fd = CpStandin_OpenSocket(r->listen);
-}
-
-static void *
-accept_thread(void *ctx)
-{
-    const Route *r = ctx;
-    for (;;) {
-        struct sockaddr_in client;
-        socklen_t client_bytes = sizeof(client);
-        pthread_t thread;
-        int32_t fd = accept(r->fd, (struct sockaddr *)&client, &client_bytes);
-        if (fd < 0) {
-            return NULL;
-        }
-        Connection *c = CpMem_Alloc(sizeof(*c));
-        c->route = r;
-        c->client_fd = fd;
-        inet_ntop(AF_INET, &client.sin_addr, c->source_ip,
-                  sizeof(c->source_ip));
-        if (pthread_create(&thread, NULL, connection_thread, c) != 0) {
-            close(fd);
-            free(c);
-            continue;
-        }
-        pthread_detach(thread);
-    }
+    return CpStandin_RunRelay(argc, argv, on_control, relay);
 }
 
 /* Forwards a connection until either side closes it or a rule ends it; then
  * resets both sides. */
-static void *
-connection_thread(void *ctx)
+static void
+relay(const CpStandinRoute *route, int32_t client_fd,
+      const struct sockaddr_in *client)
 {
-    Connection *c = ctx;
-    struct sockaddr_storage sockaddr;
-    struct sockaddr_in source = {.sin_family = AF_INET};
-    int32_t enabled = 1;
-    bool ok = true;
+    Connection *c = CpMem_Alloc(sizeof(*c));
+    bool ok = false;
+    c->route = route;
+    c->client_fd = client_fd;
+    inet_ntop(AF_INET, &client->sin_addr, c->source_ip, sizeof(c->source_ip));
     while (find_rule(c).mode == MODE_CUT || find_rule(c).mode == MODE_HOLD) {
         CpStandin_Sleep_ms(POLL_INTERVAL_MS);
     }
-    uint32_t sockaddr_bytes = CpAddress_Parse(c->route->target, &sockaddr);
-    c->target_fd = socket(AF_INET, SOCK_STREAM, 0);
-    inet_pton(AF_INET, c->source_ip, &source.sin_addr);
-    bind(c->target_fd, (struct sockaddr *)&source, sizeof(source));
-    if (find_rule(c).mode == MODE_RESET ||
-        connect(c->target_fd, (struct sockaddr *)&sockaddr, sockaddr_bytes) !=
-            0) {
-        ok = false;
+    c->target_fd = -1;
+    if (find_rule(c).mode != MODE_RESET) {
+        c->target_fd = CpStandin_ConnectTarget(route, client_fd, client, &ok);
     }
-    setsockopt(c->client_fd, IPPROTO_TCP, TCP_NODELAY, &enabled,
-               sizeof(enabled));
-    setsockopt(c->target_fd, IPPROTO_TCP, TCP_NODELAY, &enabled,
-               sizeof(enabled));
     while (ok) {
         struct pollfd p[2] = {{.fd = c->client_fd, .events = POLLIN},
                               {.fd = c->target_fd, .events = POLLIN}};
@@ -243,7 +175,9 @@
         }
     }
     CpStandin_CloseWithReset(c->client_fd);
-    CpStandin_CloseWithReset(c->target_fd);
+    if (c->target_fd >= 0) {
+        CpStandin_CloseWithReset(c->target_fd);
+    }
     for (uint32_t i = 0; i < 2; i++) {
         while (c->queues[i].first != NULL) {
             Chunk *chunk = c->queues[i].first;
@@ -252,7 +186,6 @@
         }
     }
     free(c);
-    return NULL;
 }
 
 static void
--- a/standin/standin_stutter.c
+++ b/standin/standin_stutter.c
@@ -15,7 +15,6 @@
 #include <errno.h>
 #include <glib.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -61,12 +60,6 @@
     LATE_COUNT
 } LateTime;
 
-typedef struct {
-    char listen[CP_ADDR_BYTES];
-    char target[CP_ADDR_BYTES];
-    int32_t fd; /* listening socket */
-} Route;
-
 typedef struct {
     const char *name;
     const GString *text;
@@ -90,7 +83,6 @@
 
 /* A relayed connection; its thread alone uses it. */
 typedef struct {
-    const Route *route;
     uint64_t number;
     uint64_t response_count;
     int32_t client_fd, server_fd;
@@ -125,11 +117,9 @@
 static GHashTable *responded;  /* request id -> responses */
 static GString *last_response; /* with an id, on any connection */
 
-static void open_route(Route *r, const char *spec);
-static void *accept_thread(void *ctx);
-static void *connection_thread(void *ctx);
-static bool connect_to_target(Connection *c);
-static bool relay(Connection *c);
+static void relay(const CpStandinRoute *route, int32_t client_fd,
+                  const struct sockaddr_in *client);
+static bool wait_for_event(Connection *c);
 static int64_t next_wait_ns(const Connection *c, int64_t now_ns);
 static bool on_request(Connection *c);
 static bool on_response(Connection *c);
@@ -161,105 +151,46 @@
 int
 main(int argc, char **argv)
 {
-    if (argc < 3) {
-        fprintf(stderr, "usage: standin-stutter CONTROL LISTEN=TARGET ...\n");
-        return 2;
-    }
-    CpStandin_BlockSignals();
     responded = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     last_response = g_string_new(NULL);
-    struct MHD_Daemon *daemon =
-        CpStandin_Listen(argv[1], on_control, NULL, NULL);
-    Route *routes = CpMem_Alloc((size_t)argc * sizeof(*routes));
-    for (int i = 2; i < argc; i++) {
-        pthread_t thread;
-        open_route(&routes[i], argv[i]);
-        pthread_create(&thread, NULL, accept_thread, &routes[i]);
-        pthread_detach(thread);
-    }
-    CpStandin_WaitForStop();
-    MHD_stop_daemon(daemon);
-    return 0;
+    return CpStandin_RunRelay(argc, argv, on_control, relay);
 }
 
 static void
-open_route(Route *r, const char *spec)
-{
-    char **fields = g_strsplit(spec, "=", 2);
-    CpStr_Copy(r->listen, sizeof(r->listen), fields[0]);
-    CpStr_Copy(r->target, sizeof(r->target), fields[1] ? fields[1] : "");
-    g_strfreev(fields);
-    r->fd = CpStandin_OpenSocket(r->listen);
-}
-
-static void *
-accept_thread(void *ctx)
+relay(const CpStandinRoute *route, int32_t client_fd,
+      const struct sockaddr_in *client)
 {
-    const Route *r = ctx;
-    int32_t fd;
-    while ((fd = accept(r->fd, NULL, NULL)) >= 0) {
-        pthread_t thread;
-        Connection *c = CpMem_Alloc(sizeof(*c));
-        c->route = r;
-        c->client_fd = fd;
-        c->request = g_string_new(NULL);
-        c->response = g_string_new(NULL);
-        c->earlier = g_string_new(NULL);
-        c->late = g_string_new(NULL);
-        pthread_mutex_lock(&lock);
-        c->number = ++connection_count;
-        pthread_mutex_unlock(&lock);
-        if (pthread_create(&thread, NULL, connection_thread, c) != 0) {
-            fprintf(stderr, "standin-stutter: no thread\n");
-            exit(2);
-        }
-        pthread_detach(thread);
-    }
-    return NULL;
-}
-
-static void *
-connection_thread(void *ctx)
-{
-    Connection *c = ctx;
-    bool ok = connect_to_target(c);
+    Connection c = {.client_fd = client_fd,
+                    .request = g_string_new(NULL),
+                    .response = g_string_new(NULL),
+                    .earlier = g_string_new(NULL),
+                    .late = g_string_new(NULL)};
+    bool ok;
+    (void)client;
+    pthread_mutex_lock(&lock);
+    c.number = ++connection_count;
+    pthread_mutex_unlock(&lock);
+    c.server_fd = CpStandin_ConnectTarget(route, client_fd, NULL, &ok);
+    c.received_ns = CpClock_Now_ns();
     while (ok) {
-        ok = relay(c);
+        ok = wait_for_event(&c);
     }
-    if (c->reset) {
-        CpStandin_CloseWithReset(c->client_fd);
+    if (c.reset) {
+        CpStandin_CloseWithReset(client_fd);
     }
     else {
-        close(c->client_fd);
-    }
-    close(c->server_fd);
-    g_string_free(c->request, TRUE);
-    g_string_free(c->response, TRUE);
-    g_string_free(c->earlier, TRUE);
-    g_string_free(c->late, TRUE);
-    free(c);
-    return NULL;
-}
-
-static bool
-connect_to_target(Connection *c)
-{
-    struct sockaddr_storage sockaddr;
-    int32_t enabled = 1;
-    uint32_t sockaddr_bytes = CpAddress_Parse(c->route->target, &sockaddr);
-    c->server_fd = socket(AF_INET, SOCK_STREAM, 0);
-    setsockopt(c->client_fd, IPPROTO_TCP, TCP_NODELAY, &enabled,
-               sizeof(enabled));
-    setsockopt(c->server_fd, IPPROTO_TCP, TCP_NODELAY, &enabled,
-               sizeof(enabled));
-    c->received_ns = CpClock_Now_ns();
-    return connect(c->server_fd, (struct sockaddr *)&sockaddr,
-                   sockaddr_bytes) == 0;
+        close(client_fd);
+    }
+    close(c.server_fd);
+    g_string_free(c.request, TRUE);
+    g_string_free(c.response, TRUE);
+    g_string_free(c.earlier, TRUE);
+    g_string_free(c.late, TRUE);
 }
 
 /* Waits for the next event of a connection; returns false if it has to end. */
 static bool
-relay(Connection *c)
+wait_for_event(Connection *c)
 {
     struct pollfd p[2] = {
         {.fd = c->client_fd, .events = POLLIN},
