http, host: a status over 599 belongs to no response

Cause: the check of a response accepted each status of three digits from 100 on. A server that sent 600 or 999 had its response passed on to the caller, for both ways to serve; 000 was refused already. A host takes the status of a response that another host passes on as it is. Ruled out: the store and the pages of other hosts take the same check (CpEasy_Perform), so that no further place reads a status. Change: a status is one of 100 to 599; a head of another host with any other than 200 to 599 is a response that broke off. Stand-ins send 000, 600 and 999. The head frame of an older host is checked, but not played.

--- a/src/host/host_stream.c
+++ b/src/host/host_stream.c
@@ -9,9 +9,13 @@
 #include "host/host_int.h"
 
 #define CREDIT_STEP_BYTES (CP_PIPE_CAPACITY_BYTES / 4)
+#define MIN_FINAL_STATUS 200
+#define MAX_FINAL_STATUS 599
 #define DEADLINE_MARGIN_MS 3 /* for the receiver's verdict to return */
 
 static void on_request(CpNode *n, CpSession *s, const CpFrame *f);
+static void fail_outgoing(CpNode *n, CpSession *s, uint64_t id,
+                          CpVerdict verdict, CpReason reason);
 static void on_head(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_end(CpNode *n, CpSession *s, const CpFrame *f);
 static void on_data(CpNode *n, CpSession *s, const CpFrame *f);
@@ -224,21 +228,33 @@
     }
 }
 
+static void
+fail_outgoing(CpNode *n, CpSession *s, uint64_t id, CpVerdict verdict,
+              CpReason reason)
+{
+    CpStream *st = remove_stream(n, s, id);
+    if (st == NULL) {
+        CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
+        return;
+    }
+    end_outgoing(st, verdict, reason);
+}
+
 static void
 on_head(CpNode *n, CpSession *s, const CpFrame *f)
 {
     const CpHeadFrame *h = &f->head;
     if (h->reason != CP_REASON_NONE) {
-        CpStream *st = remove_stream(n, s, h->id);
-        if (st == NULL) {
-            CpCounter_Add(CP_COUNT_LATE_FRAMES, 1);
-            return;
-        }
-        end_outgoing(st,
-                     h->verdict < CP_VERDICT_COUNT ? (CpVerdict)h->verdict
-                                                   : CP_MAY_HAVE_RUN,
-                     h->reason < CP_REASON_COUNT ? (CpReason)h->reason
-                                                 : CP_REASON_SERVER_FAILED);
+        fail_outgoing(n, s, h->id,
+                      h->verdict < CP_VERDICT_COUNT ? (CpVerdict)h->verdict
+                                                    : CP_MAY_HAVE_RUN,
+                      h->reason < CP_REASON_COUNT ? (CpReason)h->reason
+                                                  : CP_REASON_SERVER_FAILED);
+        return;
+    }
+    /* A host of an earlier version passes on a status that is none. */
+    if (h->status < MIN_FINAL_STATUS || h->status > MAX_FINAL_STATUS) {
+        fail_outgoing(n, s, h->id, CP_MAY_HAVE_RUN, CP_REASON_SERVER_FAILED);
         return;
     }
     CpStream *st = find_stream(n, s, h->id);
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -16,6 +16,8 @@
 #define LAST_CHUNK "0\r\n\r\n"
 #define STATUS_BYTES 12 /* "HTTP/1.1 200" */
 #define MAX_LENGTH_DIGITS 18
+#define MIN_STATUS 100
+#define MAX_STATUS 599
 
 static void begin_head(CpResponseCheck *c);
 static bool is_status(const char *text, size_t n);
@@ -196,7 +198,7 @@
     c->has_status = true;
     c->status = (uint32_t)((line[9] - '0') * 100 + (line[10] - '0') * 10 +
                            line[11] - '0');
-    return c->status >= 100;
+    return c->status >= MIN_STATUS && c->status <= MAX_STATUS;
 }
 
 static bool
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -79,9 +79,12 @@
     MODE_JOIN_BODY,    /* cut in its body, then the whole response */
     MODE_JOIN_END,     /* cut in a body without a length, then a response */
     MODE_SHORT_LENGTH, /* whole, of a body longer than its length */
-    MODE_UNFRAMED, /* without a length, on a connection that is to be kept */
-    MODE_COPY,     /* whole, and once more */
-    MODE_HOP,      /* after the response, with headers of its connection */
+    MODE_UNFRAMED,   /* without a length, on a connection that is to be kept */
+    MODE_COPY,       /* whole, and once more */
+    MODE_HOP,        /* after the response, with headers of its connection */
+    MODE_STATUS_000, /* whole, with a status that is none */
+    MODE_STATUS_600,
+    MODE_STATUS_999,
     MODE_COUNT
 } Mode;
 
@@ -158,11 +161,17 @@
     [MODE_SHORT_LENGTH] = "short-length",
     [MODE_UNFRAMED] = "unframed",
     [MODE_COPY] = "copy",
+    [MODE_STATUS_000] = "status-000",
+    [MODE_STATUS_600] = "status-600",
+    [MODE_STATUS_999] = "status-999",
 };
 
 #define CUT_HEAD "HTTP/1.1 200 OK\r\n"
 #define CUT_ID CUT_HEAD "Chestnutpaddle-Attempt-Id: %1$s\r\n"
 #define CUT_SEAL CUT_ID "Chestnutpaddle-Response-Seal: %2$s\r\n"
+#define WITH_STATUS(status)                                                   \
+    "HTTP/1.1 " status " Odd\r\nChestnutpaddle-Attempt-Id: %1$s\r\n"          \
+    "Chestnutpaddle-Response-Seal: %2$s\r\nContent-Length: 5\r\n\r\nwhole"
 /* What is sent in the modes that send a text: formats for the response's id
  * and its seal. */
 static const char *const raw_responses[MODE_COUNT] = {
@@ -216,6 +225,9 @@
     [MODE_UNFRAMED] = CUT_SEAL "Keep-Alive: timeout=10\r\n\r\nwhole",
     [MODE_COPY] = CUT_SEAL "Content-Length: 5\r\n\r\nwhole" CUT_SEAL
                            "Content-Length: 5\r\n\r\nwhole",
+    [MODE_STATUS_000] = WITH_STATUS("000"),
+    [MODE_STATUS_600] = WITH_STATUS("600"),
+    [MODE_STATUS_999] = WITH_STATUS("999"),
 };
 
 static const char stale_response[] =
--- a/standin/standin_server.c
+++ b/standin/standin_server.c
@@ -46,6 +46,9 @@
     MODE_CUT_LENGTH,  /* the head up to the length */
     MODE_CUT_REFUSAL, /* the head of a refusal, without its end */
     MODE_TRAILER,     /* a response of another server's id in its trailer */
+    MODE_STATUS_000,  /* whole, with a status that is none */
+    MODE_STATUS_600,
+    MODE_STATUS_999,
     /* The rest send a part of a response and a whole one on one connection. */
     MODE_JOIN_VALUE,    /* cut inside a value of the head */
     MODE_JOIN_ID,       /* the same, of another request's response */
@@ -122,6 +125,9 @@
     [MODE_CUT_LENGTH] = "cut-length",
     [MODE_CUT_REFUSAL] = "cut-refusal",
     [MODE_TRAILER] = "trailer",
+    [MODE_STATUS_000] = "status-000",
+    [MODE_STATUS_600] = "status-600",
+    [MODE_STATUS_999] = "status-999",
     [MODE_JOIN_VALUE] = "join-value",
     [MODE_JOIN_ID] = "join-id",
     [MODE_JOIN_DIGITS] = "join-digits",
@@ -142,6 +148,9 @@
     [PROBE_ERROR] = "error",   [PROBE_UNTIL] = "until",
 };
 
+#define WITH_STATUS(status)                                                   \
+    "HTTP/1.1 " status " Odd\r\n" CP_HEADER_REQUEST_ID                        \
+    ": %s\r\nContent-Length: 5\r\n\r\nwhole"
 #define HEAD_WITH_ID "HTTP/1.1 200 OK\r\n" CP_HEADER_REQUEST_ID ": %s\r\n"
 /* What is sent in the modes that send a text: formats for the request's id. */
 static const char *const raw_responses[MODE_COUNT] = {
@@ -153,6 +162,9 @@
     [MODE_TRAILER] = HEAD_WITH_ID "Transfer-Encoding: chunked\r\n\r\n"
                                   "5\r\nwhole\r\n0\r\n" CP_HEADER_REQUEST_ID
                                   ": another\r\n\r\n",
+    [MODE_STATUS_000] = WITH_STATUS("000"),
+    [MODE_STATUS_600] = WITH_STATUS("600"),
+    [MODE_STATUS_999] = WITH_STATUS("999"),
 };
 
 /* Responses of /health that are sent as a text: formats for the state. */
