org, platform: organisations and their keys are part of the configuration

Cause: the operator's configuration may have organisations with keys, limits and home regions, and routes that need no key. None of it was decoded. Ruled out: an error for the whole configuration on bad input, as routes have it: one organisation would stop the others. A left-out organisation does not claim its keys; one whose limits or regions cannot be read is left out rather than served without them. CpRoutes.orgs, CpRoute.is_public. Conclusion: tables are built; requests do not use them yet.

--- a/regress/drive_platform.c
+++ b/regress/drive_platform.c
@@ -10,12 +10,19 @@
 
 static void run_line(void *ctx, char *line);
 static void show_routes(FILE *out, const char *text);
+static void find_keys(FILE *out, char *keys);
+static void show_orgs(FILE *out, const CpOrgTable *t);
 static void show_server(FILE *out, const char *instance, const char *text);
 
+/* of the last valid configuration; NULL: none */
+static CpRoutes *last_routes;
+
 void
 CpDrive_Platform(FILE *in, FILE *out)
 {
     CpScript_Run(in, run_line, out);
+    CpRoutes_Release(last_routes);
+    last_routes = NULL;
 }
 
 static void
@@ -31,6 +38,9 @@
     if (strcmp(line, "routes") == 0) {
         show_routes(out, args);
     }
+    else if (strcmp(line, "find") == 0) {
+        find_keys(out, args);
+    }
     else if (strcmp(line, "server") == 0) {
         char *text = strchr(args, ' ');
         *text++ = '\0';
@@ -64,8 +74,10 @@
 static void
 show_routes(FILE *out, const char *text)
 {
+    static const char *const names[] = {"north", "south"};
+    CpOrgRegions regions = {.names = names, .count = 2};
     CpRoutes *r;
-    if (CpPlatform_DecodeRoutes(text, strlen(text), &r) != CP_OK) {
+    if (CpPlatform_DecodeRoutes(text, strlen(text), &regions, &r) != CP_OK) {
         fprintf(out, "unusable: %s\n", CpError_Message());
         return;
     }
@@ -78,8 +90,12 @@
                 route->idempotent     ? "idempotent"
                 : route->type_unknown ? "once, type unknown,"
                                       : "once",
-                route->affinity ? " affinity" : "", route->timeout_ms,
-                route->goal_ms, route->rank, route->max_attempts);
+                route->is_public && route->affinity ? " affinity public"
+                : route->is_public                  ? " public"
+                : route->affinity                   ? " affinity"
+                                                    : "",
+                route->timeout_ms, route->goal_ms, route->rank,
+                route->max_attempts);
         for (uint32_t k = 0; k < route->split_count; k++) {
             fprintf(out, " %s=%u", route->splits[k].service,
                     route->splits[k].weight);
@@ -89,13 +105,53 @@
         }
         fprintf(out, "\n");
     }
+    if (r->orgs != NULL) {
+        show_orgs(out, r->orgs);
+    }
     for (uint32_t i = 0; i < r->service_count; i++) {
         const CpService *service = &r->services[i];
         fprintf(out, " %s: %u connections, cold %u ms, %u/1000 a second\n",
                 service->name, service->max_connections, service->warmup_ms,
                 service->warmup_per_s_milli);
     }
-    CpRoutes_Release(r);
+    CpRoutes_Release(last_routes);
+    last_routes = r;
+}
+
+static void
+find_keys(FILE *out, char *keys)
+{
+    char *rest = keys;
+    for (char *key; (key = strtok_r(rest, " ", &rest)) != NULL;) {
+        const CpOrg *org =
+            CpOrgTable_FindByKey(last_routes->orgs, key, strlen(key));
+        fprintf(out, "%s: %s\n", key, org != NULL ? org->name : "unknown");
+    }
+}
+
+static void
+show_orgs(FILE *out, const CpOrgTable *t)
+{
+    fprintf(out, " organisations %u, keys %u\n", CpOrgTable_Count(t),
+            CpOrgTable_CountKeys(t));
+    for (uint32_t i = 0; i < CpOrgTable_Count(t); i++) {
+        const CpOrg *org = CpOrgTable_Get(t, i);
+        fprintf(out, "  %s: rate %u/1000, burst %u", org->name,
+                org->rate_milli, org->burst);
+        if (org->has_rank) {
+            fprintf(out, ", rank %u", org->rank);
+        }
+        for (uint32_t k = 0; k < org->home_region_count; k++) {
+            fprintf(out, ", in %s", org->home_regions[k]);
+        }
+        fprintf(out, "\n");
+    }
+    for (uint32_t i = 0; i < CpOrgTable_CountProblems(t); i++) {
+        const CpOrgProblem *p = CpOrgTable_GetProblem(t, i);
+        fprintf(out, "  problem %s of %u \"%s\" %s, %u\n",
+                CpOrgFlaw_Name(p->flaw), p->position, p->org, p->other,
+                p->count);
+    }
 }
 
 static void
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -48,6 +48,8 @@
                                   "Configuration versions put in force"},
     [CP_COUNT_CONFIG_REJECTED] = {"config_rejected",
                                   "Configurations that failed their checks"},
+    [CP_COUNT_ORG_PROBLEMS] = {"org_problems",
+                               "Flaws of organisations in new configurations"},
     [CP_COUNT_ROUTE_TYPES_UNKNOWN] = {"route_types_unknown",
                                       "Routes of an unknown type accepted"},
     [CP_COUNT_SERVER_ENTRIES_UNUSABLE] =
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -28,7 +28,7 @@
     CpEntryRowType (*classify_operator_row)(const char *key,
                                             char domain[CP_NAME_BYTES]);
     CpStatus (*decode_routes)(const char *text, size_t text_bytes,
-                              CpRoutes **out);
+                              const CpOrgRegions *regions, CpRoutes **out);
     CpStatus (*decode_server)(const char *instance, const char *text,
                               size_t text_bytes, CpServerEntry *out);
     char *(*encode_directory)(const char *const *addresses, uint32_t count,
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -1,9 +1,14 @@
 /* Applies the rows of the followed tables to the state of this host. */
+#include <stdlib.h>
+
 #include "entry/entry_int.h"
 
 static void on_operator_row(CpEntry *e, const CpFeedRow *row);
 static void apply_routes(CpEntry *e, const CpFeedRow *row);
+static CpStatus decode_routes(CpEntry *e, const CpFeedRow *row,
+                              CpRoutes **out);
 static void log_unknown_types(const CpRoutes *r);
+static void log_org_problems(const CpRoutes *r);
 static void on_server_row(CpEntryFollower *f, const CpFeedRow *row);
 
 void
@@ -67,8 +72,7 @@
 apply_routes(CpEntry *e, const CpFeedRow *row)
 {
     CpRoutes *next;
-    if (e->adapter.decode_routes(row->value, row->value_bytes, &next) !=
-        CP_OK) {
+    if (decode_routes(e, row, &next) != CP_OK) {
         CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
         CpEvent(CP_EVENT_STATE, "routes_rejected", "s:I,s:s", "row_version",
                 (json_int_t)row->version, "error", CpError_Message());
@@ -103,10 +107,26 @@
             "routes", (int)next->route_count, "services",
             (int)next->service_count);
     log_unknown_types(next);
+    log_org_problems(next);
     CpRoutes_Release(old);
     CpRoutes_Release(next);
 }
 
+static CpStatus
+decode_routes(CpEntry *e, const CpFeedRow *row, CpRoutes **out)
+{
+    uint32_t n = e->settings.domain_count;
+    const char **names = CpMem_Alloc((n + 1) * sizeof(*names));
+    for (uint32_t i = 0; i < n; i++) {
+        names[i] = e->settings.domains[i].region;
+    }
+    CpOrgRegions regions = {.names = names, .count = n};
+    CpStatus st =
+        e->adapter.decode_routes(row->value, row->value_bytes, &regions, out);
+    free(names);
+    return st;
+}
+
 static void
 log_unknown_types(const CpRoutes *r)
 {
@@ -119,6 +139,26 @@
     }
 }
 
+static void
+log_org_problems(const CpRoutes *r)
+{
+    if (r->orgs == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < CpOrgTable_CountProblems(r->orgs); i++) {
+        const CpOrgProblem *p = CpOrgTable_GetProblem(r->orgs, i);
+        CpCounter_Add(CP_COUNT_ORG_PROBLEMS, 1);
+        CpEvent(CP_EVENT_STATE, "org_problem", "s:i,s:s,s:s,s:s,s:i,s:I",
+                "resource", (int)p->position, "org", p->org, "problem",
+                CpOrgFlaw_Name(p->flaw), "other", p->other, "count",
+                (int)p->count, "version", (json_int_t)r->version);
+    }
+    CpEvent(CP_EVENT_STATE, "orgs_in_force", "s:i,s:i,s:I", "count",
+            (int)CpOrgTable_Count(r->orgs), "keys",
+            (int)CpOrgTable_CountKeys(r->orgs), "version",
+            (json_int_t)r->version);
+}
+
 static void
 on_server_row(CpEntryFollower *f, const CpFeedRow *row)
 {
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -7,6 +7,7 @@
 #define CP_ROUTE_H
 
 #include "base/base.h"
+#include "org/org.h"
 
 #define CP_ROUTE_HOST_BYTES 256   /* longest host name with NUL */
 #define CP_ROUTE_PREFIX_BYTES 512 /* longest prefix with NUL */
@@ -26,6 +27,7 @@
     bool idempotent;                    /* may run more than once */
     bool type_unknown;                  /* and therefore not idempotent */
     bool affinity;                      /* servers cache objects */
+    bool is_public;                     /* requests need no key */
     uint32_t timeout_ms;                /* longest time to a response */
     uint32_t goal_ms;                   /* latency goal of a response */
     uint32_t rank;                      /* 0 is the most urgent */
@@ -62,6 +64,7 @@
     CpService *services;
     uint32_t service_count;
     CpRouteLimits limits;
+    CpOrgTable *orgs;          /* NULL: requests need no key */
     CpRouteIndex *index;       /* by host name; made by CpRoutes_Finalize() */
     uint32_t *split_sequences; /* [route]: requests that were split; atomic */
 } CpRoutes;
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -47,6 +47,7 @@
         free(r->routes);
         free(r->services);
         free(r->split_sequences);
+        CpOrgTable_Free(r->orgs);
         free(r);
     }
 }
