org: requests need a key where the configuration has organisations

Cause: the configuration's organisations were decoded and not used. Ruled out: refusing all requests without a key before their body is read: libmicrohttpd closes a connection whose response is queued with the head, so that callers without a body would lose their connections. Only requests with a body are refused there. Change: proxy reads the one Authorization header and drops it, and the caller's organisation header, where the policy names an organisation or none; it passes the name to the server. entry_request.c refuses with 401 (key_rejected), takes rank and home regions of the organisation, and refuses with 503 (no_common_region). The directory prefers hosts in home regions of the host name's routes where the caller's domain and region have none. Metrics: orgs, keys, refusals by reason.

--- a/regress/drive_route.c
+++ b/regress/drive_route.c
@@ -23,6 +23,7 @@
 static void add_route(Script *s, const char *name, const char *host,
                       const char *prefix, const char *splits);
 static void apply_version(Script *s);
+static void print_homes(Script *s, const char *name, const char *regions);
 static void print_split(Script *s, const char *name, uint32_t times);
 static void random_match(Script *s, uint64_t seed, uint32_t count);
 static const CpRoute *linear_match(const CpRoutes *r, const char *host,
@@ -78,6 +79,13 @@
             }
         }
     }
+    else if (sscanf(line, "common %127s for %127s", a, b) == 2) {
+        print_homes(s, a, b);
+    }
+    else if (sscanf(line, "host %127s in %127s", a, b) == 2) {
+        fprintf(s->out, "%s in %s: %s\n", a, b,
+                CpRoutes_IsHomeRegion(s->current, a, b) ? "yes" : "no");
+    }
     else if (sscanf(line, "split %127s %u times", a, &n) == 2) {
         print_split(s, a, n);
     }
@@ -137,6 +145,33 @@
     }
 }
 
+/* `regions` is region[,region] of an organisation, or "-" for none. */
+static void
+print_homes(Script *s, const char *name, const char *regions)
+{
+    char names[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES];
+    char common[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES], text[128], *save = NULL;
+    const char(*homes)[CP_NAME_BYTES];
+    uint32_t count;
+    CpOrg org = {.home_regions = (const char(*)[CP_NAME_BYTES])names};
+    CpStr_Copy(text, sizeof(text), strcmp(regions, "-") == 0 ? "" : regions);
+    for (char *region = strtok_r(text, ",", &save); region != NULL;
+         region = strtok_r(NULL, ",", &save)) {
+        CpStr_Copy(names[org.home_region_count++], CP_NAME_BYTES, region);
+    }
+    for (uint32_t i = 0; i < s->current->route_count; i++) {
+        const CpRoute *r = &s->current->routes[i];
+        if (strcmp(r->name, name) == 0) {
+            bool any = CpRoute_GetHomeRegions(r, &org, common, &homes, &count);
+            fprintf(s->out, "%s for %s:", name, regions);
+            for (uint32_t k = 0; k < count; k++) {
+                fprintf(s->out, " %s", homes[k]);
+            }
+            fprintf(s->out, "%s\n", !any ? " none" : count == 0 ? " all" : "");
+        }
+    }
+}
+
 /* Prints each service's requests among the first `times`, and the least and
  * the most of them in any hundred. */
 static void
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -114,6 +114,12 @@
                                 1},
     [CP_REASON_ANSWER_TOO_LARGE] = {"answer_too_large",
                                     "the answer has no end in sight", 502, 0},
+    [CP_REASON_KEY_REJECTED] = {"key_rejected",
+                                "the request needs a valid key", 401, 0},
+    [CP_REASON_NO_COMMON_REGION] =
+        {"no_common_region",
+         "the route and the organisation have no home region in common", 503,
+         5},
 };
 
 CpStatus
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -35,7 +35,8 @@
                               uint32_t ttl_s);
     const CpHeaderNames *headers;
     const char *directory_path;
-    const char *domain_parameter; /* query parameter of a lookup */
+    const char *host_parameter; /* query parameters of a lookup */
+    const char *domain_parameter;
     const char *region_parameter;
     const char *ready_path;
 } CpEntryAdapter;
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -390,20 +390,21 @@
     return rank < MAX_WARMUP_HOSTS;
 }
 
-/* The hosts of the caller's domain; if there are none, those of its region,
- * and then all. */
+/* The hosts of the caller's domain; if there are none, those of its region, of
+ * the home regions of the host name's routes, and then all. */
 char *
-CpEntryHosts_EncodeDirectory(CpEntry *e, const char *domain,
-                             const char *region)
+CpEntryHosts_EncodeDirectory(CpEntry *e, const char *host_name,
+                             const char *domain, const char *region)
 {
     const char *addresses[MAX_ADDRESSES];
     uint32_t count = 0;
+    CpRoutes *r = CpEntry_RetainRoutes(e, NULL);
     pthread_mutex_lock(&e->hosts_lock);
     /* Hosts that have reported come first: a host that stopped may have
      * left its row. */
-    for (uint32_t pass = 0; pass < 6 && count == 0; pass++) {
-        uint32_t locality = pass % 3;
-        bool allow_unreported = pass >= 3;
+    for (uint32_t pass = 0; pass < 8 && count == 0; pass++) {
+        uint32_t locality = pass % 4;
+        bool allow_unreported = pass >= 4;
         guint start =
             e->hosts->len > 0 ? (guint)(CpRandom() % e->hosts->len) : 0;
         for (guint i = 0; i < e->hosts->len && count < MAX_ADDRESSES; i++) {
@@ -414,10 +415,12 @@
                 (!self && !allow_unreported && h->last_report_ns == 0)) {
                 continue;
             }
-            bool fits = locality == 2 ||
+            const char *host_region = region_of(e, h->domain);
+            bool fits = locality == 3 ||
                         (locality == 0 && strcmp(h->domain, domain) == 0) ||
-                        (locality == 1 &&
-                         strcmp(region_of(e, h->domain), region) == 0);
+                        (locality == 1 && strcmp(host_region, region) == 0) ||
+                        (locality == 2 && r != NULL &&
+                         CpRoutes_IsHomeRegion(r, host_name, host_region));
             if (fits) {
                 addresses[count++] = h->caller;
             }
@@ -428,6 +431,7 @@
                    : e->adapter.encode_directory(addresses, count,
                                                  e->settings.directory_ttl_s);
     pthread_mutex_unlock(&e->hosts_lock);
+    CpRoutes_Release(r);
     return text;
 }
 
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -196,10 +196,10 @@
  * server, do. *host_count is the number of those hosts. */
 bool CpEntryHosts_GetWarmupShare(void *ctx, const char *instance,
                                  const char *domain, uint32_t *host_count);
-/* Encodes the directory's response to a caller in a domain; free() it. NULL if
- * no host is available. */
-char *CpEntryHosts_EncodeDirectory(CpEntry *e, const char *domain,
-                                   const char *region);
+/* Encodes the directory's response to a caller in a domain that looks up a
+ * host name; free() it. NULL if no host is available. */
+char *CpEntryHosts_EncodeDirectory(CpEntry *e, const char *host_name,
+                                   const char *domain, const char *region);
 
 /* Records a report of a peer; returns false if the peer is unknown or the
  * report is not later than the last one. */
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -19,7 +19,8 @@
 {
     CpEntry *e = ctx;
     *out = CpEntryHosts_EncodeDirectory(
-        e, CpPageQuery_Get(q, e->adapter.domain_parameter),
+        e, CpPageQuery_Get(q, e->adapter.host_parameter),
+        CpPageQuery_Get(q, e->adapter.domain_parameter),
         CpPageQuery_Get(q, e->adapter.region_parameter));
     CpCounter_Add(CP_COUNT_LOOKUPS, 1);
     return *out != NULL ? 200 : 503;
@@ -54,6 +55,10 @@
     g_string_append_printf(
         text, "chestnutpaddle_routes_version %" G_GUINT64_FORMAT "\n",
         r != NULL ? r->version : 0);
+    g_string_append_printf(
+        text, "chestnutpaddle_orgs %u\nchestnutpaddle_keys %u\n",
+        r != NULL && r->orgs != NULL ? CpOrgTable_Count(r->orgs) : 0,
+        r != NULL && r->orgs != NULL ? CpOrgTable_CountKeys(r->orgs) : 0);
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
     CpRoutes_Release(r);
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -22,6 +22,11 @@
 typedef struct {
     CpRoutes *routes; /* kept until the request ends */
     const CpRoute *route;
+    const CpOrg *org;           /* NULL: none; of `routes` */
+    uint32_t rank;              /* of the organisation, or else of the route */
+    uint32_t home_region_count; /* regions it may run in; 0: all */
+    const char (*home_regions)[CP_NAME_BYTES];
+    char common_regions[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES];
     const char *service;
     int64_t deadline_ns;
     int64_t goal_ns;
@@ -40,6 +45,7 @@
     CpFleetChoice choice; /* of the attempt in progress */
 } RequestState;
 
+static bool on_head(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_request(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_attempt_ended(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
@@ -54,6 +60,8 @@
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
 static void get_limits(void *ctx, CpRouteLimits *out);
+static bool has_key_to(const CpRoutes *r, const CpRoute *route,
+                       const CpRequest *rq, const CpOrg **org);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
 static int64_t attempt_deadline_ns(const RequestState *s, int64_t now_ns);
@@ -80,7 +88,8 @@
 void
 CpEntryRequest_InitPolicy(CpEntry *e, CpProxyPolicy *out)
 {
-    *out = (CpProxyPolicy){.on_request = on_request,
+    *out = (CpProxyPolicy){.on_head = on_head,
+                           .on_request = on_request,
                            .on_attempt_ended = on_attempt_ended,
                            .may_stream = may_stream,
                            .on_stream_ended = on_stream_ended,
@@ -92,6 +101,28 @@
                            .ctx = e};
 }
 
+/* Refuses a request without a valid key before its body is read. */
+static bool
+on_head(void *ctx, CpRequest *rq, CpProxyAction *out)
+{
+    const CpOrg *org;
+    CpRoutes *r = CpEntry_RetainRoutes(ctx, NULL);
+    const CpRoute *route =
+        r != NULL ? CpRoutes_Match(r, rq->host, rq->target) : NULL;
+    bool valid = route == NULL || has_key_to(r, route, rq, &org);
+    if (!valid) {
+        *out = (CpProxyAction){.type = CP_ACTION_FAIL,
+                               .reason = CP_REASON_KEY_REJECTED};
+        CpCounter_AddReason(CP_REASON_KEY_REJECTED, route->rank);
+        CpEvent(CP_EVENT_REFUSED, "ended", "s:s,s:s,s:s,s:i", "request",
+                rq->id, "route", route->name, "reason",
+                CpReason_Name(CP_REASON_KEY_REJECTED), "status",
+                (int)CpReason_HttpStatus(CP_REASON_KEY_REJECTED));
+    }
+    CpRoutes_Release(r);
+    return valid;
+}
+
 static void
 on_request(void *ctx, CpRequest *rq, CpProxyAction *out)
 {
@@ -110,6 +141,19 @@
         set_failure(s, CP_REASON_NO_ROUTE, 0, out);
         return;
     }
+    s->rank = s->route->rank;
+    if (!has_key_to(s->routes, s->route, rq, &s->org)) {
+        set_failure(s, CP_REASON_KEY_REJECTED, 0, out);
+        return;
+    }
+    if (s->org != NULL && s->org->has_rank) {
+        s->rank = s->org->rank;
+    }
+    if (!CpRoute_GetHomeRegions(s->route, s->org, s->common_regions,
+                                &s->home_regions, &s->home_region_count)) {
+        set_failure(s, CP_REASON_NO_COMMON_REGION, 0, out);
+        return;
+    }
     uint32_t limit_ms = s->route->timeout_ms;
     if (rq->timeout_ms > 0 && rq->timeout_ms < limit_ms) {
         limit_ms = rq->timeout_ms;
@@ -226,7 +270,7 @@
 {
     RequestState *s = rq->policy_data;
     (void)ctx;
-    uint32_t rank = s != NULL && s->route != NULL ? s->route->rank : 0;
+    uint32_t rank = s != NULL ? s->rank : 0;
     const char *route = s != NULL && s->route != NULL ? s->route->name : "";
     if (result->completed) {
         CpCounter_Add(CP_COUNT_ANSWERED, 1);
@@ -239,7 +283,8 @@
     }
     else {
         CpCounter_AddReason(result->reason, rank);
-        CpEvent(result->status == 503 || result->status == 404
+        CpEvent(result->status == 503 || result->status == 404 ||
+                        result->status == 401
                     ? CP_EVENT_REFUSED
                     : CP_EVENT_FAILED,
                 "ended", "s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:b", "request", rq->id,
@@ -266,6 +311,18 @@
     CpRoutes_Release(r);
 }
 
+/* Returns true if the route needs no key or the request has a valid one, and
+ * sets the organisation of a valid key; NULL: none. */
+static bool
+has_key_to(const CpRoutes *r, const CpRoute *route, const CpRequest *rq,
+           const CpOrg **org)
+{
+    *org = r->orgs != NULL && rq->key != NULL
+               ? CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key))
+               : NULL;
+    return r->orgs == NULL || *org != NULL || route->is_public;
+}
+
 static void
 dispatch(CpEntry *e, CpRequest *rq, RequestState *s, CpProxyAction *out)
 {
@@ -317,6 +374,9 @@
     CpStr_Copy(out->address, sizeof(out->address), s->choice.address);
     CpStr_Copy(out->instance, sizeof(out->instance), s->choice.instance);
     out->idempotent = s->route->idempotent;
+    out->org = s->routes->orgs == NULL ? NULL
+               : s->org != NULL        ? s->org->name
+                                       : "";
     out->deadline_ns = s->deadline_ns;
     out->attempt_deadline_ns = attempt_deadline_ns(s, now_ns);
 }
@@ -352,8 +412,8 @@
         .deadline_left_ms = (uint32_t)left_ms,
         .host_left_ms = host_left_ms(e, now_ns),
         .tried_count = s->tried_count,
-        .home_region_count = s->route->home_region_count,
-        .home_regions = s->route->home_regions,
+        .home_region_count = s->home_region_count,
+        .home_regions = s->home_regions,
         .random = CpRandom()};
     for (uint32_t i = 0; i < s->tried_count; i++) {
         request.tried[i] = s->tried[i];
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -29,6 +29,11 @@
     const char *warmup_left;   /* in a response: ms until the server is warm */
     const char *leaving;       /* in a response: the server leaves */
     const char *object_cookie; /* cookie that names the object of a request */
+    const char *key;           /* of a request: names its organisation */
+    const char *challenge; /* how a refusal for want of a key asks for it */
+    const char *org;       /* to a server: name of the organisation */
+    /* Returns the key in the value of that header; NULL if it has none. */
+    const char *(*find_key)(const char *text);
     bool (*decode_load)(const char *text, CpServerLoad *out);
 } CpHeaderNames;
 
@@ -46,7 +51,8 @@
     char host[CP_ROUTE_HOST_BYTES];
     char *target;                         /* path and query, as received */
     char object[CP_REQUEST_OBJECT_BYTES]; /* "" where there is none */
-    uint32_t timeout_ms;                  /* set by the caller; 0: none */
+    char *key;           /* as received; NULL: none, or not exactly one */
+    uint32_t timeout_ms; /* set by the caller; 0: none */
     int64_t started_ns;
     void *policy_data;
 } CpRequest;
@@ -63,6 +69,10 @@
     char address[CP_ADDR_BYTES]; /* SEND: of the server */
     char instance[CP_NAME_BYTES];
     bool idempotent;
+    /* SEND: the name for the server, "" for none; the caller's headers with a
+     * key or a name are then dropped. NULL: they are forwarded. Valid while
+     * the request lasts. */
+    const char *org;
     int64_t deadline_ns;         /* of the request */
     int64_t attempt_deadline_ns; /* may be abandoned then; 0: never */
     CpReason reason;             /* FAIL */
@@ -100,6 +110,10 @@
 } CpRequestResult;
 
 typedef struct {
+    /* The head of a request with a body was received. Returns false and sets
+     * the failure if the request is refused without reading its body; no other
+     * callback follows. */
+    bool (*on_head)(void *ctx, CpRequest *rq, CpProxyAction *out);
     /* A request was received. */
     void (*on_request)(void *ctx, CpRequest *rq, CpProxyAction *out);
     /* An attempt ended; not called if the caller disconnected meanwhile. */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -173,6 +173,10 @@
     bool has_content_type = false, has_accept = false;
     for (guint i = 0; i < ex->headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(ex->headers, i);
+        if (action->org != NULL && (strcasecmp(h->name, names->key) == 0 ||
+                                    strcasecmp(h->name, names->org) == 0)) {
+            continue;
+        }
         has_content_type |= strcasecmp(h->name, "Content-Type") == 0;
         has_accept |= strcasecmp(h->name, "Accept") == 0;
         add_header(a, h->name, h->value);
@@ -187,6 +191,9 @@
     a->request_headers = curl_slist_append(a->request_headers, "Expect:");
     add_header(a, "Host", ex->request.host);
     add_header(a, names->target_instance, action->instance);
+    if (action->org != NULL && action->org[0] != '\0') {
+        add_header(a, names->org, action->org);
+    }
     snprintf(number, sizeof(number), "%lld", (long long)left_ms);
     add_header(a, names->timeout_ms, number);
     curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->request_headers);
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -253,6 +253,7 @@
         g_byte_array_unref(ex->body);
     }
     free(ex->request.target);
+    free(ex->request.key);
     free(ex->request.policy_data);
     free(ex);
 }
@@ -302,6 +303,19 @@
         set_failure(ex, CP_REASON_BAD_REQUEST, 0);
         return false;
     }
+    if (ex->key_headers != 1) {
+        free(rq->key);
+        rq->key = NULL;
+    }
+    /* libmicrohttpd closes the connection after a response that is queued
+     * here, which a request without a body does not need. */
+    bool has_body = (length != NULL && strcmp(length, "0") != 0) ||
+                    MHD_lookup_connection_value(ex->conn, MHD_HEADER_KIND,
+                                                "Transfer-Encoding") != NULL;
+    if (has_body && !o->policy.on_head(o->policy.ctx, rq, &ex->action)) {
+        ex->decided = true;
+        return false;
+    }
     if (length != NULL && strtoull(length, NULL, 10) > limits.max_body_bytes) {
         set_failure(ex, CP_REASON_BODY_TOO_LARGE, 0);
         return false;
@@ -316,6 +330,13 @@
     CpProxyExchange *ex = ctx;
     const CpHeaderNames *h = ex->worker->proxy->options.headers;
     (void)kind;
+    if (strcasecmp(name, h->key) == 0) {
+        const char *key = h->find_key(value);
+        ex->key_headers++;
+        if (key != NULL && ex->request.key == NULL) {
+            ex->request.key = CpStr_Dup(key);
+        }
+    }
     if (!CpHeader_IsUnforwarded(name) &&
         strcasecmp(name, h->timeout_ms) != 0 &&
         strcasecmp(name, h->target_instance) != 0) {
@@ -503,6 +524,10 @@
         MHD_add_response_header(
             r, ex->worker->proxy->options.headers->request_id, ex->request.id);
     }
+    if (action->status == 401) {
+        MHD_add_response_header(r, "WWW-Authenticate",
+                                ex->worker->proxy->options.headers->challenge);
+    }
     if (action->retry_after_ms > 0 && action->status == 503) {
         snprintf(retry_after, sizeof(retry_after), "%u.%03u",
                  action->retry_after_ms / 1000, action->retry_after_ms % 1000);
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -55,10 +55,11 @@
     GPtrArray *headers; /* CpHeaderLine, to be forwarded */
     GByteArray *body;
     uint64_t max_body_bytes;
-    uint32_t attempts;   /* started */
-    int64_t deadline_ns; /* 0: not sent yet */
-    bool knows_chunks;   /* the caller speaks HTTP/1.1 */
-    bool head_received;  /* of the request */
+    uint32_t attempts;    /* started */
+    int64_t deadline_ns;  /* 0: not sent yet */
+    bool knows_chunks;    /* the caller speaks HTTP/1.1 */
+    bool head_received;   /* of the request */
+    uint32_t key_headers; /* headers with a key that were received */
     bool started;
     bool suspended;
     bool watched;      /* the connection is watched for a disconnect */
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -83,6 +83,16 @@
  * `host` and a query in `path` are ignored. */
 const CpRoute *CpRoutes_Match(const CpRoutes *r, const char *host,
                               const char *path);
+/* Returns true if a route of the host name has the region as a home. */
+bool CpRoutes_IsHomeRegion(const CpRoutes *r, const char *host,
+                           const char *region);
+/* Sets the regions where requests of an organisation (NULL: none) may run on
+ * the route: those that are homes of both. *count 0: all. Returns false if
+ * there is none. */
+bool CpRoute_GetHomeRegions(const CpRoute *route, const CpOrg *org,
+                            char out[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES],
+                            const char (**regions)[CP_NAME_BYTES],
+                            uint32_t *count);
 const CpService *CpRoutes_FindService(const CpRoutes *r, const char *name);
 /* Returns the service of the route's next request. Any run of consecutive
  * requests is split by the weights with a small error for each service: at
--- a/src/route/route_table.c
+++ b/src/route/route_table.c
@@ -12,6 +12,7 @@
     GHashTable *hosts; /* name -> GPtrArray of routes, longest prefix first */
 };
 
+static const GPtrArray *find_host(const CpRoutes *r, const char *host);
 static CpStatus validate_route(const CpRoutes *r, const CpRoute *route);
 static gint compare_prefix_length(gconstpointer a, gconstpointer b);
 static void free_index(CpRouteIndex *index);
@@ -95,16 +96,8 @@
 const CpRoute *
 CpRoutes_Match(const CpRoutes *r, const char *host, const char *path)
 {
-    char name[CP_ROUTE_HOST_BYTES];
-    size_t n = strcspn(host, ":"), path_bytes = strcspn(path, "?");
-    if (n >= sizeof(name)) {
-        return NULL;
-    }
-    for (size_t i = 0; i < n; i++) {
-        name[i] = g_ascii_tolower(host[i]);
-    }
-    name[n] = '\0';
-    const GPtrArray *list = g_hash_table_lookup(r->index->hosts, name);
+    size_t path_bytes = strcspn(path, "?");
+    const GPtrArray *list = find_host(r, host);
     for (uint32_t i = 0; list != NULL && i < list->len; i++) {
         const CpRoute *route = g_ptr_array_index(list, i);
         size_t m = strlen(route->prefix);
@@ -115,6 +108,48 @@
     return NULL;
 }
 
+bool
+CpRoutes_IsHomeRegion(const CpRoutes *r, const char *host, const char *region)
+{
+    const GPtrArray *list = find_host(r, host);
+    for (uint32_t i = 0; list != NULL && i < list->len; i++) {
+        const CpRoute *route = g_ptr_array_index(list, i);
+        if (route->home_region_count > 0 &&
+            CpRegion_IsHome(route->home_regions, route->home_region_count,
+                            region)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool
+CpRoute_GetHomeRegions(const CpRoute *route, const CpOrg *org,
+                       char out[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES],
+                       const char (**regions)[CP_NAME_BYTES], uint32_t *count)
+{
+    uint32_t n = 0;
+    *regions = route->home_regions;
+    *count = route->home_region_count;
+    if (org == NULL || org->home_region_count == 0) {
+        return true;
+    }
+    if (route->home_region_count == 0) {
+        *regions = org->home_regions;
+        *count = org->home_region_count;
+        return true;
+    }
+    for (uint32_t i = 0; i < route->home_region_count; i++) {
+        if (CpRegion_IsHome(org->home_regions, org->home_region_count,
+                            route->home_regions[i])) {
+            CpStr_Copy(out[n++], CP_NAME_BYTES, route->home_regions[i]);
+        }
+    }
+    *regions = (const char(*)[CP_NAME_BYTES])out;
+    *count = n;
+    return n > 0;
+}
+
 const CpService *
 CpRoutes_FindService(const CpRoutes *r, const char *name)
 {
@@ -151,6 +186,22 @@
     return route->splits[0].service;
 }
 
+/* Returns the routes of a host name with or without a port, or NULL. */
+static const GPtrArray *
+find_host(const CpRoutes *r, const char *host)
+{
+    char name[CP_ROUTE_HOST_BYTES];
+    size_t n = strcspn(host, ":");
+    if (n >= sizeof(name)) {
+        return NULL;
+    }
+    for (size_t i = 0; i < n; i++) {
+        name[i] = g_ascii_tolower(host[i]);
+    }
+    name[n] = '\0';
+    return g_hash_table_lookup(r->index->hosts, name);
+}
+
 static CpStatus
 validate_route(const CpRoutes *r, const CpRoute *route)
 {
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -15,7 +15,8 @@
  *
  * Counted for all servers together and served by each: /stats has the totals,
  * /ran?id=ID how often a request ran, /told?id=ID the last timeout sent with
- * it in ms, and /runs the run count of every id. /arrived counts the requests
+ * it in ms, /head?id=ID the headers of its last attempt if it had the header
+ * X-Record, and /runs the run count of every id. /arrived counts the requests
  * received by the server addressed.
  */
 #include <errno.h>
@@ -230,6 +231,7 @@
 static Server servers[MAX_SERVERS];
 static GHashTable *run_counts;       /* request id -> runs */
 static GHashTable *last_timeouts_ms; /* request id -> timeout */
+static GHashTable *recorded_heads;   /* request id -> lines of headers */
 /* Totals of all servers, for /stats. */
 static uint64_t arrived, run_total, refused, wrong_instance, cancelled, hops,
     longest_timeout_ms, over_slots;
@@ -245,6 +247,10 @@
 static void stop_accepting(Server *s);
 static enum MHD_Result respond_stats(struct MHD_Connection *conn);
 static enum MHD_Result respond_runs(struct MHD_Connection *conn);
+static enum MHD_Result respond_head(struct MHD_Connection *conn);
+static void record_head(struct MHD_Connection *conn, const char *id);
+static enum MHD_Result append_header(void *ctx, enum MHD_ValueKind kind,
+                                     const char *name, const char *value);
 static enum MHD_Result run_request(struct MHD_Connection *conn, Server *s,
                                    Request *q, const char *url,
                                    const char *method);
@@ -275,6 +281,8 @@
     run_counts = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     last_timeouts_ms =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    recorded_heads =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     for (int i = 1; i < argc && i < MAX_SERVERS; i++) {
         char **fields = g_strsplit(argv[i], ",", 4);
         Server *s = &servers[i];
@@ -320,6 +328,9 @@
     if (strcmp(url, "/runs") == 0) {
         return respond_runs(conn);
     }
+    if (strcmp(url, "/head") == 0) {
+        return respond_head(conn);
+    }
     if (strcmp(url, "/arrived") == 0) {
         pthread_mutex_lock(&lock);
         uint64_t count = ((const Server *)ctx)->arrived;
@@ -446,6 +457,36 @@
     return CpStandin_Respond(conn, 200, g_string_free(text, FALSE));
 }
 
+static enum MHD_Result
+respond_head(struct MHD_Connection *conn)
+{
+    pthread_mutex_lock(&lock);
+    const char *lines = g_hash_table_lookup(
+        recorded_heads, CpStandin_GetQueryText(conn, "id", ""));
+    char *text = g_strdup(lines != NULL ? lines : "");
+    pthread_mutex_unlock(&lock);
+    return CpStandin_Respond(conn, 200, text);
+}
+
+/* Called under the lock. */
+static void
+record_head(struct MHD_Connection *conn, const char *id)
+{
+    GString *lines = g_string_new(NULL);
+    MHD_get_connection_values(conn, MHD_HEADER_KIND, append_header, lines);
+    g_hash_table_replace(recorded_heads, g_strdup(id),
+                         g_string_free(lines, FALSE));
+}
+
+static enum MHD_Result
+append_header(void *ctx, enum MHD_ValueKind kind, const char *name,
+              const char *value)
+{
+    (void)kind;
+    g_string_append_printf(ctx, "%s: %s\n", name, value);
+    return MHD_YES;
+}
+
 /* Admits a request if its instance and the slots allow, simulates its run and
  * responds as the mode at its arrival demands. */
 static enum MHD_Result
@@ -471,6 +512,9 @@
         timeout_ms > longest_timeout_ms ? timeout_ms : longest_timeout_ms;
     g_hash_table_replace(last_timeouts_ms, g_strdup(id),
                          GUINT_TO_POINTER(timeout_ms));
+    if (CpStandin_GetHeader(conn, "X-Record") != NULL) {
+        record_head(conn, id);
+    }
     Mode mode = s->mode;
     uint32_t status = mode == MODE_STATUS  ? s->status
                       : mode == MODE_ERROR ? 500
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -51,6 +51,13 @@
 service_json() {
     printf '{"resourceKind":"services","metadata":{"name":"%s"},"spec":{"healthPath":"/health","maxConnections":660,"protocol":"h1","tls":false,"warmupS":1.0,"warmupPerS":10}}' "$1"
 }
+# org_json NAME KEYS [FIELDS]: prints an organisation; KEYS and FIELDS are JSON,
+# separated by commas.
+org_json() {
+    printf '{"resourceKind":"tenants","metadata":{"name":"%s"},"spec":{"apiKeys":[%s]%s}}' "$1" "$2" "${3:+,$3}"
+}
+# public_json: makes the route on standard input public.
+public_json() { sed 's/"spec":{/"spec":{"public":true,/'; }
 # put_config VERSION [RESOURCE...]: puts a configuration in the store, with the
 # routes /read/ and /pay/, the services s1 and s2 and the given resources.
 # MAX_BODY_BYTES is the limit of a request's body.
@@ -134,5 +141,7 @@
 # count_runs ID: how often a request ran. last_timeout_ms ID: the timeout of its
 # last attempt. route_stat FIELD: a statistic over all stand-in servers.
 count_runs() { curl -s "http://$S1/ran?id=$1"; }
+# head_of ID: the headers of its last attempt, if it had the header X-Record.
+head_of() { curl -s "http://$S1/head?id=$1"; }
 last_timeout_ms() { curl -s "http://$S1/told?id=$1"; }
 route_stat() { curl -s "http://$S1/stats" | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
