--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -28,14 +28,15 @@
     CpEntryRowType (*classify_operator_row)(const char *key,
                                             char domain[CP_NAME_BYTES]);
     CpStatus (*decode_routes)(const char *text, size_t text_bytes,
-                              CpRoutes **out);
+                              const CpOrgRegions *regions, CpRoutes **out);
     CpStatus (*decode_server)(const char *instance, const char *text,
                               size_t text_bytes, CpServerEntry *out);
     char *(*encode_directory)(const char *const *addresses, uint32_t count,
                               uint32_t ttl_s);
     const CpHeaderNames *headers;
     const char *directory_path;
-    const char *domain_parameter; /* query parameter of a lookup */
+    const char *host_parameter; /* query parameters of a lookup */
+    const char *domain_parameter;
     const char *region_parameter;
     const char *ready_path;
 } CpEntryAdapter;
