org, entry: a withdrawn key is refused within a bound on every host

Cause: a host that is cut off, suspended, or started from another host's copy goes on with the configuration that it holds, so that it accepts keys that were withdrawn for as long as it cannot learn of it. Change: CpFreshness (src/org) decides, under a manual clock in regress/org. The first watching host's calls for changes wait for a quarter of the bound at most and each use a new connection, as a late response to an earlier call does not differ from its own. Other hosts ask by datagram (frames 17, 18). Requests with keys are refused with 503 (key_not_fresh) past the bound less 1%: when decided, before the configuration is looked at, and right before each send, where the key is looked up again. A public route is then served as without the key. A configuration that is rejected confirms nothing. Setting revocation_bound_ms, default 0; log lines freshness_lost and freshness_regained; metrics freshness_age_ms, freshness_queries_total, refusals by reason.

--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -26,9 +26,14 @@
 {
     FILE *out = ctx;
     uint64_t seed;
-    uint32_t n;
-    if (strncmp(line, "round trip", 10) == 0) {
-        for (uint32_t t = 1; t < CP_FRAME_TYPE_COUNT; t++) {
+    uint32_t n, first, last;
+    if (sscanf(line, "round trip of %u to %u", &first, &last) == 2) {
+        for (uint32_t t = first; t <= last; t++) {
+            round_trip(out, (CpFrameType)t);
+        }
+    }
+    else if (strncmp(line, "round trip", 10) == 0) {
+        for (uint32_t t = 1; t <= CP_FRAME_REPORT; t++) {
             round_trip(out, (CpFrameType)t);
         }
     }
@@ -186,6 +191,18 @@
                                    .rows = report,
                                    .row_count = 2};
         break;
+    case CP_FRAME_FRESHNESS_QUERY:
+        f.freshness_query =
+            (CpFreshnessQueryFrame){.incarnation = 7, .sent_ns = UINT64_MAX};
+        break;
+    case CP_FRAME_FRESHNESS_REPLY:
+        f.freshness_reply = (CpFreshnessReplyFrame){.incarnation = 7,
+                                                    .sent_ns = 8,
+                                                    .host = "h1",
+                                                    .age_ns = 9,
+                                                    .era = 1,
+                                                    .version = UINT64_MAX};
+        break;
     default:
         f.cancel.id = 12;
         break;
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -15,6 +15,7 @@
 void CpDrive_Http(FILE *in, FILE *out);
 void CpDrive_Member(FILE *in, FILE *out);
 void CpDrive_Once(FILE *in, FILE *out);
+void CpDrive_Org(FILE *in, FILE *out);
 void CpDrive_Platform(FILE *in, FILE *out);
 void CpDrive_Route(FILE *in, FILE *out);
 void CpDrive_Steer(FILE *in, FILE *out);
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -74,6 +74,9 @@
     [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
                                    "Responses of servers that were cut, mixed "
                                    "or not framed"},
+    [CP_COUNT_FRESHNESS_QUERIES] =
+        {"freshness_queries",
+         "Queries for the freshness of the configuration"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -120,6 +120,10 @@
         {"no_common_region",
          "the route and the organisation have no home region in common", 503,
          5},
+    [CP_REASON_KEY_NOT_FRESH] =
+        {"key_not_fresh",
+         "the key may have been withdrawn: the configuration is not fresh",
+         503, 5},
 };
 
 CpStatus
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -61,7 +61,9 @@
     uint32_t directory_ttl_s;
     uint32_t watching_hosts;     /* per domain; they follow the store */
     uint32_t report_interval_ms; /* of backend servers to the store */
-    bool first_start;  /* the hosts start together for the first time */
+    bool first_start; /* the hosts start together for the first time */
+    /* how long a withdrawn key may still be accepted; 0: no bound */
+    uint32_t revocation_bound_ms;
     uint32_t lapse_ms; /* after a store outage, before missing
                           server entries are removed */
 } CpSettings;
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -35,6 +35,8 @@
 static bool load_at_start(CpEntryFollower *f, uint64_t *version);
 static bool reads_from_peer(CpEntryFollower *f, int64_t now_ns);
 static bool fetch_from_peer(CpEntryFollower *f, uint64_t *version);
+static void confirm_copy(CpEntryFollower *f, bool nothing_newer,
+                         uint64_t version);
 static void set_read_version(CpEntryFollower *f, uint64_t version);
 static uint32_t max_wait_ms(const CpEntryFollower *f, bool instead_of_peer);
 static bool should_stop(void *ctx);
@@ -66,6 +68,8 @@
         CpEntryNeighbours_Init(f);
         f->store->should_stop = should_stop;
         f->store->should_stop_ctx = f;
+        f->store->new_connections =
+            i == CP_TABLE_OPERATOR && e->settings.revocation_bound_ms > 0;
     }
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
         CpEntryFollower *f = &e->followers[i];
@@ -134,6 +138,9 @@
             scanned = true;
             continue;
         }
+        uint64_t rows_before =
+            __atomic_load_n(&f->rows_read, __ATOMIC_RELAXED);
+        f->ended_early = false;
         CpStatus st = scanned
                           ? f->store->follow(f->store->ctx, f->table,
                                              max_wait_ms(f, has_peer),
@@ -152,6 +159,10 @@
         if (st == CP_OK && scanned) {
             history_gone = false;
         }
+        if (st != CP_OK && f->ended_early) { /* no fault of the store */
+            CpFreshness_OnUnconfirmedRead(e->freshness);
+            continue;
+        }
         record_result(f, st);
         if (st != CP_OK) {
             if (f->table == CP_TABLE_OPERATOR && !has_routes(e)) {
@@ -160,8 +171,13 @@
             back_off(f);
             continue;
         }
-        scanned = true;
         set_read_version(f, version);
+        if (f->table == CP_TABLE_OPERATOR) {
+            bool no_rows = __atomic_load_n(&f->rows_read, __ATOMIC_RELAXED) ==
+                           rows_before;
+            confirm_copy(f, scanned && no_rows, version);
+        }
+        scanned = true;
         if (version != before) {
             CpEntryPeers_SendVersions(e);
         }
@@ -255,10 +271,29 @@
     return true;
 }
 
+/* Only a call for changes that returned none confirms the copy: rows may be a
+ * part of those that there are. */
+static void
+confirm_copy(CpEntryFollower *f, bool nothing_newer, uint64_t version)
+{
+    const CpTableVersion v = {.version = version};
+    if (nothing_newer) {
+        CpFreshness_OnNothingNewer(f->entry->freshness, &v,
+                                   f->call_started_ns);
+    }
+    else {
+        CpFreshness_OnUnconfirmedRead(f->entry->freshness);
+    }
+}
+
 static void
 set_read_version(CpEntryFollower *f, uint64_t version)
 {
     __atomic_store_n(&f->read_version, version, __ATOMIC_RELAXED);
+    if (f->table == CP_TABLE_OPERATOR) {
+        CpFreshness_OnHeld(f->entry->freshness,
+                           &(CpTableVersion){.version = version});
+    }
     if (version >= __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED)) {
         __atomic_store_n(&f->behind_since_ns, 0, __ATOMIC_RELAXED);
     }
@@ -280,13 +315,19 @@
     if (instead_of_peer || !f->connected || !is_store_reachable(e)) {
         return PROBE_WAIT_MS;
     }
-    return f->table == CP_TABLE_OPERATOR && CpEntryHosts_Rank(e) == 0
-               ? FIRST_HOST_WAIT_MS
-               : table_info[f->table].wait_ms;
+    if (f->table != CP_TABLE_OPERATOR) {
+        return table_info[f->table].wait_ms;
+    }
+    bool is_first = CpEntryHosts_Rank(e) == 0;
+    return CpFreshness_Wait_ms(e->freshness,
+                               is_first ? FIRST_HOST_WAIT_MS
+                                        : table_info[f->table].wait_ms,
+                               is_first);
 }
 
 /* Stops a call that will return nothing: peers have had a later version for a
- * while, or the operator's table has found the store unreachable. */
+ * while, or the operator's table has found the store unreachable. Also ends
+ * one that would confirm the copy too late. */
 static bool
 should_stop(void *ctx)
 {
@@ -298,8 +339,13 @@
     int64_t now_ns = CpClock_Now_ns();
     bool behind =
         behind_since_ns != 0 && now_ns - behind_since_ns > MAX_BEHIND_NS;
-    return (unreachable || behind) &&
-           now_ns - f->call_started_ns > MIN_WAIT_NS;
+    if (now_ns - f->call_started_ns <= MIN_WAIT_NS) {
+        return false;
+    }
+    f->ended_early = !unreachable && !behind &&
+                     f->table == CP_TABLE_OPERATOR &&
+                     CpFreshness_IsDue(e->freshness, now_ns);
+    return unreachable || behind || f->ended_early;
 }
 
 void
@@ -307,6 +353,10 @@
                             uint64_t version, int64_t now_ns)
 {
     CpEntryFollower *f = &e->followers[table];
+    if (table == CP_TABLE_OPERATOR) {
+        CpFreshness_OnKnown(e->freshness,
+                            &(CpTableVersion){.version = version});
+    }
     if (version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)) {
         return;
     }
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -26,6 +26,8 @@
 
 static CpEntryHost *find_host(CpEntry *e, const char *name);
 static uint32_t rank_in_domain(const CpEntry *e, const CpEntryHost *host);
+static const CpEntryHost *find_live(const CpEntry *e, const char *domain,
+                                    uint32_t rank);
 static const CpEntryHost *
 select_by_rotation(const CpEntry *e, const char *domain, uint32_t rotation);
 static void check_domain_silence(CpEntry *e, uint32_t domain_index,
@@ -390,6 +392,39 @@
     return rank < MAX_WARMUP_HOSTS;
 }
 
+uint32_t
+CpEntryHosts_ListWatching(CpEntry *e, bool several, uint32_t rotation,
+                          CpEntryAddress out[CP_ENTRY_MAX_ASKED])
+{
+    const CpSettings *s = &e->settings;
+    uint32_t n = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (uint32_t rank = 0; rank < (several ? 2 : 1); rank++) {
+        const CpEntryHost *h = find_live(e, s->domain, rank);
+        if (h != NULL) {
+            CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
+        }
+    }
+    /* The watching hosts of another domain change less often than the domain,
+     * so that each pair has its turn. */
+    for (uint32_t i = 0;
+         i < s->domain_count && n < (several ? CP_ENTRY_MAX_ASKED : 1); i++) {
+        const char *domain = s->domains[(rotation + i) % s->domain_count].name;
+        uint32_t rank = rotation / s->domain_count % s->watching_hosts;
+        const CpEntryHost *h = NULL;
+        if (strcmp(domain, s->domain) != 0) {
+            h = find_live(e, domain, rank);
+            h = h != NULL ? h : find_live(e, domain, 0);
+        }
+        if (h != NULL) {
+            CpStr_Copy(out[n++].value, CP_ADDR_BYTES, h->inner);
+            break;
+        }
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n;
+}
+
 /* The hosts of the caller's domain; if there are none, those of its region, of
  * the home regions of the host name's routes, and then all. */
 char *
@@ -463,6 +498,31 @@
     return rank;
 }
 
+/* Returns the live host of a domain with this rank by name among those other
+ * than this one, or NULL. */
+static const CpEntryHost *
+find_live(const CpEntry *e, const char *domain, uint32_t rank)
+{
+    const CpEntryHost *found = NULL;
+    for (uint32_t k = 0; k <= rank; k++) {
+        const CpEntryHost *next = NULL;
+        for (guint i = 0; i < e->hosts->len; i++) {
+            const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+            if (!h->silent && !h->leaving && strcmp(h->domain, domain) == 0 &&
+                strcmp(h->name, e->settings.host) != 0 &&
+                (found == NULL || strcmp(h->name, found->name) > 0) &&
+                (next == NULL || strcmp(h->name, next->name) < 0)) {
+                next = h;
+            }
+        }
+        if (next == NULL) {
+            return NULL;
+        }
+        found = next;
+    }
+    return found;
+}
+
 /* Selects a host of a domain by rotation; NULL if the domain has none. */
 static const CpEntryHost *
 select_by_rotation(const CpEntry *e, const char *domain, uint32_t rotation)
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -4,11 +4,13 @@
 
 #include <glib.h>
 #include <pthread.h>
+#include <sys/socket.h>
 
 #include "admit/admit.h"
 #include "base/event.h"
 #include "entry/entry.h"
 #include "http/http.h"
+#include "wire/wire.h"
 
 /* An entry host, this one included, from its row and its last report. */
 typedef struct {
@@ -48,6 +50,8 @@
     uint64_t removals_version;
     GHashTable *rows; /* last read version of each, served to other hosts */
     uint32_t consecutive_errors; /* atomic */
+    uint64_t rows_read;          /* count; atomic */
+    bool ended_early; /* the call, to confirm the copy; thread only */
     /* highest of all rows read, and of the removals that a scan implies;
      * atomic */
     uint64_t row_version;
@@ -105,6 +109,11 @@
     uint32_t remote_rotation;
     uint32_t hosts_in_domain; /* that are not silent; atomic */
 
+    CpFreshness *freshness;
+    CpTimer *freshness_timer;
+    bool was_fresh; /* this and the next one: used by that timer only */
+    uint32_t freshness_queries;
+
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
 };
@@ -196,6 +205,13 @@
  * server, do. *host_count is the number of those hosts. */
 bool CpEntryHosts_GetWarmupShare(void *ctx, const char *instance,
                                  const char *domain, uint32_t *host_count);
+/* Lists the watching hosts to ask for the freshness of the operator's table
+ * and returns their number: the first one of this domain, or, if there is
+ * none, one of another domain; with `several` also the next one, and one of
+ * another domain. `rotation` selects that. */
+#define CP_ENTRY_MAX_ASKED 3
+uint32_t CpEntryHosts_ListWatching(CpEntry *e, bool several, uint32_t rotation,
+                                   CpEntryAddress out[CP_ENTRY_MAX_ASKED]);
 /* Encodes the directory's response to a caller in a domain that looks up a
  * host name; free() it. NULL if no host is available. */
 char *CpEntryHosts_EncodeDirectory(CpEntry *e, const char *host_name,
@@ -234,6 +250,18 @@
 void CpEntryPeers_SendUsage(CpEntry *e, const char *service,
                             const char *instance);
 
+/* Sends a datagram; one that cannot be sent is treated as lost. */
+void CpEntryPeers_Send(CpEntry *e, const CpFrame *f,
+                       const struct sockaddr_storage *to, uint32_t to_bytes);
+
+/* freshness: of the operator's configuration */
+void CpEntryFreshness_Init(CpEntry *e);
+CpStatus CpEntryFreshness_Start(CpEntry *e);
+void CpEntryFreshness_OnQuery(CpEntry *e, const CpFreshnessQueryFrame *q,
+                              const struct sockaddr_storage *from,
+                              uint32_t from_bytes);
+void CpEntryFreshness_OnReply(CpEntry *e, const CpFreshnessReplyFrame *r);
+
 /* request: the policy that handles requests */
 void CpEntryRequest_InitPolicy(CpEntry *e, CpProxyPolicy *out);
 
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -251,6 +251,12 @@
         apply_rows(&e->followers[i],
                    json_object_get(json_array_get(tables, i), "rows"));
     }
+    /* all rows as of this version */
+    const json_t *version =
+        json_object_get(json_array_get(tables, CP_TABLE_OPERATOR), "version");
+    CpFreshness_OnHeld(
+        e->freshness,
+        &(CpTableVersion){.version = (uint64_t)json_integer_value(version)});
     json_decref(state);
     bool ready = CpEntry_IsReady(e);
     CpEvent(CP_EVENT_DEPENDENCY,
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -47,6 +47,7 @@
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->retry_budget_lock, NULL);
     CpEntryHosts_Init(e);
+    CpEntryFreshness_Init(e);
     CpFleetDomain *domains =
         CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
     for (uint32_t i = 0; i < s->domain_count; i++) {
@@ -96,6 +97,9 @@
     if (st == CP_OK) {
         st = CpTimer_Start(e->timer);
     }
+    if (st == CP_OK) {
+        st = CpEntryFreshness_Start(e);
+    }
     if (st == CP_OK) {
         CpEvent(CP_EVENT_PROCESS, "started", "s:s,s:s,s:s", "domain",
                 e->settings.domain, "caller", e->settings.caller, "store",
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -109,7 +109,10 @@
     uint8_t data[CP_DATAGRAM_MAX_BYTES];
     for (;;) {
         CpDecodedFrame d;
-        ssize_t n = recv(e->report_fd, data, sizeof(data), 0);
+        struct sockaddr_storage from;
+        socklen_t from_bytes = sizeof(from);
+        ssize_t n = recvfrom(e->report_fd, data, sizeof(data), 0,
+                             (struct sockaddr *)&from, &from_bytes);
         if (n <= 0) {
             continue; /* an error or an empty datagram */
         }
@@ -117,7 +120,20 @@
             CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
             continue;
         }
-        on_report(e, &d.frame.report);
+        switch (d.frame.type) {
+        case CP_FRAME_REPORT:
+            on_report(e, &d.frame.report);
+            break;
+        case CP_FRAME_FRESHNESS_QUERY:
+            CpEntryFreshness_OnQuery(e, &d.frame.freshness_query, &from,
+                                     from_bytes);
+            break;
+        case CP_FRAME_FRESHNESS_REPLY:
+            CpEntryFreshness_OnReply(e, &d.frame.freshness_reply);
+            break;
+        default:
+            break;
+        }
         CpFrame_Clear(&d);
     }
     return NULL;
@@ -179,3 +195,20 @@
         CpCounter_Add(CP_COUNT_MEMBER_BYTES, n);
     }
 }
+
+void
+CpEntryPeers_Send(CpEntry *e, const CpFrame *f,
+                  const struct sockaddr_storage *to, uint32_t to_bytes)
+{
+    uint8_t data[CP_DATAGRAM_MAX_BYTES];
+    uint32_t n;
+    if (CpDatagram_Encode(f, data, &n) != CP_OK) {
+        return;
+    }
+    if (to_bytes == 0 || sendto(e->report_fd, data, n, MSG_DONTWAIT,
+                                (const struct sockaddr *)to, to_bytes) < 0) {
+        CpCounter_Add(CP_COUNT_REPORTS_UNSENT, 1);
+        return;
+    }
+    CpCounter_Add(CP_COUNT_MEMBER_BYTES, n);
+}
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -59,6 +59,12 @@
         text, "chestnutpaddle_orgs %u\nchestnutpaddle_keys %u\n",
         r != NULL && r->orgs != NULL ? CpOrgTable_Count(r->orgs) : 0,
         r != NULL && r->orgs != NULL ? CpOrgTable_CountKeys(r->orgs) : 0);
+    if (e->settings.revocation_bound_ms > 0) {
+        int64_t age_ns = CpFreshness_Age_ns(e->freshness, CpClock_Now_ns());
+        g_string_append_printf(
+            text, "chestnutpaddle_freshness_age_ms %" G_GINT64_FORMAT "\n",
+            age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS);
+    }
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
     CpRoutes_Release(r);
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -31,6 +31,7 @@
     int64_t deadline_ns;
     int64_t goal_ns;
     int64_t routes_age_ms;
+    CpReason refusal;          /* why may_send() stopped the attempt */
     uint32_t attempts;         /* without those that were not run */
     uint32_t not_run_attempts; /* server unreachable, or it refused */
     bool may_have_run;
@@ -49,6 +50,7 @@
 static void on_request(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_attempt_ended(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
+static bool may_send(void *ctx, const CpRequest *rq);
 static bool may_stream(void *ctx, const CpRequest *rq,
                        const CpAttemptResult *head);
 static void on_stream_ended(void *ctx, CpRequest *rq,
@@ -91,6 +93,7 @@
     *out = (CpProxyPolicy){.on_head = on_head,
                            .on_request = on_request,
                            .on_attempt_ended = on_attempt_ended,
+                           .may_send = may_send,
                            .may_stream = may_stream,
                            .on_stream_ended = on_stream_ended,
                            .should_abandon = should_abandon,
@@ -130,6 +133,8 @@
     RequestState *s = CpMem_Alloc(sizeof(*s));
     int64_t now_ns = CpClock_Now_ns(), since_ns;
     rq->policy_data = s;
+    /* before the routes are looked at: these are then as fresh */
+    bool is_fresh = CpFreshness_IsFresh(e->freshness, now_ns);
     s->routes = CpEntry_RetainRoutes(e, &since_ns);
     if (s->routes == NULL) {
         set_failure(s, CP_REASON_NOT_CONFIGURED, 500, out);
@@ -146,6 +151,14 @@
         set_failure(s, CP_REASON_KEY_REJECTED, 0, out);
         return;
     }
+    if (s->org != NULL && !is_fresh) {
+        /* a public route is served as without the key */
+        s->org = NULL;
+        if (!s->route->is_public) {
+            set_failure(s, CP_REASON_KEY_NOT_FRESH, 0, out);
+            return;
+        }
+    }
     if (s->org != NULL && s->org->has_rank) {
         s->rank = s->org->rank;
     }
@@ -171,6 +184,12 @@
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
+    if (a->withheld) { /* says nothing of the server */
+        s->attempts--;
+        report_attempt(e, s, CP_ATTEMPT_CANCELLED, NULL, 0);
+        set_failure(s, s->refusal, 0, out);
+        return;
+    }
     report_attempt(e, s, a->outcome, a, a->latency_ns);
     log_flaw(rq, s, a);
     if (a->verdict == CP_NOT_RUN) {
@@ -193,6 +212,31 @@
     retry_or_fail(e, rq, s, a, out);
 }
 
+/* Checks the key again: since the request was decided this process may have
+ * been suspended, or the key withdrawn. */
+static bool
+may_send(void *ctx, const CpRequest *rq)
+{
+    CpEntry *e = ctx;
+    RequestState *s = rq->policy_data;
+    const CpOrg *org;
+    if (s->org == NULL) {
+        return true;
+    }
+    s->refusal = CpFreshness_IsFresh(e->freshness, CpClock_Now_ns())
+                     ? CP_REASON_NONE
+                     : CP_REASON_KEY_NOT_FRESH;
+    CpRoutes *r = CpEntry_RetainRoutes(e, NULL);
+    if (s->refusal == CP_REASON_NONE && r != s->routes && r->orgs != NULL) {
+        org = CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key));
+        s->refusal = org != NULL && strcmp(org->name, s->org->name) == 0
+                         ? CP_REASON_NONE
+                         : CP_REASON_KEY_REJECTED;
+    }
+    CpRoutes_Release(r);
+    return s->refusal == CP_REASON_NONE;
+}
+
 /* A failed request may be retried on another server, so the response to it is
  * not streamed but read to its end first. */
 static bool
@@ -495,7 +539,8 @@
     }
 }
 
-/* A 503 promises "not run", so it is sent only if no attempt may have run. */
+/* A refusal promises "not run", so it is sent only if no attempt may have
+ * run. */
 static void
 set_failure(const RequestState *s, CpReason reason, uint32_t retry_after_ms,
             CpProxyAction *out)
@@ -504,7 +549,7 @@
                            .reason = reason,
                            .status = CpReason_HttpStatus(reason),
                            .retry_after_ms = retry_after_ms};
-    if (s->may_have_run && out->status == 503) {
+    if (s->may_have_run && (out->status == 503 || out->status == 401)) {
         out->status = 502;
     }
     if (out->status == 503 && retry_after_ms == 0) {
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -15,6 +15,7 @@
 CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row)
 {
     CpEntryFollower *f = ctx;
+    __atomic_add_fetch(&f->rows_read, 1, __ATOMIC_RELAXED);
     CpEntryFollow_RaiseRowVersion(f, row->version);
     if (!CpEntryNeighbours_UpdateRow(f, row)) {
         CpEvent(CP_EVENT_STATE, "row_older", "s:s,s:I", "key", row->key,
@@ -73,6 +74,7 @@
 {
     CpRoutes *next;
     if (decode_routes(e, row, &next) != CP_OK) {
+        CpFreshness_SetInForce(e->freshness, false);
         CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
         CpEvent(CP_EVENT_STATE, "routes_rejected", "s:I,s:s", "row_version",
                 (json_int_t)row->version, "error", CpError_Message());
@@ -87,6 +89,12 @@
         e->routes_since_ns = CpClock_Now_ns();
     }
     pthread_mutex_unlock(&e->routes_lock);
+    if (supersedes) {
+        CpFreshness_SetInForce(e->freshness, true);
+        CpFreshness_SetHasKeys(e->freshness,
+                               next->orgs != NULL &&
+                                   CpOrgTable_CountKeys(next->orgs) > 0);
+    }
     if (!supersedes) {
         if (next->version < old_version) {
             CpEvent(CP_EVENT_STATE, "routes_older", "s:I,s:I", "version",
--- a/src/org/org.h
+++ b/src/org/org.h
@@ -1,6 +1,7 @@
 /*
- * org: the organisations of the operator's configuration and their keys.
- * Decisions only, independent of how configurations and requests are encoded.
+ * org: the organisations of the operator's configuration, their keys, and how
+ * fresh this host's copy of the configuration is. Decisions only, independent
+ * of how configurations, requests and datagrams are encoded.
  */
 #ifndef CP_ORG_H
 #define CP_ORG_H
@@ -90,4 +91,82 @@
 /* Returns the word for a flaw in log lines. */
 const char *CpOrgFlaw_Name(CpOrgFlaw flaw);
 
+/* A version of the operator's table. Versions are compared within one era of
+ * the store only; an era ends when the store is restored from a copy. */
+typedef struct {
+    uint64_t era;
+    uint64_t version;
+} CpTableVersion;
+
+/* Decides how fresh this host's copy of the operator's table is: how long ago
+ * it is known to have been the newest one. All times are CLOCK_BOOTTIME of
+ * this host, which includes time spent suspended. A confirmation counts from
+ * when its call or query was sent, so that no delay makes it look fresher.
+ * Threads may share it. */
+typedef struct CpFreshness CpFreshness;
+typedef struct {
+    uint32_t bound_ms;    /* 0: requests need no fresh copy */
+    uint64_t incarnation; /* of this process, in its queries */
+} CpFreshnessOptions;
+
+/* The contents of a datagram, to and from another host. */
+typedef struct {
+    uint64_t incarnation;
+    int64_t sent_ns; /* the asking host's clock */
+} CpFreshnessQuery;
+typedef struct {
+    CpFreshnessQuery query; /* repeated */
+    int64_t age_ns;         /* of the replier's confirmation */
+    CpTableVersion version; /* that the replier holds */
+} CpFreshnessReply;
+
+/* Whom to ask now. */
+typedef enum {
+    CP_ASK_NONE = 0,
+    CP_ASK_ONE,    /* the first watching host */
+    CP_ASK_SEVERAL /* also the next one, and one of another domain */
+} CpFreshnessAsk;
+
+CpFreshness *CpFreshness_New(const CpFreshnessOptions *o, int64_t now_ns);
+void CpFreshness_Free(CpFreshness *f);
+/* Sets whether the configuration in force has keys. */
+void CpFreshness_SetHasKeys(CpFreshness *f, bool has_keys);
+/* Sets whether the newest configuration that was read is in force. One that is
+ * invalid may have withdrawn a key, so that nothing confirms the older one. */
+void CpFreshness_SetInForce(CpFreshness *f, bool in_force);
+/* The table was read up to this version, and its rows are applied. */
+void CpFreshness_OnHeld(CpFreshness *f, const CpTableVersion *held);
+/* Another host has read the table up to this version. */
+void CpFreshness_OnKnown(CpFreshness *f, const CpTableVersion *known);
+/* A call to the store that was sent at `sent_ns` returned no row after the
+ * held ones, as of this version. Returns true if it confirms the copy. */
+bool CpFreshness_OnNothingNewer(CpFreshness *f, const CpTableVersion *version,
+                                int64_t sent_ns);
+/* A call to the store returned rows, or was ended early: the next one should
+ * be short, as only one without rows confirms the copy. */
+void CpFreshness_OnUnconfirmedRead(CpFreshness *f);
+/* Returns the longest wait of the next call for changes; `wait_ms` is that
+ * without a bound, `is_first` that this is the first watching host. */
+uint32_t CpFreshness_Wait_ms(CpFreshness *f, uint32_t wait_ms, bool is_first);
+/* Returns true if a call for changes that waits should be ended, as its
+ * confirmation would come too late. */
+bool CpFreshness_IsDue(CpFreshness *f, int64_t now_ns);
+/* Decides whom to ask; the caller then sends `query` to them. */
+CpFreshnessAsk CpFreshness_Ask(CpFreshness *f, int64_t now_ns,
+                               CpFreshnessQuery *query);
+/* Fills in the reply to a query; returns false if this host has nothing to
+ * say. */
+bool CpFreshness_Reply(CpFreshness *f, const CpFreshnessQuery *query,
+                       const CpTableVersion *held, int64_t now_ns,
+                       CpFreshnessReply *out);
+/* Returns true if the reply confirms the copy. */
+bool CpFreshness_OnReply(CpFreshness *f, const CpFreshnessReply *reply,
+                         int64_t now_ns);
+/* Returns true if requests with keys may be served. To decide on a request,
+ * call it before the configuration is looked at: one that comes into force
+ * later is newer than what was confirmed. */
+bool CpFreshness_IsFresh(CpFreshness *f, int64_t now_ns);
+/* Returns the age of the last confirmation; -1: none. */
+int64_t CpFreshness_Age_ns(CpFreshness *f, int64_t now_ns);
+
 #endif
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -85,6 +85,7 @@
     CpAttemptOutcome outcome;
     CpReason reason; /* CP_REASON_NONE: a success, with a status of 2xx */
     CpVerdict verdict;
+    bool withheld;   /* may_send() returned false */
     uint32_t status; /* of the response; 0: none */
     int64_t latency_ns;
     int64_t head_latency_ns; /* until the response's head; 0: none received */
@@ -119,6 +120,9 @@
     /* An attempt ended; not called if the caller disconnected meanwhile. */
     void (*on_attempt_ended)(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
+    /* Called right before the request is sent, for each attempt. Returns
+     * false if it may not be sent now; the attempt then ends as withheld. */
+    bool (*may_send)(void *ctx, const CpRequest *rq);
     /* Decides whether a large response, whose head was received, is streamed.
      * The attempt then ends with on_stream_ended() instead of
      * on_attempt_ended(). */
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -44,6 +44,8 @@
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
                          CpAttemptResult *out);
 static void stream_if_allowed(CpProxyExchange *ex, bool received_much);
+static int on_prereq(void *ctx, char *local, char *remote, int local_port,
+                     int remote_port);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static bool read_header(CpProxyExchange *ex, const char *name,
@@ -126,7 +128,8 @@
     curl_easy_setopt(e, CURLOPT_PRIVATE, ex);
     curl_easy_setopt(e, CURLOPT_ERRORBUFFER, ex->attempt.error);
     /* retries are decided by the policy */
-    CpEasy_SendOnce(e, &ex->attempt.sent);
+    curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
+    curl_easy_setopt(e, CURLOPT_PREREQDATA, ex);
     const CpResponseOptions expected = {
         .single_headers = ex->worker->proxy->single_headers,
         .id_header = ex->worker->proxy->options.headers->request_id,
@@ -263,6 +266,7 @@
     long opened = 0;
     curl_easy_getinfo(a->easy, CURLINFO_NUM_CONNECTS, &opened);
     *out = (CpAttemptResult){
+        .withheld = a->withheld,
         .latency_ns = CpClock_Now_ns() - a->started_ns,
         .status = a->status,
         .has_load = a->has_load,
@@ -362,6 +366,25 @@
     a->request_headers = NULL;
 }
 
+/* Called right before the first byte is sent; until then the request has not
+ * run. Makes the attempt fail rather than send its request a second time, as
+ * the library does when a reused connection breaks. */
+static int
+on_prereq(void *ctx, char *local, char *remote, int local_port,
+          int remote_port)
+{
+    CpProxyExchange *ex = ctx;
+    CpProxyAttempt *a = &ex->attempt;
+    const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
+    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    if (a->sent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    a->withheld = !p->may_send(p->ctx, &ex->request);
+    a->sent = !a->withheld;
+    return a->sent ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 static int
 on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -18,7 +18,8 @@
     struct curl_slist *request_headers;
     char error[CURL_ERROR_SIZE];
     char url[CP_ADDR_BYTES + 16];
-    bool sent; /* its first byte may have been sent */
+    bool sent;     /* its first byte may have been sent */
+    bool withheld; /* by the policy, right before it was sent */
     CpResponseCheck check;
     bool id_matches; /* the response has the request's id */
     bool mismatched; /* the response is not that of this request */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -63,6 +63,9 @@
      * returns true; NULL: never. Set before the first call. */
     bool (*should_stop)(void *should_stop_ctx);
     void *should_stop_ctx;
+    /* follow() uses a new connection for each call, so that no late response
+     * to an earlier call is taken for its own. Set before the first call. */
+    bool new_connections;
     /* Writes a row unconditionally; a NULL value removes it. */
     CpStatus (*write_row)(void *ctx, CpTable table, const char *key,
                           const char *value);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -40,7 +40,10 @@
     CP_FRAME_LOAN_GRANT,
     CP_FRAME_CONFIG_GET,
     CP_FRAME_CONFIG_CHUNK,
-    CP_FRAME_REPORT, /* sent as a datagram, never in a session */
+    /* the rest are sent as datagrams, never in a session */
+    CP_FRAME_REPORT,
+    CP_FRAME_FRESHNESS_QUERY = 17,
+    CP_FRAME_FRESHNESS_REPLY = 18,
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -165,6 +168,21 @@
     uint32_t row_count;
 } CpReportFrame;
 
+/* Asks how fresh the receiver's copy of the operator's table is. */
+typedef struct {
+    uint64_t incarnation; /* of the sender */
+    uint64_t sent_ns;     /* the sender's clock */
+} CpFreshnessQueryFrame;
+
+typedef struct {
+    uint64_t incarnation; /* this and the next one: as in the query */
+    uint64_t sent_ns;
+    char host[CP_NAME_BYTES]; /* the replier */
+    uint64_t age_ns;          /* since its copy was known to be the newest */
+    uint64_t era;             /* of the store, and version of its copy */
+    uint64_t version;
+} CpFreshnessReplyFrame;
+
 typedef struct {
     CpFrameType type;
     union {
@@ -180,6 +198,8 @@
         CpLoanFrame loan;
         CpConfigFrame config;
         CpReportFrame report;
+        CpFreshnessQueryFrame freshness_query;
+        CpFreshnessReplyFrame freshness_reply;
     };
 } CpFrame;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -120,6 +120,17 @@
     U32(CpReportFrame, watches_store),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
+static const Field freshness_query_fields[] = {
+    U64(CpFreshnessQueryFrame, incarnation),
+    U64(CpFreshnessQueryFrame, sent_ns)};
+static const Field freshness_reply_fields[] = {
+    U64(CpFreshnessReplyFrame, incarnation),
+    U64(CpFreshnessReplyFrame, sent_ns),
+    TEXT(CpFreshnessReplyFrame, host),
+    U64(CpFreshnessReplyFrame, age_ns),
+    U64(CpFreshnessReplyFrame, era),
+    U64(CpFreshnessReplyFrame, version)};
+
 #define FRAME_LAYOUT(table)                                                   \
     {                                                                         \
         (table), sizeof(table) / sizeof((table)[0])                           \
@@ -141,6 +152,8 @@
     [CP_FRAME_CONFIG_GET] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_CONFIG_CHUNK] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_REPORT] = FRAME_LAYOUT(report_fields),
+    [CP_FRAME_FRESHNESS_QUERY] = FRAME_LAYOUT(freshness_query_fields),
+    [CP_FRAME_FRESHNESS_REPLY] = FRAME_LAYOUT(freshness_reply_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
@@ -206,7 +219,7 @@
                   CpDecodedFrame *out)
 {
     CpStatus st = CpFrame_Decode(data, size_bytes, out);
-    if (st == CP_OK && out->frame.type != CP_FRAME_REPORT) {
+    if (st == CP_OK && out->frame.type < CP_FRAME_REPORT) {
         CpFrame_Clear(out);
         return CpError_Set(CP_ERR_PARSE,
                            "frame type not allowed in a datagram");
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -32,6 +32,7 @@
 platform: "http://$PLATFORM"
 worker_threads: 2
 stop_timeout_s: 4
+revocation_bound_ms: ${REVOCATION_BOUND_MS:-0}
 domains:
 $(for d in $ROUTE_DOMAINS; do printf '  - name: "%s"\n    region: "%s"\n' "${d%:*}" "${d#*:}"; done)
 X
