--- a/src/route/route.h
+++ b/src/route/route.h
@@ -7,6 +7,7 @@
 #define CP_ROUTE_H
 
 #include "base/base.h"
+#include "org/org.h"
 
 #define CP_ROUTE_HOST_BYTES 256   /* longest host name with NUL */
 #define CP_ROUTE_PREFIX_BYTES 512 /* longest prefix with NUL */
@@ -26,6 +27,7 @@
     bool idempotent;                    /* may run more than once */
     bool type_unknown;                  /* and therefore not idempotent */
     bool affinity;                      /* servers cache objects */
+    bool is_public;                     /* requests need no key */
     uint32_t timeout_ms;                /* longest time to a response */
     uint32_t goal_ms;                   /* latency goal of a response */
     uint32_t rank;                      /* 0 is the most urgent */
@@ -62,6 +64,7 @@
     CpService *services;
     uint32_t service_count;
     CpRouteLimits limits;
+    CpOrgTable *orgs;          /* NULL: requests need no key */
     CpRouteIndex *index;       /* by host name; made by CpRoutes_Finalize() */
     uint32_t *split_sequences; /* [route]: requests that were split; atomic */
 } CpRoutes;
@@ -80,6 +83,16 @@
  * `host` and a query in `path` are ignored. */
 const CpRoute *CpRoutes_Match(const CpRoutes *r, const char *host,
                               const char *path);
+/* Returns true if a route of the host name has the region as a home. */
+bool CpRoutes_IsHomeRegion(const CpRoutes *r, const char *host,
+                           const char *region);
+/* Sets the regions where requests of an organisation (NULL: none) may run on
+ * the route: those that are homes of both. *count 0: all. Returns false if
+ * there is none. */
+bool CpRoute_GetHomeRegions(const CpRoute *route, const CpOrg *org,
+                            char out[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES],
+                            const char (**regions)[CP_NAME_BYTES],
+                            uint32_t *count);
 const CpService *CpRoutes_FindService(const CpRoutes *r, const char *name);
 /* Returns the service of the route's next request. Any run of consecutive
  * requests is split by the weights with a small error for each service: at
