quota: a burst without a limit, and plays with more organisations

Cause: an organisation with a rate and no burst had tokens that expired before a pool could pass them on; the plays had four organisations only.

Change: tokens of such an organisation live for 0.5 s at least. play takes orgs=COUNT.

--- a/regress/drive_quota.c
+++ b/regress/drive_quota.c
@@ -14,7 +14,7 @@
 #include "regress.h"
 
 #define MAX_HOSTS 300
-#define MAX_ORGS 8
+#define MAX_ORGS 80
 #define MAX_WAITERS 4096
 #define WINDOW_S 5
 #define OVERSHOOT_MILLI 100
@@ -662,11 +662,10 @@
     }
 }
 
-/* Four organisations, from the smallest to the largest limit. */
+/* Organisations with limits from 5 to 800 requests/s, by default four. */
 static void
 play(FILE *out, const char *line)
 {
-    static const uint32_t rates[] = {5, 40, 200, 800};
     uint32_t seconds = option(line, "seconds", 30);
     uint32_t overloads = option(line, "overloads", 0); /* of them */
     uint64_t offered = 0, reference = 0, granted = 0, missing = 0;
@@ -679,12 +678,15 @@
     n->loss_percent = option(line, "loss", 0);
     text_option(line, "demand", n->demand);
     text_option(line, "failure", n->failure);
-    n->org_count = 4;
+    n->org_count = option(line, "orgs", 4);
+    n->org_count = n->org_count < MAX_ORGS ? n->org_count : MAX_ORGS;
     for (uint32_t i = 0; i < n->org_count; i++) {
         Org *o = &n->orgs[i];
         snprintf(o->name, sizeof(o->name), "org-%u", i);
-        o->rate = rates[i];
-        o->burst = rates[i];
+        /* 800 is 160 times 5 */
+        o->rate =
+            (uint32_t)(5 * pow(160, (double)i / (n->org_count - 1)) + 0.5);
+        o->burst = o->rate;
         o->level_percent = i < overloads ? 720 : option(line, "level", 60);
     }
     for (uint32_t h = 0; h < n->host_count; h++) {
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -15,6 +15,8 @@
  * that run later than their token was taken, and for hosts that divide the
  * rate by an outdated number of hosts. */
 #define SLACK_SHARE 0.75
+/* With no limit of the burst, tokens live long enough to be passed on. */
+#define UNLIMITED_BURST_LIFE_NS (500 * CP_NS_PER_MS)
 /* A pool that receives tokens in batches has to hold a few batches. */
 #define MIN_POOL_S 0.25
 /* A round trip between regions. */
@@ -349,6 +351,9 @@
     o->limit = *limit;
     o->rate = rate;
     o->life_ns = (int64_t)((burst + slack * SLACK_SHARE) / rate * CP_NS_PER_S);
+    if (limit->burst == 0 && o->life_ns < UNLIMITED_BURST_LIFE_NS) {
+        o->life_ns = UNLIMITED_BURST_LIFE_NS;
+    }
     double spare_s = slack * SLACK_SHARE / rate / 3;
     o->move_interval = spare_s < 0.375 ? 2 : spare_s < 0.75 ? 4 : 8;
     /* Tokens spend half an interval on their way to the pool; one bucket for
