--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -140,6 +140,9 @@
                             .load_count = 1};
     static CpReportRow report[] = {{.server_hash = 9, .inflight = 3},
                                    {.server_hash = 10}};
+    static CpTokensRow tokens[] = {
+        {.org_hash = UINT64_MAX, .ask_id = 3, .amount = 4000000},
+        {.org_hash = 10, .oldest_age_ms = 5, .retry_after_ms = UINT32_MAX}};
     *loan = (CpLoanRow){.resource = "lookup-1", .units = 3};
     switch (type) {
     case CP_FRAME_HELLO:
@@ -186,6 +189,17 @@
                                    .rows = report,
                                    .row_count = 2};
         break;
+    case CP_FRAME_TOKENS_MOVE:
+    case CP_FRAME_TOKENS_ASK:
+    case CP_FRAME_TOKENS_GRANT:
+        f.tokens = (CpTokensFrame){.host = "north-a-1",
+                                   .incarnation = 7,
+                                   .receiver_incarnation = UINT64_MAX,
+                                   .sequence = 8,
+                                   .sent_ns = 9,
+                                   .rows = tokens,
+                                   .row_count = 2};
+        break;
     default:
         f.cancel.id = 12;
         break;
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -41,6 +41,10 @@
     CP_FRAME_CONFIG_GET,
     CP_FRAME_CONFIG_CHUNK,
     CP_FRAME_REPORT, /* sent as a datagram, never in a session */
+    /* also datagrams */
+    CP_FRAME_TOKENS_MOVE = 19,
+    CP_FRAME_TOKENS_ASK = 20,
+    CP_FRAME_TOKENS_GRANT = 21,
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -165,6 +169,29 @@
     uint32_t row_count;
 } CpReportFrame;
 
+/* Quota tokens of one organisation, in millionths. */
+typedef struct {
+    uint64_t org_hash;
+    uint64_t ask_id;
+    uint64_t amount;
+    uint32_t newest_age_ms;
+    uint32_t oldest_age_ms;
+    uint32_t retry_after_ms;
+} CpTokensRow;
+
+/* Tokens that are moved, asked for or granted; see src/quota. */
+typedef struct {
+    char host[CP_NAME_BYTES];
+    uint64_t incarnation;
+    uint64_t receiver_incarnation; /* 0: not known */
+    uint64_t sequence;
+    uint64_t sent_ns;     /* the sender's clock */
+    uint64_t receiver_ns; /* the receiver's, or earlier; 0: not known */
+    uint32_t wants_reply;
+    CpTokensRow *rows;
+    uint32_t row_count;
+} CpTokensFrame;
+
 typedef struct {
     CpFrameType type;
     union {
@@ -180,6 +207,7 @@
         CpLoanFrame loan;
         CpConfigFrame config;
         CpReportFrame report;
+        CpTokensFrame tokens; /* TOKENS_MOVE, _ASK and _GRANT */
     };
 } CpFrame;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -120,6 +120,20 @@
     U32(CpReportFrame, watches_store),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
+static const Field tokens_row_fields[] = {
+    U64(CpTokensRow, org_hash),      U64(CpTokensRow, ask_id),
+    U64(CpTokensRow, amount),        U32(CpTokensRow, newest_age_ms),
+    U32(CpTokensRow, oldest_age_ms), U32(CpTokensRow, retry_after_ms)};
+static const Field tokens_fields[] = {
+    TEXT(CpTokensFrame, host),
+    U64(CpTokensFrame, incarnation),
+    U64(CpTokensFrame, receiver_incarnation),
+    U64(CpTokensFrame, sequence),
+    U64(CpTokensFrame, sent_ns),
+    U64(CpTokensFrame, receiver_ns),
+    U32(CpTokensFrame, wants_reply),
+    ROWS(CpTokensFrame, rows, row_count, CpTokensRow, tokens_row_fields)};
+
 #define FRAME_LAYOUT(table)                                                   \
     {                                                                         \
         (table), sizeof(table) / sizeof((table)[0])                           \
@@ -141,6 +155,9 @@
     [CP_FRAME_CONFIG_GET] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_CONFIG_CHUNK] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_REPORT] = FRAME_LAYOUT(report_fields),
+    [CP_FRAME_TOKENS_MOVE] = FRAME_LAYOUT(tokens_fields),
+    [CP_FRAME_TOKENS_ASK] = FRAME_LAYOUT(tokens_fields),
+    [CP_FRAME_TOKENS_GRANT] = FRAME_LAYOUT(tokens_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
@@ -206,7 +223,7 @@
                   CpDecodedFrame *out)
 {
     CpStatus st = CpFrame_Decode(data, size_bytes, out);
-    if (st == CP_OK && out->frame.type != CP_FRAME_REPORT) {
+    if (st == CP_OK && out->frame.type < CP_FRAME_REPORT) {
         CpFrame_Clear(out);
         return CpError_Set(CP_ERR_PARSE,
                            "frame type not allowed in a datagram");
@@ -232,6 +249,7 @@
     }
     uint64_t type = o.via.array.ptr[0].via.u64;
     if (type == 0 || type >= CP_FRAME_TYPE_COUNT ||
+        frame_layouts[type].count == 0 ||
         o.via.array.size != frame_layouts[type].count + 1) {
         CpFrame_Clear(out);
         return CpError_Set(CP_ERR_PARSE,
