proxy: a request may wait without a server

Cause: a request that needs a token from another host can't be decided when it arrives, and the policy's callback must not block the worker.

Change: CP_ACTION_WAIT suspends the caller's connection until another thread calls CpProxy_WakeRequest() or wait_until_ns passes; then on_woken() decides. A disconnect during the wait ends the request. 429 carries Retry-After like 503.

--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -61,7 +61,10 @@
 typedef enum {
     CP_ACTION_SEND = 0, /* start an attempt at a server */
     CP_ACTION_RESPOND,  /* forward the server's response */
-    CP_ACTION_FAIL      /* respond with `reason` */
+    CP_ACTION_FAIL,     /* respond with `reason` */
+    /* wait without a server until CpProxy_WakeRequest() or wait_until_ns; then
+     * on_woken() decides */
+    CP_ACTION_WAIT
 } CpProxyActionType;
 
 typedef struct {
@@ -78,6 +81,7 @@
     CpReason reason;             /* FAIL */
     uint32_t status;             /* FAIL; 0: that of the reason */
     uint32_t retry_after_ms;
+    int64_t wait_until_ns; /* WAIT */
 } CpProxyAction;
 
 /* How an attempt ended. */
@@ -116,6 +120,8 @@
     bool (*on_head)(void *ctx, CpRequest *rq, CpProxyAction *out);
     /* A request was received. */
     void (*on_request)(void *ctx, CpRequest *rq, CpProxyAction *out);
+    /* The wait of a request ended. */
+    void (*on_woken)(void *ctx, CpRequest *rq, CpProxyAction *out);
     /* An attempt ended; not called if the caller disconnected meanwhile. */
     void (*on_attempt_ended)(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
@@ -156,6 +162,9 @@
 /* Creates the proxy and binds its address. */
 CpStatus CpProxy_New(const CpProxyOptions *options, CpProxy **out);
 CpStatus CpProxy_Start(CpProxy *p);
+/* Ends the wait of a request, or the next one if it does not wait; may be
+ * called by any thread, until on_request_ended() returns. */
+void CpProxy_WakeRequest(CpRequest *rq);
 /* Counts the requests without a complete response. */
 uint32_t CpProxy_CountActive(CpProxy *p);
 /* Closes each connection after its response from now on. */
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -88,6 +88,11 @@
 {
     CpProxyWorker *w = ex->worker;
     ex->action = *action;
+    if (action->type == CP_ACTION_WAIT) {
+        ex->waiting = true;
+        CpProxyWorker_ScheduleDeadline(w, ex);
+        return;
+    }
     if (action->type == CP_ACTION_SEND) {
         ex->deadline_ns =
             action->deadline_ns - DEADLINE_MARGIN_MS * CP_NS_PER_MS;
@@ -110,6 +115,18 @@
     }
 }
 
+void
+CpProxyFront_OnWoken(CpProxyExchange *ex)
+{
+    const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
+    CpProxyAction action = {0};
+    ex->waiting = false;
+    /* before the policy looks: a later wake-up counts for its next wait */
+    __atomic_exchange_n(&ex->woken, 0, __ATOMIC_SEQ_CST);
+    p->on_woken(p->ctx, &ex->request, &action);
+    CpProxyFront_Execute(ex, &action);
+}
+
 void
 CpProxyFront_OnDisconnect(CpProxyExchange *ex)
 {
@@ -117,6 +134,7 @@
         return;
     }
     ex->disconnected = ex->decided = true;
+    ex->waiting = false;
     CpProxyAttempt_Cancel(ex);
     CpProxyFront_Resume(ex);
 }
@@ -411,7 +429,7 @@
     }
     CpProxyAction action = {0};
     p->on_request(p->ctx, &ex->request, &action);
-    if (action.type == CP_ACTION_SEND) {
+    if (action.type == CP_ACTION_SEND || action.type == CP_ACTION_WAIT) {
         ex->suspended = true;
         MHD_suspend_connection(ex->conn);
         CpProxyWorker_Watch(w, ex);
@@ -528,7 +546,8 @@
         MHD_add_response_header(r, "WWW-Authenticate",
                                 ex->worker->proxy->options.headers->challenge);
     }
-    if (action->retry_after_ms > 0 && action->status == 503) {
+    if (action->retry_after_ms > 0 &&
+        (action->status == 503 || action->status == 429)) {
         snprintf(retry_after, sizeof(retry_after), "%u.%03u",
                  action->retry_after_ms / 1000, action->retry_after_ms % 1000);
         MHD_add_response_header(r, "Retry-After", retry_after);
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -62,6 +62,8 @@
     uint32_t key_headers; /* headers with a key that were received */
     bool started;
     bool suspended;
+    bool waiting;      /* for a wake-up, without an attempt */
+    uint32_t woken;    /* flag; atomic */
     bool watched;      /* the connection is watched for a disconnect */
     bool decided;      /* `action` is final */
     bool disconnected; /* by the caller */
@@ -78,6 +80,7 @@
     int32_t wake_fd;
     struct MHD_Daemon *daemon;
     int32_t daemon_fd;
+    uint32_t has_woken; /* flag: requests that wait may be woken; atomic */
     CURLM *multi;
     int64_t curl_due_ns;         /* INT64_MAX: none */
     GHashTable *exchanges_by_fd; /* those whose caller is watched */
@@ -126,6 +129,8 @@
 void CpProxyFront_Execute(CpProxyExchange *ex, const CpProxyAction *action);
 /* Resumes a connection that waits for its response, or for more of it. */
 void CpProxyFront_Resume(CpProxyExchange *ex);
+/* Lets the policy decide on a request whose wait has ended. */
+void CpProxyFront_OnWoken(CpProxyExchange *ex);
 /* Handle a disconnect of the caller, and the passed deadline of the request.
  */
 void CpProxyFront_OnDisconnect(CpProxyExchange *ex);
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -36,6 +36,7 @@
 static void handle_event(CpProxyWorker *w, const struct epoll_event *e);
 static void end_idle(CpProxyWorker *w, int32_t fd, uint32_t port);
 static void run_timers(CpProxyWorker *w, int64_t now_ns);
+static void run_woken(CpProxyWorker *w);
 static int next_wait_ms(CpProxyWorker *w, int64_t now_ns);
 
 CpStatus
@@ -122,6 +123,7 @@
             handle_event(w, &events[i]);
         }
         run_timers(w, CpClock_Now_ns());
+        run_woken(w);
         CpProxyAttempt_CollectEnded(w);
         do { /* send the responses that are ready before the next wait */
             w->has_resumed = false;
@@ -146,6 +148,15 @@
     }
 }
 
+void
+CpProxy_WakeRequest(CpRequest *rq)
+{
+    CpProxyExchange *ex = (CpProxyExchange *)(void *)rq; /* its first field */
+    CpAtomic_Store(&ex->woken, 1);
+    CpAtomic_Store(&ex->worker->has_woken, 1);
+    CpProxyWorker_Wake(ex->worker);
+}
+
 void
 CpProxyWorker_Watch(CpProxyWorker *w, CpProxyExchange *ex)
 {
@@ -177,7 +188,8 @@
 CpProxyWorker_ScheduleDeadline(CpProxyWorker *w, const CpProxyExchange *ex)
 {
     int64_t attempt_ns = ex->action.attempt_deadline_ns;
-    int64_t due_ns = attempt_ns > 0 && attempt_ns < ex->deadline_ns
+    int64_t due_ns = ex->waiting ? ex->action.wait_until_ns
+                     : attempt_ns > 0 && attempt_ns < ex->deadline_ns
                          ? attempt_ns
                          : ex->deadline_ns;
     if (!ex->decided && due_ns < w->next_deadline_ns) {
@@ -342,6 +354,15 @@
     w->next_deadline_ns = INT64_MAX;
     for (CpProxyExchange *ex = w->exchanges, *next; ex != NULL; ex = next) {
         next = ex->next;
+        if (ex->waiting) {
+            if (ex->action.wait_until_ns <= now_ns) {
+                CpProxyFront_OnWoken(ex);
+            }
+            else {
+                CpProxyWorker_ScheduleDeadline(w, ex);
+            }
+            continue;
+        }
         if (ex->decided || ex->deadline_ns == 0) {
             continue;
         }
@@ -357,6 +378,23 @@
     }
 }
 
+/* Wakes the requests whose wait other threads have ended. */
+static void
+run_woken(CpProxyWorker *w)
+{
+    /* reset before the requests are looked at */
+    if (CpAtomic_Load(&w->has_woken) == 0 ||
+        __atomic_exchange_n(&w->has_woken, 0, __ATOMIC_SEQ_CST) == 0) {
+        return;
+    }
+    for (CpProxyExchange *ex = w->exchanges, *next; ex != NULL; ex = next) {
+        next = ex->next;
+        if (ex->waiting && CpAtomic_Load(&ex->woken) != 0) {
+            CpProxyFront_OnWoken(ex);
+        }
+    }
+}
+
 static int
 next_wait_ms(CpProxyWorker *w, int64_t now_ns)
 {
