config: settings of quotas

Change: quota_window_s (0: not enforced), quota_overshoot as a fraction, because the template can't multiply, and quota_tolerance. Both allowances are 0 where they are not set, so that a template that leaves out a value of 0 does not allow more.

--- a/src/config/config.h
+++ b/src/config/config.h
@@ -64,8 +64,15 @@
     bool first_start;  /* the hosts start together for the first time */
     uint32_t lapse_ms; /* after a store outage, before missing
                           server entries are removed */
+    /* Window over which the limits of organisations hold; 0: not enforced. */
+    uint32_t quota_window_s;
+    char quota_overshoot[16]; /* allowed, as a fraction of the limit; "": 0 */
+    uint32_t quota_tolerance; /* allowed in addition, requests */
 } CpSettings;
 bool CpSettings_ServesRoutes(const CpSettings *s);
+/* Returns quota_overshoot in thousandths, rounded down; 0 if it is not set.
+ */
+uint32_t CpSettings_Overshoot_milli(const CpSettings *s);
 
 typedef struct {
     char name[CP_NAME_BYTES];
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -45,12 +45,16 @@
     CP_U32_FIELD(CpSettings, report_interval_ms, 100, 60000, 1500, "ms"),
     CP_BOOL_FIELD(CpSettings, first_start, 0),
     CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2000, "ms"),
+    CP_U32_FIELD(CpSettings, quota_window_s, 0, 3600, 0, "s"),
+    CP_TEXT_FIELD(CpSettings, quota_overshoot, false),
+    CP_U32_FIELD(CpSettings, quota_tolerance, 0, 100000, 0, "requests"),
     {0},
 };
 
 static void check_address(const char *path, const char *field,
                           const char *value, CpProblems *p);
 static void check_mode(const char *path, const CpSettings *s, CpProblems *p);
+static bool parse_fraction(const char *text, uint32_t *milli);
 
 CpStatus
 CpSettings_Load(const char *path, CpSettings *out, CpProblems *p)
@@ -91,6 +95,16 @@
     return strcmp(s->serve, "routes") == 0;
 }
 
+uint32_t
+CpSettings_Overshoot_milli(const CpSettings *s)
+{
+    uint32_t milli;
+    return s->quota_overshoot[0] != '\0' &&
+                   parse_fraction(s->quota_overshoot, &milli)
+               ? milli
+               : 0;
+}
+
 void
 CpSettings_Clear(CpSettings *s)
 {
@@ -136,6 +150,14 @@
         if (s->control[0] != '\0') {
             check_address(path, "control", s->control, p);
         }
+        uint32_t milli;
+        if (s->quota_overshoot[0] != '\0' &&
+            !parse_fraction(s->quota_overshoot, &milli)) {
+            CpProblems_Add(p,
+                           "%s: quota_overshoot: expected a fraction from 0 "
+                           "to 1, got \"%s\"",
+                           path, s->quota_overshoot);
+        }
         return;
     }
     if (s->serve[0] != '\0' && strcmp(s->serve, "kinds") != 0) {
@@ -149,3 +171,15 @@
         CpProblems_Add(p, "%s: token_file is missing", path);
     }
 }
+
+static bool
+parse_fraction(const char *text, uint32_t *milli)
+{
+    char *end;
+    double value = strtod(text, &end);
+    if (end == text || *end != '\0' || !(value >= 0 && value <= 1)) {
+        return false;
+    }
+    *milli = (uint32_t)(value * 1000 + 1e-6);
+    return true;
+}
