entry: limits of organisations are enforced over all hosts

Cause: ratePerS and burst of an organisation had no effect.

Change: entry_quota connects src/quota to the configuration, the hosts table, the datagrams and the requests that wait. A token is taken after the key and before the choice of the server, once for all attempts, and returned if the request did not run. 429 quota_exceeded with the time to retry; metrics and a log line with the inputs of a denial. A host that leaves generates no tokens before it removes its row.

--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -66,6 +66,18 @@
     [CP_COUNT_LINK_WAITS] = {"link_waits", "Sends that waited for a link"},
     [CP_COUNT_REPORTS_UNSENT] = {"reports_unsent",
                                  "Reports to hosts that could not be sent"},
+    [CP_COUNT_QUOTA_GRANTED] = {"quota_granted",
+                                "Requests that got a quota token"},
+    [CP_COUNT_QUOTA_DENIED] = {"quota_denied",
+                               "Requests beyond the quota of their "
+                               "organisation"},
+    [CP_COUNT_QUOTA_UNANSWERED] = {"quota_unanswered",
+                                   "Denials because no pool responded"},
+    [CP_COUNT_QUOTA_WAITS] = {"quota_waits",
+                              "Requests that waited for a quota token"},
+    [CP_COUNT_QUOTA_RETURNED] = {"quota_returned",
+                                 "Tokens of requests that did not run"},
+    [CP_COUNT_QUOTA_BYTES] = {"quota_bytes", "Bytes sent for quotas"},
     [CP_COUNT_SERVER_CONNECTIONS] = {"server_connections",
                                      "Connections opened to servers"},
     [CP_COUNT_CONNECTIONS_SPENT] =
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -120,6 +120,8 @@
         {"no_common_region",
          "the route and the organisation have no home region in common", 503,
          5},
+    [CP_REASON_QUOTA_EXCEEDED] = {"quota_exceeded",
+                                  "the organisation is at its limit", 429, 1},
 };
 
 CpStatus
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -193,6 +193,35 @@
     return out[0] != '\0';
 }
 
+bool
+CpEntryHosts_GetInnerAddress(CpEntry *e, const char *name, CpEntryAddress *out)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    const CpEntryHost *h = find_host(e, name);
+    CpStr_Copy(out->value, sizeof(out->value), h != NULL ? h->inner : "");
+    pthread_mutex_unlock(&e->hosts_lock);
+    return out->value[0] != '\0';
+}
+
+/* This host counts as live until it leaves; it then generates no tokens, and
+ * removes its row, which makes the others generate more. */
+uint32_t
+CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out)
+{
+    bool leaving = CpAtomic_Load(&e->leaving) != 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    uint32_t n = e->hosts->len;
+    *out = CpMem_Alloc((n + 1) * sizeof(**out));
+    for (guint i = 0; i < n; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        bool self = strcmp(h->name, e->settings.host) == 0;
+        CpStr_Copy((*out)[i].name, CP_NAME_BYTES, h->name);
+        (*out)[i].live = self ? !leaving : !h->silent && !h->leaving;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return n;
+}
+
 void
 CpEntryHosts_CountSharing(CpEntry *e, CpFleetHostCounts *out)
 {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -9,6 +9,8 @@
 #include "base/event.h"
 #include "entry/entry.h"
 #include "http/http.h"
+#include "quota/quota.h"
+#include "wire/wire.h"
 
 /* An entry host, this one included, from its row and its last report. */
 typedef struct {
@@ -58,6 +60,23 @@
     int64_t behind_since_ns;
 } CpEntryFollower;
 
+/* What one request has of its organisation's quota. */
+typedef struct {
+    CpRequest *request;
+    uint64_t org;
+    bool taken;            /* it has a token */
+    int64_t token_ns;      /* when that was generated */
+    int64_t wait_began_ns; /* 0: it does not wait */
+    bool listed;           /* in its shard's `waiting` */
+    GList link;
+} CpEntryQuotaTicket;
+
+#define CP_ENTRY_QUOTA_SHARDS 8
+typedef struct {
+    pthread_mutex_t lock; /* guards the next */
+    GQueue waiting;       /* CpEntryQuotaTicket */
+} CpEntryQuotaShard;
+
 struct CpEntry {
     CpSettings settings;
     CpEntryAdapter adapter;
@@ -105,6 +124,10 @@
     uint32_t remote_rotation;
     uint32_t hosts_in_domain; /* that are not silent; atomic */
 
+    CpQuota *quota; /* NULL: quotas are not enforced */
+    CpEntryQuotaShard quota_shards[CP_ENTRY_QUOTA_SHARDS]; /* by org */
+    uint32_t quota_ticks; /* by the timer's thread */
+
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
 };
@@ -221,6 +244,13 @@
                                            CpEntryAddress *out,
                                            uint32_t capacity);
 
+/* Copies the address for datagrams of a host; returns false if the host is
+ * unknown. */
+bool CpEntryHosts_GetInnerAddress(CpEntry *e, const char *name,
+                                  CpEntryAddress *out);
+/* Lists all hosts of the table, this one included; free() *out. */
+uint32_t CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out);
+
 /* peers: reports between hosts */
 #define CP_ENTRY_REPORT_INTERVAL_MS 500         /* of complete reports */
 #define CP_ENTRY_REMOTE_REPORT_INTERVAL_MS 1000 /* to a remote domain */
@@ -234,6 +264,27 @@
 void CpEntryPeers_SendUsage(CpEntry *e, const char *service,
                             const char *instance);
 
+/* quota: limits of organisations over all hosts */
+typedef enum {
+    CP_ENTRY_QUOTA_GRANTED = 0, /* or the request needs no token */
+    CP_ENTRY_QUOTA_WAIT,        /* `out` is set */
+    CP_ENTRY_QUOTA_DENIED       /* out->retry_after_ms is set */
+} CpEntryQuotaResult;
+void CpEntryQuota_Init(CpEntry *e);
+/* Applies the limits of the configuration that came into force. */
+void CpEntryQuota_SetLimits(CpEntry *e, const CpRoutes *r);
+/* Takes a token for a request, once. */
+CpEntryQuotaResult CpEntryQuota_Decide(CpEntry *e, CpRequest *rq,
+                                       const CpOrg *org, CpEntryQuotaTicket *t,
+                                       CpProxyAction *out);
+/* The request has ended, or will not be sent: returns its token unless it may
+ * have run. */
+void CpEntryQuota_End(CpEntry *e, CpEntryQuotaTicket *t, bool may_have_run);
+void CpEntryQuota_Tick(void *ctx, int64_t now_ns);
+/* Handles a datagram with tokens. */
+void CpEntryQuota_OnFrame(CpEntry *e, const CpFrame *f);
+void CpEntryQuota_AppendMetrics(CpEntry *e, GString *text);
+
 /* request: the policy that handles requests */
 void CpEntryRequest_InitPolicy(CpEntry *e, CpProxyPolicy *out);
 
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -47,6 +47,7 @@
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->retry_budget_lock, NULL);
     CpEntryHosts_Init(e);
+    CpEntryQuota_Init(e);
     CpFleetDomain *domains =
         CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
     for (uint32_t i = 0; i < s->domain_count; i++) {
@@ -86,6 +87,9 @@
     CpTimer_Subscribe(e->timer, CP_FLEET_TICK_MS, CpEntryHosts_Tick, e);
     CpTimer_Subscribe(e->timer, CP_ENTRY_REPORT_INTERVAL_MS, CpEntryPeers_Tick,
                       e);
+    if (e->quota != NULL) {
+        CpTimer_Subscribe(e->timer, CP_QUOTA_TICK_MS, CpEntryQuota_Tick, e);
+    }
     CpStatus st = CpProxy_Start(e->proxy);
     if (st == CP_OK) {
         st = CpEntryFollow_Start(e);
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -117,7 +117,12 @@
             CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
             continue;
         }
-        on_report(e, &d.frame.report);
+        if (d.frame.type == CP_FRAME_REPORT) {
+            on_report(e, &d.frame.report);
+        }
+        else {
+            CpEntryQuota_OnFrame(e, &d.frame);
+        }
         CpFrame_Clear(&d);
     }
     return NULL;
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -61,6 +61,7 @@
         r != NULL && r->orgs != NULL ? CpOrgTable_CountKeys(r->orgs) : 0);
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
+    CpEntryQuota_AppendMetrics(e, text);
     CpRoutes_Release(r);
     *out = g_string_free(text, FALSE);
     return 200;
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -27,6 +27,7 @@
     uint32_t home_region_count; /* regions it may run in; 0: all */
     const char (*home_regions)[CP_NAME_BYTES];
     char common_regions[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES];
+    CpEntryQuotaTicket quota;
     const char *service;
     int64_t deadline_ns;
     int64_t goal_ns;
@@ -47,6 +48,7 @@
 
 static bool on_head(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_request(void *ctx, CpRequest *rq, CpProxyAction *out);
+static void on_woken(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_attempt_ended(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
 static bool may_stream(void *ctx, const CpRequest *rq,
@@ -62,6 +64,8 @@
 static void get_limits(void *ctx, CpRouteLimits *out);
 static bool has_key_to(const CpRoutes *r, const CpRoute *route,
                        const CpRequest *rq, const CpOrg **org);
+static void take_token_and_dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
+                                    CpProxyAction *out);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
 static int64_t attempt_deadline_ns(const RequestState *s, int64_t now_ns);
@@ -90,6 +94,7 @@
 {
     *out = (CpProxyPolicy){.on_head = on_head,
                            .on_request = on_request,
+                           .on_woken = on_woken,
                            .on_attempt_ended = on_attempt_ended,
                            .may_stream = may_stream,
                            .on_stream_ended = on_stream_ended,
@@ -162,7 +167,13 @@
     s->goal_ns = rq->started_ns + s->route->goal_ms * CP_NS_PER_MS;
     s->service = CpRoutes_NextService(s->routes, s->route);
     deposit_retry(e, now_ns);
-    dispatch(e, rq, s, out);
+    take_token_and_dispatch(e, rq, s, out);
+}
+
+static void
+on_woken(void *ctx, CpRequest *rq, CpProxyAction *out)
+{
+    take_token_and_dispatch(ctx, rq, rq->policy_data, out);
 }
 
 static void
@@ -269,7 +280,6 @@
 on_request_ended(void *ctx, CpRequest *rq, const CpRequestResult *result)
 {
     RequestState *s = rq->policy_data;
-    (void)ctx;
     uint32_t rank = s != NULL ? s->rank : 0;
     const char *route = s != NULL && s->route != NULL ? s->route->name : "";
     if (result->completed) {
@@ -284,7 +294,7 @@
     else {
         CpCounter_AddReason(result->reason, rank);
         CpEvent(result->status == 503 || result->status == 404 ||
-                        result->status == 401
+                        result->status == 401 || result->status == 429
                     ? CP_EVENT_REFUSED
                     : CP_EVENT_FAILED,
                 "ended", "s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:b", "request", rq->id,
@@ -296,6 +306,7 @@
                 (int)(s != NULL && s->may_have_run));
     }
     if (s != NULL) {
+        CpEntryQuota_End(ctx, &s->quota, s->may_have_run);
         CpRoutes_Release(s->routes);
     }
 }
@@ -323,6 +334,28 @@
     return r->orgs == NULL || *org != NULL || route->is_public;
 }
 
+/* Takes a token of the request's organisation, or waits for one as long as the
+ * request can still be served, and sends the request. */
+static void
+take_token_and_dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
+                        CpProxyAction *out)
+{
+    int64_t latest_ns = s->deadline_ns - MIN_TIME_LEFT_MS * CP_NS_PER_MS;
+    CpEntryQuotaResult result =
+        s->org == NULL || CpClock_Now_ns() > latest_ns
+            ? CP_ENTRY_QUOTA_GRANTED /* dispatch() refuses it */
+            : CpEntryQuota_Decide(e, rq, s->org, &s->quota, out);
+    if (result == CP_ENTRY_QUOTA_DENIED) {
+        set_failure(s, CP_REASON_QUOTA_EXCEEDED, out->retry_after_ms, out);
+    }
+    else if (result == CP_ENTRY_QUOTA_GRANTED) {
+        dispatch(e, rq, s, out);
+    }
+    else if (out->wait_until_ns > latest_ns) {
+        out->wait_until_ns = latest_ns;
+    }
+}
+
 static void
 dispatch(CpEntry *e, CpRequest *rq, RequestState *s, CpProxyAction *out)
 {
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -101,6 +101,7 @@
         CpFleet_SetWarmup(e->fleet, s->name, s->warmup_ms,
                           s->warmup_per_s_milli);
     }
+    CpEntryQuota_SetLimits(e, next);
     CpCounter_Add(CP_COUNT_CONFIG_ACCEPTED, 1);
     CpEvent(CP_EVENT_STATE, "routes_in_force", "s:I,s:I,s:i,s:i", "version",
             (json_int_t)next->version, "before", (json_int_t)old_version,
