--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 #include <pthread.h>
+#include <sys/socket.h>
 
 #include "admit/admit.h"
 #include "base/event.h"
@@ -50,6 +51,8 @@
     uint64_t removals_version;
     GHashTable *rows; /* last read version of each, served to other hosts */
     uint32_t consecutive_errors; /* atomic */
+    uint64_t rows_read;          /* count; atomic */
+    bool ended_early; /* the call, to confirm the copy; thread only */
     /* highest of all rows read, and of the removals that a scan implies;
      * atomic */
     uint64_t row_version;
@@ -124,9 +127,14 @@
     uint32_t remote_rotation;
     uint32_t hosts_in_domain; /* that are not silent; atomic */
 
+    CpFreshness *freshness;
+    CpTimer *freshness_timer;
+    bool was_fresh; /* this and the next one: used by that timer only */
+    uint32_t freshness_queries;
     CpQuota *quota; /* NULL: quotas are not enforced */
     CpEntryQuotaShard quota_shards[CP_ENTRY_QUOTA_SHARDS]; /* by org */
-    uint32_t quota_ticks; /* by the timer's thread */
+    CpTimer *quota_timer;
+    uint32_t quota_ticks; /* used by that timer only */
 
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
@@ -219,6 +227,13 @@
  * server, do. *host_count is the number of those hosts. */
 bool CpEntryHosts_GetWarmupShare(void *ctx, const char *instance,
                                  const char *domain, uint32_t *host_count);
+/* Lists the watching hosts to ask for the freshness of the operator's table
+ * and returns their number: the first one of this domain, or, if there is
+ * none, one of another domain; with `several` also the next one, and one of
+ * another domain. `rotation` selects that. */
+#define CP_ENTRY_MAX_ASKED 3
+uint32_t CpEntryHosts_ListWatching(CpEntry *e, bool several, uint32_t rotation,
+                                   CpEntryAddress out[CP_ENTRY_MAX_ASKED]);
 /* Encodes the directory's response to a caller in a domain that looks up a
  * host name; free() it. NULL if no host is available. */
 char *CpEntryHosts_EncodeDirectory(CpEntry *e, const char *host_name,
@@ -264,6 +279,18 @@
 void CpEntryPeers_SendUsage(CpEntry *e, const char *service,
                             const char *instance);
 
+/* Sends a datagram; one that cannot be sent is treated as lost. */
+void CpEntryPeers_Send(CpEntry *e, const CpFrame *f,
+                       const struct sockaddr_storage *to, uint32_t to_bytes);
+
+/* freshness: of the operator's configuration */
+void CpEntryFreshness_Init(CpEntry *e);
+CpStatus CpEntryFreshness_Start(CpEntry *e);
+void CpEntryFreshness_OnQuery(CpEntry *e, const CpFreshnessQueryFrame *q,
+                              const struct sockaddr_storage *from,
+                              uint32_t from_bytes);
+void CpEntryFreshness_OnReply(CpEntry *e, const CpFreshnessReplyFrame *r);
+
 /* quota: limits of organisations over all hosts */
 typedef enum {
     CP_ENTRY_QUOTA_GRANTED = 0, /* or the request needs no token */
@@ -271,6 +298,7 @@
     CP_ENTRY_QUOTA_DENIED       /* out->retry_after_ms is set */
 } CpEntryQuotaResult;
 void CpEntryQuota_Init(CpEntry *e);
+CpStatus CpEntryQuota_Start(CpEntry *e);
 /* Applies the limits of the configuration that came into force. */
 void CpEntryQuota_SetLimits(CpEntry *e, const CpRoutes *r);
 /* Takes a token for a request, once. */
@@ -280,7 +308,6 @@
 /* The request has ended, or will not be sent: returns its token unless it may
  * have run. */
 void CpEntryQuota_End(CpEntry *e, CpEntryQuotaTicket *t, bool may_have_run);
-void CpEntryQuota_Tick(void *ctx, int64_t now_ns);
 /* Handles a datagram with tokens. */
 void CpEntryQuota_OnFrame(CpEntry *e, const CpFrame *f);
 void CpEntryQuota_AppendMetrics(CpEntry *e, GString *text);
--- a/src/entry/entry_quota.c
+++ b/src/entry/entry_quota.c
@@ -15,6 +15,7 @@
     4 /* how often the table of hosts is passed on                            \
        */
 
+static void tick(void *ctx, int64_t now_ns);
 static void send_message(void *ctx, const CpQuotaMessage *m);
 static void wake_requests(void *ctx, uint64_t org);
 static CpEntryQuotaShard *shard_of(CpEntry *e, uint64_t org);
@@ -45,6 +46,19 @@
     }
 }
 
+/* A timer of its own: those of the shared one write to the store, which may
+ * take seconds to respond. */
+CpStatus
+CpEntryQuota_Start(CpEntry *e)
+{
+    if (e->quota == NULL) {
+        return CP_OK;
+    }
+    e->quota_timer = CpTimer_New();
+    CpTimer_Subscribe(e->quota_timer, CP_QUOTA_TICK_MS, tick, e);
+    return CpTimer_Start(e->quota_timer);
+}
+
 void
 CpEntryQuota_SetLimits(CpEntry *e, const CpRoutes *r)
 {
@@ -119,16 +133,6 @@
     t->wait_began_ns = 0;
 }
 
-void
-CpEntryQuota_Tick(void *ctx, int64_t now_ns)
-{
-    CpEntry *e = ctx;
-    if (e->quota_ticks++ % HOSTS_INTERVAL_TICKS == 0) {
-        update_hosts(e, now_ns);
-    }
-    CpQuota_Tick(e->quota, now_ns);
-}
-
 void
 CpEntryQuota_OnFrame(CpEntry *e, const CpFrame *f)
 {
@@ -179,6 +183,16 @@
         (double)s.stored / CP_QUOTA_TOKEN, s.asked, s.messages, s.rejected);
 }
 
+static void
+tick(void *ctx, int64_t now_ns)
+{
+    CpEntry *e = ctx;
+    if (e->quota_ticks++ % HOSTS_INTERVAL_TICKS == 0) {
+        update_hosts(e, now_ns);
+    }
+    CpQuota_Tick(e->quota, now_ns);
+}
+
 /* A message that cannot be sent is treated as lost. */
 static void
 send_message(void *ctx, const CpQuotaMessage *m)
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -120,6 +120,16 @@
     U32(CpReportFrame, watches_store),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
+static const Field freshness_query_fields[] = {
+    U64(CpFreshnessQueryFrame, incarnation),
+    U64(CpFreshnessQueryFrame, sent_ns)};
+static const Field freshness_reply_fields[] = {
+    U64(CpFreshnessReplyFrame, incarnation),
+    U64(CpFreshnessReplyFrame, sent_ns),
+    TEXT(CpFreshnessReplyFrame, host),
+    U64(CpFreshnessReplyFrame, age_ns),
+    U64(CpFreshnessReplyFrame, era),
+    U64(CpFreshnessReplyFrame, version)};
 static const Field tokens_row_fields[] = {
     U64(CpTokensRow, org_hash),      U64(CpTokensRow, ask_id),
     U64(CpTokensRow, amount),        U32(CpTokensRow, newest_age_ms),
@@ -155,6 +165,8 @@
     [CP_FRAME_CONFIG_GET] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_CONFIG_CHUNK] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_REPORT] = FRAME_LAYOUT(report_fields),
+    [CP_FRAME_FRESHNESS_QUERY] = FRAME_LAYOUT(freshness_query_fields),
+    [CP_FRAME_FRESHNESS_REPLY] = FRAME_LAYOUT(freshness_reply_fields),
     [CP_FRAME_TOKENS_MOVE] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_ASK] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_GRANT] = FRAME_LAYOUT(tokens_fields),
