--- a/regress/run.c
+++ b/regress/run.c
@@ -28,8 +28,9 @@
     {"fleet", CpDrive_Fleet},   {"http", CpDrive_Http},
     {"member", CpDrive_Member}, {"once", CpDrive_Once},
     {"org", CpDrive_Org},       {"platform", CpDrive_Platform},
-    {"route", CpDrive_Route},   {"steer", CpDrive_Steer},
-    {"wire", CpDrive_Wire},     {"system", NULL}, /* run by bash */
+    {"quota", CpDrive_Quota},   {"route", CpDrive_Route},
+    {"steer", CpDrive_Steer},   {"wire", CpDrive_Wire},
+    {"system", NULL}, /* run by bash */
 };
 
 static char *scripts[MAX_TESTS];
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -124,6 +124,8 @@
         {"key_not_fresh",
          "the key may have been withdrawn: the configuration is not fresh",
          503, 5},
+    [CP_REASON_QUOTA_EXCEEDED] = {"quota_exceeded",
+                                  "the organisation is at its limit", 429, 1},
 };
 
 CpStatus
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -10,6 +10,7 @@
 #include "base/event.h"
 #include "entry/entry.h"
 #include "http/http.h"
+#include "quota/quota.h"
 #include "wire/wire.h"
 
 /* An entry host, this one included, from its row and its last report. */
@@ -62,6 +63,23 @@
     int64_t behind_since_ns;
 } CpEntryFollower;
 
+/* What one request has of its organisation's quota. */
+typedef struct {
+    CpRequest *request;
+    uint64_t org;
+    bool taken;            /* it has a token */
+    int64_t token_ns;      /* when that was generated */
+    int64_t wait_began_ns; /* 0: it does not wait */
+    bool listed;           /* in its shard's `waiting` */
+    GList link;
+} CpEntryQuotaTicket;
+
+#define CP_ENTRY_QUOTA_SHARDS 8
+typedef struct {
+    pthread_mutex_t lock; /* guards the next */
+    GQueue waiting;       /* CpEntryQuotaTicket */
+} CpEntryQuotaShard;
+
 struct CpEntry {
     CpSettings settings;
     CpEntryAdapter adapter;
@@ -113,6 +131,10 @@
     CpTimer *freshness_timer;
     bool was_fresh; /* this and the next one: used by that timer only */
     uint32_t freshness_queries;
+    CpQuota *quota; /* NULL: quotas are not enforced */
+    CpEntryQuotaShard quota_shards[CP_ENTRY_QUOTA_SHARDS]; /* by org */
+    CpTimer *quota_timer;
+    uint32_t quota_ticks; /* used by that timer only */
 
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
@@ -237,6 +259,13 @@
                                            CpEntryAddress *out,
                                            uint32_t capacity);
 
+/* Copies the address for datagrams of a host; returns false if the host is
+ * unknown. */
+bool CpEntryHosts_GetInnerAddress(CpEntry *e, const char *name,
+                                  CpEntryAddress *out);
+/* Lists all hosts of the table, this one included; free() *out. */
+uint32_t CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out);
+
 /* peers: reports between hosts */
 #define CP_ENTRY_REPORT_INTERVAL_MS 500         /* of complete reports */
 #define CP_ENTRY_REMOTE_REPORT_INTERVAL_MS 1000 /* to a remote domain */
@@ -262,6 +291,27 @@
                               uint32_t from_bytes);
 void CpEntryFreshness_OnReply(CpEntry *e, const CpFreshnessReplyFrame *r);
 
+/* quota: limits of organisations over all hosts */
+typedef enum {
+    CP_ENTRY_QUOTA_GRANTED = 0, /* or the request needs no token */
+    CP_ENTRY_QUOTA_WAIT,        /* `out` is set */
+    CP_ENTRY_QUOTA_DENIED       /* out->retry_after_ms is set */
+} CpEntryQuotaResult;
+void CpEntryQuota_Init(CpEntry *e);
+CpStatus CpEntryQuota_Start(CpEntry *e);
+/* Applies the limits of the configuration that came into force. */
+void CpEntryQuota_SetLimits(CpEntry *e, const CpRoutes *r);
+/* Takes a token for a request, once. */
+CpEntryQuotaResult CpEntryQuota_Decide(CpEntry *e, CpRequest *rq,
+                                       const CpOrg *org, CpEntryQuotaTicket *t,
+                                       CpProxyAction *out);
+/* The request has ended, or will not be sent: returns its token unless it may
+ * have run. */
+void CpEntryQuota_End(CpEntry *e, CpEntryQuotaTicket *t, bool may_have_run);
+/* Handles a datagram with tokens. */
+void CpEntryQuota_OnFrame(CpEntry *e, const CpFrame *f);
+void CpEntryQuota_AppendMetrics(CpEntry *e, GString *text);
+
 /* request: the policy that handles requests */
 void CpEntryRequest_InitPolicy(CpEntry *e, CpProxyPolicy *out);
 
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -48,6 +48,7 @@
     pthread_mutex_init(&e->retry_budget_lock, NULL);
     CpEntryHosts_Init(e);
     CpEntryFreshness_Init(e);
+    CpEntryQuota_Init(e);
     CpFleetDomain *domains =
         CpMem_Alloc((s->domain_count + 1) * sizeof(*domains));
     for (uint32_t i = 0; i < s->domain_count; i++) {
@@ -100,6 +101,9 @@
     if (st == CP_OK) {
         st = CpEntryFreshness_Start(e);
     }
+    if (st == CP_OK) {
+        st = CpEntryQuota_Start(e);
+    }
     if (st == CP_OK) {
         CpEvent(CP_EVENT_PROCESS, "started", "s:s,s:s,s:s", "domain",
                 e->settings.domain, "caller", e->settings.caller, "store",
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -131,6 +131,11 @@
         case CP_FRAME_FRESHNESS_REPLY:
             CpEntryFreshness_OnReply(e, &d.frame.freshness_reply);
             break;
+        case CP_FRAME_TOKENS_MOVE:
+        case CP_FRAME_TOKENS_ASK:
+        case CP_FRAME_TOKENS_GRANT:
+            CpEntryQuota_OnFrame(e, &d.frame);
+            break;
         default:
             break;
         }
