entry: a host without a way to the store gets changes from other domains

Cause: with a bound, hosts that only lack their way to the store are confirmed by hosts of other domains until the configuration changes; then they refused requests with keys, as only hosts that a watching host of their domain serves fetch rows from others. Ruled out: fetch_from_peer() as it is: it takes the store for reachable again. Change: with revocation_bound_ms set, the operator's table is fetched from a host that has reported a later version when the store cannot be read. A host that does not give it is replaced by the next one that reports the version. Unchanged: system/routes_withdrawn, _start, _missed, _lapse, _first_start, _cut, store_mixed. Conclusion: a domain cut off from the store only goes on within the bound.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -37,6 +37,7 @@
 static bool fetch_from_peer(CpEntryFollower *f, uint64_t *version);
 static void confirm_copy(CpEntryFollower *f, bool nothing_newer,
                          uint64_t version);
+static void fetch_missed(CpEntryFollower *f, uint64_t *version);
 static void set_read_version(CpEntryFollower *f, uint64_t version);
 static uint32_t max_wait_ms(const CpEntryFollower *f, bool instead_of_peer);
 static bool should_stop(void *ctx);
@@ -168,6 +169,10 @@
             if (f->table == CP_TABLE_OPERATOR && !has_routes(e)) {
                 CpEntryNeighbours_LoadTables(e);
             }
+            else if (f->table == CP_TABLE_OPERATOR &&
+                     e->settings.revocation_bound_ms > 0) {
+                fetch_missed(f, &version);
+            }
             back_off(f);
             continue;
         }
@@ -286,6 +291,33 @@
     }
 }
 
+/* While the store cannot be read, the rows of another host that has read more
+ * of the table keep the copy fresh. */
+static void
+fetch_missed(CpEntryFollower *f, uint64_t *version)
+{
+    CpEntry *e = f->entry;
+    char peer[CP_NAME_BYTES];
+    pthread_mutex_lock(&e->store_lock);
+    bool behind =
+        __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
+    CpStr_Copy(peer, sizeof(peer), f->peer_host);
+    pthread_mutex_unlock(&e->store_lock);
+    if (!behind) {
+        return;
+    }
+    if (CpEntryNeighbours_FetchMissed(f, peer, version) == CP_OK) {
+        CpEvent(CP_EVENT_DEPENDENCY, "table_loaded", "s:s,s:s,s:I", "table",
+                table_info[f->table].label, "from", peer, "version",
+                (json_int_t)*version);
+        set_read_version(f, *version);
+        return;
+    }
+    pthread_mutex_lock(&e->store_lock);
+    f->peer_host[0] = '\0'; /* the next one to report the version is asked */
+    pthread_mutex_unlock(&e->store_lock);
+}
+
 static void
 set_read_version(CpEntryFollower *f, uint64_t version)
 {
@@ -360,11 +392,14 @@
     if (version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)) {
         return;
     }
-    if (version > __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED)) {
+    if (version >= __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED)) {
         pthread_mutex_lock(&e->store_lock);
-        CpStr_Copy(f->peer_host, sizeof(f->peer_host), host);
-        __atomic_store_n(&f->peer_version, version, __ATOMIC_RELAXED);
-        pthread_cond_broadcast(&e->store_changed);
+        if (version > __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) ||
+            f->peer_host[0] == '\0') {
+            CpStr_Copy(f->peer_host, sizeof(f->peer_host), host);
+            __atomic_store_n(&f->peer_version, version, __ATOMIC_RELAXED);
+            pthread_cond_broadcast(&e->store_changed);
+        }
         pthread_mutex_unlock(&e->store_lock);
     }
     if (__atomic_load_n(&f->behind_since_ns, __ATOMIC_RELAXED) == 0) {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -57,7 +57,8 @@
     uint64_t row_version;
     uint64_t read_version; /* the table is read completely up to it; atomic */
     uint64_t peer_version; /* highest that a peer has read; atomic */
-    char peer_host[CP_NAME_BYTES]; /* that peer; guarded by store_lock */
+    char peer_host[CP_NAME_BYTES]; /* that peer, "": none; guarded by
+                                      store_lock */
     /* when peer_version first exceeded read_version; 0: it does not; atomic */
     int64_t behind_since_ns;
 } CpEntryFollower;
@@ -167,6 +168,10 @@
  * which version its removals are complete. */
 CpStatus CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
                                         uint64_t *version);
+/* The same for a host that does not reach the store itself, and says nothing
+ * of entries that lapsed. */
+CpStatus CpEntryNeighbours_FetchMissed(CpEntryFollower *f, const char *peer,
+                                       uint64_t *version);
 /* Fetches all rows of a table from a host that has read it; *version becomes
  * the version up to which it has. */
 CpStatus CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -29,7 +29,8 @@
 static json_t *render_table(CpEntryFollower *f, uint64_t after,
                             uint64_t digest);
 static CpStatus fetch_rows(CpEntryFollower *f, const char *peer,
-                           uint32_t timeout_ms, uint64_t *version);
+                           uint32_t timeout_ms, bool sets_lapse,
+                           uint64_t *version);
 static json_t *fetch_page(const char *address, const char *path,
                           uint32_t timeout_ms);
 static void apply_rows(CpEntryFollower *f, const json_t *rows);
@@ -125,19 +126,26 @@
 CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
                                uint64_t *version)
 {
-    return fetch_rows(f, peer, STATE_TIMEOUT_MS, version);
+    return fetch_rows(f, peer, STATE_TIMEOUT_MS, true, version);
+}
+
+CpStatus
+CpEntryNeighbours_FetchMissed(CpEntryFollower *f, const char *peer,
+                              uint64_t *version)
+{
+    return fetch_rows(f, peer, STATE_TIMEOUT_MS, false, version);
 }
 
 CpStatus
 CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
                             uint64_t *version)
 {
-    return fetch_rows(f, peer, LOAD_TIMEOUT_MS, version);
+    return fetch_rows(f, peer, LOAD_TIMEOUT_MS, true, version);
 }
 
 static CpStatus
 fetch_rows(CpEntryFollower *f, const char *peer, uint32_t timeout_ms,
-           uint64_t *version)
+           bool sets_lapse, uint64_t *version)
 {
     char address[CP_ADDR_BYTES], path[128];
     if (!CpEntryHosts_GetControlAddress(f->entry, peer, address)) {
@@ -169,7 +177,9 @@
     uint32_t lapse_left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
     bool all_rows = json_is_true(json_object_get(table, "all_rows"));
-    CpEntryFollow_SetLapseLeft(f->entry, lapse_left_ms, CpClock_Now_ns());
+    if (sets_lapse) {
+        CpEntryFollow_SetLapseLeft(f->entry, lapse_left_ms, CpClock_Now_ns());
+    }
     if (all_rows) {
         CpEntryNeighbours_BeginList(f);
     }
