--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,8 @@
 BINS := $(B)/chestnutpaddled $(B)/chestnutpaddle $(B)/standin-platform \
         $(B)/standin-server $(B)/standin-routed \
         $(B)/standin-fault $(B)/standin-callers $(B)/standin-stutter \
-        $(B)/standin-checker $(B)/chestnutpaddle-load
+        $(B)/standin-checker $(B)/standin-crowd \
+        $(B)/chestnutpaddle-load
 TESTS := $(B)/regress-run
 C_FILES := $(sort $(wildcard src/*/*.[ch] platform/*.[ch] standin/*.[ch] bench/*.[ch] \
         regress/*.[ch]))
