--- a/regress/regress.h
+++ b/regress/regress.h
@@ -10,6 +10,7 @@
 typedef void (*CpDriveFn)(FILE *in, FILE *out);
 
 void CpDrive_Admit(FILE *in, FILE *out);
+void CpDrive_Budget(FILE *in, FILE *out);
 void CpDrive_Config(FILE *in, FILE *out);
 void CpDrive_Fleet(FILE *in, FILE *out);
 void CpDrive_Http(FILE *in, FILE *out);
--- a/regress/run.c
+++ b/regress/run.c
@@ -24,17 +24,12 @@
 } Package;
 
 static const Package packages[] = {
-    {"admit", CpDrive_Admit},
-    {"config", CpDrive_Config},
-    {"fleet", CpDrive_Fleet},
-    {"http", CpDrive_Http},
-    {"member", CpDrive_Member},
-    {"once", CpDrive_Once},
-    {"platform", CpDrive_Platform},
-    {"route", CpDrive_Route},
-    {"steer", CpDrive_Steer},
-    {"wire", CpDrive_Wire},
-    {"system", NULL},
+    {"admit", CpDrive_Admit},   {"budget", CpDrive_Budget},
+    {"config", CpDrive_Config}, {"fleet", CpDrive_Fleet},
+    {"http", CpDrive_Http},     {"member", CpDrive_Member},
+    {"once", CpDrive_Once},     {"platform", CpDrive_Platform},
+    {"route", CpDrive_Route},   {"steer", CpDrive_Steer},
+    {"wire", CpDrive_Wire},     {"system", NULL},
 };
 
 static char *scripts[MAX_TESTS];
