proxy: request bodies are streamed, and memory is reserved from a budget

Cause: on_request() collected the whole body of each request before it was sent on. Nothing bounded the sum of the bodies, nor the responses for slow readers and the connections of callers that send nothing. Ruled out: a response of the daemon in the middle of a body; libmicrohttpd 0.9.75 refuses it there (tried apart). So the rest of a body whose request has ended is dropped for up to 5 s, and the response is then written beside the daemon. Change: bodies over request_buffer_kb (1024) pass through a window of 256 KB; the caller's connection and the upload wait for each other. A request is sent again only while its whole body is held. With memory_limit_mb (0: as before) connections, heads, bodies and responses are reserved from the budget before they are filled; who finds no room is refused with 503 and Retry-After, after the callers without progress for 0.5 s were closed. An unfinished body ends after body_timeout_s (30) without progress. At max_requests connections the longest without progress gives way to a new one.

--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -72,6 +72,14 @@
     [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
                                    "Responses of servers that were cut, mixed "
                                    "or not framed"},
+    [CP_COUNT_UPLOADS_STREAMED] = {"uploads_streamed",
+                                   "Requests whose bodies were streamed"},
+    [CP_COUNT_MEMORY_REFUSED] = {"memory_refused",
+                                 "Requests and connections refused for want "
+                                 "of memory"},
+    [CP_COUNT_CALLERS_CLOSED] = {"callers_closed",
+                                 "Connections of callers closed because they "
+                                 "made no progress"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -114,6 +114,9 @@
                                 1},
     [CP_REASON_ANSWER_TOO_LARGE] = {"answer_too_large",
                                     "the answer has no end in sight", 502, 0},
+    [CP_REASON_MEMORY_SHORT] = {"memory_short",
+                                "this host has no memory left for the request",
+                                503, 1},
 };
 
 CpStatus
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -48,6 +48,9 @@
     uint32_t worker_threads;
     uint32_t max_requests;
     uint32_t stop_timeout_s;
+    uint32_t memory_limit_mb;   /* of the process; 0: not bounded */
+    uint32_t request_buffer_kb; /* larger bodies are streamed */
+    uint32_t body_timeout_s;    /* of an unfinished body without progress */
     /* With serve "routes" only: */
     char directory[CP_ADDR_BYTES];
     char ready[CP_ADDR_BYTES];
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -68,6 +68,7 @@
     CpTimer *timer;
     CpFleet *fleet;
     CpProxy *proxy;
+    CpBudget *budget; /* of the memory for callers and servers */
     CpPages *directory;
     CpPages *ready;
     CpPages *metrics;
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -63,10 +63,15 @@
     free(domains);
     e->store = e->adapter.new_store(s->platform, STORE_TIMEOUT_MS);
     e->timer = CpTimer_New();
+    e->budget = CpBudget_New(CpBudget_SizeFor_bytes(s->memory_limit_mb));
     CpProxyOptions proxy = {.listen = e->settings.caller,
                             .source_ip = source,
                             .threads = s->worker_threads,
                             .max_connections = s->max_requests,
+                            .request_buffer_bytes =
+                                s->request_buffer_kb * 1024,
+                            .body_timeout_ms = s->body_timeout_s * 1000,
+                            .budget = e->budget,
                             .headers = e->adapter.headers};
     CpStr_Copy(source, sizeof(source), s->caller);
     *strrchr(source, ':') = '\0';
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -56,6 +56,9 @@
         r != NULL ? r->version : 0);
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
+    g_string_append_printf(
+        text, "chestnutpaddle_memory_held_bytes %" G_GUINT64_FORMAT "\n",
+        CpBudget_Held_bytes(e->budget));
     CpRoutes_Release(r);
     *out = g_string_free(text, FALSE);
     return 200;
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -384,7 +384,8 @@
 {
     bool never_sent = a->outcome == CP_ATTEMPT_UNREACHABLE;
     bool safe = a->verdict == CP_NOT_RUN || s->route->idempotent;
-    bool attempts_left = s->not_run_attempts <= MAX_NOT_RUN_ATTEMPTS &&
+    bool attempts_left = a->can_resend &&
+                         s->not_run_attempts <= MAX_NOT_RUN_ATTEMPTS &&
                          s->attempts < s->route->max_attempts;
     bool granted =
         safe && attempts_left &&
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -11,6 +11,7 @@
 #include <glib.h>
 
 #include "base/base.h"
+#include "budget/budget.h"
 #include "fleet/fleet.h"
 #include "route/route.h"
 
@@ -84,8 +85,9 @@
     uint32_t pause_ms; /* the server wants no requests for so long; 0: none */
     bool leaving;      /* the server announced that it leaves */
     uint64_t response_bytes;
-    CpFlaw flaw;              /* of the response */
-    bool reused;              /* the connection had had an earlier request */
+    bool can_resend; /* the whole body is held, so that it can be sent again */
+    CpFlaw flaw;     /* of the response */
+    bool reused;     /* the connection had had an earlier request */
     uint32_t following_bytes; /* after the response, as far as looked at */
 } CpAttemptResult;
 
@@ -134,7 +136,10 @@
     const char *listen;    /* IP:port for callers */
     const char *source_ip; /* of this host, for connections to servers */
     uint32_t threads;
-    uint32_t max_connections; /* of callers, over all threads */
+    uint32_t max_connections;      /* of callers, over all threads */
+    uint32_t request_buffer_bytes; /* larger bodies are streamed */
+    uint32_t body_timeout_ms;      /* of an unfinished body without progress */
+    CpBudget *budget;              /* of the host */
     const CpHeaderNames *headers;
     CpProxyPolicy policy;
 } CpProxyOptions;
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -31,6 +31,7 @@
  * response may still hold a little. */
 #define MAX_HELD_BYTES (24u * 1024 * 1024)
 #define MIN_BUFFERED_BYTES (64u * 1024)
+#define MIN_RESERVED_BYTES (32u * 1024) /* whatever the host's budget */
 
 static void set_request(CpProxyExchange *ex, const CpProxyAction *action,
                         int64_t left_ms);
@@ -38,7 +39,6 @@
                            int64_t left_ms);
 static void set_headers(CpProxyExchange *ex, const CpProxyAction *action,
                         int64_t left_ms);
-static void set_body(CpProxyExchange *ex);
 static void add_header(CpProxyAttempt *a, const char *name, const char *value);
 static void end_attempt(CpProxyExchange *ex, CURLcode code);
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
@@ -50,6 +50,8 @@
                         const char *value);
 static bool is_valid_head(const CpProxyAttempt *a);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
+static bool reserve_body(CpProxyExchange *ex, size_t bytes);
+static void check_early_end(CpProxyExchange *ex);
 static void hold(CpProxyExchange *ex, int64_t bytes);
 
 void
@@ -81,6 +83,23 @@
     }
 }
 
+bool
+CpProxyAttempt_HasWholeResponse(const CpProxyExchange *ex)
+{
+    const CpResponseCheck *c = &ex->attempt.check;
+    return ex->attempt.head_ns > 0 && c->flaw == CP_FLAW_NONE &&
+           !ex->attempt.mismatched && !ex->attempt.oversized &&
+           (c->framing == CP_FRAMING_EMPTY ||
+            (c->framing == CP_FRAMING_LENGTH &&
+             c->body_bytes == c->length_bytes));
+}
+
+void
+CpProxyAttempt_EndEarly(CpProxyExchange *ex)
+{
+    end_attempt(ex, CURLE_OK);
+}
+
 void
 CpProxyAttempt_OnDeadline(CpProxyExchange *ex)
 {
@@ -88,7 +107,8 @@
     CpAttemptResult result;
     CpProxyAction action = {0};
     ex->action.attempt_deadline_ns = 0;
-    if (!p->should_abandon(p->ctx, &ex->request)) {
+    if (!CpProxyUpload_CanResend(ex) ||
+        !p->should_abandon(p->ctx, &ex->request)) {
         return;
     }
     classify_end(ex, CURLE_OPERATION_TIMEDOUT, &result);
@@ -112,6 +132,7 @@
         g_byte_array_unref(a->body);
     }
     hold(ex, -(int64_t)a->held_bytes);
+    CpBudgetAccount_Release(&ex->caller->account, a->reserved_bytes);
     memset(a, 0, sizeof(*a));
 }
 
@@ -136,7 +157,7 @@
     CpEasy_SetReceivers(e, on_header, on_body, ex);
     set_connection(ex, action, left_ms);
     set_headers(ex, action, left_ms);
-    set_body(ex);
+    CpProxyUpload_SetBody(ex);
 }
 
 static void
@@ -152,6 +173,7 @@
         e, CURLOPT_CONNECTTIMEOUT_MS,
         (long)(left_ms < CONNECT_TIMEOUT_MS ? left_ms : CONNECT_TIMEOUT_MS));
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, p);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN,
                      (long)(keep_alive_s > IDLE_MARGIN_S
                                 ? keep_alive_s - IDLE_MARGIN_S
@@ -192,26 +214,6 @@
     curl_easy_setopt(a->easy, CURLOPT_HTTPHEADER, a->request_headers);
 }
 
-static void
-set_body(CpProxyExchange *ex)
-{
-    const CpRequest *rq = &ex->request;
-    CURL *e = ex->attempt.easy;
-    if (ex->body != NULL || strcmp(rq->method, "POST") == 0 ||
-        strcmp(rq->method, "PUT") == 0) {
-        curl_easy_setopt(e, CURLOPT_POSTFIELDSIZE_LARGE,
-                         (curl_off_t)(ex->body != NULL ? ex->body->len : 0));
-        curl_easy_setopt(e, CURLOPT_POSTFIELDS,
-                         ex->body != NULL ? (const char *)ex->body->data : "");
-    }
-    if (strcmp(rq->method, "HEAD") == 0) {
-        curl_easy_setopt(e, CURLOPT_NOBODY, 1L);
-    }
-    else {
-        curl_easy_setopt(e, CURLOPT_CUSTOMREQUEST, rq->method);
-    }
-}
-
 /* curl wants an empty value as "Name;". */
 static void
 add_header(CpProxyAttempt *a, const char *name, const char *value)
@@ -228,10 +230,18 @@
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     CpAttemptResult result;
     CpProxyAction action = {0};
+    bool has_unsent = ex->streams_body && !ex->attempt.upload_done;
+    if (has_unsent && CpProxyAttempt_HasWholeResponse(ex)) {
+        code = CURLE_OK; /* the server reads no more of the request */
+    }
     code = CpResponseCheck_End(&ex->attempt.check, code);
     classify_end(ex, code, &result);
     CpResponseCheck_Count(&ex->attempt.check);
     CpProxyAttempt_Abort(ex);
+    if (has_unsent && ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
+        CpEasy_EndConnection(ex->attempt.check.idle_fd);
+        ex->attempt.check.idle_fd = CURL_SOCKET_BAD;
+    }
     if (ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
         CpProxyWorker_WatchIdle(ex->worker, ex->attempt.check.idle_fd);
     }
@@ -241,6 +251,7 @@
                                 ? CP_REASON_DEADLINE_PASSED
                                 : CP_REASON_ANSWER_TRUNCATED;
         p->on_stream_ended(p->ctx, &ex->request, &result);
+        CpProxyUpload_BeginDrop(ex);
         CpProxyFront_Resume(ex);
         return;
     }
@@ -265,6 +276,7 @@
         .leaving = a->leaving,
         .pause_ms = a->status == 503 ? a->retry_after_ms : 0,
         .response_bytes = a->body_bytes,
+        .can_resend = CpProxyUpload_CanResend(ex),
         .flaw = a->check.flaw,
         .reused = a->sent && opened == 0,
         .following_bytes = a->check.following_bytes,
@@ -359,7 +371,8 @@
 on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
     unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
-    (void)ctx, (void)purpose;
+    (void)purpose;
+    CpProxyCaller_BoundBuffers(ctx, fd);
     if (CpSocket_SetKeepalive(fd, KEEPALIVE_IDLE_S, KEEPALIVE_PROBES) !=
             CP_OK ||
         setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
@@ -406,6 +419,7 @@
         if (final) {
             a->head_ns = CpClock_Now_ns();
             stream_if_allowed(ex, false);
+            check_early_end(ex);
         }
         return n;
     }
@@ -516,15 +530,17 @@
     CpProxyAttempt *a = &ex->attempt;
     n *= size;
     const CpProxyWorker *w = ex->worker;
-    bool host_is_full =
-        w->held_bytes + n > MAX_HELD_BYTES / w->proxy->options.threads &&
-        a->body->len + n > MIN_BUFFERED_BYTES;
-    if (a->streamed &&
-        (host_is_full || a->body->len + n > STREAM_BUFFER_BYTES)) {
+    size_t max_bytes = a->streamed ? STREAM_BUFFER_BYTES : MAX_BUFFERED_BYTES;
+    bool is_full =
+        a->body->len + n > max_bytes ||
+        (w->held_bytes + n > MAX_HELD_BYTES / w->proxy->options.threads &&
+         a->body->len + n > MIN_BUFFERED_BYTES) ||
+        !reserve_body(ex, a->body->len + n);
+    if (a->streamed && is_full) {
         a->paused = true;
         return CURL_WRITEFUNC_PAUSE;
     }
-    if (host_is_full || a->body->len + n > MAX_BUFFERED_BYTES) {
+    if (is_full) {
         a->oversized = true;
         return 0;
     }
@@ -536,6 +552,7 @@
     g_byte_array_append(a->body, (const guint8 *)data, (guint)n);
     a->body_bytes += n;
     hold(ex, (int64_t)n);
+    check_early_end(ex);
     if (a->streamed) {
         CpProxyFront_Resume(ex);
     }
@@ -545,6 +562,42 @@
     return n;
 }
 
+/* Reserves memory for a response's body of that size; the array that holds it
+ * grows by doubling. A little may be held whatever the budget, so that every
+ * response that was begun goes on. */
+static bool
+reserve_body(CpProxyExchange *ex, size_t bytes)
+{
+    CpProxyAttempt *a = &ex->attempt;
+    CpBudgetAccount *account = &ex->caller->account;
+    uint64_t wanted = 1024;
+    while (wanted < bytes) {
+        wanted *= 2;
+    }
+    if (wanted <= a->reserved_bytes) {
+        return true;
+    }
+    CpBudgetUse use = bytes <= MIN_RESERVED_BYTES   ? CP_BUDGET_FORCED
+                      : bytes <= MIN_BUFFERED_BYTES ? CP_BUDGET_SMALL
+                                                    : CP_BUDGET_LARGE;
+    if (!CpBudgetAccount_Reserve(account, wanted - a->reserved_bytes, use)) {
+        return false;
+    }
+    a->reserved_bytes = wanted;
+    return true;
+}
+
+/* A response that is complete before its request ends the upload if that makes
+ * no progress. */
+static void
+check_early_end(CpProxyExchange *ex)
+{
+    if (ex->streams_body && !ex->attempt.upload_done &&
+        CpProxyAttempt_HasWholeResponse(ex)) {
+        ex->worker->next_deadline_ns = 0;
+    }
+}
+
 /* Counts bytes of responses that are held, or released if negative. */
 static void
 hold(CpProxyExchange *ex, int64_t bytes)
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -15,7 +15,13 @@
 #define CONNECTION_MEMORY_BYTES (64 * 1024)
 #define DEFAULT_IDLE_S 30              /* until limits are in force */
 #define STREAM_BLOCK_BYTES (16 * 1024) /* of a streamed response, per read */
-#define DEADLINE_MARGIN_MS 5 /* to respond before the caller's timeout */
+/* Accepted over the limit while those without progress are closed for them. */
+#define SPARE_CONNECTIONS 16
+/* Of a request besides bodies: head, exchange, and the attempt's handle and
+ * connection. */
+#define REQUEST_BYTES (64u * 1024)
+#define MEMORY_RETRY_AFTER_MS 500 /* at least; spread by as much */
+#define DEADLINE_MARGIN_MS 5      /* to respond before the caller's timeout */
 
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
@@ -25,12 +31,12 @@
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
                          enum MHD_RequestTerminationCode code);
 static bool read_head(CpProxyExchange *ex, const char *method);
+static bool reserve_request(CpProxyExchange *ex);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
                                  const char *name, const char *value);
 static void remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names);
 static bool is_hop_header(const char *name, char **named,
                           const CpHeaderNames *names);
-static void begin_request(CpProxyExchange *ex);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
 static struct MHD_Response *server_response(CpProxyExchange *ex);
@@ -66,7 +72,8 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
         MHD_OPTION_LISTEN_SOCKET, w->proxy->listen_fd,
         MHD_OPTION_CONNECTION_LIMIT,
-        (unsigned int)(o->max_connections / o->threads + 1),
+        (unsigned int)(o->max_connections / o->threads + SPARE_CONNECTIONS),
+        MHD_OPTION_NOTIFY_CONNECTION, CpProxyCaller_OnConnection, w,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)DEFAULT_IDLE_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
         MHD_OPTION_URI_LOG_CALLBACK, on_uri, w, MHD_OPTION_NOTIFY_COMPLETED,
@@ -96,6 +103,7 @@
         return;
     }
     ex->decided = true;
+    CpProxyUpload_BeginDrop(ex);
     CpProxyFront_Resume(ex);
 }
 
@@ -126,6 +134,14 @@
 {
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     CpProxyAction action = {0};
+    if (ex->streams_body && CpProxyAttempt_HasWholeResponse(ex)) {
+        CpProxyAttempt_EndEarly(ex);
+        return;
+    }
+    if (ex->attempt.upload_paused) { /* the server waits for the caller */
+        CpProxyFront_Refuse(ex, CP_REASON_DEADLINE_PASSED);
+        return;
+    }
     p->on_deadline(p->ctx, &ex->request, ex->attempt.sent,
                    CpClock_Now_ns() - ex->attempt.started_ns, &action);
     CpProxyAttempt_Abort(ex);
@@ -179,6 +195,9 @@
     ex->worker = w;
     ex->conn = conn;
     ex->fd = info->connect_fd;
+    info = MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+    ex->caller = info->socket_context;
+    CpProxyCaller_Begin(ex->caller, ex);
     ex->headers = CpHeaderLine_NewList();
     ex->request.target = CpStr_Dup(uri);
     return ex;
@@ -197,22 +216,10 @@
         return read_head(ex, method) ? MHD_YES : queue_response(ex);
     }
     if (*data_bytes > 0) {
-        if (ex->body == NULL) {
-            ex->body = g_byte_array_new();
-        }
-        if (ex->body->len + *data_bytes > ex->max_body_bytes) {
-            set_failure(ex, CP_REASON_BODY_TOO_LARGE, 0);
-        }
-        if (!ex->decided) {
-            g_byte_array_append(ex->body, (const guint8 *)data,
-                                (guint)*data_bytes);
-        }
-        *data_bytes = 0;
+        CpProxyUpload_OnData(ex, data, data_bytes);
         return MHD_YES;
     }
-    if (!ex->started) {
-        begin_request(ex);
-    }
+    CpProxyUpload_OnEnd(ex);
     if (ex->disconnected) {
         return MHD_NO;
     }
@@ -249,9 +256,9 @@
     }
     CpProxyAttempt_Clear(ex);
     g_ptr_array_unref(ex->headers);
-    if (ex->body != NULL) {
-        g_byte_array_unref(ex->body);
-    }
+    CpProxyBody_Clear(&ex->body, ex->caller);
+    CpBudgetAccount_Release(&ex->caller->account, ex->reserved_bytes);
+    CpProxyCaller_End(ex->caller);
     free(ex->request.target);
     free(ex->request.policy_data);
     free(ex);
@@ -275,6 +282,7 @@
     const char *length = MHD_lookup_connection_value(ex->conn, MHD_HEADER_KIND,
                                                      "Content-Length");
     rq->started_ns = CpClock_Now_ns();
+    CpProxyCaller_OnHead(ex->caller);
     o->policy.get_limits(o->policy.ctx, &limits);
     ex->max_body_bytes = limits.max_body_bytes;
     if (limits.idle_timeout_ms > 0) {
@@ -306,6 +314,37 @@
         set_failure(ex, CP_REASON_BODY_TOO_LARGE, 0);
         return false;
     }
+    ex->announced_bytes =
+        length != NULL ? strtoull(length, NULL, 10)
+        : MHD_lookup_connection_value(ex->conn, MHD_HEADER_KIND,
+                                      "Transfer-Encoding") != NULL
+            ? CP_UNKNOWN_BYTES
+            : 0;
+    return reserve_request(ex);
+}
+
+/* Reserves memory for a request; returns false if it is refused, as there is
+ * none for it or for the part of its body that has to be held. */
+static bool
+reserve_request(CpProxyExchange *ex)
+{
+    uint64_t buffer_bytes = ex->worker->proxy->options.request_buffer_bytes;
+    uint64_t body_bytes =
+        ex->announced_bytes < buffer_bytes        ? ex->announced_bytes
+        : ex->announced_bytes == CP_UNKNOWN_BYTES ? 0
+                                                  : buffer_bytes;
+    if (!CpProxyCaller_Reserve(ex->caller, REQUEST_BYTES, CP_BUDGET_SMALL)) {
+        set_failure(ex, CP_REASON_MEMORY_SHORT, 0);
+        return false;
+    }
+    ex->reserved_bytes = REQUEST_BYTES;
+    if (!CpProxyCaller_MakeRoom(ex->caller, body_bytes,
+                                body_bytes > CP_SMALL_BODY_BYTES
+                                    ? CP_BUDGET_LARGE
+                                    : CP_BUDGET_SMALL)) {
+        set_failure(ex, CP_REASON_MEMORY_SHORT, 0);
+        return false;
+    }
     return true;
 }
 
@@ -365,8 +404,26 @@
     return false;
 }
 
-static void
-begin_request(CpProxyExchange *ex)
+void
+CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason)
+{
+    const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
+    if (ex->attempt.easy != NULL) {
+        p->on_cancelled(p->ctx, &ex->request,
+                        CpClock_Now_ns() - ex->attempt.started_ns);
+        CpProxyAttempt_Abort(ex);
+    }
+    CpProxyBody_Clear(&ex->body, ex->caller);
+    set_failure(ex, reason, 0);
+    if (!ex->started) {
+        CpProxyFront_Begin(ex);
+    }
+    CpProxyUpload_BeginDrop(ex);
+    CpProxyFront_Resume(ex);
+}
+
+void
+CpProxyFront_Begin(CpProxyExchange *ex)
 {
     CpProxyWorker *w = ex->worker;
     const CpProxyPolicy *p = &w->proxy->options.policy;
@@ -380,17 +437,20 @@
     w->active++;
     pthread_mutex_unlock(&w->lock);
     CpCounter_Add(CP_COUNT_REQUESTS, 1);
-    if (ex->decided) { /* the body was too large */
+    if (ex->decided) { /* refused while the body was received */
         return;
     }
     if (CpAtomic_Load(&w->proxy->refusing)) {
         set_failure(ex, CP_REASON_HOST_LEAVING, 0);
         ex->action.retry_after_ms = 1;
+        CpProxyUpload_BeginDrop(ex);
         return;
     }
     CpProxyAction action = {0};
     p->on_request(p->ctx, &ex->request, &action);
-    if (action.type == CP_ACTION_SEND) {
+    if (action.type == CP_ACTION_SEND && ex->body_received) {
+        CpBudgetAccount_SetWaits(&ex->caller->account, false,
+                                 CpClock_Now_ns());
         ex->suspended = true;
         MHD_suspend_connection(ex->conn);
         CpProxyWorker_Watch(w, ex);
@@ -404,6 +464,12 @@
     ex->decided = true;
     ex->action = (CpProxyAction){
         .type = CP_ACTION_FAIL, .reason = reason, .status = status};
+    if (reason == CP_REASON_MEMORY_SHORT) {
+        CpCounter_Add(CP_COUNT_MEMORY_REFUSED, 1);
+        ex->action.retry_after_ms =
+            MEMORY_RETRY_AFTER_MS +
+            (uint32_t)(CpRandom() % MEMORY_RETRY_AFTER_MS);
+    }
 }
 
 static enum MHD_Result
@@ -418,6 +484,7 @@
     uint32_t status = ex->action.type == CP_ACTION_RESPOND ? ex->attempt.status
                                                            : ex->action.status;
     ex->response_queued = true;
+    CpBudgetAccount_SetWaits(&ex->caller->account, true, CpClock_Now_ns());
     enum MHD_Result ok = MHD_queue_response(ex->conn, status, r);
     MHD_destroy_response(r);
     return ok;
@@ -473,6 +540,8 @@
     if (n > 0) {
         memcpy(out, a->body->data, n);
         CpProxyAttempt_Consume(ex, n);
+        CpBudgetAccount_SetWaits(&ex->caller->account, true, CpClock_Now_ns());
+        CpBudgetAccount_OnMoved(&ex->caller->account, n, CpClock_Now_ns());
         return (ssize_t)n;
     }
     if (a->easy == NULL) { /* the attempt has ended */
@@ -480,6 +549,7 @@
                            : MHD_CONTENT_READER_END_WITH_ERROR;
     }
     ex->suspended = true;
+    CpBudgetAccount_SetWaits(&ex->caller->account, false, CpClock_Now_ns());
     MHD_suspend_connection(ex->conn);
     CpProxyWorker_Watch(ex->worker, ex);
     return 0;
@@ -488,29 +558,46 @@
 static struct MHD_Response *
 failure_response(CpProxyExchange *ex)
 {
-    char text[256], retry_after[24];
-    CpProxyAction *action = &ex->action;
-    if (action->status == 0) {
-        action->status = CpReason_HttpStatus(action->reason);
-    }
-    int n =
-        snprintf(text, sizeof(text), "{\"reason\":\"%s\",\"text\":\"%s\"}\n",
-                 CpReason_Name(action->reason), CpReason_Text(action->reason));
+    char retry_after[24];
+    char *text = CpProxyFront_FailureText(ex);
     struct MHD_Response *r = MHD_create_response_from_buffer(
-        (size_t)n, text, MHD_RESPMEM_MUST_COPY);
+        strlen(text), text, MHD_RESPMEM_MUST_COPY);
+    g_free(text);
     MHD_add_response_header(r, "Content-Type", "application/json");
     if (ex->request.id[0] != '\0') {
         MHD_add_response_header(
             r, ex->worker->proxy->options.headers->request_id, ex->request.id);
     }
-    if (action->retry_after_ms > 0 && action->status == 503) {
-        snprintf(retry_after, sizeof(retry_after), "%u.%03u",
-                 action->retry_after_ms / 1000, action->retry_after_ms % 1000);
+    if (CpProxyFront_RetryAfter(ex, retry_after)) {
         MHD_add_response_header(r, "Retry-After", retry_after);
     }
     return r;
 }
 
+char *
+CpProxyFront_FailureText(CpProxyExchange *ex)
+{
+    CpProxyAction *action = &ex->action;
+    if (action->status == 0) {
+        action->status = CpReason_HttpStatus(action->reason);
+    }
+    return g_strdup_printf("{\"reason\":\"%s\",\"text\":\"%s\"}\n",
+                           CpReason_Name(action->reason),
+                           CpReason_Text(action->reason));
+}
+
+bool
+CpProxyFront_RetryAfter(const CpProxyExchange *ex, char out[24])
+{
+    const CpProxyAction *action = &ex->action;
+    if (action->retry_after_ms == 0 || action->status != 503) {
+        return false;
+    }
+    snprintf(out, 24, "%u.%03u", action->retry_after_ms / 1000,
+             action->retry_after_ms % 1000);
+    return true;
+}
+
 static void
 finish_request(CpProxyExchange *ex, bool sent)
 {
@@ -523,7 +610,8 @@
         result.reason = action->reason; /* the caller received a part of it */
         result.status = ex->attempt.status;
     }
-    else if (ex->disconnected || !ex->response_queued || !sent) {
+    else if (!ex->response_sent &&
+             (ex->disconnected || !ex->response_queued || !sent)) {
         result.reason = CP_REASON_CALLER_GONE;
     }
     else if (action->type == CP_ACTION_RESPOND) {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -5,13 +5,42 @@
 #include <microhttpd.h>
 #include <pthread.h>
 
+#include "budget/budget.h"
 #include "http/easy.h"
 #include "proxy/proxy.h"
 
 #define CP_SINGLE_HEADERS 6
 
+/* Bodies up to this size may use the part of the budget for small requests. */
+#define CP_SMALL_BODY_BYTES (64u * 1024)
+#define CP_UNKNOWN_BYTES UINT64_MAX
+
 typedef struct CpProxyWorker CpProxyWorker;
 
+/* A connection of a caller. */
+typedef struct {
+    CpBudgetAccount account;
+    CpProxyWorker *worker;
+    struct MHD_Connection *conn;
+    CpProxyExchange *exchange; /* NULL: between requests */
+    int32_t fd;
+    bool closing; /* it was shut down */
+    /* Of the head that is being received, as far as the sweep has seen. */
+    bool has_base;
+    uint64_t base_bytes; /* received on the connection before it */
+    uint64_t head_bytes; /* reserved for it */
+    int64_t head_since_ns;
+} CpProxyCaller;
+
+/* The part of a request's body that is held, in a ring buffer. */
+typedef struct {
+    uint8_t *data;
+    uint32_t capacity_bytes;
+    uint32_t first; /* index of the first held byte */
+    uint32_t held_bytes;
+    uint64_t discarded_bytes; /* of the body, before the held part */
+} CpProxyBody;
+
 /* One attempt at a server; part of its exchange. */
 typedef struct {
     CURL *easy;
@@ -36,6 +65,11 @@
     GByteArray *body;    /* of the response; streamed: the part not sent yet */
     uint64_t body_bytes; /* received */
     uint64_t held_bytes; /* received and not yet sent to the caller */
+    uint64_t reserved_bytes; /* of the budget, for the body */
+    uint64_t upload_bytes;   /* of a streamed request body, sent */
+    bool upload_paused;      /* sending waits for more from the caller */
+    bool upload_done;        /* the whole request body was passed on */
+    int64_t upload_ns;       /* when the upload last made progress */
     /* streamed: of the complete body; MHD_SIZE_UNKNOWN: not announced */
     uint64_t content_length_bytes;
     uint64_t head_bytes; /* received, of interim responses too */
@@ -53,12 +87,22 @@
     struct MHD_Connection *conn;
     int32_t fd;         /* of the caller's connection */
     GPtrArray *headers; /* CpHeaderLine, to be forwarded */
-    GByteArray *body;
+    CpProxyCaller *caller;
+    CpProxyBody body;
     uint64_t max_body_bytes;
-    uint32_t attempts;   /* started */
-    int64_t deadline_ns; /* 0: not sent yet */
-    bool knows_chunks;   /* the caller speaks HTTP/1.1 */
-    bool head_received;  /* of the request */
+    uint64_t announced_bytes; /* of the body; CP_UNKNOWN_BYTES: in chunks */
+    uint64_t received_bytes;  /* of the body */
+    uint64_t reserved_bytes;  /* of the budget, but for bodies */
+    bool body_received;       /* completely */
+    bool streams_body;        /* it is passed on while it is received */
+    /* While the rest of a body is dropped, as its request has ended: */
+    int64_t drop_since_ns; /* 0: it is not dropped */
+    int64_t dropped_ns;    /* the last time that bytes came */
+    bool response_sent;    /* beside the daemon */
+    uint32_t attempts;     /* started */
+    int64_t deadline_ns;   /* 0: not sent yet */
+    bool knows_chunks;     /* the caller speaks HTTP/1.1 */
+    bool head_received;    /* of the request */
     bool started;
     bool suspended;
     bool watched;      /* the connection is watched for a disconnect */
@@ -87,6 +131,8 @@
     uint64_t held_bytes; /* of all attempts */
     bool has_resumed;    /* the daemon has resumed connections to run */
     CpEasyPool easy_pool;
+    CpBudgetGroup *callers;
+    int64_t next_sweep_ns;
 };
 
 struct CpProxy {
@@ -140,6 +186,72 @@
  * passed on, as it names others. */
 bool CpHeader_IsUnforwarded(const char *name);
 
+/* Ends a request that cannot be served before its body was received. */
+void CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason);
+/* Adds a request to the worker's list and lets the policy decide on it. */
+void CpProxyFront_Begin(CpProxyExchange *ex);
+/* Returns the text of a failure's response; g_free() it. */
+char *CpProxyFront_FailureText(CpProxyExchange *ex);
+/* Writes the value of Retry-After; returns false if there is none. */
+bool CpProxyFront_RetryAfter(const CpProxyExchange *ex, char out[24]);
+
+/* caller: connections of callers, and what they hold of the budget */
+void CpProxyCaller_OnConnection(void *ctx, struct MHD_Connection *conn,
+                                void **socket_ctx,
+                                enum MHD_ConnectionNotificationCode code);
+/* Reserves memory for a connection; closes others without progress if that is
+ * needed. Not to be called from callbacks of curl. */
+bool CpProxyCaller_Reserve(CpProxyCaller *c, uint64_t bytes, CpBudgetUse use);
+/* Returns true if that much could be reserved. */
+bool CpProxyCaller_MakeRoom(CpProxyCaller *c, uint64_t bytes, CpBudgetUse use);
+void CpProxyCaller_Close(CpProxyCaller *c);
+/* Begins and ends the use of a connection by a request. */
+void CpProxyCaller_Begin(CpProxyCaller *c, CpProxyExchange *ex);
+void CpProxyCaller_End(CpProxyCaller *c);
+/* The head of a request was received completely. */
+void CpProxyCaller_OnHead(CpProxyCaller *c);
+/* Closes connections that have made no progress for too long. */
+void CpProxyCaller_Sweep(CpProxyWorker *w, int64_t now_ns);
+/* Bounds the buffers of a listening socket, or of one to a server, if the
+ * memory of the host is bounded. */
+void CpProxyCaller_BoundBuffers(const CpProxy *p, int32_t fd);
+
+/* body: the held part of a request's body */
+/* Makes room for n more bytes, in at most max_bytes. */
+bool CpProxyBody_Reserve(CpProxyBody *b, uint32_t n, uint32_t max_bytes,
+                         CpProxyCaller *c);
+/* Appends bytes for which there is room. */
+void CpProxyBody_Append(CpProxyBody *b, const void *data, uint32_t n);
+/* Copies held bytes from an offset in the request's body on. */
+uint32_t CpProxyBody_Read(const CpProxyBody *b, uint64_t offset, void *out,
+                          uint32_t n);
+/* Discards what is before an offset in the request's body, and reduces the
+ * buffer to window_bytes when the rest fits. */
+void CpProxyBody_Discard(CpProxyBody *b, uint64_t offset,
+                         uint32_t window_bytes, CpProxyCaller *c);
+void CpProxyBody_Clear(CpProxyBody *b, CpProxyCaller *c);
+
+/* upload: bodies of requests while they are received */
+/* Handles a part of a body. *n is then what was not taken: the connection is
+ * suspended until there is room. */
+void CpProxyUpload_OnData(CpProxyExchange *ex, const char *data, size_t *n);
+/* The whole body was received. */
+void CpProxyUpload_OnEnd(CpProxyExchange *ex);
+/* Sets the body of an attempt's request. */
+void CpProxyUpload_SetBody(CpProxyExchange *ex);
+/* Drops the rest of a body whose request has ended, for a bounded time. */
+void CpProxyUpload_BeginDrop(CpProxyExchange *ex);
+/* Ends an upload whose response is complete, and a drop, if they make no
+ * progress; schedules the next check. */
+void CpProxyUpload_Check(CpProxyExchange *ex, int64_t now_ns);
+/* Returns true if the request can be sent again from its start. */
+bool CpProxyUpload_CanResend(const CpProxyExchange *ex);
+/* Returns true if the attempt's response is complete, whatever is left of the
+ * request. */
+bool CpProxyAttempt_HasWholeResponse(const CpProxyExchange *ex);
+/* Ends an attempt whose response is complete, and its connection. */
+void CpProxyAttempt_EndEarly(CpProxyExchange *ex);
+
 /* attempt: attempts at backend servers */
 void CpProxyAttempt_Start(CpProxyExchange *ex, const CpProxyAction *action);
 /* Handles the attempts that the multi handle reports as ended. */
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -57,6 +57,7 @@
     if (p->listen_fd < 0) {
         return CP_ERR_IO;
     }
+    CpProxyCaller_BoundBuffers(p, p->listen_fd); /* accepted ones inherit it */
     if (listen(p->listen_fd, LISTEN_BACKLOG) != 0) {
         return CpError_Set(CP_ERR_IO, "%s: %s", options->listen,
                            strerror(errno));
@@ -239,6 +240,8 @@
     curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
     curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS,
                       (long)MAX_IDLE_CONNECTIONS);
+    w->callers = CpBudgetGroup_New(
+        p->options.budget, p->options.max_connections / p->options.threads);
     CpStatus st = CpProxyFront_Open(w);
     if (st == CP_OK) {
         watch_fd(w, w->wake_fd, EVENT_WAKE, EPOLLIN);
@@ -336,12 +339,14 @@
         w->curl_due_ns = INT64_MAX;
         curl_multi_socket_action(w->multi, CURL_SOCKET_TIMEOUT, 0, &running);
     }
+    CpProxyCaller_Sweep(w, now_ns);
     if (w->next_deadline_ns > now_ns) {
         return;
     }
     w->next_deadline_ns = INT64_MAX;
     for (CpProxyExchange *ex = w->exchanges, *next; ex != NULL; ex = next) {
         next = ex->next;
+        CpProxyUpload_Check(ex, now_ns);
         if (ex->decided || ex->deadline_ns == 0) {
             continue;
         }
@@ -365,6 +370,7 @@
     int64_t due_ns = w->curl_due_ns < w->next_deadline_ns
                          ? w->curl_due_ns
                          : w->next_deadline_ns;
+    due_ns = due_ns < w->next_sweep_ns ? due_ns : w->next_sweep_ns;
     if (MHD_get_timeout(w->daemon, &daemon_ms) == MHD_YES &&
         daemon_ms < MAX_WAIT_MS) {
         ms = (int64_t)daemon_ms;
