budget: the limit of connections holds over all threads

Cause: each worker had its part of max_requests and would have closed idle connections while another worker had places left. Room for a large body would have been made by closing connections that hold hardly anything. Ruled out: parts of different size, as the kernel decides which worker accepts. Change: the budget counts the connections of all groups; a search for the longest without progress names the least that it has to hold.

--- a/regress/drive_budget.c
+++ b/regress/drive_budget.c
@@ -19,6 +19,8 @@
 } Script;
 
 static void run_line(void *ctx, char *line);
+static void find_idlest(Script *s, uint32_t idle_ms, uint32_t except,
+                        uint32_t held_kb);
 static void reset(Script *s, uint64_t size_bytes, uint32_t max_accounts);
 static void random_accounts(Script *s, uint64_t seed, uint32_t steps);
 
@@ -59,7 +61,7 @@
     }
     else if (sscanf(line, "open %u", &a) == 1) {
         CpBudgetAccount_Open(&s->accounts[a], s->group, NULL, s->now_ns);
-        if (CpBudgetGroup_IsCrowded(s->group)) {
+        if (CpBudget_IsCrowded(s->budget)) {
             fprintf(s->out, "open %u: crowded\n", a);
         }
     }
@@ -87,11 +89,10 @@
                                  s->now_ns);
     }
     else if (sscanf(line, "idlest %u except %u", &a, &b) == 2) {
-        const CpBudgetAccount *found = CpBudgetGroup_FindIdlest(
-            s->group, b < MAX_ACCOUNTS ? &s->accounts[b] : NULL,
-            a * CP_NS_PER_MS, s->now_ns);
-        fprintf(s->out, "idlest: %d\n",
-                found != NULL ? (int)(found - s->accounts) : -1);
+        find_idlest(s, a, b, 0);
+    }
+    else if (sscanf(line, "idlest %u holding %u", &a, &b) == 2) {
+        find_idlest(s, a, MAX_ACCOUNTS, b);
     }
     else if (strcmp(line, "held") == 0) {
         fprintf(s->out, "held: %" PRIu64 " KB%s\n",
@@ -106,6 +107,19 @@
     }
 }
 
+static void
+find_idlest(Script *s, uint32_t idle_ms, uint32_t except, uint32_t held_kb)
+{
+    const CpBudgetWanted wanted = {
+        .except = except < MAX_ACCOUNTS ? &s->accounts[except] : NULL,
+        .idle_ns = idle_ms * CP_NS_PER_MS,
+        .held_bytes = (uint64_t)held_kb * KB};
+    const CpBudgetAccount *found =
+        CpBudgetGroup_FindIdlest(s->group, &wanted, s->now_ns);
+    fprintf(s->out, "idlest: %d\n",
+            found != NULL ? (int)(found - s->accounts) : -1);
+}
+
 static void
 reset(Script *s, uint64_t size_bytes, uint32_t max_accounts)
 {
@@ -114,8 +128,8 @@
     }
     CpBudgetGroup_Free(s->group);
     CpBudget_Free(s->budget);
-    s->budget = CpBudget_New(size_bytes);
-    s->group = CpBudgetGroup_New(s->budget, max_accounts);
+    s->budget = CpBudget_New(size_bytes, max_accounts);
+    s->group = CpBudgetGroup_New(s->budget);
 }
 
 /* Compares the sums with those of the accounts, and the idlest connection with
@@ -123,6 +137,7 @@
 static void
 random_accounts(Script *s, uint64_t seed, uint32_t steps)
 {
+    const CpBudgetWanted any = {0};
     CpSeed random = {.state = seed};
     uint32_t over = 0, wrong_sums = 0, wrong_idlest = 0, refused = 0;
     for (uint32_t i = 0; i < steps; i++) {
@@ -160,7 +175,7 @@
             }
         }
         const CpBudgetAccount *found =
-            CpBudgetGroup_FindIdlest(s->group, NULL, 0, s->now_ns);
+            CpBudgetGroup_FindIdlest(s->group, &any, s->now_ns);
         wrong_idlest +=
             (idlest == NULL) != (found == NULL) ||
             (found != NULL && found->progress_ns != idlest->progress_ns);
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -14,12 +14,12 @@
 struct CpBudget {
     uint64_t size_bytes; /* 0: no limit */
     uint64_t held_bytes; /* atomic */
+    uint32_t max_accounts;
+    uint32_t accounts; /* open; atomic */
 };
 
 struct CpBudgetGroup {
     CpBudget *budget;
-    uint32_t max_accounts;
-    uint32_t count;
     /* Those that wait for their callers, by their last progress. */
     CpBudgetAccount *first;
     CpBudgetAccount *last;
@@ -43,10 +43,11 @@
 }
 
 CpBudget *
-CpBudget_New(uint64_t size_bytes)
+CpBudget_New(uint64_t size_bytes, uint32_t max_accounts)
 {
     CpBudget *b = CpMem_Alloc(sizeof(*b));
     b->size_bytes = size_bytes;
+    b->max_accounts = max_accounts;
     return b;
 }
 
@@ -84,12 +85,37 @@
            CpBudget_Held_bytes(b) + bytes <= size_for(b, use);
 }
 
+bool
+CpBudget_IsCrowded(const CpBudget *b)
+{
+    return CpAtomic_Load(&b->accounts) > b->max_accounts;
+}
+
+/* Several threads may reserve at once, so the sum is raised first. */
+bool
+CpBudget_Reserve(CpBudget *b, uint64_t bytes, CpBudgetUse use)
+{
+    uint64_t held =
+        __atomic_add_fetch(&b->held_bytes, bytes, __ATOMIC_RELAXED);
+    if (b->size_bytes > 0 && use != CP_BUDGET_FORCED &&
+        held > size_for(b, use)) {
+        CpBudget_Release(b, bytes);
+        return false;
+    }
+    return true;
+}
+
+void
+CpBudget_Release(CpBudget *b, uint64_t bytes)
+{
+    __atomic_sub_fetch(&b->held_bytes, bytes, __ATOMIC_RELAXED);
+}
+
 CpBudgetGroup *
-CpBudgetGroup_New(CpBudget *b, uint32_t max_accounts)
+CpBudgetGroup_New(CpBudget *b)
 {
     CpBudgetGroup *g = CpMem_Alloc(sizeof(*g));
     g->budget = b;
-    g->max_accounts = max_accounts;
     return g;
 }
 
@@ -99,21 +125,18 @@
     free(g);
 }
 
-bool
-CpBudgetGroup_IsCrowded(const CpBudgetGroup *g)
-{
-    return g->count > g->max_accounts;
-}
-
 CpBudgetAccount *
-CpBudgetGroup_FindIdlest(const CpBudgetGroup *g, const CpBudgetAccount *except,
-                         int64_t idle_ns, int64_t now_ns)
+CpBudgetGroup_FindIdlest(const CpBudgetGroup *g, const CpBudgetWanted *wanted,
+                         int64_t now_ns)
 {
-    CpBudgetAccount *a = g->first;
-    if (a != NULL && a == except) {
-        a = a->next;
+    for (CpBudgetAccount *a = g->first;
+         a != NULL && now_ns - a->progress_ns >= wanted->idle_ns;
+         a = a->next) {
+        if (a != wanted->except && a->held_bytes >= wanted->held_bytes) {
+            return a;
+        }
     }
-    return a != NULL && now_ns - a->progress_ns >= idle_ns ? a : NULL;
+    return NULL;
 }
 
 void
@@ -121,7 +144,7 @@
                      int64_t now_ns)
 {
     *a = (CpBudgetAccount){.group = g, .ctx = ctx, .progress_ns = now_ns};
-    g->count++;
+    __atomic_add_fetch(&g->budget->accounts, 1, __ATOMIC_RELAXED);
     add_last(a);
 }
 
@@ -133,20 +156,14 @@
     }
     CpBudgetAccount_Release(a, a->held_bytes);
     take_out(a);
-    a->group->count--;
+    __atomic_sub_fetch(&a->group->budget->accounts, 1, __ATOMIC_RELAXED);
     a->group = NULL;
 }
 
-/* Several threads may reserve at once, so the sum is raised first. */
 bool
 CpBudgetAccount_Reserve(CpBudgetAccount *a, uint64_t bytes, CpBudgetUse use)
 {
-    CpBudget *b = a->group->budget;
-    uint64_t held =
-        __atomic_add_fetch(&b->held_bytes, bytes, __ATOMIC_RELAXED);
-    if (b->size_bytes > 0 && use != CP_BUDGET_FORCED &&
-        held > size_for(b, use)) {
-        __atomic_sub_fetch(&b->held_bytes, bytes, __ATOMIC_RELAXED);
+    if (!CpBudget_Reserve(a->group->budget, bytes, use)) {
         return false;
     }
     a->held_bytes += bytes;
@@ -156,7 +173,7 @@
 void
 CpBudgetAccount_Release(CpBudgetAccount *a, uint64_t bytes)
 {
-    __atomic_sub_fetch(&a->group->budget->held_bytes, bytes, __ATOMIC_RELAXED);
+    CpBudget_Release(a->group->budget, bytes);
     a->held_bytes -= bytes;
 }
 
--- a/src/budget/budget.h
+++ b/src/budget/budget.h
@@ -41,28 +41,36 @@
 /* Returns the budget for a process that may use `memory_limit_mb`: the part
  * that the process itself does not need. 0: no limit. */
 uint64_t CpBudget_SizeFor_bytes(uint32_t memory_limit_mb);
-/* A budget of 0 bytes has no limit; it only counts. */
-CpBudget *CpBudget_New(uint64_t size_bytes);
+/* A budget of 0 bytes has no limit; it only counts. The limit of connections
+ * holds over all groups. */
+CpBudget *CpBudget_New(uint64_t size_bytes, uint32_t max_accounts);
 void CpBudget_Free(CpBudget *b);
 bool CpBudget_IsLimited(const CpBudget *b);
 uint64_t CpBudget_Held_bytes(const CpBudget *b);
 /* Returns true if little is left, so that connections without progress are
  * closed before others have to be refused. */
 bool CpBudget_IsShort(const CpBudget *b);
+/* Returns true if there are more connections than there may be. */
+bool CpBudget_IsCrowded(const CpBudget *b);
+/* Reserves memory that belongs to no connection. */
+bool CpBudget_Reserve(CpBudget *b, uint64_t bytes, CpBudgetUse use);
+void CpBudget_Release(CpBudget *b, uint64_t bytes);
 /* Returns true if that much could be reserved now. */
 bool CpBudget_HasRoom(const CpBudget *b, uint64_t bytes, CpBudgetUse use);
 
-/* A group of at most `max_accounts` connections. */
-CpBudgetGroup *CpBudgetGroup_New(CpBudget *b, uint32_t max_accounts);
+CpBudgetGroup *CpBudgetGroup_New(CpBudget *b);
 void CpBudgetGroup_Free(CpBudgetGroup *g);
-/* Returns true if it has more connections than it may have. */
-bool CpBudgetGroup_IsCrowded(const CpBudgetGroup *g);
+/* What may be closed for memory or a place that is needed. */
+typedef struct {
+    const CpBudgetAccount *except; /* NULL: none */
+    int64_t idle_ns;               /* without progress for so long at least */
+    uint64_t held_bytes;           /* holds so much at least */
+} CpBudgetWanted;
 /* Returns the connection that waits for its caller and has made no progress
- * for the longest time, at least `idle_ns`; NULL if there is none. `except`
- * may be NULL. */
+ * for the longest time; NULL if there is none. */
 CpBudgetAccount *CpBudgetGroup_FindIdlest(const CpBudgetGroup *g,
-                                          const CpBudgetAccount *except,
-                                          int64_t idle_ns, int64_t now_ns);
+                                          const CpBudgetWanted *wanted,
+                                          int64_t now_ns);
 
 /* Opens the account of a connection, which waits for its caller. */
 void CpBudgetAccount_Open(CpBudgetAccount *a, CpBudgetGroup *g, void *ctx,
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -63,7 +63,8 @@
     free(domains);
     e->store = e->adapter.new_store(s->platform, STORE_TIMEOUT_MS);
     e->timer = CpTimer_New();
-    e->budget = CpBudget_New(CpBudget_SizeFor_bytes(s->memory_limit_mb));
+    e->budget = CpBudget_New(CpBudget_SizeFor_bytes(s->memory_limit_mb),
+                             s->max_requests);
     CpProxyOptions proxy = {.listen = e->settings.caller,
                             .source_ip = source,
                             .threads = s->worker_threads,
--- a/src/proxy/proxy_caller.c
+++ b/src/proxy/proxy_caller.c
@@ -24,7 +24,8 @@
  * against the host's memory unseen. */
 #define SOCKET_BUFFER_BYTES (64 * 1024)
 
-static bool close_idlest(CpProxyWorker *w, const CpBudgetAccount *except);
+static bool close_idlest(CpProxyWorker *w, const CpBudgetAccount *except,
+                         uint64_t held_bytes);
 static void close_idle_callers(CpProxyWorker *w, int64_t now_ns);
 static void check_head(CpProxyCaller *c, int64_t now_ns,
                        int64_t head_timeout_ns);
@@ -51,8 +52,8 @@
                 ->connect_fd;
     c->has_base = true;
     CpBudgetAccount_Open(&c->account, w->callers, c, CpClock_Now_ns());
-    bool has_place =
-        !CpBudgetGroup_IsCrowded(w->callers) || close_idlest(w, &c->account);
+    bool has_place = !CpBudget_IsCrowded(w->proxy->options.budget) ||
+                     close_idlest(w, &c->account, 0);
     if (!has_place ||
         !CpProxyCaller_Reserve(c, CONNECTION_BYTES, CP_BUDGET_SMALL)) {
         CpCounter_Add(CP_COUNT_MEMORY_REFUSED, 1);
@@ -71,8 +72,10 @@
 CpProxyCaller_MakeRoom(CpProxyCaller *c, uint64_t bytes, CpBudgetUse use)
 {
     const CpBudget *b = c->worker->proxy->options.budget;
+    /* idle connections are worth less than what they would be closed for */
+    uint64_t needed = use == CP_BUDGET_SMALL ? 0 : CONNECTION_BYTES + 1;
     while (!CpBudget_HasRoom(b, bytes, use)) {
-        if (!close_idlest(c->worker, &c->account)) {
+        if (!close_idlest(c->worker, &c->account, needed)) {
             return false;
         }
     }
@@ -130,13 +133,14 @@
 {
     const CpProxyOptions *o = &w->proxy->options;
     int64_t body_timeout_ns = o->body_timeout_ms * CP_NS_PER_MS;
+    const CpBudgetWanted stalled = {.idle_ns = body_timeout_ns};
     CpBudgetAccount *next;
     if (now_ns < w->next_sweep_ns) {
         return;
     }
     w->next_sweep_ns = now_ns + SWEEP_NS;
-    for (CpBudgetAccount *a = CpBudgetGroup_FindIdlest(
-             w->callers, NULL, body_timeout_ns, now_ns);
+    for (CpBudgetAccount *a =
+             CpBudgetGroup_FindIdlest(w->callers, &stalled, now_ns);
          a != NULL && now_ns - a->progress_ns >= body_timeout_ns; a = next) {
         CpProxyCaller *c = a->ctx;
         next = a->next;
@@ -161,12 +165,16 @@
     }
 }
 
-/* Closes the connection that has made no progress for the longest time. */
+/* Closes the connection that has made no progress for the longest time, of
+ * those that hold at least so much. */
 static bool
-close_idlest(CpProxyWorker *w, const CpBudgetAccount *except)
+close_idlest(CpProxyWorker *w, const CpBudgetAccount *except,
+             uint64_t held_bytes)
 {
-    CpBudgetAccount *a = CpBudgetGroup_FindIdlest(
-        w->callers, except, CLOSE_IDLE_NS, CpClock_Now_ns());
+    const CpBudgetWanted wanted = {
+        .except = except, .idle_ns = CLOSE_IDLE_NS, .held_bytes = held_bytes};
+    CpBudgetAccount *a =
+        CpBudgetGroup_FindIdlest(w->callers, &wanted, CpClock_Now_ns());
     if (a == NULL) {
         return false;
     }
@@ -181,10 +189,11 @@
 close_idle_callers(CpProxyWorker *w, int64_t now_ns)
 {
     const CpProxyOptions *o = &w->proxy->options;
+    const CpBudgetWanted any = {0};
     CpRouteLimits limits = {0};
     CpBudgetAccount *next;
     o->policy.get_limits(o->policy.ctx, &limits);
-    CpBudgetAccount *a = CpBudgetGroup_FindIdlest(w->callers, NULL, 0, now_ns);
+    CpBudgetAccount *a = CpBudgetGroup_FindIdlest(w->callers, &any, now_ns);
     for (; a != NULL && a->progress_ns < now_ns; a = next) {
         CpProxyCaller *c = a->ctx;
         next = a->next;
@@ -192,7 +201,8 @@
             check_head(c, now_ns, limits.header_timeout_ms * CP_NS_PER_MS);
         }
     }
-    while (CpBudget_IsShort(o->budget) && close_idlest(w, NULL)) {
+    while (CpBudget_IsShort(o->budget) &&
+           close_idlest(w, NULL, CONNECTION_BYTES + 1)) {
     }
 }
 
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -72,7 +72,7 @@
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
         MHD_OPTION_LISTEN_SOCKET, w->proxy->listen_fd,
         MHD_OPTION_CONNECTION_LIMIT,
-        (unsigned int)(o->max_connections / o->threads + SPARE_CONNECTIONS),
+        (unsigned int)(o->max_connections + SPARE_CONNECTIONS),
         MHD_OPTION_NOTIFY_CONNECTION, CpProxyCaller_OnConnection, w,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)DEFAULT_IDLE_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -200,7 +200,7 @@
     ex->streams_body = true;
     CpCounter_Add(CP_COUNT_UPLOADS_STREAMED, 1);
     CpProxyFront_Begin(ex);
-    return ex->attempt.easy != NULL;
+    return !ex->decided || ex->attempt.easy != NULL;
 }
 
 /* Passes data on through the window; what does not fit waits. */
@@ -234,9 +234,11 @@
 static void
 suspend(CpProxyExchange *ex)
 {
-    ex->suspended = true;
     CpBudgetAccount_SetWaits(&ex->caller->account, false, CpClock_Now_ns());
-    MHD_suspend_connection(ex->conn);
+    if (!ex->suspended) {
+        ex->suspended = true;
+        MHD_suspend_connection(ex->conn);
+    }
     CpProxyWorker_Watch(ex->worker, ex);
 }
 
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -240,8 +240,7 @@
     curl_multi_setopt(w->multi, CURLMOPT_TIMERDATA, w);
     curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS,
                       (long)MAX_IDLE_CONNECTIONS);
-    w->callers = CpBudgetGroup_New(
-        p->options.budget, p->options.max_connections / p->options.threads);
+    w->callers = CpBudgetGroup_New(p->options.budget);
     CpStatus st = CpProxyFront_Open(w);
     if (st == CP_OK) {
         watch_fd(w, w->wake_fd, EVENT_WAKE, EPOLLIN);
