regress: what streamed uploads promise

Ruled out: servers that read slowly at the start of the script; what is learnt of them would have later requests refused for their goal. Change: the stand-in responds before it reads a body, reads slowly or closes midway.

--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -4,7 +4,11 @@
  * last being the service time. A request with the query bytes=N&over_ms=M gets
  * a response of N bytes, its id repeated, spread over M ms. framing=chunked
  * and framing=close mark the end of a response by chunks, or by closing the
- * connection.
+ * connection. With early=N a response of N bytes is sent before the body of
+ * the request is read, which is then read on; early_status=503 makes it a
+ * refusal. With read_ms=M each block of
+ * that body takes M ms, and with close_at=N the connection is closed after N
+ * bytes of it.
  *
  * /control?mode=M&ms=N&times=K sets the failure mode of the server addressed,
  * for its next K requests if K is given, and its service time; status=N is the
@@ -105,6 +109,9 @@
     int32_t fd;        /* the connection's socket */
     const char *extra; /* sent after the response; NULL: nothing */
     uint64_t extra_delay_ms;
+    uint64_t read_ms;  /* for each block of the body */
+    uint64_t close_at; /* bytes of the body; 0: none */
+    bool responded;    /* before the body was read */
 } Request;
 
 /* A large response while it is sent. */
@@ -233,6 +240,7 @@
 /* Totals of all servers, for /stats. */
 static uint64_t arrived, run_total, refused, wrong_instance, cancelled, hops,
     longest_timeout_ms, over_slots;
+static uint64_t read_after_response; /* bytes of bodies, with early=N */
 static uint64_t large_aborted; /* the client disconnected during the body */
 
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
@@ -261,6 +269,7 @@
 static GString *create_body(const char *id, const char *text, uint64_t bytes);
 static ssize_t read_body(void *ctx, uint64_t pos, char *out, size_t capacity);
 static void free_body(void *ctx);
+static void send_early(struct MHD_Connection *conn, Request *q);
 static void send_until_close(int32_t fd, const char *id, const char *seal,
                              const char *more_head, const GString *body);
 static void send_hoard(int32_t fd, const char *id, const char *seal);
@@ -303,14 +312,29 @@
         q = CpMem_Alloc(sizeof(*q));
         q->body = g_string_new(NULL);
         q->fd = CpStandin_Socket(conn);
+        q->read_ms = CpStandin_GetQueryNumber(conn, "read_ms", 0);
+        q->close_at = CpStandin_GetQueryNumber(conn, "close_at", 0);
         *state = q;
+        send_early(conn, q);
         return MHD_YES;
     }
     if (*data_bytes > 0) {
+        if (q->read_ms > 0) {
+            CpStandin_Sleep_ms(q->read_ms);
+        }
+        if (q->close_at > 0 && q->body->len + *data_bytes >= q->close_at) {
+            return MHD_NO;
+        }
         g_string_append_len(q->body, data, (gssize)*data_bytes);
         *data_bytes = 0;
         return MHD_YES;
     }
+    if (q->responded) {
+        pthread_mutex_lock(&lock);
+        read_after_response += q->body->len;
+        pthread_mutex_unlock(&lock);
+        return MHD_NO;
+    }
     if (strcmp(url, "/control") == 0) {
         return handle_control(conn, ctx);
     }
@@ -419,13 +443,14 @@
     char *text = g_strdup_printf(
         "{\"arrived\":%llu,\"runs\":%llu,\"refused\":%llu,\"wrong\":%llu,"
         "\"cancelled\":%llu,\"hops\":%llu,\"longest_ms\":%llu,\"over\":%llu,"
-        "\"large_left\":%llu,"
+        "\"large_left\":%llu,\"read_after\":%llu,"
         "\"doubled\":%u}\n",
         (unsigned long long)arrived, (unsigned long long)run_total,
         (unsigned long long)refused, (unsigned long long)wrong_instance,
         (unsigned long long)cancelled, (unsigned long long)hops,
         (unsigned long long)longest_timeout_ms, (unsigned long long)over_slots,
-        (unsigned long long)large_aborted, repeated);
+        (unsigned long long)large_aborted,
+        (unsigned long long)read_after_response, repeated);
     pthread_mutex_unlock(&lock);
     return CpStandin_Respond(conn, 200, text);
 }
@@ -728,6 +753,32 @@
     g_string_free(text, TRUE);
 }
 
+/* Sends a response beside the library, before the body is read. */
+static void
+send_early(struct MHD_Connection *conn, Request *q)
+{
+    uint64_t n = CpStandin_GetQueryNumber(conn, "early", 0);
+    uint64_t status = CpStandin_GetQueryNumber(conn, "early_status", 200);
+    const char *id = CpStandin_GetHeader(conn, "Chestnutpaddle-Attempt-Id");
+    if (n == 0 || id == NULL) {
+        return;
+    }
+    GString *text = g_string_new(NULL);
+    g_string_printf(text,
+                    "HTTP/1.1 %llu Early\r\nChestnutpaddle-Attempt-Id: %s\r\n"
+                    "Chestnutpaddle-Response-Seal: early\r\n%s"
+                    "Content-Length: %llu\r\n\r\n",
+                    (unsigned long long)status, id,
+                    status == 503 ? "Chestnutpaddle-Not-Executed: 1\r\n" : "",
+                    (unsigned long long)n);
+    for (uint64_t i = 0; i < n; i++) {
+        g_string_append_c(text, 'e');
+    }
+    CpStandin_Send(q->fd, text->str, text->len);
+    g_string_free(text, TRUE);
+    q->responded = true;
+}
+
 /* Sends a part of a chunk and waits until the client disconnects. */
 static void
 send_hoard(int32_t fd, const char *id, const char *seal)
