front: connections, requests and bodies of callers are reserved from the budget (kinds)

Cause: each chunked or large body has a pipe of 128 KB here and another at the host that it is forwarded to, and nothing bounded their sum. A request that was refused while its body was received waited for room in a pipe that nobody read, until its caller left. At the limit of connections nobody was served until idle ones timed out. Ruled out: fewer pipes by max_requests; 1000 requests of the last rank may hold 128 MB with its default. Change: pipes, requests and connections are reserved before they are filled; without room a request is refused with 503 as not run, and the connection that made no progress for the longest time is closed. The pipe of a request that has ended is freed and the rest of its body dropped, for 5 s, or 1 s without progress, if it was refused.

--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -134,6 +134,7 @@
     /* flag: the store had no row of an earlier incarnation; atomic */
     uint32_t first_start;
 
+    CpBudget *budget; /* of the memory for callers and servers */
     CpTimer *timer;
     CpWire *wire;
     CpFront *front;
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -51,6 +51,8 @@
     CpStream_Init(n);
     CpPeers_Init(n);
     n->timer = CpTimer_New();
+    n->budget = CpBudget_New(CpBudget_SizeFor_bytes(settings->memory_limit_mb),
+                             settings->max_requests * 2);
     n->store = CpPlatform_NewStore(settings->platform, STORE_TIMEOUT_MS);
     n->ledger = CpLedger_New(CP_LEDGER_SHARDS, CpOnce_OnLedgerRecord, n);
     CpStatus st = read_key(n);
@@ -206,6 +208,8 @@
     CpFrontOptions front = {.listen = s->caller,
                             .threads = s->worker_threads,
                             .max_connections = s->max_requests * 2,
+                            .body_timeout_ms = s->body_timeout_s * 1000,
+                            .budget = n->budget,
                             .find_kind = CpView_FindKind,
                             .submit = CpDispatch_Submit,
                             .render_lookup = CpView_RenderLookup,
--- a/src/host/host_report.c
+++ b/src/host/host_report.c
@@ -37,7 +37,8 @@
 get_metrics(void *ctx, const char *argument, char **out)
 {
     GString *s = g_string_new(NULL);
-    (void)ctx, (void)argument;
+    const CpNode *n = ctx;
+    (void)argument;
     for (uint32_t i = 0; i < CP_COUNTER_COUNT; i++) {
         const char *name = CpCounter_Name(i);
         g_string_append_printf(s,
@@ -47,6 +48,12 @@
                                name, CpCounter_Help(i), name, name,
                                CpCounter_Get(i));
     }
+    g_string_append_printf(s,
+                           "# HELP chestnutpaddle_memory_held_bytes Memory "
+                           "held for callers and servers.\n"
+                           "# TYPE chestnutpaddle_memory_held_bytes gauge\n"
+                           "chestnutpaddle_memory_held_bytes %" PRIu64 "\n",
+                           CpBudget_Held_bytes(n->budget));
     g_string_append(s, "# HELP chestnutpaddle_failed_total Requests that got "
                        "no answer, by reason and rank.\n"
                        "# TYPE chestnutpaddle_failed_total counter\n");
--- a/src/host/host_route.c
+++ b/src/host/host_route.c
@@ -43,7 +43,7 @@
     CpReason reason = check_request_limit(n, ex);
     if (reason != CP_REASON_NONE) {
         CpExchange_Fail(ex, CP_NOT_RUN, reason);
-        CpExchange_Release(ex);
+        CpDispatch_End(n, ex);
         return;
     }
     pthread_mutex_lock(&n->retry_budget_lock);
@@ -106,6 +106,9 @@
 CpDispatch_End(CpNode *n, CpExchange *ex)
 {
     (void)n;
+    if (ex->request_body != NULL) { /* nobody reads the rest of it */
+        CpPipe_End(ex->request_body, CP_PIPE_BROKEN);
+    }
     CpExchange_Release(ex);
 }
 
--- a/src/host/host_stream.c
+++ b/src/host/host_stream.c
@@ -196,8 +196,12 @@
         ex->inline_body_bytes = r->body.size_bytes;
     }
     CpStream *st = new_stream(n, s, ex, r->id, false);
+    CpPipe_SetBudget(ex->response_body, n->budget);
     if (r->streams_body) {
         ex->request_body = CpPipe_New(CP_PIPE_CAPACITY_BYTES);
+        if (!CpPipe_Reserve(ex->request_body, n->budget)) {
+            reason = CP_REASON_MEMORY_SHORT;
+        }
         CpPipe_SetOnConsumed(ex->request_body, on_consumed, st);
     }
     CpPipe_SetOnReadable(ex->response_body, on_pipe_readable, st);
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -7,6 +7,7 @@
 #define CP_HTTP_H
 
 #include "base/base.h"
+#include "budget/budget.h"
 #include "relay/relay.h"
 
 #define CP_HEADER_VERDICT "Chestnutpaddle-Verdict"
@@ -67,6 +68,8 @@
     const char *listen;
     uint32_t threads;
     uint32_t max_connections; /* of callers, over all threads */
+    uint32_t body_timeout_ms; /* of an unfinished body without progress */
+    CpBudget *budget;         /* of the host; limits the connections, too */
     /* Looks up a kind of work; CP_REASON_NONE if it was found. */
     CpReason (*find_kind)(void *ctx, const char *name, CpKindInfo *out);
     /* Consumes one reference and delivers a head to the exchange later. */
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "http/http_int.h"
@@ -22,15 +23,42 @@
 #define LISTEN_BACKLOG 1024
 #define RUN_PREFIX "/run/"
 #define TICKET_PARAMETER "cp_ticket="
+/* Accepted over the limit while those without progress are closed for them; in
+ * each thread. */
+#define SPARE_CONNECTIONS 16
+/* Of a connection: the library's state and buffer for heads. */
+#define CONNECTION_BYTES (32u * 1024)
+/* Of a request besides bodies: the exchange, and the handle and connection of
+ * its dispatch. */
+#define REQUEST_BYTES (48u * 1024)
+/* Of a socket's queues, which the kernel doubles. Large ones would count
+ * against the host's memory unseen. */
+#define SOCKET_BUFFER_BYTES (64 * 1024)
+/* Less would close connections whose callers are about to send. */
+#define CLOSE_IDLE_NS (500 * CP_NS_PER_MS)
+#define CLOSE_SWEEP_NS (500 * CP_NS_PER_MS)
+/* How long the rest of a body is dropped whose request has ended: without
+ * progress, and at all. */
+#define DROP_STALL_NS (1 * CP_NS_PER_S)
+#define MAX_DROP_NS (5 * CP_NS_PER_S)
 
 typedef struct Call Call;
 
 typedef struct {
-    pthread_mutex_t lock; /* guards calls and count */
+    pthread_mutex_t lock; /* guards the other fields, and callers */
     Call *calls;
     uint32_t count;
+    CpBudgetGroup *callers;
 } Shard;
 
+/* A connection of a caller; guarded by its shard's lock. */
+typedef struct {
+    CpBudgetAccount account;
+    Shard *shard;
+    Call *call; /* NULL: none has begun */
+    int32_t fd;
+} Caller;
+
 /* One request of a caller; lives as long as its exchange, which begins when
  * its head was received. */
 struct Call {
@@ -38,6 +66,7 @@
     Call *prev;
     CpFront *front;
     Shard *shard;
+    Caller *caller;         /* as long as its connection is open */
     CpExchange *ex;         /* NULL: not begun */
     char *target;           /* path and query, as received */
     CpReason early_refusal; /* reason to refuse before the submission */
@@ -45,7 +74,12 @@
     uint32_t max_body_bytes;
     uint64_t content_length_bytes; /* 0: unknown */
     uint64_t received_bytes;       /* of the body, from the caller */
-    pthread_mutex_t lock;          /* guards the next 3 */
+    uint64_t reserved_bytes;       /* of the budget; the shard's lock guards
+                                    * this and the next 3 */
+    bool body_received;            /* completely */
+    int64_t drop_since_ns; /* the rest of the body is dropped; 0: it is not */
+    int64_t dropped_ns;    /* the last time that bytes came */
+    pthread_mutex_t lock;  /* guards the next 3 */
     struct MHD_Connection *conn;
     bool suspended;
     int32_t fd;
@@ -57,7 +91,8 @@
     uint32_t open; /* flag; atomic */
     struct MHD_Daemon *daemon;
     Shard shards[SHARDS];
-    uint32_t next_shard; /* atomic */
+    uint32_t next_shard;   /* atomic */
+    int64_t next_close_ns; /* used by the sweep alone */
 };
 
 static const char *const single_headers[] = {
@@ -67,6 +102,18 @@
 /* Connection state of a lookup, which needs no Call. */
 static Call lookup_state;
 
+static void on_connection(void *ctx, struct MHD_Connection *conn,
+                          void **socket_ctx,
+                          enum MHD_ConnectionNotificationCode code);
+static bool reserve(CpFront *f, Caller *caller, uint64_t bytes);
+static bool reserve_call(Call *c);
+static bool close_idlest(CpFront *f, const Caller *except,
+                         uint64_t held_bytes);
+static void close_caller(Caller *caller);
+static void close_stalled(CpFront *f, int64_t now_ns);
+static void note_moved(Call *c, uint64_t bytes, bool waits_for_caller);
+static void set_waits(Call *c, bool for_caller);
+static bool drop_body(Call *c);
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
@@ -102,6 +149,7 @@
     f->options = *options;
     for (uint32_t i = 0; i < SHARDS; i++) {
         pthread_mutex_init(&f->shards[i].lock, NULL);
+        f->shards[i].callers = CpBudgetGroup_New(options->budget);
     }
     f->listen_fd = CpSocket_Bind(options->listen);
     if (f->listen_fd < 0) {
@@ -115,6 +163,14 @@
 CpStatus
 CpFront_Open(CpFront *f)
 {
+    const int queue_bytes = SOCKET_BUFFER_BYTES;
+    if (CpBudget_IsLimited(f->options.budget) &&
+        (setsockopt(f->listen_fd, SOL_SOCKET, SO_RCVBUF, &queue_bytes,
+                    sizeof(queue_bytes)) != 0 ||
+         setsockopt(f->listen_fd, SOL_SOCKET, SO_SNDBUF, &queue_bytes,
+                    sizeof(queue_bytes)) != 0)) { /* accepted ones inherit */
+        CpLog(CP_LOG_WARNING, "front: cannot bound the buffers of sockets");
+    }
     if (listen(f->listen_fd, LISTEN_BACKLOG) != 0) {
         return CpError_Set(CP_ERR_IO, "%s: %s", f->options.listen,
                            strerror(errno));
@@ -123,7 +179,10 @@
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
         0, NULL, NULL, on_request, f, MHD_OPTION_LISTEN_SOCKET, f->listen_fd,
         MHD_OPTION_THREAD_POOL_SIZE, (unsigned int)f->options.threads,
-        MHD_OPTION_CONNECTION_LIMIT, (unsigned int)f->options.max_connections,
+        MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned int)(f->options.max_connections +
+                       SPARE_CONNECTIONS * f->options.threads),
+        MHD_OPTION_NOTIFY_CONNECTION, on_connection, f,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
         MHD_OPTION_URI_LOG_CALLBACK, on_uri, f, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, f, MHD_OPTION_END);
@@ -177,10 +236,223 @@
     }
     for (uint32_t i = 0; i < SHARDS; i++) {
         pthread_mutex_destroy(&f->shards[i].lock);
+        CpBudgetGroup_Free(f->shards[i].callers);
     }
     free(f);
 }
 
+static void
+on_connection(void *ctx, struct MHD_Connection *conn, void **socket_ctx,
+              enum MHD_ConnectionNotificationCode code)
+{
+    CpFront *f = ctx;
+    Caller *caller = *socket_ctx;
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+        pthread_mutex_lock(&caller->shard->lock);
+        CpBudgetAccount_Close(&caller->account);
+        pthread_mutex_unlock(&caller->shard->lock);
+        free(caller);
+        *socket_ctx = NULL;
+        return;
+    }
+    caller = CpMem_Alloc(sizeof(*caller));
+    *socket_ctx = caller;
+    uint32_t sequence =
+        __atomic_add_fetch(&f->next_shard, 1, __ATOMIC_RELAXED);
+    caller->shard = &f->shards[sequence % SHARDS];
+    caller->fd =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    pthread_mutex_lock(&caller->shard->lock);
+    CpBudgetAccount_Open(&caller->account, caller->shard->callers, caller,
+                         CpClock_Now_ns());
+    pthread_mutex_unlock(&caller->shard->lock);
+    if ((CpBudget_IsCrowded(f->options.budget) &&
+         !close_idlest(f, caller, 0)) ||
+        !reserve(f, caller, CONNECTION_BYTES)) {
+        CpCounter_Add(CP_COUNT_MEMORY_REFUSED, 1);
+        pthread_mutex_lock(&caller->shard->lock);
+        close_caller(caller);
+        pthread_mutex_unlock(&caller->shard->lock);
+    }
+}
+
+/* Reserves memory for a connection. What another one holds, that is closed for
+ * it, is released only later, so that a single one is closed. */
+static bool
+reserve(CpFront *f, Caller *caller, uint64_t bytes)
+{
+    bool reserved = false;
+    for (uint32_t i = 0; i < 2 && !reserved; i++) {
+        if (i == 1 && !close_idlest(f, caller, 0)) {
+            return false;
+        }
+        pthread_mutex_lock(&caller->shard->lock);
+        reserved =
+            CpBudgetAccount_Reserve(&caller->account, bytes, CP_BUDGET_SMALL);
+        pthread_mutex_unlock(&caller->shard->lock);
+    }
+    return reserved;
+}
+
+/* Reserves memory for a request and the part of its body that is held. */
+static bool
+reserve_call(Call *c)
+{
+    CpFront *f = c->front;
+    uint64_t bytes = REQUEST_BYTES;
+    if (c->ex->request_body != NULL) {
+        if (!CpPipe_Reserve(c->ex->request_body, f->options.budget) &&
+            !(close_idlest(f, c->caller, CONNECTION_BYTES + 1) &&
+              CpPipe_Reserve(c->ex->request_body, f->options.budget))) {
+            return false;
+        }
+    }
+    else {
+        bytes += c->content_length_bytes;
+    }
+    if (!reserve(f, c->caller, bytes)) {
+        return false;
+    }
+    c->reserved_bytes = bytes;
+    return true;
+}
+
+/* Closes the connection that has made no progress for the longest time, of
+ * those that hold at least so much. */
+static bool
+close_idlest(CpFront *f, const Caller *except, uint64_t held_bytes)
+{
+    const CpBudgetWanted wanted = {.except = except != NULL ? &except->account
+                                                            : NULL,
+                                   .idle_ns = CLOSE_IDLE_NS,
+                                   .held_bytes = held_bytes};
+    int64_t now_ns = CpClock_Now_ns(), since_ns = INT64_MAX;
+    Shard *found = NULL;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        Shard *shard = &f->shards[i];
+        pthread_mutex_lock(&shard->lock);
+        const CpBudgetAccount *a =
+            CpBudgetGroup_FindIdlest(shard->callers, &wanted, now_ns);
+        if (a != NULL && a->progress_ns < since_ns) {
+            since_ns = a->progress_ns;
+            found = shard;
+        }
+        pthread_mutex_unlock(&shard->lock);
+    }
+    if (found == NULL) {
+        return false;
+    }
+    pthread_mutex_lock(&found->lock);
+    CpBudgetAccount *a =
+        CpBudgetGroup_FindIdlest(found->callers, &wanted, now_ns);
+    if (a != NULL) {
+        CpCounter_Add(CP_COUNT_CALLERS_CLOSED, 1);
+        close_caller(a->ctx);
+    }
+    pthread_mutex_unlock(&found->lock);
+    return a != NULL;
+}
+
+/* Ends a connection, under its shard's lock. The library sees the end and
+ * completes its request. */
+static void
+close_caller(Caller *caller)
+{
+    CpBudgetAccount_SetWaits(&caller->account, false, CpClock_Now_ns());
+    shutdown(caller->fd, SHUT_RDWR);
+    if (caller->call != NULL) {
+        if (caller->call->ex->request_body != NULL) {
+            CpPipe_End(caller->call->ex->request_body, CP_PIPE_BROKEN);
+        }
+        resume_call(caller->call);
+    }
+}
+
+/* Closes connections with an unfinished body that has made no progress for too
+ * long or is dropped for too long, and others while little memory is left. */
+static void
+close_stalled(CpFront *f, int64_t now_ns)
+{
+    const CpBudgetWanted stalled = {.idle_ns = f->options.body_timeout_ms *
+                                               CP_NS_PER_MS};
+    if (now_ns < f->next_close_ns) {
+        return;
+    }
+    f->next_close_ns = now_ns + CLOSE_SWEEP_NS;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        Shard *shard = &f->shards[i];
+        CpBudgetAccount *next;
+        pthread_mutex_lock(&shard->lock);
+        for (CpBudgetAccount *a =
+                 CpBudgetGroup_FindIdlest(shard->callers, &stalled, now_ns);
+             a != NULL && now_ns - a->progress_ns >= stalled.idle_ns;
+             a = next) {
+            Caller *caller = a->ctx;
+            next = a->next;
+            if (caller->call != NULL && !caller->call->body_received) {
+                CpCounter_Add(CP_COUNT_CALLERS_CLOSED, 1);
+                close_caller(caller);
+            }
+        }
+        for (const Call *c = shard->calls; c != NULL; c = c->next) {
+            if (c->drop_since_ns > 0 && !c->body_received &&
+                (now_ns - c->dropped_ns > DROP_STALL_NS ||
+                 now_ns - c->drop_since_ns > MAX_DROP_NS)) {
+                close_caller(c->caller);
+            }
+        }
+        pthread_mutex_unlock(&shard->lock);
+    }
+    while (CpBudget_IsShort(f->options.budget) &&
+           close_idlest(f, NULL, CONNECTION_BYTES + 1)) {
+    }
+}
+
+static void
+note_moved(Call *c, uint64_t bytes, bool waits_for_caller)
+{
+    int64_t now_ns = CpClock_Now_ns();
+    pthread_mutex_lock(&c->shard->lock);
+    CpBudgetAccount_SetWaits(&c->caller->account, waits_for_caller, now_ns);
+    CpBudgetAccount_OnMoved(&c->caller->account, bytes, now_ns);
+    pthread_mutex_unlock(&c->shard->lock);
+}
+
+static void
+set_waits(Call *c, bool for_caller)
+{
+    pthread_mutex_lock(&c->shard->lock);
+    CpBudgetAccount_SetWaits(&c->caller->account, for_caller,
+                             CpClock_Now_ns());
+    pthread_mutex_unlock(&c->shard->lock);
+}
+
+/* Returns true if the request has ended, so that the rest of its body is
+ * dropped. The library takes a response only after it. */
+static bool
+drop_body(Call *c)
+{
+    CpExchange *ex = c->ex;
+    if (c->early_refusal == CP_REASON_NONE &&
+        (ex->request_body == NULL || !CpPipe_IsBroken(ex->request_body))) {
+        return false;
+    }
+    pthread_mutex_lock(&ex->lock);
+    bool has_response =
+        ex->head_delivered && ex->head.reason == CP_REASON_NONE;
+    pthread_mutex_unlock(&ex->lock);
+    if (has_response) {
+        return true; /* of the server, which the caller gets after its body */
+    }
+    int64_t now_ns = CpClock_Now_ns();
+    pthread_mutex_lock(&c->shard->lock);
+    c->dropped_ns = now_ns;
+    c->drop_since_ns = c->drop_since_ns > 0 ? c->drop_since_ns : now_ns;
+    pthread_mutex_unlock(&c->shard->lock);
+    return true;
+}
+
 /* libmicrohttpd decodes the path and the query; only this callback gets them
  * as received. */
 static void *
@@ -189,6 +461,10 @@
     Call *c = CpMem_Alloc(sizeof(*c));
     c->front = ctx;
     c->conn = conn;
+    c->caller =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context;
+    c->shard = c->caller->shard;
     c->target = CpStr_Dup(uri);
     pthread_mutex_init(&c->lock, NULL);
     return c;
@@ -219,6 +495,9 @@
         receive_body(c, data, data_bytes);
         return MHD_YES;
     }
+    pthread_mutex_lock(&c->shard->lock);
+    c->body_received = true;
+    pthread_mutex_unlock(&c->shard->lock);
     if (strcmp(url, "/ticket") == 0 && strcmp(method, "POST") == 0) {
         return respond_ticket(f, conn);
     }
@@ -238,6 +517,7 @@
         MHD_suspend_connection(conn);
     }
     pthread_mutex_unlock(&c->lock);
+    set_waits(c, has_head);
     return has_head ? respond_head(c) : MHD_YES;
 }
 
@@ -270,6 +550,9 @@
         c->next->prev = c->prev;
     }
     c->shard->count--;
+    CpBudgetAccount_Release(&c->caller->account, c->reserved_bytes);
+    CpBudgetAccount_SetWaits(&c->caller->account, true, CpClock_Now_ns());
+    c->caller->call = NULL;
     pthread_mutex_unlock(&c->shard->lock);
     CpExchange *ex = c->ex;
     CpExchange_SetOnHead(ex, NULL, NULL);
@@ -371,10 +654,15 @@
     c->ex = CpExchange_New();
     CpExchange_Attach(c->ex, c, free_call);
     c->early_refusal = init_exchange(f, c, url, method);
-    uint32_t sequence =
-        __atomic_add_fetch(&f->next_shard, 1, __ATOMIC_RELAXED);
-    c->shard = &f->shards[sequence % SHARDS];
+    CpPipe_SetBudget(c->ex->response_body, f->options.budget);
+    if (c->early_refusal == CP_REASON_NONE && !reserve_call(c)) {
+        CpCounter_Add(CP_COUNT_MEMORY_REFUSED, 1);
+        c->early_refusal = CP_REASON_MEMORY_SHORT;
+    }
     pthread_mutex_lock(&c->shard->lock);
+    c->caller->call = c;
+    CpBudgetAccount_OnMoved(&c->caller->account, CP_BUDGET_PROGRESS_BYTES,
+                            CpClock_Now_ns());
     c->next = c->shard->calls;
     if (c->next != NULL) {
         c->next->prev = c;
@@ -476,7 +764,8 @@
 {
     CpExchange *ex = c->ex;
     size_t n = *data_bytes;
-    if (c->early_refusal != CP_REASON_NONE) {
+    note_moved(c, n, true);
+    if (drop_body(c)) {
         *data_bytes = 0;
         return;
     }
@@ -491,8 +780,9 @@
         return;
     }
     if (ex->request_body == NULL) {
-        ex->inline_body =
-            CpMem_Realloc(ex->inline_body, ex->inline_body_bytes + n);
+        if (ex->inline_body == NULL) {
+            ex->inline_body = CpMem_Realloc(NULL, c->content_length_bytes);
+        }
         memcpy(ex->inline_body + ex->inline_body_bytes, data, n);
         ex->inline_body_bytes += (uint32_t)n;
         *data_bytes = 0;
@@ -510,6 +800,9 @@
         MHD_suspend_connection(c->conn);
     }
     pthread_mutex_unlock(&c->lock);
+    if (written < n) {
+        set_waits(c, false);
+    }
 }
 
 static void
@@ -558,6 +851,7 @@
         MHD_suspend_connection(c->conn);
     }
     pthread_mutex_unlock(&c->lock);
+    note_moved(c, n, n > 0);
     if (n > 0 || state == CP_PIPE_OPEN) {
         return n;
     }
@@ -590,6 +884,7 @@
 on_sweep(void *ctx, int64_t now_ns)
 {
     CpFront *f = ctx;
+    close_stalled(f, now_ns);
     for (uint32_t i = 0; i < SHARDS; i++) {
         Shard *shard = &f->shards[i];
         pthread_mutex_lock(&shard->lock);
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -9,6 +9,7 @@
 
 #include "admit/admit.h"
 #include "base/base.h"
+#include "budget/budget.h"
 #include "config/config.h"
 #include "wire/wire.h"
 
@@ -28,6 +29,11 @@
 
 CpPipe *CpPipe_New(uint32_t capacity_bytes);
 void CpPipe_Free(CpPipe *p);
+/* Counts the pipe's buffer in a budget from its first byte on. */
+void CpPipe_SetBudget(CpPipe *p, CpBudget *b);
+/* Reserves the pipe's buffer now, as for a large body; returns false if the
+ * budget does not allow it. */
+bool CpPipe_Reserve(CpPipe *p, CpBudget *b);
 /* Sets the callback for when a reader that got nothing may read again. */
 void CpPipe_SetOnReadable(CpPipe *p, CpPipeWakeFn fn, void *ctx);
 /* Sets the callback for when a writer that was cut short may write again. */
@@ -42,7 +48,8 @@
  * called later. */
 bool CpPipe_CanWrite(CpPipe *p, uint32_t size_bytes);
 bool CpPipe_IsBroken(CpPipe *p);
-/* Ends the stream as complete or broken; only the first call counts. */
+/* Ends the stream as complete or broken; only the first call counts. A broken
+ * one holds nothing any more. */
 void CpPipe_End(CpPipe *p, CpPipeState how);
 /* Reads the available bytes; 0 with *state CP_PIPE_OPEN means wait for
  * the reader's callback. */
--- a/src/relay/relay_pipe.c
+++ b/src/relay/relay_pipe.c
@@ -6,6 +6,8 @@
 
 struct CpPipe {
     pthread_mutex_t lock; /* guards all other fields */
+    CpBudget *budget;     /* NULL: none */
+    bool reserved;        /* the buffer is counted in the budget */
     uint8_t *data;        /* allocated with the first write */
     uint32_t capacity_bytes;
     uint32_t head; /* next byte to read */
@@ -21,6 +23,7 @@
     void *on_consumed_ctx;
 };
 
+static void free_data(CpPipe *p);
 static void copy_in(CpPipe *p, const uint8_t *data, uint32_t n);
 static void copy_out(CpPipe *p, uint8_t *out, uint32_t n);
 
@@ -38,11 +41,30 @@
 {
     if (p != NULL) {
         pthread_mutex_destroy(&p->lock);
-        free(p->data);
+        free_data(p);
         free(p);
     }
 }
 
+void
+CpPipe_SetBudget(CpPipe *p, CpBudget *b)
+{
+    pthread_mutex_lock(&p->lock);
+    p->budget = b;
+    pthread_mutex_unlock(&p->lock);
+}
+
+bool
+CpPipe_Reserve(CpPipe *p, CpBudget *b)
+{
+    pthread_mutex_lock(&p->lock);
+    p->budget = b;
+    p->reserved = CpBudget_Reserve(b, p->capacity_bytes, CP_BUDGET_LARGE);
+    bool reserved = p->reserved;
+    pthread_mutex_unlock(&p->lock);
+    return reserved;
+}
+
 void
 CpPipe_SetOnReadable(CpPipe *p, CpPipeWakeFn fn, void *ctx)
 {
@@ -133,6 +155,9 @@
         p->state = how;
         p->reader_waits = false;
         p->writer_waits = false;
+        if (how == CP_PIPE_BROKEN) {
+            free_data(p);
+        }
     }
     pthread_mutex_unlock(&p->lock);
     if (wake_reader != NULL) {
@@ -174,10 +199,26 @@
     return n;
 }
 
+static void
+free_data(CpPipe *p)
+{
+    if (p->reserved) {
+        CpBudget_Release(p->budget, p->capacity_bytes);
+        p->reserved = false;
+    }
+    free(p->data);
+    p->data = NULL;
+    p->head = p->used_bytes = 0;
+}
+
 static void
 copy_in(CpPipe *p, const uint8_t *data, uint32_t n)
 {
     if (p->data == NULL && n > 0) {
+        if (p->budget != NULL && !p->reserved) {
+            p->reserved = CpBudget_Reserve(p->budget, p->capacity_bytes,
+                                           CP_BUDGET_FORCED);
+        }
         p->data = CpMem_Alloc(p->capacity_bytes);
     }
     uint32_t tail = (p->head + p->used_bytes) % p->capacity_bytes;
