relay: small pieces of a request body are passed on together

Cause: each chunk of a body woke the reader of its pipe. A chunk of one byte became a frame of its own to another host, some 40 bytes for one, and the session's queue is bounded by bytes of bodies only. Ruled out: a bound of the session's queue by its frames; the cost of time stays.

--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -21,6 +21,9 @@
 #define IDLE_TIMEOUT_S 30
 #define SHARDS 8
 #define LISTEN_BACKLOG 1024
+/* Of a body, that are passed on together; fewer wait for the next sweep. A
+ * chunk of one byte would else become a frame. */
+#define WAKE_BYTES 4096
 #define RUN_PREFIX "/run/"
 #define TICKET_PARAMETER "cp_ticket="
 /* Accepted over the limit while those without progress are closed for them; in
@@ -74,9 +77,11 @@
     uint32_t max_body_bytes;
     uint64_t content_length_bytes; /* 0: unknown */
     uint64_t received_bytes;       /* of the body, from the caller */
-    uint64_t reserved_bytes;       /* of the budget; the shard's lock guards
-                                    * this and the next 3 */
-    bool body_received;            /* completely */
+    uint64_t moved_bytes;          /* of the body, since progress was noted */
+    bool waits_for_server;
+    uint64_t reserved_bytes; /* of the budget; the shard's lock guards
+                              * this and the next 3 */
+    bool body_received;      /* completely */
     int64_t drop_since_ns; /* the rest of the body is dropped; 0: it is not */
     int64_t dropped_ns;    /* the last time that bytes came */
     pthread_mutex_t lock;  /* guards the next 3 */
@@ -746,6 +751,7 @@
         }
         ex->request_body = CpPipe_New(CP_PIPE_CAPACITY_BYTES);
         CpPipe_SetOnWritable(ex->request_body, resume_call, c);
+        CpPipe_SetWakeBytes(ex->request_body, WAKE_BYTES);
     }
     return CP_REASON_NONE;
 }
@@ -764,7 +770,12 @@
 {
     CpExchange *ex = c->ex;
     size_t n = *data_bytes;
-    note_moved(c, n, true);
+    c->moved_bytes += n;
+    if (c->moved_bytes >= CP_BUDGET_PROGRESS_BYTES || c->waits_for_server) {
+        note_moved(c, c->moved_bytes, true);
+        c->moved_bytes = 0;
+        c->waits_for_server = false;
+    }
     if (drop_body(c)) {
         *data_bytes = 0;
         return;
@@ -801,6 +812,7 @@
     }
     pthread_mutex_unlock(&c->lock);
     if (written < n) {
+        c->waits_for_server = true;
         set_waits(c, false);
     }
 }
@@ -893,6 +905,9 @@
             if (!CpAtomic_Load(&c->submitted)) {
                 continue;
             }
+            if (ex->request_body != NULL) {
+                CpPipe_Flush(ex->request_body);
+            }
             if (is_disconnected(c) || now_ns > ex->deadline_ns) {
                 CpExchange_Cancel(ex);
             }
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -36,6 +36,10 @@
 bool CpPipe_Reserve(CpPipe *p, CpBudget *b);
 /* Sets the callback for when a reader that got nothing may read again. */
 void CpPipe_SetOnReadable(CpPipe *p, CpPipeWakeFn fn, void *ctx);
+/* Wakes a waiting reader only for so many bytes, at the end, or by
+ * CpPipe_Flush(): each wake-up may cost a frame. */
+void CpPipe_SetWakeBytes(CpPipe *p, uint32_t bytes);
+void CpPipe_Flush(CpPipe *p);
 /* Sets the callback for when a writer that was cut short may write again. */
 void CpPipe_SetOnWritable(CpPipe *p, CpPipeWakeFn fn, void *ctx);
 /* Writes what fits and returns its size; for the rest, wait for the writer's
--- a/src/relay/relay_pipe.c
+++ b/src/relay/relay_pipe.c
@@ -13,6 +13,7 @@
     uint32_t head; /* next byte to read */
     uint32_t used_bytes;
     CpPipeState state;
+    uint32_t wake_bytes; /* that wake a waiting reader */
     bool reader_waits;
     bool writer_waits;
     CpPipeWakeFn on_readable;
@@ -108,7 +109,7 @@
         }
         copy_in(p, data, n);
         p->writer_waits = n < size_bytes;
-        if (n > 0 && p->reader_waits) {
+        if (n > 0 && p->reader_waits && p->used_bytes >= p->wake_bytes) {
             p->reader_waits = false;
             wake = p->on_readable;
             ctx = p->on_readable_ctx;
@@ -121,6 +122,30 @@
     return n;
 }
 
+void
+CpPipe_SetWakeBytes(CpPipe *p, uint32_t bytes)
+{
+    pthread_mutex_lock(&p->lock);
+    p->wake_bytes = bytes;
+    pthread_mutex_unlock(&p->lock);
+}
+
+void
+CpPipe_Flush(CpPipe *p)
+{
+    CpPipeWakeFn wake = NULL;
+    pthread_mutex_lock(&p->lock);
+    void *ctx = p->on_readable_ctx;
+    if (p->reader_waits && p->used_bytes > 0) {
+        p->reader_waits = false;
+        wake = p->on_readable;
+    }
+    pthread_mutex_unlock(&p->lock);
+    if (wake != NULL) {
+        wake(ctx);
+    }
+}
+
 bool
 CpPipe_CanWrite(CpPipe *p, uint32_t size_bytes)
 {
