front: a body is written to its pipe without the call's lock (kinds)

Cause: receive_body() held the lock of the call while it wrote to the pipe, whose reader then took the stream's lock. The reader, which holds that lock, wakes the writer and takes the call's: two threads could wait for each other for good, and every caller of their shard with them. Found by the thread sanitizer in crowd_length and crowd_chunks. Ruled out: a call's lock that may be taken twice, as two threads are concerned. Change: the lock is taken only to suspend the connection; a wake-up that came before is noticed. The first block of a body counts toward its limit, too.

--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -84,9 +84,10 @@
     bool body_received;      /* completely */
     int64_t drop_since_ns; /* the rest of the body is dropped; 0: it is not */
     int64_t dropped_ns;    /* the last time that bytes came */
-    pthread_mutex_t lock;  /* guards the next 3 */
+    pthread_mutex_t lock;  /* guards the next 4 */
     struct MHD_Connection *conn;
     bool suspended;
+    bool resume_missed; /* it was resumed while not suspended */
     int32_t fd;
 };
 
@@ -135,6 +136,7 @@
                               const char *method);
 static void free_call(void *data);
 static void receive_body(Call *c, const char *data, size_t *data_bytes);
+static void write_body(Call *c, const char *data, size_t *data_bytes);
 static void submit(Call *c);
 static void set_target(Call *c);
 static ssize_t read_response(void *ctx, uint64_t pos, char *out,
@@ -802,16 +804,36 @@
     if (!c->submitted) {
         submit(c);
     }
-    pthread_mutex_lock(&c->lock);
-    uint32_t written = CpPipe_Write(ex->request_body, data, (uint32_t)n);
+    write_body(c, data, data_bytes);
+}
+
+/* Writes to the pipe what fits; if that is not all, suspends the connection
+ * until there is room. The pipe's callbacks take locks under which others
+ * resume the call, so its own lock is not held meanwhile. */
+static void
+write_body(Call *c, const char *data, size_t *data_bytes)
+{
+    size_t n = *data_bytes, written = 0;
+    bool suspended = false;
+    while (written < n && !suspended) {
+        pthread_mutex_lock(&c->lock);
+        c->resume_missed = false;
+        pthread_mutex_unlock(&c->lock);
+        written += CpPipe_Write(c->ex->request_body, data + written,
+                                (uint32_t)(n - written));
+        if (written < n) {
+            pthread_mutex_lock(&c->lock);
+            suspended = !c->resume_missed;
+            if (suspended) {
+                c->suspended = true;
+                MHD_suspend_connection(c->conn);
+            }
+            pthread_mutex_unlock(&c->lock);
+        }
+    }
     *data_bytes = n - written;
     c->received_bytes -= n - written;
-    if (written < n) {
-        c->suspended = true;
-        MHD_suspend_connection(c->conn);
-    }
-    pthread_mutex_unlock(&c->lock);
-    if (written < n) {
+    if (suspended) {
         c->waits_for_server = true;
         set_waits(c, false);
     }
@@ -821,7 +843,6 @@
 submit(Call *c)
 {
     CpFront *f = c->front;
-    c->received_bytes = 0;
     CpCounter_Add(CP_COUNT_REQUESTS, 1);
     CpExchange_SetOnHead(c->ex, on_head, c);
     CpAtomic_Store(&c->submitted, 1);
@@ -887,6 +908,9 @@
         c->suspended = false;
         MHD_resume_connection(c->conn);
     }
+    else {
+        c->resume_missed = true;
+    }
     pthread_mutex_unlock(&c->lock);
 }
 
