proxy: a slow caller's upload does not count against its server

Cause: when a request's deadline passed while a streamed body was trickling in, the attempt was reported as a server that timed out, unless the upload happened to wait at that moment. Ruled out: measuring who is slower; the window shows it, as it is full only if the server does not keep up. Change: with room in the window the attempt ends as cancelled. Scripts for the time that an unfinished body may take, for both ways to serve.

--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -138,7 +138,7 @@
         CpProxyAttempt_EndEarly(ex);
         return;
     }
-    if (ex->attempt.upload_paused) { /* the server waits for the caller */
+    if (CpProxyUpload_WaitsForCaller(ex)) { /* no fault of the server */
         CpProxyFront_Refuse(ex, CP_REASON_DEADLINE_PASSED);
         return;
     }
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -244,6 +244,9 @@
 /* Ends an upload whose response is complete, and a drop, if they make no
  * progress; schedules the next check. */
 void CpProxyUpload_Check(CpProxyExchange *ex, int64_t now_ns);
+/* Returns true if a streamed body is unfinished and the server keeps up with
+ * the caller. */
+bool CpProxyUpload_WaitsForCaller(const CpProxyExchange *ex);
 /* Returns true if the request can be sent again from its start. */
 bool CpProxyUpload_CanResend(const CpProxyExchange *ex);
 /* Returns true if the attempt's response is complete, whatever is left of the
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -154,6 +154,14 @@
     }
 }
 
+/* The caller's connection is suspended when the window is full. */
+bool
+CpProxyUpload_WaitsForCaller(const CpProxyExchange *ex)
+{
+    return ex->streams_body && !ex->body_received && !ex->suspended &&
+           ex->attempt.easy != NULL;
+}
+
 bool
 CpProxyUpload_CanResend(const CpProxyExchange *ex)
 {
--- a/tools/crowd.sh
+++ b/tools/crowd.sh
@@ -103,3 +103,30 @@
         wait_slots "$(total_slots)" && wait_for 10 all_live || return 1
     ENTRY=$(caller_of north-a-1)
 }
+
+# drip TARGET COUNT BYTES: sends a head and COUNT blocks of BYTES of a body of
+# 6000 bytes, one each 0.2 s, until the connection is closed; prints the status, if
+# there is one, and how the connection ended.
+drip() {
+    exec 3<>"/dev/tcp/${ENTRY%:*}/${ENTRY#*:}"
+    printf 'POST %s HTTP/1.1\r\nHost: a.example\r\nChestnutpaddle-Attempt-Id: drip%s\r\nContent-Length: 6000\r\n\r\n' "$1" "$3" >&3
+    cat <&3 >"$W/raw" &
+    drip_reader=$!
+    drip_left=$2
+    while [ "$drip_left" -gt 0 ] && kill -0 "$drip_reader" 2>/dev/null; do
+        head -c "$3" /dev/zero >&3 2>/dev/null
+        drip_left=$((drip_left - 1))
+        sleep 0.2
+    done
+    sleep 0.5
+    kill -0 "$drip_reader" 2>/dev/null && drip_end=open || drip_end=closed
+    exec 3<&- 3>&-
+    kill "$drip_reader" 2>/dev/null
+    wait "$drip_reader" 2>/dev/null
+    echo "$(head -c 12 "$W/raw" | tr -d '\r\n') $drip_end"
+}
+# report_drips TARGET: a body in single bytes for 8 s, and one in 10 blocks.
+report_drips() {
+    echo "single bytes: $(drip "$1" 40 1)"
+    echo "slowly: $(drip "$1" 10 600)"
+}
