--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -89,6 +89,14 @@
     [CP_COUNT_FRESHNESS_QUERIES] =
         {"freshness_queries",
          "Queries for the freshness of the configuration"},
+    [CP_COUNT_UPLOADS_STREAMED] = {"uploads_streamed",
+                                   "Requests whose bodies were streamed"},
+    [CP_COUNT_MEMORY_REFUSED] = {"memory_refused",
+                                 "Requests and connections refused for want "
+                                 "of memory"},
+    [CP_COUNT_CALLERS_CLOSED] = {"callers_closed",
+                                 "Connections of callers closed because they "
+                                 "made no progress"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -126,6 +126,9 @@
          503, 5},
     [CP_REASON_QUOTA_EXCEEDED] = {"quota_exceeded",
                                   "the organisation is at its limit", 429, 1},
+    [CP_REASON_MEMORY_SHORT] = {"memory_short",
+                                "this host has no memory left for the request",
+                                503, 1},
 };
 
 CpStatus
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -68,6 +68,9 @@
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
     CpEntryQuota_AppendMetrics(e, text);
+    g_string_append_printf(
+        text, "chestnutpaddle_memory_held_bytes %" G_GUINT64_FORMAT "\n",
+        CpBudget_Held_bytes(e->budget));
     CpRoutes_Release(r);
     *out = g_string_free(text, FALSE);
     return 200;
--- a/src/relay/relay_pipe.c
+++ b/src/relay/relay_pipe.c
@@ -6,11 +6,14 @@
 
 struct CpPipe {
     pthread_mutex_t lock; /* guards all other fields */
+    CpBudget *budget;     /* NULL: none */
+    bool reserved;        /* the buffer is counted in the budget */
     uint8_t *data;        /* allocated with the first write */
     uint32_t capacity_bytes;
     uint32_t head; /* next byte to read */
     uint32_t used_bytes;
     CpPipeState state;
+    uint32_t wake_bytes; /* that wake a waiting reader */
     bool reader_waits;
     bool writer_waits;
     CpPipeWakeFn on_readable;
@@ -21,6 +24,7 @@
     void *on_consumed_ctx;
 };
 
+static void free_data(CpPipe *p);
 static void copy_in(CpPipe *p, const uint8_t *data, uint32_t n);
 static void copy_out(CpPipe *p, uint8_t *out, uint32_t n);
 
@@ -38,11 +42,30 @@
 {
     if (p != NULL) {
         pthread_mutex_destroy(&p->lock);
-        free(p->data);
+        free_data(p);
         free(p);
     }
 }
 
+void
+CpPipe_SetBudget(CpPipe *p, CpBudget *b)
+{
+    pthread_mutex_lock(&p->lock);
+    p->budget = b;
+    pthread_mutex_unlock(&p->lock);
+}
+
+bool
+CpPipe_Reserve(CpPipe *p, CpBudget *b)
+{
+    pthread_mutex_lock(&p->lock);
+    p->budget = b;
+    p->reserved = CpBudget_Reserve(b, p->capacity_bytes, CP_BUDGET_LARGE);
+    bool reserved = p->reserved;
+    pthread_mutex_unlock(&p->lock);
+    return reserved;
+}
+
 void
 CpPipe_SetOnReadable(CpPipe *p, CpPipeWakeFn fn, void *ctx)
 {
@@ -86,7 +109,7 @@
         }
         copy_in(p, data, n);
         p->writer_waits = n < size_bytes;
-        if (n > 0 && p->reader_waits) {
+        if (n > 0 && p->reader_waits && p->used_bytes >= p->wake_bytes) {
             p->reader_waits = false;
             wake = p->on_readable;
             ctx = p->on_readable_ctx;
@@ -99,6 +122,30 @@
     return n;
 }
 
+void
+CpPipe_SetWakeBytes(CpPipe *p, uint32_t bytes)
+{
+    pthread_mutex_lock(&p->lock);
+    p->wake_bytes = bytes;
+    pthread_mutex_unlock(&p->lock);
+}
+
+void
+CpPipe_Flush(CpPipe *p)
+{
+    CpPipeWakeFn wake = NULL;
+    pthread_mutex_lock(&p->lock);
+    void *ctx = p->on_readable_ctx;
+    if (p->reader_waits && p->used_bytes > 0) {
+        p->reader_waits = false;
+        wake = p->on_readable;
+    }
+    pthread_mutex_unlock(&p->lock);
+    if (wake != NULL) {
+        wake(ctx);
+    }
+}
+
 bool
 CpPipe_CanWrite(CpPipe *p, uint32_t size_bytes)
 {
@@ -133,6 +180,9 @@
         p->state = how;
         p->reader_waits = false;
         p->writer_waits = false;
+        if (how == CP_PIPE_BROKEN) {
+            free_data(p);
+        }
     }
     pthread_mutex_unlock(&p->lock);
     if (wake_reader != NULL) {
@@ -174,10 +224,26 @@
     return n;
 }
 
+static void
+free_data(CpPipe *p)
+{
+    if (p->reserved) {
+        CpBudget_Release(p->budget, p->capacity_bytes);
+        p->reserved = false;
+    }
+    free(p->data);
+    p->data = NULL;
+    p->head = p->used_bytes = 0;
+}
+
 static void
 copy_in(CpPipe *p, const uint8_t *data, uint32_t n)
 {
     if (p->data == NULL && n > 0) {
+        if (p->budget != NULL && !p->reserved) {
+            p->reserved = CpBudget_Reserve(p->budget, p->capacity_bytes,
+                                           CP_BUDGET_FORCED);
+        }
         p->data = CpMem_Alloc(p->capacity_bytes);
     }
     uint32_t tail = (p->head + p->used_bytes) % p->capacity_bytes;
