quota: new hosts wait until the table of hosts is settled

Cause: hosts that start together read each other's rows one after the other; a host that has read a few of many rows divides the rate by too little.

--- a/src/quota/quota_int.h
+++ b/src/quota/quota_int.h
@@ -68,6 +68,8 @@
     int64_t divisor_ns;     /* when `count` was last that high */
     bool self_listed;       /* this host is in the table and live */
     int64_t self_listed_ns; /* since when */
+    int64_t grown_ns;       /* when the table last got more rows */
+    bool generates;         /* this host generates tokens */
     uint64_t sequence;      /* of the last message sent */
     uint32_t epoch;         /* incremented when an order may change */
 } CpQuotaPeers;
--- a/src/quota/quota_peers.c
+++ b/src/quota/quota_peers.c
@@ -19,6 +19,9 @@
 /* Until the others have read a new host's row, they divide the rate by less
  * hosts; rows arrive within about a second. */
 #define JOIN_WAIT_NS (2 * CP_NS_PER_S)
+/* While further rows appear, many hosts start, and some have not read all of
+ * them; a new host waits longer, but not for ever. */
+#define MAX_JOIN_WAIT_NS (10 * CP_NS_PER_S)
 /* A host whose row was removed may not have read that yet. Rows that are
  * missing because the table is still being read appear within this time. */
 #define REMOVAL_WAIT_NS (5 * CP_NS_PER_S)
@@ -84,8 +87,10 @@
     if (self_listed != p->self_listed) {
         p->self_listed = self_listed;
         p->self_listed_ns = now_ns;
+        p->generates = false;
         change_order(p);
     }
+    p->grown_ns = count > p->count ? now_ns : p->grown_ns;
     p->count = count;
     if (p->count >= p->divisor) {
         p->divisor = p->count;
@@ -128,9 +133,13 @@
 CpQuotaPeers_Divisor(CpQuotaPeers *p, int64_t now_ns)
 {
     pthread_mutex_lock(&p->lock);
-    uint32_t n = p->self_listed && now_ns - p->self_listed_ns >= JOIN_WAIT_NS
-                     ? p->divisor
-                     : 0;
+    int64_t listed_ns = now_ns - p->self_listed_ns;
+    if (p->self_listed && listed_ns >= JOIN_WAIT_NS &&
+        (now_ns - p->grown_ns >= JOIN_WAIT_NS ||
+         listed_ns >= MAX_JOIN_WAIT_NS)) {
+        p->generates = true;
+    }
+    uint32_t n = p->self_listed && p->generates ? p->divisor : 0;
     pthread_mutex_unlock(&p->lock);
     return n;
 }
