--- a/regress/run.c
+++ b/regress/run.c
@@ -30,7 +30,7 @@
     {"org", CpDrive_Org},       {"platform", CpDrive_Platform},
     {"quota", CpDrive_Quota},   {"route", CpDrive_Route},
     {"steer", CpDrive_Steer},   {"wire", CpDrive_Wire},
-    {"system", NULL},
+    {"system", NULL}, /* run by bash */
 };
 
 static char *scripts[MAX_TESTS];
