quota: a burst does not expire while it is used up, and a better time to retry

Cause: where hosts use the tokens that they generate, none are moved to the pool, and what is stored there expires after the lifetime: an organisation at 120% of its limit after a pause lost half of its burst. The time to retry left out what the host generates itself. Ruled out: all tokens through the pool (an ASK every 125 ms from each host for each large organisation); longer lifetimes (the bound). Change: hosts tell the pool which own tokens they used, and the pool's oldest tokens take their ages; the rows of MOVE have a flag for this.

--- a/regress/drive_quota.c
+++ b/regress/drive_quota.c
@@ -15,7 +15,7 @@
 
 #define MAX_HOSTS 300
 #define MAX_ORGS 80
-#define MAX_WAITERS 4096
+#define MAX_WAITERS 16384
 #define WINDOW_S 5
 #define OVERSHOOT_MILLI 100
 #define TOLERANCE 20
@@ -49,6 +49,7 @@
     uint32_t org;
     int64_t arrived_ns;
     int64_t began_ns; /* of the wait */
+    bool retries;     /* it was refused and tries again when told to */
 } Waiter;
 
 struct Net;
@@ -96,7 +97,10 @@
     bool repeats; /* each message arrives three times, the last late */
     uint64_t messages;
     Waiter waiters[MAX_WAITERS];
+    uint32_t waiter_count; /* entries of `waiters` that were ever used */
     bool plays;
+    bool retries; /* refused requests try again once, when told to */
+    uint64_t retried, retried_granted, retried_ms;
     bool pulses;     /* demand for 4 s in 8 s */
     char demand[16]; /* even, skewed or moving */
     char failure[16];
@@ -508,7 +512,7 @@
 {
     Host *h = ctx;
     Net *n = h->net;
-    for (uint32_t i = 0; i < MAX_WAITERS; i++) {
+    for (uint32_t i = 0; i < n->waiter_count; i++) {
         if (n->waiters[i].used && n->waiters[i].host == h->index &&
             CpQuota_HashOrg(n->orgs[n->waiters[i].org].name) == org) {
             add_event(n, &(Event){.due_ns = n->now_ns,
@@ -537,6 +541,7 @@
     }
     for (uint32_t i = 0; i < MAX_WAITERS; i++) {
         if (!n->waiters[i].used) {
+            n->waiter_count = i < n->waiter_count ? n->waiter_count : i + 1;
             n->waiters[i] = (Waiter){
                 .used = true, .host = h, .org = org, .arrived_ns = n->now_ns};
             try_request(n, &n->waiters[i]);
@@ -567,7 +572,20 @@
                               .arg = (uint32_t)(w - n->waiters)});
         return;
     }
+    if (d.type == CP_QUOTA_DENIED && n->retries && !w->retries) {
+        w->retries = true;
+        w->began_ns = 0;
+        n->retried += counts;
+        n->retried_ms += counts ? d.retry_after_ms : 0;
+        add_event(
+            n, &(Event){.due_ns = n->now_ns + d.retry_after_ms * CP_NS_PER_MS,
+                        .type = EVENT_RETRY,
+                        .host = w->host,
+                        .arg = (uint32_t)(w - n->waiters)});
+        return;
+    }
     w->used = false;
+    n->retried_granted += counts && w->retries && d.type == CP_QUOTA_GRANTED;
     if (d.type == CP_QUOTA_GRANTED) {
         g_array_append_val(o->granted, n->now_ns);
         o->served += counts;
@@ -675,6 +693,7 @@
     new_net(n, option(line, "hosts", 104), option(line, "seed", 1));
     n->plays = true;
     n->pulses = option(line, "pulses", 0) > 0;
+    n->retries = option(line, "retries", 0) > 0;
     n->loss_percent = option(line, "loss", 0);
     text_option(line, "demand", n->demand);
     text_option(line, "failure", n->failure);
@@ -725,6 +744,14 @@
         100.0 * (double)missing / (double)reference, worst_missing, fullest,
         fullest > 100 ? " BEYOND" : "",
         (double)n->messages / n->host_count / (seconds + 9));
+    if (n->retries) {
+        fprintf(out,
+                "%60s of %" PRIu64 " refused requests %.1f%% are granted when "
+                "they try again, %" PRIu64 " ms later on average\n",
+                "", n->retried,
+                100.0 * (double)n->retried_granted / (double)n->retried,
+                n->retried_ms / (n->retried > 0 ? n->retried : 1));
+    }
     clear_net(n);
     free(n);
 }
--- a/src/entry/entry_quota.c
+++ b/src/entry/entry_quota.c
@@ -161,7 +161,8 @@
                                  .amount = r->amount,
                                  .newest_age_ms = r->newest_age_ms,
                                  .oldest_age_ms = r->oldest_age_ms,
-                                 .retry_after_ms = r->retry_after_ms};
+                                 .retry_after_ms = r->retry_after_ms,
+                                 .used = r->used != 0};
     }
     CpQuota_OnMessage(e->quota, &m, CpClock_Now_ns());
 }
@@ -210,7 +211,8 @@
                                 .amount = r->amount,
                                 .newest_age_ms = r->newest_age_ms,
                                 .oldest_age_ms = r->oldest_age_ms,
-                                .retry_after_ms = r->retry_after_ms};
+                                .retry_after_ms = r->retry_after_ms,
+                                .used = r->used};
     }
     CpFrame f = {.type = m->type == CP_QUOTA_MOVE  ? CP_FRAME_TOKENS_MOVE
                          : m->type == CP_QUOTA_ASK ? CP_FRAME_TOKENS_ASK
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -72,6 +72,8 @@
                      int64_t now_ns, Outbox *out);
 static void move_surplus(CpQuota *q, CpQuotaOrg *o, int64_t now_ns,
                          Outbox *out);
+static bool keeps_own(const CpQuotaOrg *o);
+static void tell_used(CpQuota *q, CpQuotaOrg *o, int64_t now_ns, Outbox *out);
 static void on_move(CpQuota *q, const CpQuotaMessage *m, int64_t delay_ns,
                     int64_t now_ns);
 static void on_ask(CpQuota *q, const CpQuotaMessage *m, int64_t now_ns,
@@ -213,7 +215,12 @@
     CpQuotaShard *s = shard_of(q, org);
     pthread_mutex_lock(&s->lock);
     CpQuotaOrg *o = find_org(s, org);
-    if (o != NULL && token_ns > 0) {
+    /* If the pool may have been told of this token, a later one is not. */
+    bool is_told = o != NULL && o->used_told_ns > 0 &&
+                   now_ns - o->used_told_ns < o->life_ns;
+    bool is_free = o != NULL && (!is_told || o->used >= CP_QUOTA_TOKEN);
+    if (is_free && token_ns > 0) {
+        o->used -= o->used < CP_QUOTA_TOKEN ? o->used : CP_QUOTA_TOKEN;
         CpQuotaStock_Add(&o->stock, CP_QUOTA_TOKEN, token_ns, token_ns,
                          now_ns);
         CpQuotaStock_Trim(&o->stock, o->capacity, now_ns);
@@ -456,12 +463,15 @@
         if (o->own_from_ns < *oldest_ns) {
             *oldest_ns = o->own_from_ns;
         }
+        o->used_oldest_ns = o->used > 0 ? o->used_oldest_ns : o->own_from_ns;
+        o->used += rest;
         /* rounded up, so that the next tokens are not more */
         o->own_from_ns +=
             (int64_t)((double)rest * CP_NS_PER_S / o->generation) + 1;
         if (o->own_from_ns > now_ns) {
             o->own_from_ns = now_ns;
         }
+        o->used_newest_ns = o->own_from_ns;
     }
     return taken + rest;
 }
@@ -563,8 +573,14 @@
 static uint32_t
 next_retry_ms(CpQuotaOrg *o, int64_t now_ns)
 {
-    int64_t left_ns = o->denied_until_ns - now_ns +
-                      (int64_t)o->denied_requests++ * o->denial_ns;
+    int64_t denied = o->denied_requests++;
+    int64_t left_ns = o->denied_until_ns - now_ns + denied * o->denial_ns;
+    if (keeps_own(o)) { /* its own next tokens may be earlier */
+        double missing =
+            (double)((denied + 1) * CP_QUOTA_TOKEN - total_amount(o, now_ns));
+        int64_t own_ns = (int64_t)(missing / o->generation * CP_NS_PER_S);
+        left_ns = own_ns < left_ns ? own_ns : left_ns;
+    }
     if (left_ns > MAX_RETRY_AFTER_NS) {
         left_ns = MAX_RETRY_AFTER_NS;
     }
@@ -636,17 +652,45 @@
     else if (q->ticks % o->move_interval == 0 && o->waiting == 0) {
         move_surplus(q, o, now_ns, out);
     }
+    if (q->ticks % o->move_interval == 0) {
+        tell_used(q, o, now_ns, out);
+    }
+}
+
+/* Where hosts use their own tokens, those in the pool would expire. In
+ * exchange for the ages of what is used here, they don't: it makes no
+ * difference which of two tokens a request took. A pool that denied has none
+ * to exchange. */
+static void
+tell_used(CpQuota *q, CpQuotaOrg *o, int64_t now_ns, Outbox *out)
+{
+    if (o->used >= MIN_MOVE && now_ns - o->denied_until_ns > o->life_ns &&
+        CpQuotaPeers_IsReachable(&q->peers, o->pool, now_ns)) {
+        CpQuotaRow row = {.org = o->hash,
+                          .amount = (uint64_t)o->used,
+                          .newest_age_ms = age_ms(now_ns, o->used_newest_ns),
+                          .oldest_age_ms = age_ms(now_ns, o->used_oldest_ns),
+                          .used = true};
+        outbox_add(out, CP_QUOTA_MOVE, o->pool, &row);
+        o->used_told_ns = now_ns;
+    }
+    o->used = 0;
 }
 
 /* Own tokens are kept for the demand of this host only where they ever amount
  * to whole tokens: a fraction that expires here is of no use to anyone. */
+static bool
+keeps_own(const CpQuotaOrg *o)
+{
+    double at_most = o->generation * (double)o->life_ns / CP_NS_PER_S;
+    return at_most >= 2 * CP_QUOTA_TOKEN && o->demand_per_s >= KEEP_MIN_PER_S;
+}
+
 static void
 move_surplus(CpQuota *q, CpQuotaOrg *o, int64_t now_ns, Outbox *out)
 {
-    double own_at_most = o->generation * (double)o->life_ns / CP_NS_PER_S;
     int64_t keep = 0, oldest_ns;
-    if (own_at_most >= 2 * CP_QUOTA_TOKEN &&
-        o->demand_per_s >= KEEP_MIN_PER_S) {
+    if (keeps_own(o)) {
         keep = (int64_t)((o->demand_per_s * ASK_FOR_S + 1) * CP_QUOTA_TOKEN);
     }
     int64_t surplus = total_amount(o, now_ns) - keep;
@@ -694,12 +738,12 @@
         CpQuotaOrg *o = find_org(s, r->org);
         if (o != NULL && r->amount <= INT64_MAX / 2) {
             refresh(q, o, now_ns);
-            CpQuotaStock_Add(&o->stock, (int64_t)r->amount,
-                             sent_ns - r->oldest_age_ms * CP_NS_PER_MS,
-                             sent_ns - r->newest_age_ms * CP_NS_PER_MS,
-                             now_ns);
+            (r->used ? CpQuotaStock_Exchange : CpQuotaStock_Add)(
+                &o->stock, (int64_t)r->amount,
+                sent_ns - r->oldest_age_ms * CP_NS_PER_MS,
+                sent_ns - r->newest_age_ms * CP_NS_PER_MS, now_ns);
             CpQuotaStock_Trim(&o->stock, o->capacity, now_ns);
-            o->inflow += (int64_t)r->amount;
+            o->inflow += r->used ? 0 : (int64_t)r->amount;
             wakes = o->waiting > 0;
         }
         pthread_mutex_unlock(&s->lock);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -32,6 +32,9 @@
     uint32_t newest_age_ms;
     uint32_t oldest_age_ms;
     uint32_t retry_after_ms; /* GRANT of less than asked for */
+    /* MOVE: the sender used these tokens. The receiver's oldest ones may take
+     * their ages in exchange. */
+    bool used;
 } CpQuotaRow;
 
 typedef struct {
--- a/src/quota/quota_int.h
+++ b/src/quota/quota_int.h
@@ -33,6 +33,10 @@
 /* Takes up to `amount` of those of about the same age as the oldest. */
 int64_t CpQuotaStock_TakeOldest(CpQuotaStock *s, int64_t amount,
                                 int64_t now_ns, int64_t *oldest_ns);
+/* Gives up to `amount` of the oldest tokens, if they are older than that, the
+ * ages of tokens generated evenly between two times. */
+void CpQuotaStock_Exchange(CpQuotaStock *s, int64_t amount, int64_t oldest_ns,
+                           int64_t newest_ns, int64_t now_ns);
 /* Changes the lifetime, and multiplies the ages of all tokens. */
 void CpQuotaStock_Resize(CpQuotaStock *s, int64_t life_ns, double age_factor,
                          int64_t now_ns);
@@ -136,12 +140,16 @@
     double generation;      /* of this host, per s */
     int64_t own_from_ns;    /* own tokens: generated since then */
     CpQuotaStock stock;
-    double demand_per_s; /* requests, decaying mean */
-    uint32_t arrivals;   /* since the last tick */
-    uint32_t waiting;    /* requests */
-    double inflow_per_s; /* moved here, decaying mean */
-    int64_t inflow;      /* since the last tick */
-    int64_t promised_ns; /* inflow until then was promised to denied hosts */
+    int64_t used;           /* own tokens used, not yet told to the pool */
+    int64_t used_oldest_ns; /* when those were generated */
+    int64_t used_newest_ns;
+    int64_t used_told_ns; /* when the pool was last told */
+    double demand_per_s;  /* requests, decaying mean */
+    uint32_t arrivals;    /* since the last tick */
+    uint32_t waiting;     /* requests */
+    double inflow_per_s;  /* moved here, decaying mean */
+    int64_t inflow;       /* since the last tick */
+    int64_t promised_ns;  /* inflow until then was promised to denied hosts */
     int64_t denied_until_ns;
     int64_t denial_ns;        /* length of that denial */
     uint32_t denied_requests; /* during it */
--- a/src/quota/quota_stock.c
+++ b/src/quota/quota_stock.c
@@ -87,6 +87,23 @@
     return 0;
 }
 
+void
+CpQuotaStock_Exchange(CpQuotaStock *s, int64_t amount, int64_t oldest_ns,
+                      int64_t newest_ns, int64_t now_ns)
+{
+    int64_t taken = 0, end = oldest_ns / s->slot_ns;
+    for (int64_t k = first_slot(s, now_ns); k < end && taken < amount; k++) {
+        uint32_t i = (uint32_t)(k % CP_QUOTA_RING);
+        if (s->slot[i] == k && s->amount[i] > 0) {
+            int64_t part =
+                s->amount[i] < amount - taken ? s->amount[i] : amount - taken;
+            s->amount[i] -= part;
+            taken += part;
+        }
+    }
+    CpQuotaStock_Add(s, taken, oldest_ns, newest_ns, now_ns);
+}
+
 void
 CpQuotaStock_Resize(CpQuotaStock *s, int64_t life_ns, double age_factor,
                     int64_t now_ns)
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -194,6 +194,7 @@
     uint32_t newest_age_ms;
     uint32_t oldest_age_ms;
     uint32_t retry_after_ms;
+    uint32_t used;
 } CpTokensRow;
 
 /* Tokens that are moved, asked for or granted; see src/quota. */
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -133,7 +133,8 @@
 static const Field tokens_row_fields[] = {
     U64(CpTokensRow, org_hash),      U64(CpTokensRow, ask_id),
     U64(CpTokensRow, amount),        U32(CpTokensRow, newest_age_ms),
-    U32(CpTokensRow, oldest_age_ms), U32(CpTokensRow, retry_after_ms)};
+    U32(CpTokensRow, oldest_age_ms), U32(CpTokensRow, retry_after_ms),
+    U32(CpTokensRow, used)};
 static const Field tokens_fields[] = {
     TEXT(CpTokensFrame, host),
     U64(CpTokensFrame, incarnation),
