regress: hosts of a quota play get the table of hosts only when it changes

Cause: each start passed the table to all hosts again; many took 3.4 s, which is near the limit of a script under the thread sanitizer.

--- a/regress/drive_quota.c
+++ b/regress/drive_quota.c
@@ -337,9 +337,12 @@
                           .host = h,
                           .epoch = host->epoch});
     for (uint32_t i = 0; i < n->host_count; i++) {
-        n->hosts[i].sees_down[h] = n->hosts[i].side != n->hosts[h].side;
-        if (i != h && n->hosts[i].quota != NULL) {
-            set_hosts(n, i);
+        bool is_down = n->hosts[i].side != n->hosts[h].side;
+        if (is_down != n->hosts[i].sees_down[h]) {
+            n->hosts[i].sees_down[h] = is_down;
+            if (i != h && n->hosts[i].quota != NULL) {
+                set_hosts(n, i);
+            }
         }
     }
 }
