--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -18,6 +18,8 @@
 #define MAX_HOSTS 64
 #define MAX_CACHED 64 /* objects that a server caches */
 #define MAX_REQUESTS 128000
+#define RETRY_PERCENT 15 /* attempts that move on, of the requests */
+#define SLOW_CHECK_MS 50
 #define QUEUE_PER_SLOT 3 /* waiting requests, beyond those in slots */
 #define SIM_DOMAINS 6
 /* On real hosts the clock is never near zero. */
@@ -42,6 +44,7 @@
     bool leaving;                    /* announced by the next response */
     uint32_t pause_ms;               /* asked for by the next response */
     uint64_t sequence;
+    const CpFleetAttempt *slow_attempt; /* of the next request */
 } Script;
 
 static void run_line(void *ctx, char *line);
@@ -51,6 +54,8 @@
                   const char *object, uint32_t ms, const char *load);
 static void choose(Script *s, const char *service, const char *object,
                    uint32_t goal_ms);
+static void choose_faster(Script *s, const char *service, const char *object,
+                          uint32_t goal_ms, uint32_t elapsed_ms);
 static void end_attempt(Script *s, const char *outcome, uint32_t ms,
                         const char *load);
 static bool get_warmup_share(void *ctx, const char *instance,
@@ -64,6 +69,8 @@
     POLICY_ROUND_ROBIN,
     POLICY_LEAST_BUSY, /* by the host's own requests in flight */
     POLICY_RENDEZVOUS, /* the object's server, regardless of its queue */
+    POLICY_OWN_SPEEDS, /* fleet, if hosts do not share reported speeds */
+    POLICY_NO_SPEEDS,  /* fleet, if servers do not report their speed */
     POLICY_COUNT
 } Policy;
 
@@ -83,6 +90,10 @@
     uint32_t duration_s;
     uint32_t report_delay_ms; /* to other hosts; 0: no reports */
     uint32_t lost_servers;    /* servers that end after a third of the time */
+    uint32_t slow_share_percent; /* of the servers at a time; 0: even ones */
+    uint32_t slow_percent;       /* time that work takes on them */
+    uint32_t speed_ms;           /* how long a server keeps a speed */
+    uint32_t share_ms; /* between complete reports to the domain; 0: none */
     Policy policy;
 } Scenario;
 
@@ -103,8 +114,14 @@
     int64_t arrived_ns;
     int64_t attempt_ns;
     int64_t sent_ns;
+    int32_t tried; /* server that it moved on from; -1: none */
     bool retried;
     bool was_cached;
+    CpFleetWorkClass work_class;
+    uint32_t wait_ms;
+    uint32_t expected_ms;
+    bool has_ended; /* at its server */
+    bool has_moved; /* to another server, as another SimRequest */
 } SimRequest;
 
 typedef struct {
@@ -115,6 +132,7 @@
     uint32_t cached[MAX_CACHED];
     uint32_t cached_count;
     bool ended;
+    uint32_t work_percent; /* 0: it reports none */
 } SimServer;
 
 typedef struct Simulation {
@@ -131,6 +149,8 @@
     uint32_t server_count;
     SimRequest *requests;
     uint32_t request_count;
+    uint32_t record_count; /* requests, and attempts that moved on */
+    uint32_t moved;
     uint32_t in_goal, late, refused, refused_late, failed, served_cached,
         served;
     uint64_t refused_ms;
@@ -146,8 +166,15 @@
 static void end_work(Simulation *w, uint32_t r);
 static void lose_servers(Simulation *w, uint32_t count);
 static void tick(Simulation *w, uint32_t arg);
+static void change_speed(Simulation *w, uint32_t k);
+static void schedule_check(Simulation *w, uint32_t r, uint32_t after_ms);
+static void check_slow(Simulation *w, uint32_t r);
+static void share_reports(Simulation *w, uint32_t from);
 static void report_load(Simulation *w, uint32_t packed);
-static int32_t choose_server(Simulation *w, SimRequest *q, uint32_t *retry_ms);
+static void send_request(Simulation *w, uint32_t r);
+static int32_t choose_server(Simulation *w, SimRequest *q,
+                             const CpFleetAttempt *slow_attempt,
+                             uint32_t *retry_ms);
 static void refuse(Simulation *w, uint32_t r, uint32_t retry_ms);
 static bool use_cache(SimServer *server, uint32_t object,
                       uint32_t cache_objects);
@@ -157,10 +184,9 @@
 static gint by_due(gconstpointer a, gconstpointer b, gpointer ctx);
 
 static const char *const policy_names[POLICY_COUNT] = {
-    [POLICY_FLEET] = "fleet",
-    [POLICY_ROUND_ROBIN] = "round robin",
-    [POLICY_LEAST_BUSY] = "least busy",
-    [POLICY_RENDEZVOUS] = "rendezvous",
+    [POLICY_FLEET] = "fleet",           [POLICY_ROUND_ROBIN] = "round robin",
+    [POLICY_LEAST_BUSY] = "least busy", [POLICY_RENDEZVOUS] = "rendezvous",
+    [POLICY_OWN_SPEEDS] = "own speeds", [POLICY_NO_SPEEDS] = "no speeds",
 };
 
 void
@@ -258,6 +284,16 @@
         fprintf(s->out, "usable: %u\n",
                 CpFleet_CountUsable(s->fleet, a, s->now_ns));
     }
+    else if (sscanf(line, "peer speed %u%% %u ms ago at %63s", &m, &n, a) ==
+             3) {
+        CpFleetSpeed speed = {
+            .server_hash = CpHash_Str(a, 0), .work_percent = m, .age_ms = n};
+        CpFleet_SetPeerSpeeds(s->fleet, &speed, 1, s->now_ns);
+    }
+    else if (sscanf(line, "faster %63s %63s goal %u after %u ms", a, b, &m,
+                    &n) == 4) {
+        choose_faster(s, a, b, m, n);
+    }
     else if (sscanf(line, "peer %63s has %u at %63s", a, &m, b) == 3) {
         CpFleet_SetPeerLoad(s->fleet, CpHash_Str(a, 0), CpHash_Str(b, 0), m,
                             s->now_ns);
@@ -295,7 +331,8 @@
                               .deadline_left_ms = 3000,
                               .host_left_ms = s->host_left_ms,
                               .tried_count = s->tried_count,
-                              .random = s->random};
+                              .random = s->random,
+                              .slow_attempt = s->slow_attempt};
     char home_regions[1][CP_NAME_BYTES];
     if (s->home_region[0] != '\0' && strcmp(s->home_region, "any") != 0) {
         CpStr_Copy(home_regions[0], sizeof(home_regions[0]), s->home_region);
@@ -316,6 +353,29 @@
             s->last.cold ? ", cold" : "");
 }
 
+/* Chooses a server for the attempt in progress, which began some time ago.
+ * Unless one is chosen the attempt goes on. */
+static void
+choose_faster(Script *s, const char *service, const char *object,
+              uint32_t goal_ms, uint32_t elapsed_ms)
+{
+    CpFleetChoice current = s->last;
+    CpFleetAttempt attempt = {.instance = current.instance,
+                              .work_class = current.work_class,
+                              .wait_ms = current.wait_ms,
+                              .started_ns =
+                                  s->now_ns - elapsed_ms * CP_NS_PER_MS};
+    CpStr_Copy(s->tried[s->tried_count++], CP_NAME_BYTES, current.instance);
+    s->slow_attempt = &attempt;
+    choose(s, service, object, goal_ms);
+    s->slow_attempt = NULL;
+    s->tried_count = 0;
+    if (s->last.instance[0] != '\0') {
+        end_attempt(s, "cancelled", 0, "-");
+    }
+    s->last = current;
+}
+
 /* Counts the objects by the domain of their primary server; servers are named
  * by their domain and a number. */
 static void
@@ -349,7 +409,8 @@
       uint32_t ms, const char *load)
 {
     CpFleetRequest request = {.service = service,
-                              .object = object,
+                              .object =
+                                  strcmp(object, "-") == 0 ? NULL : object,
                               .goal_left_ms = 3000,
                               .deadline_left_ms = 3000};
     for (uint32_t i = 0; i < count; i++) {
@@ -375,8 +436,9 @@
             r.outcome = (CpAttemptOutcome)i;
         }
     }
-    r.has_load = sscanf(load, "%u,%u,%u", &r.load.running, &r.load.waiting,
-                        &r.load.slots) == 3;
+    r.has_load = sscanf(load, "%u,%u,%u,%u", &r.load.running, &r.load.waiting,
+                        &r.load.slots, &r.load.work_percent) >= 3;
+    r.work_class = s->last.work_class;
     CpFleet_EndAttempt(s->fleet, &r, s->now_ns);
 }
 
@@ -409,9 +471,20 @@
         fprintf(out, "not understood: %s\n", line);
         return;
     }
+    const char *uneven = strstr(line, " slow ");
+    if (uneven != NULL &&
+        sscanf(uneven, " slow %u%% at %u%% each %u ms share %u ms",
+               &p.slow_share_percent, &p.slow_percent, &p.speed_ms,
+               &p.share_ms) != 4) {
+        fprintf(out, "not understood: %s\n", line);
+        return;
+    }
     fprintf(out, "%-12s %6s %7s %7s %9s %11s %7s %6s\n", "", "asked",
             "in goal", "late", "at once", "after wait", "failed", "warm");
     for (uint32_t i = 0; i < POLICY_COUNT; i++) {
+        if (i >= POLICY_OWN_SPEEDS && p.speed_ms == 0) {
+            continue;
+        }
         Simulation *w = CpMem_Alloc(sizeof(*w));
         p.policy = (Policy)i;
         w->scenario = &p;
@@ -434,6 +507,7 @@
 {
     const Scenario *p = w->scenario;
     w->seed.state = p->seed;
+    w->now_ns = START_NS;
     w->events = g_sequence_new(free);
     w->requests = CpMem_Alloc(MAX_REQUESTS * sizeof(*w->requests));
     for (uint32_t d = 0; d < SIM_DOMAINS; d++) {
@@ -462,7 +536,16 @@
         }
     }
     schedule_arrivals(w);
+    w->record_count = w->request_count;
     schedule(w, START_NS, tick, 0);
+    for (uint32_t k = 0; p->speed_ms > 0 && k < w->server_count; k++) {
+        change_speed(w, k);
+    }
+    for (uint32_t h = 0; p->share_ms > 0 && h < SIM_DOMAINS * p->hosts; h++) {
+        schedule(w,
+                 START_NS + CpSeed_Below(&w->seed, p->share_ms) * CP_NS_PER_MS,
+                 share_reports, h);
+    }
     if (p->lost_servers > 0) {
         schedule(w, START_NS + CP_NS_PER_S * (p->duration_s / 3), lose_servers,
                  p->lost_servers);
@@ -504,11 +587,13 @@
                 break;
             }
             uint32_t r = w->request_count++;
-            w->requests[r] =
-                (SimRequest){.object = d / 2 * p->objects +
-                                       CpSeed_Below(&w->seed, p->objects),
-                             .domain = d,
-                             .arrived_ns = t_ns};
+            w->requests[r] = (SimRequest){
+                .object = p->objects > 0
+                              ? d / 2 * p->objects +
+                                    CpSeed_Below(&w->seed, p->objects)
+                              : 0,
+                .domain = d,
+                .arrived_ns = t_ns};
             schedule(w, t_ns, arrive, r);
         }
     }
@@ -520,24 +605,86 @@
     const Scenario *p = w->scenario;
     SimRequest *q = &w->requests[r];
     uint32_t retry_ms = 0;
+    q->tried = -1;
     q->host = q->domain * p->hosts + CpSeed_Below(&w->seed, p->hosts);
     q->attempt_ns = w->now_ns;
-    q->server = choose_server(w, q, &retry_ms);
+    q->server = choose_server(w, q, NULL, &retry_ms);
     if (q->server < 0) {
         refuse(w, r, retry_ms);
         return;
     }
+    send_request(w, r);
+}
+
+static void
+send_request(Simulation *w, uint32_t r)
+{
+    const Scenario *p = w->scenario;
+    SimRequest *q = &w->requests[r];
     q->sent_ns = w->now_ns;
     w->inflight[q->host][q->server]++;
     if (p->report_delay_ms > 0) {
         schedule(w, w->now_ns + p->report_delay_ms * CP_NS_PER_MS, report_load,
                  q->host * MAX_SERVERS + (uint32_t)q->server);
     }
+    if (p->policy == POLICY_FLEET || p->policy >= POLICY_OWN_SPEEDS) {
+        schedule_check(w, r, q->expected_ms);
+    }
     int64_t network_ms =
         w->servers[q->server].domain / 2 == q->domain / 2 ? 1 : 12;
     schedule(w, w->now_ns + network_ms * CP_NS_PER_MS, reach_server, r);
 }
 
+/* Requests for objects are idempotent: where servers report their speed, one
+ * whose response is overdue may move on to another server. */
+static void
+schedule_check(Simulation *w, uint32_t r, uint32_t after_ms)
+{
+    const Scenario *p = w->scenario;
+    int64_t due_ns = w->now_ns + after_ms * CP_NS_PER_MS;
+    if (p->speed_ms > 0 && p->objects > 0 && w->requests[r].tried < 0 &&
+        due_ns < w->requests[r].arrived_ns + p->goal_ms * CP_NS_PER_MS) {
+        schedule(w, due_ns, check_slow, r);
+    }
+}
+
+static void
+check_slow(Simulation *w, uint32_t r)
+{
+    SimRequest *q = &w->requests[r];
+    uint32_t retry_ms;
+    if (q->has_ended) {
+        return;
+    }
+    CpFleetAttempt attempt = {.instance = w->servers[q->server].name,
+                              .work_class = q->work_class,
+                              .wait_ms = q->wait_ms,
+                              .started_ns = q->sent_ns};
+    SimRequest moved = *q;
+    moved.tried = q->server;
+    moved.server = -1;
+    if (w->moved * 100 < w->request_count * RETRY_PERCENT &&
+        w->record_count < MAX_REQUESTS) {
+        moved.server = choose_server(w, &moved, &attempt, &retry_ms);
+    }
+    if (moved.server < 0) {
+        schedule_check(w, r, SLOW_CHECK_MS);
+        return;
+    }
+    CpFleetAttemptResult report = {.service = "s",
+                                   .instance = w->servers[q->server].name,
+                                   .outcome = CP_ATTEMPT_TIMED_OUT,
+                                   .latency_ns = w->now_ns - q->sent_ns,
+                                   .work_class = q->work_class};
+    CpFleet_EndAttempt(w->fleets[q->host], &report, w->now_ns);
+    w->inflight[q->host][q->server]--;
+    q->has_moved = true;
+    q->has_ended = true;
+    w->moved++;
+    w->requests[w->record_count] = moved;
+    send_request(w, w->record_count++);
+}
+
 static void
 retry(Simulation *w, uint32_t r)
 {
@@ -581,6 +728,7 @@
     q->was_cached = use_cache(server, q->object, p->cache_objects);
     uint32_t ms = p->work_ms * (85 + CpSeed_Below(&w->seed, 31)) / 100;
     ms = q->was_cached ? ms * p->warm_percent / 100 : ms;
+    ms = server->work_percent > 0 ? ms * server->work_percent / 100 : ms;
     schedule(w, w->now_ns + ms * CP_NS_PER_MS, end_work, r);
 }
 
@@ -591,6 +739,14 @@
     SimRequest *q = &w->requests[r];
     SimServer *server = &w->servers[q->server];
     server->running--;
+    q->has_ended = true;
+    if (q->has_moved) {
+        gpointer waiting = g_queue_pop_head(server->waiting);
+        if (waiting != NULL) {
+            start_work(w, GPOINTER_TO_UINT(waiting) - 1);
+        }
+        return;
+    }
     int64_t latency_ns = w->now_ns - q->arrived_ns;
     bool in_time = w->now_ns - q->attempt_ns <= p->deadline_ms * CP_NS_PER_MS;
     CpFleetAttemptResult report = {
@@ -598,9 +754,11 @@
         .instance = server->name,
         .outcome = in_time ? CP_ATTEMPT_ANSWERED : CP_ATTEMPT_TIMED_OUT,
         .latency_ns = w->now_ns - q->sent_ns,
-        .has_load = true,
+        .work_class = q->work_class,
+        .has_load = in_time || p->speed_ms == 0,
         .load = {server->running, g_queue_get_length(server->waiting),
-                 p->slots}};
+                 p->slots,
+                 p->policy != POLICY_NO_SPEEDS ? server->work_percent : 0}};
     CpFleet_EndAttempt(w->fleets[q->host], &report, w->now_ns);
     w->inflight[q->host][q->server]--;
     if (p->report_delay_ms > 0) {
@@ -624,6 +782,20 @@
     }
 }
 
+/* Draws a server's speed, and schedules the next change. */
+static void
+change_speed(Simulation *w, uint32_t k)
+{
+    const Scenario *p = w->scenario;
+    bool slow = CpSeed_Below(&w->seed, 100) < p->slow_share_percent;
+    w->servers[k].work_percent = slow ? p->slow_percent : 100;
+    int64_t due_ns =
+        w->now_ns + CpSeed_Below(&w->seed, 2 * p->speed_ms) * CP_NS_PER_MS;
+    if (due_ns < START_NS + p->duration_s * CP_NS_PER_S) {
+        schedule(w, due_ns + CP_NS_PER_MS, change_speed, k);
+    }
+}
+
 static void
 lose_servers(Simulation *w, uint32_t count)
 {
@@ -649,6 +821,36 @@
     }
 }
 
+/* Sends a complete report to the hosts of the sender's domain. */
+static void
+share_reports(Simulation *w, uint32_t from)
+{
+    const Scenario *p = w->scenario;
+    CpFleetUsage usage[MAX_SERVERS];
+    CpFleetSpeed speeds[MAX_SERVERS];
+    uint32_t n = CpFleet_ListUsage(w->fleets[from], usage, MAX_SERVERS);
+    uint32_t speed_count = CpFleet_ListSpeeds(w->fleets[from], p->share_ms,
+                                              w->now_ns, speeds, MAX_SERVERS);
+    for (uint32_t h = 0; h < SIM_DOMAINS * p->hosts; h++) {
+        if (h == from || h / p->hosts != from / p->hosts) {
+            continue;
+        }
+        CpFleet_ClearPeerLoads(w->fleets[h], from + 1);
+        for (uint32_t i = 0; i < n; i++) {
+            CpFleet_SetPeerLoad(w->fleets[h], from + 1, usage[i].server_hash,
+                                usage[i].inflight, w->now_ns);
+        }
+        if (p->policy == POLICY_FLEET) {
+            CpFleet_SetPeerSpeeds(w->fleets[h], speeds, speed_count,
+                                  w->now_ns);
+        }
+    }
+    if (w->now_ns < START_NS + p->duration_s * CP_NS_PER_S) {
+        schedule(w, w->now_ns + p->share_ms * CP_NS_PER_MS, share_reports,
+                 from);
+    }
+}
+
 /* Reports a change to the hosts of the sender's and of the server's domain. */
 static void
 report_load(Simulation *w, uint32_t packed)
@@ -666,7 +868,8 @@
 }
 
 static int32_t
-choose_server(Simulation *w, SimRequest *q, uint32_t *retry_ms)
+choose_server(Simulation *w, SimRequest *q, const CpFleetAttempt *slow_attempt,
+              uint32_t *retry_ms)
 {
     const Scenario *p = w->scenario;
     char object[16];
@@ -674,20 +877,27 @@
     uint64_t best_score = 0;
     int64_t waited_ms = (w->now_ns - q->arrived_ns) / CP_NS_PER_MS;
     snprintf(object, sizeof(object), "%u", q->object);
-    if (p->policy == POLICY_FLEET) {
+    if (p->policy == POLICY_FLEET || p->policy >= POLICY_OWN_SPEEDS) {
         CpFleetChoice choice;
         CpFleetRequest request = {
             .service = "s",
-            .object = object,
+            .object = p->objects > 0 ? object : NULL,
             .goal_left_ms =
                 waited_ms < p->goal_ms ? p->goal_ms - (uint32_t)waited_ms : 0,
             .deadline_left_ms = p->deadline_ms,
-            .random = CpSeed_Next(&w->seed)};
+            .random = CpSeed_Next(&w->seed),
+            .slow_attempt = slow_attempt};
+        if (q->tried >= 0) {
+            request.tried[request.tried_count++] = w->servers[q->tried].name;
+        }
         if (CpFleet_Choose(w->fleets[q->host], &request, w->now_ns, &choice) !=
             CP_REASON_NONE) {
             *retry_ms = choice.retry_after_ms;
             return -1;
         }
+        q->work_class = choice.work_class;
+        q->wait_ms = choice.wait_ms;
+        q->expected_ms = choice.expected_ms;
         return atoi(choice.instance + 2);
     }
     *retry_ms = 200;
--- a/regress/drive_platform.c
+++ b/regress/drive_platform.c
@@ -44,8 +44,10 @@
     else if (strcmp(line, "load") == 0) {
         CpServerLoad load;
         bool ok = CpPlatform_DecodeLoad(args, &load);
-        fprintf(out, "%s: %s %u %u %u\n", args, ok ? "load" : "none",
+        fprintf(out, "%s: %s %u %u %u", args, ok ? "load" : "none",
                 load.running, load.waiting, load.slots);
+        fprintf(out, load.work_percent > 0 ? " at %u%%\n" : "\n",
+                load.work_percent);
     }
     else if (strcmp(line, "retry-after") == 0) {
         fprintf(out, "%s: %u ms\n", args, CpEasy_ParseRetryAfter_ms(args));
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -140,6 +140,9 @@
                             .load_count = 1};
     static CpReportRow report[] = {{.server_hash = 9, .inflight = 3},
                                    {.server_hash = 10}};
+    static CpSpeedRow speeds[] = {
+        {.server_hash = 9, .work_percent = 250, .age_ms = 70},
+        {.server_hash = 10, .work_percent = 100}};
     *loan = (CpLoanRow){.resource = "lookup-1", .units = 3};
     switch (type) {
     case CP_FRAME_HELLO:
@@ -186,6 +189,9 @@
                                    .rows = report,
                                    .row_count = 2};
         break;
+    case CP_FRAME_SPEEDS:
+        f.speeds = (CpSpeedsFrame){.rows = speeds, .row_count = 2};
+        break;
     default:
         f.cancel.id = 12;
         break;
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -72,6 +72,11 @@
     [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
                                    "Responses of servers that were cut, mixed "
                                    "or not framed"},
+    [CP_COUNT_SLOW_ATTEMPTS_LEFT] =
+        {"slow_attempts_left",
+         "Attempts abandoned for a faster server, within the latency goal"},
+    [CP_COUNT_SPEEDS_RECEIVED] = {"speeds_received",
+                                  "Speeds of servers, from other hosts"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -13,6 +13,7 @@
 #include "wire/wire.h"
 
 #define MAX_REPORT_ROWS 64 /* servers in one report */
+#define MAX_SPEED_ROWS 48  /* of up to 21 bytes, in one datagram */
 #define MAX_RECIPIENTS 128 /* of one report: two domains and some others */
 /* With more hosts in a domain, reports of each request would cost more than
  * the requests; the complete reports have to do. */
@@ -20,8 +21,13 @@
 
 static void *receive_thread(void *ctx);
 static void on_report(CpEntry *e, const CpReportFrame *r);
+static void on_speeds(CpEntry *e, const CpSpeedsFrame *speeds);
+static void send_speeds(CpEntry *e, const CpEntryAddress *to, uint32_t count,
+                        int64_t now_ns);
 static void send_report(CpEntry *e, const CpReportFrame *r,
                         const CpEntryAddress *to, uint32_t count);
+static void send_datagram(CpEntry *e, const CpFrame *f,
+                          const CpEntryAddress *to, uint32_t count);
 
 CpStatus
 CpEntryPeers_Open(CpEntry *e)
@@ -90,6 +96,8 @@
         CpEntryHosts_ListReportRecipients(e, remote, to, MAX_RECIPIENTS);
     send_report(e, &r, to, count);
     CpEntryHosts_CheckSilence(e, now_ns);
+    count = CpEntryHosts_ListReportRecipients(e, false, to, MAX_RECIPIENTS);
+    send_speeds(e, to, count, now_ns);
 }
 
 void
@@ -117,7 +125,12 @@
             CpCounter_Add(CP_COUNT_BAD_FRAMES, 1);
             continue;
         }
-        on_report(e, &d.frame.report);
+        if (d.frame.type == CP_FRAME_SPEEDS) {
+            on_speeds(e, &d.frame.speeds);
+        }
+        else {
+            on_report(e, &d.frame.report);
+        }
         CpFrame_Clear(&d);
     }
     return NULL;
@@ -148,13 +161,47 @@
     }
 }
 
-/* A datagram that cannot be sent is treated as lost. */
+/* Sends the speeds that servers reported since the last time to the hosts of
+ * this domain: each alone sees few responses. */
+static void
+send_speeds(CpEntry *e, const CpEntryAddress *to, uint32_t count,
+            int64_t now_ns)
+{
+    CpFleetSpeed speeds[MAX_SPEED_ROWS];
+    CpSpeedRow rows[MAX_SPEED_ROWS];
+    uint32_t n = CpFleet_ListSpeeds(e->fleet, CP_ENTRY_REPORT_INTERVAL_MS,
+                                    now_ns, speeds, MAX_SPEED_ROWS);
+    for (uint32_t i = 0; i < n; i++) {
+        rows[i] = (CpSpeedRow){.server_hash = speeds[i].server_hash,
+                               .work_percent = speeds[i].work_percent,
+                               .age_ms = speeds[i].age_ms};
+    }
+    CpFrame f = {.type = CP_FRAME_SPEEDS,
+                 .speeds = {.rows = rows, .row_count = n}};
+    if (n > 0) {
+        send_datagram(e, &f, to, count);
+    }
+}
+
+static void
+on_speeds(CpEntry *e, const CpSpeedsFrame *frame)
+{
+    CpFleetSpeed speeds[MAX_SPEED_ROWS];
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < frame->row_count && n < MAX_SPEED_ROWS; i++) {
+        speeds[n++] =
+            (CpFleetSpeed){.server_hash = frame->rows[i].server_hash,
+                           .work_percent = frame->rows[i].work_percent,
+                           .age_ms = frame->rows[i].age_ms};
+    }
+    CpCounter_Add(CP_COUNT_SPEEDS_RECEIVED, n);
+    CpFleet_SetPeerSpeeds(e->fleet, speeds, n, CpClock_Now_ns());
+}
+
 static void
 send_report(CpEntry *e, const CpReportFrame *r, const CpEntryAddress *to,
             uint32_t count)
 {
-    uint8_t data[CP_DATAGRAM_MAX_BYTES];
-    uint32_t n;
     CpFrame f = {.type = CP_FRAME_REPORT, .report = *r};
     CpStr_Copy(f.report.host, sizeof(f.report.host), e->settings.host);
     f.report.incarnation = e->incarnation;
@@ -165,7 +212,17 @@
     f.report.servers_version = CpEntryFollow_RowVersion(e, CP_TABLE_SERVERS);
     f.report.hosts_version = CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS);
     f.report.watches_store = CpEntryFollow_IsWatching(e);
-    if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
+    send_datagram(e, &f, to, count);
+}
+
+/* A datagram that cannot be sent is treated as lost. */
+static void
+send_datagram(CpEntry *e, const CpFrame *f, const CpEntryAddress *to,
+              uint32_t count)
+{
+    uint8_t data[CP_DATAGRAM_MAX_BYTES];
+    uint32_t n;
+    if (count == 0 || CpDatagram_Encode(f, data, &n) != CP_OK) {
         return;
     }
     for (uint32_t i = 0; i < count; i++) {
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -15,6 +15,9 @@
  * another server. */
 #define ATTEMPT_TIMEOUT_FACTOR 4
 #define ATTEMPT_TIMEOUT_MIN_GOALS 2
+/* How often it is checked whether a request that could still be answered
+ * within its latency goal should leave a server that turned slow. */
+#define SLOW_CHECK_INTERVAL_NS (50 * CP_NS_PER_MS)
 /* Attempts that were not run do not count against the route's limit. */
 #define MAX_NOT_RUN_ATTEMPTS 3
 
@@ -29,7 +32,8 @@
     uint32_t attempts;         /* without those that were not run */
     uint32_t not_run_attempts; /* server unreachable, or it refused */
     bool may_have_run;
-    /* an attempt timed out: from now on only the deadline counts */
+    /* an attempt timed out, not before the latency goal where servers report
+     * their speed: from now on only the deadline counts */
     bool had_timeout;
     bool retry_paid;      /* the budget was charged for the next retry */
     bool has_next_choice; /* the next server has been chosen */
@@ -38,6 +42,8 @@
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     char *last_broken;    /* in `tried`: the last that broke off; NULL: none */
     CpFleetChoice choice; /* of the attempt in progress */
+    int64_t attempt_started_ns;
+    int64_t attempt_end_ns; /* may be abandoned from then on; 0: never */
 } RequestState;
 
 static void on_request(void *ctx, CpRequest *rq, CpProxyAction *out);
@@ -47,7 +53,7 @@
                        const CpAttemptResult *head);
 static void on_stream_ended(void *ctx, CpRequest *rq,
                             const CpAttemptResult *a);
-static bool should_abandon(void *ctx, CpRequest *rq);
+static bool should_abandon(void *ctx, CpRequest *rq, int64_t *next_ns);
 static void on_deadline(void *ctx, CpRequest *rq, bool sent,
                         int64_t latency_ns, CpProxyAction *out);
 static void on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns);
@@ -56,10 +62,13 @@
 static void get_limits(void *ctx, CpRouteLimits *out);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
+static void set_attempt_end(RequestState *s, int64_t now_ns);
 static int64_t attempt_deadline_ns(const RequestState *s, int64_t now_ns);
 static CpReason choose_server(CpEntry *e, const CpRequest *rq,
-                              const RequestState *s, int64_t now_ns,
-                              CpFleetChoice *out);
+                              const RequestState *s,
+                              const CpFleetAttempt *slow_attempt,
+                              int64_t now_ns, CpFleetChoice *out);
+static int64_t earlier(int64_t a_ns, int64_t b_ns);
 static uint32_t host_left_ms(CpEntry *e, int64_t now_ns);
 static void retry_or_fail(CpEntry *e, CpRequest *rq, RequestState *s,
                           const CpAttemptResult *a, CpProxyAction *out);
@@ -136,7 +145,9 @@
     else {
         s->may_have_run = true;
     }
-    if (a->outcome == CP_ATTEMPT_TIMED_OUT) {
+    bool is_early =
+        s->choice.work_percent > 0 && CpClock_Now_ns() < s->goal_ns;
+    if (a->outcome == CP_ATTEMPT_TIMED_OUT && !is_early) {
         s->had_timeout = true;
     }
     if (a->outcome == CP_ATTEMPT_BROKEN && s->tried_count > 0) {
@@ -175,24 +186,38 @@
 }
 
 /* Abandons an attempt only if the budget allows a retry and another server has
- * a slot; otherwise the response may still arrive. A leaving host waits for
- * what its servers are running. */
+ * a slot; otherwise the response may still arrive. Before the end of the
+ * attempt, the other server has to be likely to respond within the latency
+ * goal. A leaving host waits for what its servers are running. */
 static bool
-should_abandon(void *ctx, CpRequest *rq)
+should_abandon(void *ctx, CpRequest *rq, int64_t *next_ns)
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
     int64_t now_ns = CpClock_Now_ns();
+    bool at_end = s->attempt_end_ns > 0 && now_ns >= s->attempt_end_ns;
+    int64_t check_ns = now_ns + SLOW_CHECK_INTERVAL_NS;
+    *next_ns = at_end                  ? 0
+               : check_ns < s->goal_ns ? earlier(check_ns, s->attempt_end_ns)
+                                       : s->attempt_end_ns;
     if (CpAtomic_Load(&e->leaving) || !withdraw_retry(e, now_ns)) {
         return false;
     }
+    const CpFleetAttempt attempt = {.instance = s->choice.instance,
+                                    .work_class = s->choice.work_class,
+                                    .wait_ms = s->choice.wait_ms,
+                                    .started_ns = s->attempt_started_ns};
     /* past the latency goal only a server with a free slot is chosen */
     s->has_next_choice =
-        choose_server(e, rq, s, now_ns, &s->next_choice) == CP_REASON_NONE;
+        choose_server(e, rq, s, at_end ? NULL : &attempt, now_ns,
+                      &s->next_choice) == CP_REASON_NONE;
     s->retry_paid = s->has_next_choice;
     if (!s->has_next_choice) {
         refund_retry(e);
     }
+    else if (!at_end) {
+        CpCounter_Add(CP_COUNT_SLOW_ATTEMPTS_LEFT, 1);
+    }
     return s->has_next_choice;
 }
 
@@ -282,13 +307,13 @@
         s->has_next_choice = false;
     }
     else {
-        reason = choose_server(e, rq, s, now_ns, &s->choice);
+        reason = choose_server(e, rq, s, NULL, now_ns, &s->choice);
     }
     if (reason == CP_REASON_NO_SERVER && s->last_broken != NULL) {
         /* only the server whose response broke off is left */
         s->last_broken[0] = '\0';
         s->last_broken = NULL;
-        reason = choose_server(e, rq, s, now_ns, &s->choice);
+        reason = choose_server(e, rq, s, NULL, now_ns, &s->choice);
     }
     if (reason != CP_REASON_NONE) {
         CpEvent(CP_EVENT_REFUSED, "not_placed",
@@ -318,11 +343,12 @@
     CpStr_Copy(out->instance, sizeof(out->instance), s->choice.instance);
     out->idempotent = s->route->idempotent;
     out->deadline_ns = s->deadline_ns;
+    set_attempt_end(s, now_ns);
     out->attempt_deadline_ns = attempt_deadline_ns(s, now_ns);
 }
 
-static int64_t
-attempt_deadline_ns(const RequestState *s, int64_t now_ns)
+static void
+set_attempt_end(RequestState *s, int64_t now_ns)
 {
     int64_t limit_ms = (int64_t)s->choice.expected_ms * ATTEMPT_TIMEOUT_FACTOR;
     int64_t min_ms = (int64_t)s->route->goal_ms * ATTEMPT_TIMEOUT_MIN_GOALS;
@@ -331,14 +357,36 @@
     bool may_retry = s->route->idempotent &&
                      s->attempts < s->route->max_attempts &&
                      s->deadline_ns - end_ns >= (s->deadline_ns - now_ns) / 2;
-    return may_retry ? end_ns : 0;
+    s->attempt_end_ns = may_retry ? end_ns : 0;
+    s->attempt_started_ns = now_ns;
+}
+
+/* Where servers report their speed, an attempt is also checked when the
+ * response is overdue, while another server could still meet the goal. */
+static int64_t
+attempt_deadline_ns(const RequestState *s, int64_t now_ns)
+{
+    int64_t overdue_ns = now_ns + s->choice.expected_ms * CP_NS_PER_MS;
+    if (s->choice.work_percent == 0 || !s->route->idempotent ||
+        s->attempts >= s->route->max_attempts || overdue_ns >= s->goal_ns) {
+        return s->attempt_end_ns;
+    }
+    return earlier(overdue_ns, s->attempt_end_ns);
+}
+
+/* Returns the earlier of two times; 0: never. */
+static int64_t
+earlier(int64_t a_ns, int64_t b_ns)
+{
+    return b_ns == 0 || (a_ns > 0 && a_ns < b_ns) ? a_ns : b_ns;
 }
 
 /* Chooses a server by the time left and the servers tried; the request then
  * counts as in flight there. */
 static CpReason
 choose_server(CpEntry *e, const CpRequest *rq, const RequestState *s,
-              int64_t now_ns, CpFleetChoice *out)
+              const CpFleetAttempt *slow_attempt, int64_t now_ns,
+              CpFleetChoice *out)
 {
     int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
     int64_t goal_ms = (s->goal_ns - now_ns) / CP_NS_PER_MS;
@@ -354,7 +402,8 @@
         .tried_count = s->tried_count,
         .home_region_count = s->route->home_region_count,
         .home_regions = s->route->home_regions,
-        .random = CpRandom()};
+        .random = CpRandom(),
+        .slow_attempt = slow_attempt};
     for (uint32_t i = 0; i < s->tried_count; i++) {
         request.tried[i] = s->tried[i];
     }
@@ -459,7 +508,8 @@
     CpFleetAttemptResult r = {.service = s->service,
                               .instance = s->choice.instance,
                               .outcome = outcome,
-                              .latency_ns = latency_ns};
+                              .latency_ns = latency_ns,
+                              .work_class = s->choice.work_class};
     if (a != NULL) {
         if (a->head_latency_ns > 0) {
             r.latency_ns = a->head_latency_ns;
@@ -478,10 +528,15 @@
 static void
 log_attempt(const CpRequest *rq, const RequestState *s)
 {
+    json_t *percent = NULL, *goal_share = NULL; /* fields are left out */
+    if (s->choice.work_percent > 0) {
+        percent = json_integer(s->choice.work_percent);
+        goal_share = json_integer(s->choice.goal_share_milli);
+    }
     CpEvent(CP_EVENT_ATTEMPT, "sent",
-            "s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I", "request",
-            rq->id, "object", rq->object, "route", s->route->name, "service",
-            s->service, "instance", s->choice.instance, "place",
+            "s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:i,s:I,s:I,s:O*,s:O*",
+            "request", rq->id, "object", rq->object, "route", s->route->name,
+            "service", s->service, "instance", s->choice.instance, "place",
             (int)s->choice.placement, "near", (int)s->choice.locality,
             "wait_ms", (int)s->choice.wait_ms, "expected_ms",
             (int)s->choice.expected_ms, "load_age_ms",
@@ -490,7 +545,10 @@
                 : (json_int_t)s->choice.load_age_ms,
             "entry_age_ms", (int)s->choice.entry_age_ms, "routes_version",
             (json_int_t)s->routes->version, "routes_age_ms",
-            (json_int_t)s->routes_age_ms);
+            (json_int_t)s->routes_age_ms, "work_percent", percent,
+            "goal_share_milli", goal_share);
+    json_decref(percent);
+    json_decref(goal_share);
 }
 
 /* Logs a response that was not one whole response, and one that other bytes
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -36,6 +36,9 @@
     uint32_t running;
     uint32_t waiting;
     uint32_t slots;
+    /* Time that work takes on the server at this moment, in percent of the
+     * usual time; 0: not reported. */
+    uint32_t work_percent;
 } CpServerLoad;
 
 typedef struct {
@@ -86,6 +89,24 @@
 void CpFleet_SetWarmup(CpFleet *f, const char *service, uint32_t warmup_ms,
                        uint32_t warmup_per_s_milli);
 
+/* What is known of the object on the chosen server; work takes a different
+ * time in each class. */
+typedef enum {
+    CP_WORK_CACHED = 0, /* this host's requests show that it is cached */
+    CP_WORK_PRIMARY,    /* the primary server, or there is no object */
+    CP_WORK_SECONDARY,
+    CP_WORK_OTHER,
+    CP_WORK_CLASS_COUNT
+} CpFleetWorkClass;
+
+/* An attempt in progress, without a response so far. */
+typedef struct {
+    const char *instance;
+    CpFleetWorkClass work_class; /* from the choice */
+    uint32_t wait_ms;            /* from the choice */
+    int64_t started_ns;
+} CpFleetAttempt;
+
 typedef struct {
     const char *service;
     const char *object; /* that servers cache; NULL: none */
@@ -97,6 +118,9 @@
     uint32_t home_region_count; /* regions where it may run; 0: all */
     const char (*home_regions)[CP_NAME_BYTES];
     uint64_t random; /* spreads retries and load probes */
+    /* Unless NULL, a server is chosen only if it is more likely to respond
+     * within the latency goal than the one of this attempt. */
+    const CpFleetAttempt *slow_attempt;
 } CpFleetRequest;
 
 /* Distance of a server from this host. */
@@ -115,7 +139,11 @@
     uint32_t wait_ms;     /* expected time in the server's queue */
     uint32_t expected_ms; /* until the response, with the locality cost */
     uint32_t load_age_ms; /* of the last load report; UINT32_MAX: none */
-    uint32_t entry_age_ms; /* since the server's entry was read */
+    CpFleetWorkClass work_class;
+    /* Of a service whose servers report their speed; otherwise 0. */
+    uint32_t work_percent;     /* the server's expected speed */
+    uint32_t goal_share_milli; /* chance of a response within the goal */
+    uint32_t entry_age_ms;     /* since the server's entry was read */
     bool cold;
     uint32_t retry_after_ms; /* set when the request is refused */
 } CpFleetChoice;
@@ -147,6 +175,7 @@
     /* until the head of the response: the server's work, without the transfer
      * of the body; without a response, until the end of the attempt */
     int64_t latency_ns;
+    CpFleetWorkClass work_class; /* from the choice */
     bool has_load;
     CpServerLoad load;
     uint32_t warmup_left_ms; /* from the response; 0: warm or not reported */
@@ -200,6 +229,20 @@
  * hosts. Returns how many, at most `capacity`. */
 uint32_t CpFleet_ListUsage(CpFleet *f, CpFleetUsage *out, uint32_t capacity);
 
+/* A speed that a server had when it responded to this host. */
+typedef struct {
+    uint64_t server_hash;
+    uint32_t work_percent;
+    uint32_t age_ms;
+} CpFleetSpeed;
+/* Lists the speeds that servers reported to this host within the last
+ * `max_age_ms`. Returns how many, at most `capacity`. */
+uint32_t CpFleet_ListSpeeds(CpFleet *f, uint32_t max_age_ms, int64_t now_ns,
+                            CpFleetSpeed *out, uint32_t capacity);
+/* Records speeds that another host received. */
+void CpFleet_SetPeerSpeeds(CpFleet *f, const CpFleetSpeed *speeds,
+                           uint32_t count, int64_t now_ns);
+
 /* Counts the servers of a service that may get new requests now. */
 uint32_t CpFleet_CountUsable(CpFleet *f, const char *service, int64_t now_ns);
 
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -12,11 +12,6 @@
     [CP_LOCALITY_REMOTE] = 120 * 1000,
 };
 
-/* Extra work on an object that a server does not have cached, in thousandths
- * of the mean work. The secondary server is preferred to others, because it
- * keeps what was sent there before in its cache. */
-#define MISS_MILLI 1500
-#define SECONDARY_MISS_MILLI 1200
 #define NON_PRIMARY_HIT_MILLI 50 /* cached, but not at the primary server */
 
 #define SLOWNESS_HALF_LIFE_NS (3 * CP_NS_PER_S)
@@ -34,6 +29,38 @@
 /* Callers honour delays up to a third of their timeout. */
 #define MAX_RETRY_AFTER_MS 2000
 
+/* Cost of a request that misses its latency goal or its deadline, as a
+ * multiple of the time left: a chance of a tenth is worth a fifth of it. */
+#define MISS_COST 2
+/* With at least this chance the primary server is taken without a look at the
+ * others. */
+#define IDEAL_GOAL_SHARE 0.9
+/* Of the measured share of failures: servers that are avoided are not measured
+ * again, and most timeouts are those of a slow moment. */
+#define FAILURE_HALF_LIFE_NS (1 * CP_NS_PER_S)
+/* Part of the mean work by which hosts that know the same choose differently.
+ */
+#define JITTER_DIVISOR 16
+/* A request leaves a server that became slow only for one with at least this
+ * chance, and one that is better by this. */
+#define FASTER_GOAL_SHARE 0.5
+#define FASTER_MARGIN 0.2
+/* With fewer responses the work time is an assumption, and no reason to move.
+ */
+#define MIN_WORKS 8
+/* Work that lasts longer than this share of all takes is on a server that does
+ * not respond. */
+#define MAX_ENDED_SHARE 0.98
+/* With a smaller chance to be answered at all, a request that would be
+ * answered at the usual speed is refused. */
+#define MIN_DEADLINE_SHARE 0.25
+#define LIKELY_SHARE 0.5
+#define SLOW_RETRY_AFTER_US (300 * 1000) /* half the lifetime of a speed */
+/* Share of a host's requests that leave the region because its servers are
+ * slow at the moment; shifts between regions have to stay below 15% in 2 s. */
+#define REMOTE_CREDIT_MILLI 100
+#define MAX_REMOTE_CREDIT_MILLI 1000
+
 typedef struct {
     const CpFleet *fleet;
     CpFleetService *service;
@@ -41,6 +68,7 @@
     int64_t now_ns;
     const CpFleetCached *cached; /* servers that have the object */
     CpFleetPlacement placement;
+    bool has_speeds;   /* the servers report their speed */
     bool is_probe;     /* treats servers of domains without reports as idle */
     bool skipped_cold; /* a server was skipped because it is cold */
     bool skipped_busy; /* a server was skipped for lack of spare slots */
@@ -53,12 +81,22 @@
     uint32_t placement;
     int64_t miss_milli;
     uint32_t inflight;
+    CpFleetWorkClass work_class;
     int64_t wait_us;
-    int64_t cost_us; /* until the response, with the locality cost */
+    int64_t expected_us; /* until the response, with the locality cost */
+    int64_t cost_us;     /* what candidates are compared by */
+    /* Of a service whose servers report their speed. */
+    int64_t usual_cost_us; /* if each had its typical speed */
+    double goal_share;     /* chance of a response within the goal */
+    double deadline_share; /* the same within the deadline */
 } Candidate;
 
 static uint32_t decay(uint32_t value, int64_t age_ns, int64_t half_life_ns);
 static bool consider(Search *q, CpFleetServer *server, Candidate *out);
+static CpFleetWorkClass work_class(const Search *q,
+                                   const Candidate *candidate);
+static void keep_in_region(Search *q, const Candidate *near, Candidate *best);
+static bool is_remote(const Search *q, const Candidate *candidate);
 static bool is_ideal(const Search *q, const Candidate *candidate);
 static bool is_usable(Search *q, CpFleetServer *server);
 static bool was_tried(const CpFleetRequest *request,
@@ -74,6 +112,11 @@
 static bool has_spare_slots(const Candidate *candidate);
 static bool is_load_high(const Search *q);
 static void set_cost(const Search *q, Candidate *candidate);
+static void set_cost_by_speed(const Search *q, Candidate *candidate);
+static int64_t locality_cost(const Search *q, const Candidate *candidate);
+static bool is_too_slow_now(const Search *q, const Candidate *best);
+static bool is_faster(const Search *q, const Candidate *best);
+static double goal_share_now(const Search *q, const CpFleetAttempt *attempt);
 static CpReason check_candidate(const Search *q, const Candidate *best);
 static void assign_request(Search *q, const Candidate *best,
                            CpFleetChoice *out);
@@ -89,12 +132,14 @@
                 .service = s,
                 .request = request,
                 .now_ns = now_ns,
+                .has_speeds = CpFleet_HasSpeeds(s, now_ns),
                 .is_probe = request->random % PROBE_ONE_IN == 0,
                 .usable_ns = INT64_MAX,
                 .cached = CpFleet_FindCached(s, request->object)};
-    Candidate best = {.cost_us = INT64_MAX};
+    Candidate best = {.cost_us = INT64_MAX}, near = best;
     memset(out, 0, sizeof(*out));
-    s->requests_since_tick++;
+    /* a look for a faster server is no request */
+    s->requests_since_tick += request->slow_attempt == NULL;
     CpFleet_PlaceObject(f, s, request->object, request, &q.placement);
     Candidate candidate;
     /* Hundreds of others need no look if none of them can be better. */
@@ -105,24 +150,38 @@
         best = candidate;
     }
     for (uint32_t i = 0; !ideal && i < s->servers->len; i++) {
-        if (consider(&q, g_ptr_array_index(s->servers, i), &candidate) &&
-            candidate.cost_us < best.cost_us) {
+        if (!consider(&q, g_ptr_array_index(s->servers, i), &candidate)) {
+            continue;
+        }
+        if (candidate.cost_us < best.cost_us) {
             best = candidate;
         }
+        if (candidate.cost_us < near.cost_us && !is_remote(&q, &candidate)) {
+            near = candidate;
+        }
+    }
+    if (q.has_speeds) {
+        keep_in_region(&q, &near, &best);
     }
     CpReason reason = check_candidate(&q, &best);
+    if (reason == CP_REASON_NONE && request->slow_attempt != NULL &&
+        !is_faster(&q, &best)) {
+        reason = CP_REASON_WOULD_MISS_GOAL;
+    }
     if (reason == CP_REASON_NONE) {
         assign_request(&q, &best, out);
     }
     else {
         out->wait_ms = (uint32_t)(best.wait_us / 1000);
         out->expected_ms =
-            best.server != NULL ? (uint32_t)(best.cost_us / 1000) : 0;
+            best.server != NULL ? (uint32_t)(best.expected_us / 1000) : 0;
         bool all_rest =
             reason == CP_REASON_NO_SERVER && q.usable_ns != INT64_MAX;
         out->retry_after_ms = retry_after_ms(
-            request,
-            all_rest ? (q.usable_ns - now_ns) / CP_NS_PER_US : best.wait_us);
+            request, all_rest ? (q.usable_ns - now_ns) / CP_NS_PER_US
+                     : best.server != NULL && is_too_slow_now(&q, &best)
+                         ? SLOW_RETRY_AFTER_US
+                         : best.wait_us);
     }
     pthread_mutex_unlock(&shard->lock);
     return reason;
@@ -173,8 +232,16 @@
     if (inflight < slots) {
         return 0;
     }
-    return (int64_t)(inflight - slots + 1) * s->mean_work_us *
-           CpFleet_Slowness_milli(server, now_ns) / 1000 / slots;
+    int64_t wait_us = (int64_t)(inflight - slots + 1) * s->mean_work_us *
+                      CpFleet_Slowness_milli(server, now_ns) / 1000 / slots;
+    if (!CpFleet_HasSpeeds(s, now_ns)) {
+        return wait_us;
+    }
+    /* the speed in the middle of the wait, against that of the mean work */
+    double percent = CpFleet_ExpectedPercent(
+        s, server, now_ns + wait_us / 2 * CP_NS_PER_US);
+    return (int64_t)((double)wait_us * percent * 1000 /
+                     s->typical_percent_milli);
 }
 
 /* Halves a measurement for each half-life of its age. */
@@ -203,15 +270,63 @@
         q->skipped_busy = true;
         return false;
     }
+    out->work_class = work_class(q, out);
     set_cost(q, out);
     return true;
 }
 
+static CpFleetWorkClass
+work_class(const Search *q, const Candidate *candidate)
+{
+    return CpFleet_IsCached(q->cached, candidate->server->hash, q->now_ns)
+               ? CP_WORK_CACHED
+           : candidate->placement == 0 ? CP_WORK_PRIMARY
+           : candidate->placement == 1 ? CP_WORK_SECONDARY
+                                       : CP_WORK_OTHER;
+}
+
+/* Returns true if the request would leave this region, other than for the
+ * primary server of its object. */
+static bool
+is_remote(const Search *q, const Candidate *candidate)
+{
+    return (q->request->object == NULL || candidate->placement != 0) &&
+           CpFleet_Locality(q->fleet, candidate->server->domain_index) ==
+               CP_LOCALITY_REMOTE;
+}
+
+/* Speeds change faster than traffic may be shifted, so only a small share of
+ * the requests leaves the region for a better speed. `near` is the best
+ * candidate that does not. */
+static void
+keep_in_region(Search *q, const Candidate *near, Candidate *best)
+{
+    uint32_t *credit = &q->service->remote_credit_milli;
+    *credit += REMOTE_CREDIT_MILLI;
+    if (*credit > MAX_REMOTE_CREDIT_MILLI) {
+        *credit = MAX_REMOTE_CREDIT_MILLI;
+    }
+    if (best->server == NULL || near->server == NULL || !is_remote(q, best) ||
+        near->usual_cost_us > best->usual_cost_us) {
+        return;
+    }
+    if (*credit >= 1000) {
+        *credit -= 1000;
+    }
+    else {
+        *best = *near;
+    }
+}
+
 /* Returns true if the candidate costs no more than the mean work: only the
  * primary server has neither a locality cost nor a cache miss. */
 static bool
 is_ideal(const Search *q, const Candidate *candidate)
 {
+    if (q->has_speeds) {
+        return candidate->wait_us == 0 &&
+               candidate->goal_share >= IDEAL_GOAL_SHARE;
+    }
     return candidate->cost_us <= q->service->mean_work_us;
 }
 
@@ -349,7 +464,8 @@
     if (CpFleet_IsCached(q->cached, server->hash, q->now_ns)) {
         return NON_PRIMARY_HIT_MILLI;
     }
-    return placement == 1 ? SECONDARY_MISS_MILLI : MISS_MILLI;
+    return placement == 1 ? CP_FLEET_SECONDARY_MISS_MILLI
+                          : CP_FLEET_MISS_MILLI;
 }
 
 /* Work on an object that is not cached holds a slot several times as long, so
@@ -385,18 +501,134 @@
     int64_t work_us = q->service->mean_work_us;
     candidate->wait_us = CpFleet_ExpectedWait_us(
         q->service, server, candidate->inflight, q->now_ns);
+    if (q->has_speeds) {
+        set_cost_by_speed(q, candidate);
+        return;
+    }
     candidate->cost_us =
         candidate->wait_us +
         work_us * CpFleet_Slowness_milli(server, q->now_ns) / 1000 +
         work_us * candidate->miss_milli / 1000 +
-        work_us * FAILURE_COST * server->failure_milli / 1000;
-    /* The primary server of an object has no locality cost. */
-    if (candidate->placement != 0 || q->request->object == NULL) {
+        work_us * FAILURE_COST * server->failure_milli / 1000 +
+        locality_cost(q, candidate);
+    candidate->expected_us = candidate->cost_us;
+}
+
+/* Of servers that report their speed, the one with the best chance to respond
+ * within the goal costs least; where none has a chance, the one that responds
+ * soonest within the deadline. */
+static void
+set_cost_by_speed(const Search *q, Candidate *candidate)
+{
+    const CpFleetServer *server = candidate->server;
+    const CpFleetService *s = q->service;
+    int64_t start_ns = q->now_ns + candidate->wait_us * CP_NS_PER_US;
+    int64_t goal_us = q->request->goal_left_ms * INT64_C(1000);
+    int64_t deadline_us = q->request->deadline_left_ms * INT64_C(1000);
+    double slowness = (double)CpFleet_Slowness_milli(server, q->now_ns) / 1000;
+    uint32_t failure_milli =
+        decay(server->failure_milli, q->now_ns - server->last_failure_ns,
+              FAILURE_HALF_LIFE_NS);
+    double success = 1 - failure_milli / 1000.0;
+    /* Good news from another region attracts no requests. */
+    double max_weight = is_remote(q, candidate) ? 0 : 1;
+    double usual_us =
+        CpFleet_UsualWork_us(s, candidate->work_class) * slowness / 100;
+    int64_t other_us =
+        (int64_t)s->mean_work_us * FAILURE_COST * failure_milli / 1000 +
+        locality_cost(q, candidate);
+    candidate->expected_us =
+        candidate->wait_us +
+        (int64_t)(usual_us * CpFleet_ExpectedPercent(s, server, start_ns)) +
+        other_us;
+    candidate->usual_cost_us =
+        candidate->wait_us +
+        (int64_t)(usual_us * CpFleet_TypicalPercent(s, server)) + other_us;
+    candidate->goal_share =
+        success *
+        CpFleet_ChanceWithin(
+            s, server, candidate->work_class,
+            (int64_t)((double)(goal_us - candidate->wait_us) / slowness),
+            start_ns, max_weight);
+    candidate->deadline_share =
+        success *
+        CpFleet_ChanceWithin(
+            s, server, candidate->work_class,
+            (int64_t)((double)(deadline_us - candidate->wait_us) / slowness),
+            start_ns, max_weight);
+    uint32_t slots = server->entry.slots > 0 ? server->entry.slots : 1;
+    candidate->cost_us =
+        candidate->expected_us +
+        (int64_t)((1 - candidate->goal_share) * MISS_COST * (double)goal_us) +
+        (int64_t)((1 - candidate->deadline_share) * MISS_COST *
+                  (double)deadline_us);
+    if (q->request->object == NULL) {
+        /* Other hosts choose at the same time: a queue is the less likely the
+         * more slots are free, and hosts that know the same had better not
+         * choose the same server. */
+        uint64_t key[2] = {q->request->random, server->hash};
         candidate->cost_us +=
-            locality_cost_us[CpFleet_Locality(q->fleet, server->domain_index)];
+            (int64_t)s->mean_work_us * candidate->inflight / slots +
+            (int64_t)(CpHash(key, sizeof(key), 4) %
+                      (s->mean_work_us / JITTER_DIVISOR + 1));
     }
 }
 
+/* The primary server of an object has no locality cost. */
+static int64_t
+locality_cost(const Search *q, const Candidate *candidate)
+{
+    return candidate->placement != 0 || q->request->object == NULL
+               ? locality_cost_us[CpFleet_Locality(
+                     q->fleet, candidate->server->domain_index)]
+               : 0;
+}
+
+/* Returns true if only the present speed of the best candidate, or the queue
+ * at it, makes a response within the deadline unlikely. */
+static bool
+is_too_slow_now(const Search *q, const Candidate *best)
+{
+    int64_t deadline_us = q->request->deadline_left_ms * INT64_C(1000);
+    return q->has_speeds && best->deadline_share < MIN_DEADLINE_SHARE &&
+           CpFleet_ChanceWithin(q->service, best->server, best->work_class,
+                                deadline_us, INT64_MAX, 0) >= LIKELY_SHARE;
+}
+
+/* Returns true if the request had better move on to the candidate from the
+ * server that runs it. */
+static bool
+is_faster(const Search *q, const Candidate *best)
+{
+    return q->has_speeds &&
+           q->service->work_times[best->work_class].total >= MIN_WORKS &&
+           best->goal_share >= FASTER_GOAL_SHARE &&
+           best->goal_share >=
+               goal_share_now(q, q->request->slow_attempt) + FASTER_MARGIN;
+}
+
+/* Returns the chance that an attempt in progress, without a response so far,
+ * gets one within the latency goal. */
+static double
+goal_share_now(const Search *q, const CpFleetAttempt *attempt)
+{
+    const CpFleetServer *server =
+        CpFleet_FindServer(q->service, attempt->instance);
+    if (server == NULL) {
+        return 0;
+    }
+    int64_t elapsed_us = (q->now_ns - attempt->started_ns) / CP_NS_PER_US -
+                         attempt->wait_ms * INT64_C(1000);
+    int64_t goal_us = q->request->goal_left_ms * INT64_C(1000) + elapsed_us;
+    double ended =
+        CpFleet_ChanceWithin(q->service, server, attempt->work_class,
+                             elapsed_us, attempt->started_ns, 1);
+    double in_goal =
+        CpFleet_ChanceWithin(q->service, server, attempt->work_class, goal_us,
+                             attempt->started_ns, 1);
+    return ended < MAX_ENDED_SHARE ? (in_goal - ended) / (1 - ended) : 0;
+}
+
 /* Checks the best candidate against the deadline and the latency goal; returns
  * the reason to refuse the request, or CP_REASON_NONE. */
 static CpReason
@@ -410,11 +642,14 @@
     if (best->wait_us > q->request->deadline_left_ms * INT64_C(1000)) {
         return CP_REASON_WOULD_MISS_DEADLINE;
     }
+    if (is_too_slow_now(q, best)) {
+        return CP_REASON_WOULD_MISS_DEADLINE;
+    }
     if (q->request->host_left_ms > 0 &&
-        best->cost_us > q->request->host_left_ms * INT64_C(1000)) {
+        best->expected_us > q->request->host_left_ms * INT64_C(1000)) {
         return CP_REASON_HOST_LEAVING;
     }
-    if (best->cost_us > q->request->goal_left_ms * INT64_C(1000) &&
+    if (best->expected_us > q->request->goal_left_ms * INT64_C(1000) &&
         (best->wait_us > 0 || (is_load_high(q) && !has_spare_slots(best)))) {
         return CP_REASON_WOULD_MISS_GOAL;
     }
@@ -443,7 +678,13 @@
     out->locality = CpFleet_Locality(q->fleet, server->domain_index);
     out->placement = best->placement;
     out->wait_ms = (uint32_t)(best->wait_us / 1000);
-    out->expected_ms = (uint32_t)(best->cost_us / 1000);
+    out->expected_ms = (uint32_t)(best->expected_us / 1000);
+    out->work_class = best->work_class;
+    if (q->has_speeds) {
+        out->work_percent =
+            (uint32_t)CpFleet_ExpectedPercent(q->service, server, q->now_ns);
+        out->goal_share_milli = (uint32_t)(best->goal_share * 1000);
+    }
     out->load_age_ms =
         server->load_report_ns == 0
             ? UINT32_MAX
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -13,6 +13,13 @@
  * smaller ratio does not show a slow server. */
 #define CP_FLEET_SLOW_OUTLIER_MILLI 4000
 #define CP_FLEET_MAX_CACHED 4 /* servers recorded for an object */
+/* Extra work on an object that a server does not have cached, in thousandths
+ * of the mean work. The secondary server is preferred to others, because it
+ * keeps what was sent there before in its cache. */
+#define CP_FLEET_MISS_MILLI 1500
+#define CP_FLEET_SECONDARY_MISS_MILLI 1200
+#define CP_FLEET_SPEED_BUCKETS 10 /* half octaves, from 25% to 600% */
+#define CP_FLEET_WORK_BUCKETS 64  /* quarter octaves, from 1 ms */
 
 typedef struct CpFleetServer CpFleetServer;
 
@@ -58,6 +65,11 @@
     int64_t peers_inflight_until_ns;
     uint32_t others_inflight_milli; /* of other hosts, from load reports */
     int64_t load_report_ns;         /* last load in a response; 0: none */
+    uint32_t work_percent;          /* last reported speed; 0: none */
+    uint32_t typical_percent_milli; /* moving average of it; 0: none */
+    int64_t speed_ns;               /* when the server had it */
+    bool speed_from_peer;           /* another host received it */
+    bool timed_out;                 /* the last attempt that ended */
     uint32_t slowness_milli;        /* work time over the mean; 1000: equal */
     int64_t slowness_ns;            /* when slowness was measured */
     uint32_t failure_milli; /* share of failed attempts, moving average */
@@ -82,6 +94,14 @@
     int64_t recorded_ns;
 } CpFleetNote;
 
+/* Distribution of work times at the usual speed, over recent responses. */
+typedef struct {
+    float counts[CP_FLEET_WORK_BUCKETS];
+    float below[CP_FLEET_WORK_BUCKETS]; /* sum of the buckets before */
+    float total;
+    float sum_us;
+} CpFleetWorkTimes;
+
 /* Typical load of a service's servers, from load reports: moving average of
  * the requests in flight at a server over its slots. */
 typedef struct {
@@ -137,6 +157,15 @@
     CpFleetTypicalLoad typical_loads[CP_FLEET_MAX_DOMAINS + 1]; /* by domain */
     CpFleetTypicalLoad typical_load_all;
     int64_t last_tick_ns;
+    /* Speeds that the servers reported, by bucket, and their sums. */
+    float speed_counts[CP_FLEET_SPEED_BUCKETS];
+    float speed_sums[CP_FLEET_SPEED_BUCKETS];
+    float speed_total;
+    uint32_t typical_percent_milli; /* mean of the speeds; 0: none */
+    int64_t last_speed_ns;          /* 0: none was reported */
+    CpFleetWorkTimes work_times[CP_WORK_CLASS_COUNT];
+    /* Requests that may still go to another region because of speeds. */
+    uint32_t remote_credit_milli;
     CpFleetLayout layout;
 } CpFleetService;
 
@@ -182,6 +211,37 @@
 int64_t CpFleet_ExpectedWait_us(const CpFleetService *s,
                                 const CpFleetServer *server, uint32_t inflight,
                                 int64_t now_ns);
+/* Records a speed that the server had `age_ns` ago. */
+void CpFleet_RecordSpeed(CpFleetService *s, CpFleetServer *server,
+                         uint32_t percent, int64_t age_ns, int64_t now_ns);
+/* Returns true if servers of the service report their speed. */
+bool CpFleet_HasSpeeds(const CpFleetService *s, int64_t now_ns);
+/* Returns the chance that the last reported speed still holds at `at_ns`. */
+double CpFleet_SpeedWeight(const CpFleetServer *server, int64_t at_ns);
+/* Returns the long-term average of the server's speed, in percent. */
+double CpFleet_TypicalPercent(const CpFleetService *s,
+                              const CpFleetServer *server);
+/* Returns the expected speed of the server at `at_ns`, in percent. */
+double CpFleet_ExpectedPercent(const CpFleetService *s,
+                               const CpFleetServer *server, int64_t at_ns);
+/* Returns the chance that work that starts at `start_ns` ends within
+ * `budget_us`. A speed better than the server's typical one has a weight of at
+ * most `max_weight`. */
+double CpFleet_ChanceWithin(const CpFleetService *s,
+                            const CpFleetServer *server, CpFleetWorkClass c,
+                            int64_t budget_us, int64_t start_ns,
+                            double max_weight);
+/* Returns the slowest speed that servers of the service report, in percent. */
+double CpFleet_SlowestPercent(const CpFleetService *s);
+/* Returns the mean work time of the class at a speed of 100%. */
+double CpFleet_UsualWork_us(const CpFleetService *s, CpFleetWorkClass c);
+/* Returns the speed during the work on a request that ended just now. */
+double CpFleet_PercentDuring(const CpFleetService *s,
+                             const CpFleetServer *server, uint32_t end_percent,
+                             int64_t latency_ns, int64_t now_ns);
+/* Records a work time, at a speed of 100%. */
+void CpFleet_RecordWork(CpFleetService *s, CpFleetWorkClass c,
+                        double usual_us);
 /* Returns the requests in flight of other hosts, from their recent reports. */
 uint32_t CpFleet_PeerInflight(CpFleetServer *server, int64_t now_ns);
 /* Returns the servers recorded for an object, or NULL. */
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -34,6 +34,8 @@
 static void record_failure(const CpFleet *f, CpFleetService *s,
                            CpFleetServer *server,
                            const CpFleetAttemptResult *r, int64_t now_ns);
+static bool may_be_slow(const CpFleetService *s, const CpFleetAttemptResult *r,
+                        int64_t now_ns);
 static void eject(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
                   int64_t now_ns);
 static void set_leaving(CpFleet *f, CpFleetService *s, CpFleetServer *server,
@@ -63,6 +65,9 @@
         }
         record_work_time(f, s, server, r, now_ns);
         record_load(s, server, r, now_ns);
+        if (r->has_load) {
+            CpFleet_RecordSpeed(s, server, r->load.work_percent, 0, now_ns);
+        }
         record_failure(f, s, server, r, now_ns);
         if (r->outcome == CP_ATTEMPT_UNREACHABLE ||
             (r->outcome == CP_ATTEMPT_BROKEN &&
@@ -186,8 +191,21 @@
         s, server, CpFleet_Inflight(server, now_ns), now_ns);
     uint32_t work_us =
         latency_us > wait_us ? latency_us - (uint32_t)wait_us : 1;
+    uint64_t usual_us = work_us; /* at the service's typical speed */
+    if (CpFleet_HasSpeeds(s, now_ns)) {
+        double percent = CpFleet_PercentDuring(
+            s, server, r->has_load ? r->load.work_percent : 0, r->latency_ns,
+            now_ns);
+        usual_us = (uint64_t)((double)work_us * s->typical_percent_milli /
+                              1000 / percent);
+        /* without a queue, whose length is only estimated */
+        if (r->outcome == CP_ATTEMPT_ANSWERED && wait_us == 0) {
+            CpFleet_RecordWork(s, r->work_class,
+                               (double)work_us * 100 / percent);
+        }
+    }
     if (s->mean_work_us > 0) {
-        uint64_t slowness = (uint64_t)work_us * 1000 / s->mean_work_us;
+        uint64_t slowness = usual_us * 1000 / s->mean_work_us;
         slowness =
             slowness > MAX_SLOWNESS_MILLI ? MAX_SLOWNESS_MILLI : slowness;
         /* without a response the server is at least this slow */
@@ -237,6 +255,7 @@
     bool failed = false, unavailable = false;
     switch (r->outcome) {
     case CP_ATTEMPT_ANSWERED:
+        server->timed_out = false;
         break;
     case CP_ATTEMPT_SERVER_ERROR:
     case CP_ATTEMPT_REFUSED:
@@ -253,7 +272,8 @@
         failed = unavailable = true;
         break;
     case CP_ATTEMPT_TIMED_OUT:
-        failed = true;
+        failed = server->timed_out || !may_be_slow(s, r, now_ns);
+        server->timed_out = true;
         break;
     default:
         return;
@@ -270,6 +290,19 @@
         unavailable ? server->consecutive_failures + 1 : 0;
 }
 
+/* Returns true if the time of an attempt without a response is one that work
+ * takes on a slow server. One such attempt is then no failure of the server;
+ * the next one in a row is, since the server may be silent. */
+static bool
+may_be_slow(const CpFleetService *s, const CpFleetAttemptResult *r,
+            int64_t now_ns)
+{
+    return CpFleet_HasSpeeds(s, now_ns) &&
+           (double)r->latency_ns / CP_NS_PER_US <
+               CpFleet_UsualWork_us(s, r->work_class) *
+                   CpFleet_SlowestPercent(s) / 100;
+}
+
 /* Ejects the server for a time that doubles with each failure in a row; the
  * fourth one is taken as the end of the server, and the time is the longest.
  * It may return with an empty cache, so it is cold afterwards. */
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -113,8 +113,9 @@
     /* The server has ended a response that was streamed. */
     void (*on_stream_ended)(void *ctx, CpRequest *rq,
                             const CpAttemptResult *a);
-    /* Decides whether an attempt whose own deadline passed is abandoned. */
-    bool (*should_abandon)(void *ctx, CpRequest *rq);
+    /* Decides whether an attempt whose own deadline passed is abandoned. If
+     * not, *next_ns is its next deadline; 0: none. */
+    bool (*should_abandon)(void *ctx, CpRequest *rq, int64_t *next_ns);
     /* The request's deadline passed during an attempt, whose request may have
      * been sent; sets how the request fails. */
     void (*on_deadline)(void *ctx, CpRequest *rq, bool sent,
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -87,8 +87,10 @@
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     CpAttemptResult result;
     CpProxyAction action = {0};
-    ex->action.attempt_deadline_ns = 0;
-    if (!p->should_abandon(p->ctx, &ex->request)) {
+    int64_t next_ns = 0;
+    bool abandoned = p->should_abandon(p->ctx, &ex->request, &next_ns);
+    ex->action.attempt_deadline_ns = abandoned ? 0 : next_ns;
+    if (!abandoned) {
         return;
     }
     classify_end(ex, CURLE_OPERATION_TIMEDOUT, &result);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -41,6 +41,7 @@
     CP_FRAME_CONFIG_GET,
     CP_FRAME_CONFIG_CHUNK,
     CP_FRAME_REPORT, /* sent as a datagram, never in a session */
+    CP_FRAME_SPEEDS, /* as CP_FRAME_REPORT */
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -165,6 +166,20 @@
     uint32_t row_count;
 } CpReportFrame;
 
+/* Speed of a backend server, as it was in a response to the sender. */
+typedef struct {
+    uint64_t server_hash;  /* of the instance name */
+    uint32_t work_percent; /* time of work, of the usual one */
+    uint32_t age_ms;
+} CpSpeedRow;
+
+/* Speeds of backend servers that report them. A frame of its own, because
+ * older hosts reject a report whose rows have more fields. */
+typedef struct {
+    CpSpeedRow *rows;
+    uint32_t row_count;
+} CpSpeedsFrame;
+
 typedef struct {
     CpFrameType type;
     union {
@@ -180,6 +195,7 @@
         CpLoanFrame loan;
         CpConfigFrame config;
         CpReportFrame report;
+        CpSpeedsFrame speeds;
     };
 } CpFrame;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -120,6 +120,12 @@
     U32(CpReportFrame, watches_store),
     ROWS(CpReportFrame, rows, row_count, CpReportRow, report_row_fields)};
 
+static const Field speed_row_fields[] = {U64(CpSpeedRow, server_hash),
+                                         U32(CpSpeedRow, work_percent),
+                                         U32(CpSpeedRow, age_ms)};
+static const Field speeds_fields[] = {
+    ROWS(CpSpeedsFrame, rows, row_count, CpSpeedRow, speed_row_fields)};
+
 #define FRAME_LAYOUT(table)                                                   \
     {                                                                         \
         (table), sizeof(table) / sizeof((table)[0])                           \
@@ -141,6 +147,7 @@
     [CP_FRAME_CONFIG_GET] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_CONFIG_CHUNK] = FRAME_LAYOUT(config_fields),
     [CP_FRAME_REPORT] = FRAME_LAYOUT(report_fields),
+    [CP_FRAME_SPEEDS] = FRAME_LAYOUT(speeds_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
@@ -206,7 +213,8 @@
                   CpDecodedFrame *out)
 {
     CpStatus st = CpFrame_Decode(data, size_bytes, out);
-    if (st == CP_OK && out->frame.type != CP_FRAME_REPORT) {
+    if (st == CP_OK && out->frame.type != CP_FRAME_REPORT &&
+        out->frame.type != CP_FRAME_SPEEDS) {
         CpFrame_Clear(out);
         return CpError_Set(CP_ERR_PARSE,
                            "frame type not allowed in a datagram");
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -10,6 +10,7 @@
  * for its next K requests if K is given, and its service time; status=N is the
  * status of its responses in the mode "status"; instance=I changes its
  * instance name; leaving=1 makes its responses announce that it leaves, and
+ * work=N makes its service time N percent and tells so in its load;
  * retry_after=TEXT adds that to its refusals; deaf=1 makes connections to the
  * server hang until the process ends.
  *
@@ -95,6 +96,7 @@
     uint32_t status;             /* in MODE_STATUS */
     uint64_t inflight;
     uint64_t arrived;
+    uint64_t work_percent; /* of service_ms, and in the load; 0: not told */
     bool leaving;
     char retry_after[32]; /* "": none */
     struct MHD_Daemon *daemon;
@@ -375,6 +377,7 @@
         CpStandin_GetQueryText(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
     s->leaving = CpStandin_GetQueryNumber(conn, "leaving", s->leaving) != 0;
+    s->work_percent = CpStandin_GetQueryNumber(conn, "work", s->work_percent);
     CpStr_Copy(s->retry_after, sizeof(s->retry_after),
                CpStandin_GetQueryText(conn, "retry_after", ""));
     pthread_mutex_unlock(&lock);
@@ -509,6 +512,11 @@
     cancelled += !connected;
     snprintf(load, sizeof(load), "%llu,0,%llu",
              (unsigned long long)s->inflight, (unsigned long long)s->slots);
+    if (s->work_percent > 0) {
+        size_t n = strlen(load);
+        snprintf(load + n, sizeof(load) - n, ",%llu",
+                 (unsigned long long)s->work_percent);
+    }
     snprintf(seal, sizeof(seal), "seal-%s", s->instance);
     pthread_mutex_unlock(&lock);
     if (!connected || mode == MODE_LOSE) {
@@ -769,6 +777,9 @@
 {
     pthread_mutex_lock(&lock);
     uint64_t work_ms = s->service_ms;
+    if (s->work_percent > 0) {
+        work_ms = work_ms * s->work_percent / 100;
+    }
     pthread_mutex_unlock(&lock);
     work_ms = timeout_ms > 0 && timeout_ms < work_ms ? timeout_ms : work_ms;
     for (uint64_t elapsed_ms = 0; elapsed_ms < work_ms;
