fleet: half of a service's slots stay in use, however bad the servers are

Cause: a server was ejected after three broken responses in a row, and got one request at a time and the warm-up rate after that, whatever else was left. Where all servers failed, most of them rested. Change: outcomes are counted by server and service, with a half-life of 2 s. A server is passed over only while half of the slots are left without it, and, where less than 0.8 of a service's attempts succeed, only if it is worse than the others; the least bad is used first. After 30 failures in a row a server gets one request at a time. A server that broke responses off is not cold afterwards; one that could not be reached is, until a response without a warm-up time left. A response to a request sent during the ejection ends it. Bytes that no request asked for, on a connection used before, are not counted against the server.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -14,11 +14,12 @@
 #include "regress.h"
 
 #define MAX_DOMAINS 8
-#define MAX_SERVERS 128
+#define MAX_SERVERS 192
 #define MAX_HOSTS 64
 #define MAX_CACHED 64 /* objects that a server caches */
 #define MAX_REQUESTS 128000
 #define RETRY_PERCENT 15 /* attempts that move on, of the requests */
+#define RETRY_BURST 80
 #define SLOW_CHECK_MS 50
 #define QUEUE_PER_SLOT 3 /* waiting requests, beyond those in slots */
 #define SIM_DOMAINS 6
@@ -52,6 +53,8 @@
 static void count_primaries(Script *s, uint32_t count, const char *service);
 static void serve(Script *s, uint32_t count, const char *service,
                   const char *object, uint32_t ms, const char *load);
+static void fail_requests(Script *s, uint32_t count, const char *service,
+                          const char *object, uint32_t ms);
 static void choose(Script *s, const char *service, const char *object,
                    uint32_t goal_ms);
 static void choose_faster(Script *s, const char *service, const char *object,
@@ -71,7 +74,8 @@
     POLICY_RENDEZVOUS, /* the object's server, regardless of its queue */
     POLICY_OWN_SPEEDS, /* fleet, if hosts do not share reported speeds */
     POLICY_NO_SPEEDS,  /* fleet, if servers do not report their speed */
-    POLICY_COUNT
+    POLICY_COUNT,
+    POLICY_UNIFORM = POLICY_COUNT /* any server, at random */
 } Policy;
 
 typedef struct {
@@ -93,6 +97,11 @@
     uint32_t slow_share_percent; /* of the servers at a time; 0: even ones */
     uint32_t slow_percent;       /* time that work takes on them */
     uint32_t speed_ms;           /* how long a server keeps a speed */
+    uint32_t bad_servers;        /* servers that fail */
+    uint32_t bad_percent;        /* of the responses of these */
+    uint32_t good_again_s;       /* after which they do not; 0: never */
+    bool once;                   /* requests run at most once */
+    bool unreachable;  /* bad servers fail before they get the request */
     uint32_t share_ms; /* between complete reports to the domain; 0: none */
     Policy policy;
 } Scenario;
@@ -116,6 +125,7 @@
     int64_t sent_ns;
     int32_t tried; /* server that it moved on from; -1: none */
     bool retried;
+    bool is_second_attempt;
     bool was_cached;
     CpFleetWorkClass work_class;
     uint32_t wait_ms;
@@ -151,12 +161,17 @@
     uint32_t request_count;
     uint32_t record_count; /* requests, and attempts that moved on */
     uint32_t moved;
+    uint32_t resent;                      /* after failures */
+    uint32_t answered_early, asked_early; /* in the first second */
     uint32_t in_goal, late, refused, refused_late, failed, served_cached,
         served;
     uint64_t refused_ms;
 } Simulation;
 
 static void simulate(FILE *out, const char *line);
+static void simulate_failures(FILE *out, const char *line);
+static bool fails_now(Simulation *w, int32_t server);
+static bool resend(Simulation *w, uint32_t r);
 static void run_simulation(Simulation *w);
 static void schedule_arrivals(Simulation *w);
 static void arrive(Simulation *w, uint32_t r);
@@ -210,6 +225,9 @@
     if (strncmp(line, "play ", 5) == 0) {
         simulate(s->out, line);
     }
+    else if (strncmp(line, "fail ", 5) == 0) {
+        simulate_failures(s->out, line);
+    }
     else if (sscanf(line, "domain %63s %63s", a, b) == 2) {
         CpFleetDomain *d = &s->domains[s->domain_count++];
         CpStr_Copy(d->name, sizeof(d->name), a);
@@ -259,6 +277,9 @@
     else if (sscanf(line, "random %" SCNu64, &s->random) == 1) {
         s->tried_count = 0;
     }
+    else if (sscanf(line, "fails %u %63s %63s %u ms", &n, a, b, &m) == 4) {
+        fail_requests(s, n, a, b, m);
+    }
     else if (sscanf(line, "next answer pauses %u ms", &m) == 1) {
         s->pause_ms = m;
     }
@@ -420,6 +441,26 @@
     }
 }
 
+/* Sends requests one after the other, each broken off after `ms`. */
+static void
+fail_requests(Script *s, uint32_t count, const char *service,
+              const char *object, uint32_t ms)
+{
+    CpFleetRequest request = {.service = service,
+                              .object = object,
+                              .goal_left_ms = 3000,
+                              .deadline_left_ms = 3000};
+    for (uint32_t i = 0; i < count; i++) {
+        if (CpFleet_Choose(s->fleet, &request, s->now_ns, &s->last) !=
+            CP_REASON_NONE) {
+            fprintf(s->out, "refused after %u\n", i);
+            return;
+        }
+        s->now_ns += ms * CP_NS_PER_MS;
+        end_attempt(s, "broken", ms, "-");
+    }
+}
+
 static void
 end_attempt(Script *s, const char *outcome, uint32_t ms, const char *load)
 {
@@ -431,6 +472,10 @@
                               .service = "s"};
     s->leaving = false;
     s->pause_ms = 0;
+    if (strcmp(outcome, "unsolicited") == 0) {
+        r.unsolicited = true;
+        outcome = "broken";
+    }
     for (uint32_t i = 0; i < CP_ATTEMPT_COUNT; i++) {
         if (strcmp(outcome, CpAttemptOutcome_Name(i)) == 0) {
             r.outcome = (CpAttemptOutcome)i;
@@ -502,6 +547,87 @@
     }
 }
 
+/* fail seed N N of N servers N% hosts N slots N rate N work N ms deadline N ms
+ * for N s [good after N s] [once]: prints the share of requests that are
+ * answered, beside that of servers chosen at random, without the first second
+ * and after the servers are good again. */
+static void
+simulate_failures(FILE *out, const char *line)
+{
+    Scenario p = {.warm_percent = 100, .cache_objects = 1};
+    uint32_t n;
+    if (sscanf(line,
+               "fail seed %" SCNu64 " %u of %u servers %u%% hosts %u slots %u "
+               "rate %u work %u ms deadline %u ms for %u s good after %u s",
+               &p.seed, &p.bad_servers, &n, &p.bad_percent, &p.hosts, &p.slots,
+               &p.rate, &p.work_ms, &p.deadline_ms, &p.duration_s,
+               &p.good_again_s) < 10) {
+        fprintf(out, "not understood: %s\n", line);
+        return;
+    }
+    p.once = strstr(line, " once") != NULL;
+    p.unreachable = strstr(line, " unreachable") != NULL;
+    p.goal_ms = p.deadline_ms;
+    for (uint32_t k = 0; k < n; k++) {
+        p.servers[k % SIM_DOMAINS]++;
+    }
+    uint32_t percents[2];
+    for (uint32_t i = 0; i < 2; i++) {
+        Simulation *w = CpMem_Alloc(sizeof(*w));
+        p.policy = i == 0 ? POLICY_FLEET : POLICY_UNIFORM;
+        w->scenario = &p;
+        run_simulation(w);
+        percents[i] = (w->in_goal + w->late - w->answered_early) * 100 /
+                      (w->request_count - w->asked_early);
+        free(w->requests);
+        free(w);
+    }
+    fprintf(out, "%3u of %3u servers fail %3u%%%s: fleet %3u%%, any %3u%%%s\n",
+            p.bad_servers, n, p.bad_percent,
+            p.once          ? ", once"
+            : p.unreachable ? ", unreachable"
+                            : "",
+            percents[0], percents[1],
+            percents[0] + 3 < percents[1] ? ", too few" : "");
+}
+
+static bool
+fails_now(Simulation *w, int32_t server)
+{
+    const Scenario *p = w->scenario;
+    int64_t now_s = (w->now_ns - START_NS) / CP_NS_PER_S;
+    return (uint32_t)server < p->bad_servers &&
+           (p->good_again_s == 0 || now_s < p->good_again_s) &&
+           CpSeed_Below(&w->seed, 100) < p->bad_percent;
+}
+
+/* Sends a failed request to another server, once and within the budget. */
+static bool
+resend(Simulation *w, uint32_t r)
+{
+    const Scenario *p = w->scenario;
+    SimRequest *q = &w->requests[r];
+    uint32_t retry_ms;
+    if (p->once || q->is_second_attempt ||
+        w->resent * 100 >
+            w->request_count * RETRY_PERCENT + RETRY_BURST * 100) {
+        return false;
+    }
+    q->is_second_attempt = true;
+    q->tried = q->server;
+    w->resent++;
+    q->server = choose_server(w, q, NULL, &retry_ms);
+    if (q->server < 0) { /* only the server that failed is left */
+        q->tried = -1;
+        q->server = choose_server(w, q, NULL, &retry_ms);
+    }
+    if (q->server < 0) {
+        return false;
+    }
+    send_request(w, r);
+    return true;
+}
+
 static void
 run_simulation(Simulation *w)
 {
@@ -698,6 +824,20 @@
     SimRequest *q = &w->requests[r];
     SimServer *server = &w->servers[q->server];
     uint32_t queue_limit = w->scenario->slots * QUEUE_PER_SLOT;
+    if (w->scenario->unreachable && fails_now(w, q->server)) {
+        CpFleetAttemptResult report = {.service = "s",
+                                       .instance = server->name,
+                                       .outcome = CP_ATTEMPT_UNREACHABLE,
+                                       .latency_ns = w->now_ns - q->sent_ns};
+        CpFleet_EndAttempt(w->fleets[q->host], &report, w->now_ns);
+        w->inflight[q->host][q->server]--;
+        bool early = q->arrived_ns < START_NS + CP_NS_PER_S;
+        if (!resend(w, r)) {
+            w->asked_early += early;
+            w->failed++;
+        }
+        return;
+    }
     if (server->ended || g_queue_get_length(server->waiting) >= queue_limit) {
         CpFleetAttemptResult report = {.service = "s",
                                        .instance = server->name,
@@ -749,10 +889,14 @@
     }
     int64_t latency_ns = w->now_ns - q->arrived_ns;
     bool in_time = w->now_ns - q->attempt_ns <= p->deadline_ms * CP_NS_PER_MS;
+    bool fails =
+        p->bad_servers > 0 && !p->unreachable && fails_now(w, q->server);
     CpFleetAttemptResult report = {
         .service = "s",
         .instance = server->name,
-        .outcome = in_time ? CP_ATTEMPT_ANSWERED : CP_ATTEMPT_TIMED_OUT,
+        .outcome = fails     ? CP_ATTEMPT_BROKEN
+                   : in_time ? CP_ATTEMPT_ANSWERED
+                             : CP_ATTEMPT_TIMED_OUT,
         .latency_ns = w->now_ns - q->sent_ns,
         .work_class = q->work_class,
         .has_load = in_time || p->speed_ms == 0,
@@ -767,7 +911,18 @@
     }
     w->served++;
     w->served_cached += q->was_cached;
-    if (!in_time) {
+    bool early = q->arrived_ns < START_NS + CP_NS_PER_S;
+    w->asked_early += early;
+    w->answered_early += early && in_time && !fails;
+    if (fails) {
+        if (resend(w, r)) {
+            w->asked_early -= early;
+        }
+        else {
+            w->failed++;
+        }
+    }
+    else if (!in_time) {
         w->failed++;
     }
     else if (latency_ns <= p->goal_ms * CP_NS_PER_MS) {
@@ -877,6 +1032,13 @@
     uint64_t best_score = 0;
     int64_t waited_ms = (w->now_ns - q->arrived_ns) / CP_NS_PER_MS;
     snprintf(object, sizeof(object), "%u", q->object);
+    if (p->policy == POLICY_UNIFORM) {
+        *retry_ms = 200;
+        best = (int32_t)CpSeed_Below(&w->seed, w->server_count);
+        return best != q->tried || w->server_count == 1
+                   ? best
+                   : (int32_t)((uint32_t)(best + 1) % w->server_count);
+    }
     if (p->policy == POLICY_FLEET || p->policy >= POLICY_OWN_SPEEDS) {
         CpFleetChoice choice;
         CpFleetRequest request = {
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -514,6 +514,9 @@
         if (a->head_latency_ns > 0) {
             r.latency_ns = a->head_latency_ns;
         }
+        /* A server that sends another's response on a new connection, too, is
+         * found there: this one is not used again. */
+        r.unsolicited = a->reused && a->reason == CP_REASON_ANSWER_CROSSED;
         r.leaving = a->leaving;
         r.pause_ms = a->pause_ms;
         r.has_load = a->has_load;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -181,6 +181,9 @@
     uint32_t warmup_left_ms; /* from the response; 0: warm or not reported */
     uint32_t pause_ms; /* the server wants no requests for so long; 0: none */
     bool leaving;      /* the server announced that it leaves */
+    /* The attempt broke off because its connection, used before, delivered
+     * bytes that no request asked for: no failure of this request's. */
+    bool unsolicited;
     uint64_t response_bytes;
 } CpFleetAttemptResult;
 /* Ends an attempt that CpFleet_Choose() began and updates the server's
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -1,4 +1,6 @@
 /* Chooses servers by object and refuses requests that would wait too long. */
+#include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fleet/fleet_int.h"
@@ -48,6 +50,17 @@
 /* With fewer responses the work time is an assumption, and no reason to move.
  */
 #define MIN_WORKS 8
+
+/* Half of a service's slots stay in use, however bad the servers are. */
+#define FLOOR_DIVISOR 2
+/* Where fewer attempts than this succeed in the whole service, a server is
+ * passed over only if it is worse than the others: if it has less than this
+ * part of their success. */
+#define HEALTHY_SERVICE 0.8
+#define WORSE_THAN_OTHERS 0.9
+/* After so many failures in a row a server is taken as dead. One that fails
+ * 90% of its attempts gets there once in 24 times. */
+#define DEAD_FAILURES 30
 /* Work that lasts longer than this share of all takes is on a server that does
  * not respond. */
 #define MAX_ENDED_SHARE 0.98
@@ -72,6 +85,8 @@
     bool is_probe;     /* treats servers of domains without reports as idle */
     bool skipped_cold; /* a server was skipped because it is cold */
     bool skipped_busy; /* a server was skipped for lack of spare slots */
+    uint32_t usable_slots;
+    uint32_t passed_over_slots; /* of servers that failed recently */
     int64_t usable_ns; /* when the first of those that rest is usable again */
 } Search;
 
@@ -93,6 +108,13 @@
 
 static uint32_t decay(uint32_t value, int64_t age_ns, int64_t half_life_ns);
 static bool consider(Search *q, CpFleetServer *server, Candidate *out);
+static bool consider_usable(Search *q, CpFleetServer *server, Candidate *out);
+static void consider_floor(Search *q, Candidate *near, Candidate *best);
+static void keep_better(const Search *q, const Candidate *candidate,
+                        Candidate *near, Candidate *best);
+static int by_success(const void *a, const void *b);
+static bool is_permitted(const Search *q, const CpFleetServer *server);
+static bool is_passed_over(const Search *q, const CpFleetServer *server);
 static CpFleetWorkClass work_class(const Search *q,
                                    const Candidate *candidate);
 static void keep_in_region(Search *q, const Candidate *near, Candidate *best);
@@ -149,16 +171,16 @@
     if (ideal) {
         best = candidate;
     }
+    q.usable_slots = q.passed_over_slots =
+        0; /* the primary is counted again */
     for (uint32_t i = 0; !ideal && i < s->servers->len; i++) {
         if (!consider(&q, g_ptr_array_index(s->servers, i), &candidate)) {
             continue;
         }
-        if (candidate.cost_us < best.cost_us) {
-            best = candidate;
-        }
-        if (candidate.cost_us < near.cost_us && !is_remote(&q, &candidate)) {
-            near = candidate;
-        }
+        keep_better(&q, &candidate, &near, &best);
+    }
+    if (!ideal && q.passed_over_slots > 0) {
+        consider_floor(&q, &near, &best);
     }
     if (q.has_speeds) {
         keep_in_region(&q, &near, &best);
@@ -256,9 +278,12 @@
 static bool
 consider(Search *q, CpFleetServer *server, Candidate *out)
 {
-    if (!is_usable(q, server)) {
-        return false;
-    }
+    return is_usable(q, server) && consider_usable(q, server, out);
+}
+
+static bool
+consider_usable(Search *q, CpFleetServer *server, Candidate *out)
+{
     *out = (Candidate){.server = server,
                        .placement = placement_of(q, server),
                        .inflight = CpFleet_Inflight(server, q->now_ns)};
@@ -275,6 +300,79 @@
     return true;
 }
 
+/* A server that was passed over, with its expected success. */
+typedef struct {
+    CpFleetServer *server;
+    double success;
+} PassedOver;
+
+/* If too small a share of the slots is usable, considers servers that were
+ * passed over for their failures, the least bad first. One that is taken as
+ * dead gets one request at a time, to find out whether it is. */
+static void
+consider_floor(Search *q, Candidate *near, Candidate *best)
+{
+    uint32_t n = 0, slots = q->usable_slots;
+    uint32_t floor_slots =
+        (q->usable_slots + q->passed_over_slots + 1) / FLOOR_DIVISOR;
+    if (slots >= floor_slots) {
+        return;
+    }
+    PassedOver *list = CpMem_Alloc(q->service->servers->len * sizeof(*list));
+    for (uint32_t i = 0; i < q->service->servers->len; i++) {
+        CpFleetServer *server = g_ptr_array_index(q->service->servers, i);
+        if (is_permitted(q, server) && is_passed_over(q, server) &&
+            server->paused_until_ns <= q->now_ns) {
+            list[n++] = (PassedOver){
+                server,
+                CpFleet_ExpectedSuccess(q->service, server, q->now_ns)};
+        }
+    }
+    qsort(list, n, sizeof(*list), by_success);
+    for (uint32_t i = 0; i < n && slots < floor_slots; i++) {
+        CpFleetServer *server = list[i].server;
+        Candidate candidate;
+        slots += server->entry.slots;
+        if (server->consecutive_failures >= DEAD_FAILURES &&
+            server->inflight > 0) {
+            continue;
+        }
+        if (!warmup_allows(q, server)) {
+            q->skipped_cold = true;
+            continue;
+        }
+        if (consider_usable(q, server, &candidate)) {
+            /* each failure in a row makes the next one more likely */
+            double success =
+                ldexp(list[i].success, -(int)server->consecutive_failures);
+            candidate.cost_us += (int64_t)(q->service->mean_work_us *
+                                           FAILURE_COST * (1 - success));
+            keep_better(q, &candidate, near, best);
+        }
+    }
+    free(list);
+}
+
+static void
+keep_better(const Search *q, const Candidate *candidate, Candidate *near,
+            Candidate *best)
+{
+    if (candidate->cost_us < best->cost_us) {
+        *best = *candidate;
+    }
+    if (candidate->cost_us < near->cost_us && !is_remote(q, candidate)) {
+        *near = *candidate;
+    }
+}
+
+static int
+by_success(const void *a, const void *b)
+{
+    double x = ((const PassedOver *)a)->success;
+    double y = ((const PassedOver *)b)->success;
+    return x > y ? -1 : x < y;
+}
+
 static CpFleetWorkClass
 work_class(const Search *q, const Candidate *candidate)
 {
@@ -349,22 +447,22 @@
 static bool
 is_usable(Search *q, CpFleetServer *server)
 {
-    if (!CpFleet_IsEligible(q->fleet, server) ||
-        !CpFleet_IsHome(q->fleet, server, q->request) ||
-        was_tried(q->request, server)) {
+    if (!is_permitted(q, server)) {
         return false;
     }
-    int64_t rest_until_ns = server->ejected_until_ns > server->paused_until_ns
-                                ? server->ejected_until_ns
-                                : server->paused_until_ns;
-    if (rest_until_ns > q->now_ns) {
-        q->usable_ns =
-            rest_until_ns < q->usable_ns ? rest_until_ns : q->usable_ns;
+    bool paused = server->paused_until_ns > q->now_ns;
+    if (paused || is_passed_over(q, server)) {
+        int64_t rest_until_ns =
+            server->ejected_until_ns > server->paused_until_ns
+                ? server->ejected_until_ns
+                : server->paused_until_ns;
+        if (rest_until_ns > q->now_ns && rest_until_ns < q->usable_ns) {
+            q->usable_ns = rest_until_ns;
+        }
+        q->passed_over_slots += paused ? 0 : server->entry.slots;
         return false;
     }
-    if (server->consecutive_failures > 0 && server->inflight > 0) {
-        return false; /* one request at a time until it responds again */
-    }
+    q->usable_slots += server->entry.slots;
     if (!warmup_allows(q, server)) {
         q->skipped_cold = true;
         return false;
@@ -372,6 +470,31 @@
     return true;
 }
 
+static bool
+is_permitted(const Search *q, const CpFleetServer *server)
+{
+    return CpFleet_IsEligible(q->fleet, server) &&
+           CpFleet_IsHome(q->fleet, server, q->request) &&
+           !was_tried(q->request, server);
+}
+
+/* Returns true if the server is ejected, or failed and has not yet responded
+ * to the request that it got since. Where the whole service fails, a server is
+ * passed over only if it is worse than the others. */
+static bool
+is_passed_over(const Search *q, const CpFleetServer *server)
+{
+    if (server->ejected_until_ns <= q->now_ns &&
+        (server->consecutive_failures == 0 || server->inflight == 0)) {
+        return false;
+    }
+    double success = CpFleet_ServiceSuccess(q->service, q->now_ns);
+    return success >= HEALTHY_SERVICE ||
+           server->consecutive_failures >= DEAD_FAILURES ||
+           CpFleet_ExpectedSuccess(q->service, server, q->now_ns) <
+               WORSE_THAN_OTHERS * success;
+}
+
 static bool
 was_tried(const CpFleetRequest *request, const CpFleetServer *server)
 {
--- a/src/fleet/fleet_int.h
+++ b/src/fleet/fleet_int.h
@@ -23,6 +23,13 @@
 
 typedef struct CpFleetServer CpFleetServer;
 
+/* Outcomes of attempts, whose weight halves with time. */
+typedef struct {
+    double successes;
+    double failures;
+    int64_t counted_ns; /* the counts are as of then */
+} CpFleetOutcomes;
+
 /* An object's primary and secondary server; either may be NULL. */
 typedef struct {
     CpFleetServer *primary;
@@ -75,8 +82,11 @@
     uint32_t failure_milli; /* share of failed attempts, moving average */
     int64_t last_failure_ns;
     uint32_t consecutive_failures; /* unreachable or broken attempts */
+    CpFleetOutcomes outcomes;
+    int64_t ejected_ns; /* when it was last ejected */
     int64_t ejected_until_ns;
     int64_t cold_until_ns;
+    bool cold_after_ejection; /* and not by what the server said */
     int64_t next_request_ns; /* earliest time of the next request while cold */
     /* Part of this host in the server's warm-up rate, and until when it is
      * taken to be unchanged; 0 hosts: none. */
@@ -145,6 +155,7 @@
     uint32_t warmup_per_s_milli;
     GPtrArray *servers;
     GHashTable *by_hash; /* the same servers, by the hash of their instance */
+    CpFleetOutcomes outcomes;     /* of all servers */
     uint32_t mean_work_us;        /* moving average; 0: unknown */
     uint32_t mean_response_bytes; /* moving average */
     uint32_t requests_since_tick; /* of this host */
@@ -211,6 +222,11 @@
 int64_t CpFleet_ExpectedWait_us(const CpFleetService *s,
                                 const CpFleetServer *server, uint32_t inflight,
                                 int64_t now_ns);
+/* Returns the share of attempts that succeed in the service, and at one server
+ * of it. */
+double CpFleet_ServiceSuccess(const CpFleetService *s, int64_t now_ns);
+double CpFleet_ExpectedSuccess(const CpFleetService *s,
+                               const CpFleetServer *server, int64_t now_ns);
 /* Records a speed that the server had `age_ns` ago. */
 void CpFleet_RecordSpeed(CpFleetService *s, CpFleetServer *server,
                          uint32_t percent, int64_t age_ns, int64_t now_ns);
--- a/src/fleet/fleet_learn.c
+++ b/src/fleet/fleet_learn.c
@@ -1,4 +1,5 @@
 /* Updates the state of a server when an attempt ends. */
+#include <math.h>
 #include <string.h>
 
 #include "fleet/fleet_int.h"
@@ -10,6 +11,9 @@
 #define EJECTION_MIN_MS 200  /* a restart takes longer than a lost packet */
 #define EJECTION_MAX_SHIFT 4 /* 3.2 s: a recovered server is soon found */
 #define EJECTION_FAILURES 3  /* lost responses in a row; one may be chance */
+/* Of counted outcomes: a server that recovered is told within seconds. */
+#define OUTCOME_HALF_LIFE_NS (2 * CP_NS_PER_S)
+#define ASSUMED_SUCCESSES 10
 
 static const char *const outcome_names[CP_ATTEMPT_COUNT] = {
     [CP_ATTEMPT_ANSWERED] = "answered",
@@ -36,8 +40,10 @@
                            const CpFleetAttemptResult *r, int64_t now_ns);
 static bool may_be_slow(const CpFleetService *s, const CpFleetAttemptResult *r,
                         int64_t now_ns);
+static void count_outcome(CpFleetOutcomes *o, bool failed, int64_t now_ns);
+static double outcome_weight(const CpFleetOutcomes *o, int64_t now_ns);
 static void eject(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
-                  int64_t now_ns);
+                  bool was_unreachable, int64_t now_ns);
 static void set_leaving(CpFleet *f, CpFleetService *s, CpFleetServer *server,
                         int64_t now_ns);
 static void pause_server(CpFleet *f, CpFleetServer *server, uint32_t pause_ms,
@@ -70,12 +76,23 @@
         }
         record_failure(f, s, server, r, now_ns);
         if (r->outcome == CP_ATTEMPT_UNREACHABLE ||
-            (r->outcome == CP_ATTEMPT_BROKEN &&
+            (r->outcome == CP_ATTEMPT_BROKEN && !r->unsolicited &&
              server->consecutive_failures >= EJECTION_FAILURES)) {
-            eject(f, s, server, now_ns);
+            eject(f, s, server, r->outcome == CP_ATTEMPT_UNREACHABLE, now_ns);
         }
         if (r->warmup_left_ms > 0) {
             server->cold_until_ns = now_ns + r->warmup_left_ms * CP_NS_PER_MS;
+            server->cold_after_ejection = false;
+        }
+        else if (server->cold_after_ejection &&
+                 r->outcome == CP_ATTEMPT_ANSWERED) {
+            server->cold_until_ns = now_ns; /* it had not been restarted */
+            server->cold_after_ejection = false;
+        }
+        if (r->outcome == CP_ATTEMPT_ANSWERED &&
+            now_ns - r->latency_ns >= server->ejected_ns &&
+            now_ns < server->ejected_until_ns) {
+            server->ejected_until_ns = now_ns; /* it was in use nevertheless */
         }
         if (r->leaving) {
             set_leaving(f, s, server, now_ns);
@@ -253,6 +270,9 @@
                const CpFleetAttemptResult *r, int64_t now_ns)
 {
     bool failed = false, unavailable = false;
+    if (r->unsolicited) {
+        return;
+    }
     switch (r->outcome) {
     case CP_ATTEMPT_ANSWERED:
         server->timed_out = false;
@@ -283,6 +303,10 @@
     if (failed) {
         server->last_failure_ns = now_ns;
     }
+    if (r->outcome != CP_ATTEMPT_REFUSED) { /* that is for lack of slots */
+        count_outcome(&server->outcomes, failed, now_ns);
+        count_outcome(&s->outcomes, failed, now_ns);
+    }
     if (!unavailable && server->consecutive_failures > 0) {
         report_change(f, server, "answers_again", 0);
     }
@@ -305,24 +329,66 @@
 
 /* Ejects the server for a time that doubles with each failure in a row; the
  * fourth one is taken as the end of the server, and the time is the longest.
- * It may return with an empty cache, so it is cold afterwards. */
+ * One that was unreachable may return with an empty cache, so it is cold
+ * afterwards. */
 static void
 eject(const CpFleet *f, CpFleetService *s, CpFleetServer *server,
-      int64_t now_ns)
+      bool was_unreachable, int64_t now_ns)
 {
     uint32_t shift = server->consecutive_failures < EJECTION_MAX_SHIFT
                          ? server->consecutive_failures - 1
                          : EJECTION_MAX_SHIFT;
     server->ejected_until_ns =
         now_ns + ((int64_t)EJECTION_MIN_MS << shift) * CP_NS_PER_MS;
+    server->ejected_ns = now_ns;
     report_change(f, server, "rests", EJECTION_MIN_MS << shift);
+    if (!was_unreachable) {
+        return; /* it took the request: it was not restarted */
+    }
     int64_t cold_until_ns =
         server->ejected_until_ns + s->warmup_ms * CP_NS_PER_MS;
     if (cold_until_ns > server->cold_until_ns) {
         server->cold_until_ns = cold_until_ns;
+        server->cold_after_ejection = true;
     }
 }
 
+static void
+count_outcome(CpFleetOutcomes *o, bool failed, int64_t now_ns)
+{
+    double weight = outcome_weight(o, now_ns);
+    o->successes = o->successes * weight + !failed;
+    o->failures = o->failures * weight + failed;
+    o->counted_ns = now_ns;
+}
+
+static double
+outcome_weight(const CpFleetOutcomes *o, int64_t now_ns)
+{
+    return exp2(-(double)(now_ns - o->counted_ns) / OUTCOME_HALF_LIFE_NS);
+}
+
+/* Some successes are assumed: a first failure says little about a service. */
+double
+CpFleet_ServiceSuccess(const CpFleetService *s, int64_t now_ns)
+{
+    const CpFleetOutcomes *o = &s->outcomes;
+    double weight = outcome_weight(o, now_ns);
+    return (o->successes * weight + ASSUMED_SUCCESSES) /
+           ((o->successes + o->failures) * weight + ASSUMED_SUCCESSES);
+}
+
+/* One attempt with the success of the service is assumed. */
+double
+CpFleet_ExpectedSuccess(const CpFleetService *s, const CpFleetServer *server,
+                        int64_t now_ns)
+{
+    const CpFleetOutcomes *o = &server->outcomes;
+    double weight = outcome_weight(o, now_ns);
+    return (o->successes * weight + CpFleet_ServiceSuccess(s, now_ns)) /
+           ((o->successes + o->failures) * weight + 1);
+}
+
 static void
 report_change(const CpFleet *f, const CpFleetServer *server,
               const char *change, uint32_t ms)
