fleet: speeds shift at most a twentieth of a region's requests

Cause: in the simulated loads of regress/fleet/uneven up to 8% of the requests left their region with work of 1,400 ms, and the share changed by up to a third within 2 s (windows of 8 to 16 requests). Servers' typical speeds differed by chance by a tenth, more than the cost of another region, and such moves needed no credit. Ruled out: a slower average of the typical speed alone: 16% left the region. Queues: of the moves hardly one was for a queue at the best server of the region. Change: requests that leave the region although a server there would be as good, if all had the same speed, need a credit; it is 0.05 a request in place of 0.1. The typical speed is an average over 10 s, in which reports of the same moment do not count again and again. The script prints the share served in other regions.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -161,7 +161,8 @@
     uint32_t request_count;
     uint32_t record_count; /* requests, and attempts that moved on */
     uint32_t moved;
-    uint32_t resent;                      /* after failures */
+    uint32_t remote; /* served in another region than the caller's */
+    uint32_t resent; /* after failures */
     uint32_t answered_early, asked_early; /* in the first second */
     uint32_t in_goal, late, refused, refused_late, failed, served_cached,
         served;
@@ -524,8 +525,9 @@
         fprintf(out, "not understood: %s\n", line);
         return;
     }
-    fprintf(out, "%-12s %6s %7s %7s %9s %11s %7s %6s\n", "", "asked",
-            "in goal", "late", "at once", "after wait", "failed", "warm");
+    fprintf(out, "%-12s %6s %7s %7s %9s %11s %7s %6s%s\n", "", "asked",
+            "in goal", "late", "at once", "after wait", "failed", "warm",
+            p.speed_ms > 0 ? "  remote" : "");
     for (uint32_t i = 0; i < POLICY_COUNT; i++) {
         if (i >= POLICY_OWN_SPEEDS && p.speed_ms == 0) {
             continue;
@@ -534,7 +536,7 @@
         p.policy = (Policy)i;
         w->scenario = &p;
         run_simulation(w);
-        fprintf(out, "%-12s %6u %6u%% %6u%% %8u%% %10u%% %6u%% %5u%%\n",
+        fprintf(out, "%-12s %6u %6u%% %6u%% %8u%% %10u%% %6u%% %5u%%",
                 policy_names[i], w->request_count,
                 w->in_goal * 100 / w->request_count,
                 w->late * 100 / w->request_count,
@@ -542,6 +544,10 @@
                 w->refused_late * 100 / w->request_count,
                 w->failed * 100 / w->request_count,
                 w->served_cached * 100 / (w->served > 0 ? w->served : 1));
+        if (p.speed_ms > 0) {
+            fprintf(out, " %6u%%", w->remote * 100 / w->served);
+        }
+        fprintf(out, "\n");
         free(w->requests);
         free(w);
     }
@@ -910,6 +916,7 @@
                  q->host * MAX_SERVERS + (uint32_t)q->server);
     }
     w->served++;
+    w->remote += server->domain / 2 != q->domain / 2;
     w->served_cached += q->was_cached;
     bool early = q->arrived_ns < START_NS + CP_NS_PER_S;
     w->asked_early += early;
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -71,7 +71,7 @@
 #define SLOW_RETRY_AFTER_US (300 * 1000) /* half the lifetime of a speed */
 /* Share of a host's requests that leave the region because its servers are
  * slow at the moment; shifts between regions have to stay below 15% in 2 s. */
-#define REMOTE_CREDIT_MILLI 100
+#define REMOTE_CREDIT_MILLI 50
 #define MAX_REMOTE_CREDIT_MILLI 1000
 
 typedef struct {
@@ -101,7 +101,7 @@
     int64_t expected_us; /* until the response, with the locality cost */
     int64_t cost_us;     /* what candidates are compared by */
     /* Of a service whose servers report their speed. */
-    int64_t usual_cost_us; /* if each had its typical speed */
+    int64_t usual_cost_us; /* if all servers had the same speed */
     double goal_share;     /* chance of a response within the goal */
     double deadline_share; /* the same within the deadline */
 } Candidate;
@@ -666,7 +666,7 @@
         other_us;
     candidate->usual_cost_us =
         candidate->wait_us +
-        (int64_t)(usual_us * CpFleet_TypicalPercent(s, server)) + other_us;
+        (int64_t)(usual_us * s->typical_percent_milli / 1000) + other_us;
     candidate->goal_share =
         success *
         CpFleet_ChanceWithin(
--- a/src/fleet/fleet_speed.c
+++ b/src/fleet/fleet_speed.c
@@ -12,7 +12,10 @@
 /* Servers keep a speed for about this long. */
 #define SPEED_LIFETIME_NS (600 * CP_NS_PER_MS)
 #define FORGET_SPEEDS_NS (30 * CP_NS_PER_S) /* without any report */
-#define TYPICAL_SHIFT 4 /* a report has a weight of 1/16 in the average */
+/* Time over which a server's typical speed is averaged; reports within the
+ * lifetime of a speed tell the same. */
+#define TYPICAL_NS (10 * CP_NS_PER_S)
+#define MAX_TYPICAL_WEIGHT 0.1 /* of a report after a long time */
 #define USUAL_PERCENT 100
 #define MAX_SPEEDS 512.0F /* reports that the distribution stands for */
 #define MAX_WORKS 256.0F  /* responses that a distribution stands for */
@@ -50,6 +53,7 @@
     if (percent == 0 || now_ns - age_ns < server->speed_ns) {
         return; /* older than what is known */
     }
+    int64_t since_ns = now_ns - age_ns - server->speed_ns;
     server->work_percent = percent;
     server->speed_from_peer = false;
     server->speed_ns = now_ns - age_ns;
@@ -58,10 +62,10 @@
         typical_milli = s->typical_percent_milli > 0 ? s->typical_percent_milli
                                                      : USUAL_PERCENT * 1000;
     }
+    double weight = 1 - exp(-(double)since_ns / TYPICAL_NS);
+    weight = weight < MAX_TYPICAL_WEIGHT ? weight : MAX_TYPICAL_WEIGHT;
     server->typical_percent_milli =
-        (uint32_t)(((uint64_t)typical_milli * ((1u << TYPICAL_SHIFT) - 1) +
-                    percent * UINT64_C(1000)) >>
-                   TYPICAL_SHIFT);
+        (uint32_t)((1 - weight) * typical_milli + weight * percent * 1000);
     uint32_t i = speed_bucket(percent);
     s->speed_counts[i] += 1;
     s->speed_sums[i] += (float)percent;
