regress: a check for a faster server waits for the attempt that it is of

Cause: the address sanitizer found an index of -1 in the simulation of regress/fleet/uneven: the check of an attempt came while the request was refused and waited to be sent again, or looked at its next attempt too early. Ruled out: src/fleet; only the driver of the scripts is concerned. Change: the check does nothing then. The scripts of regress/fleet, wire and platform pass with the address and undefined behaviour sanitizers.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -785,8 +785,9 @@
 {
     SimRequest *q = &w->requests[r];
     uint32_t retry_ms;
-    if (q->has_ended) {
-        return;
+    if (q->has_ended || q->server < 0 ||
+        w->now_ns < q->sent_ns + q->expected_ms * CP_NS_PER_MS) {
+        return; /* or it is sent anew, which is checked by itself */
     }
     CpFleetAttempt attempt = {.instance = w->servers[q->server].name,
                               .work_class = q->work_class,
