entry: hosts may read the speeds of servers from their health pages

Conclusion: kept, off by default: it sends requests to servers that nobody sent before, and was not measured on a deployment.

--- a/Makefile
+++ b/Makefile
@@ -74,7 +74,7 @@
 # Names of the users' platform stand in platform/ only.
 PLATFORM_NAMES := rows-tx|rows-get|rows-feed|blob-(put|get|drop)|Attempt-Id|\
 Affinity-Key|Target-Instance|Not-Executed|Response-Seal|Server-Load|\
-Warmup-Remaining|Server-Leaving|warmupLeftMs|serviceName|configVersion|latencyGoalMs|\
+Warmup-Remaining|Server-Leaving|warmupLeftMs|serviceName|healthPath|configVersion|latencyGoalMs|\
 trafficSplit|routeType|sessionAffinity
 lint:
 	! grep -rnE '$(PLATFORM_NAMES)' src
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -77,6 +77,8 @@
          "Attempts abandoned for a faster server, within the latency goal"},
     [CP_COUNT_SPEEDS_RECEIVED] = {"speeds_received",
                                   "Speeds of servers, from other hosts"},
+    [CP_COUNT_SPEED_POLLS] = {"speed_polls",
+                              "Health pages read for a server's speed"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -64,6 +64,8 @@
     bool first_start;  /* the hosts start together for the first time */
     uint32_t lapse_ms; /* after a store outage, before missing
                           server entries are removed */
+    /* between polls of a server that reports its speed; 0: none */
+    uint32_t speed_poll_ms;
 } CpSettings;
 bool CpSettings_ServesRoutes(const CpSettings *s);
 
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -45,6 +45,7 @@
     CP_U32_FIELD(CpSettings, report_interval_ms, 100, 60000, 1500, "ms"),
     CP_BOOL_FIELD(CpSettings, first_start, 0),
     CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2000, "ms"),
+    CP_U32_FIELD(CpSettings, speed_poll_ms, 0, 60000, 0, "ms"),
     {0},
 };
 
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -390,6 +390,24 @@
     return rank < MAX_WARMUP_HOSTS;
 }
 
+bool
+CpEntryHosts_IsPoller(void *ctx, const char *instance)
+{
+    CpEntry *e = ctx;
+    uint64_t seed = CpHash_Str(instance, 0);
+    uint64_t own_hash = CpHash_Str(e->settings.host, seed);
+    bool first = true;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len && first; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        first = h->silent || h->leaving ||
+                strcmp(h->domain, e->settings.domain) != 0 ||
+                CpHash_Str(h->name, seed) >= own_hash;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return first;
+}
+
 /* The hosts of the caller's domain; if there are none, those of its region,
  * and then all. */
 char *
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -196,6 +196,10 @@
  * server, do. *host_count is the number of those hosts. */
 bool CpEntryHosts_GetWarmupShare(void *ctx, const char *instance,
                                  const char *domain, uint32_t *host_count);
+/* Returns true if this host polls the server's speed: it is the first live
+ * host of its domain in the rendezvous order of the server. `ctx` is a
+ * CpEntry. */
+bool CpEntryHosts_IsPoller(void *ctx, const char *instance);
 /* Encodes the directory's response to a caller in a domain; free() it. NULL if
  * no host is available. */
 char *CpEntryHosts_EncodeDirectory(CpEntry *e, const char *domain,
@@ -229,6 +233,12 @@
 void CpEntryPeers_Tick(void *ctx, int64_t now_ns);
 /* Reports the versions of the tables to the hosts of this domain. */
 void CpEntryPeers_SendVersions(CpEntry *e);
+/* Sends the speeds that servers reported to this host within `max_age_ms` to
+ * the hosts of its domain: each alone sees few responses. */
+void CpEntryPeers_SendSpeeds(CpEntry *e, uint32_t max_age_ms, int64_t now_ns);
+
+/* poll: speeds from the health pages of servers */
+CpStatus CpEntryPoll_Start(CpEntry *e);
 /* Reports this host's requests in flight at a server to the hosts that share
  * the server. */
 void CpEntryPeers_SendUsage(CpEntry *e, const char *service,
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -93,6 +93,9 @@
     if (st == CP_OK) {
         st = CpEntryPeers_Start(e);
     }
+    if (st == CP_OK) {
+        st = CpEntryPoll_Start(e);
+    }
     if (st == CP_OK) {
         st = CpTimer_Start(e->timer);
     }
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -22,8 +22,6 @@
 static void *receive_thread(void *ctx);
 static void on_report(CpEntry *e, const CpReportFrame *r);
 static void on_speeds(CpEntry *e, const CpSpeedsFrame *speeds);
-static void send_speeds(CpEntry *e, const CpEntryAddress *to, uint32_t count,
-                        int64_t now_ns);
 static void send_report(CpEntry *e, const CpReportFrame *r,
                         const CpEntryAddress *to, uint32_t count);
 static void send_datagram(CpEntry *e, const CpFrame *f,
@@ -96,8 +94,9 @@
         CpEntryHosts_ListReportRecipients(e, remote, to, MAX_RECIPIENTS);
     send_report(e, &r, to, count);
     CpEntryHosts_CheckSilence(e, now_ns);
-    count = CpEntryHosts_ListReportRecipients(e, false, to, MAX_RECIPIENTS);
-    send_speeds(e, to, count, now_ns);
+    if (e->settings.speed_poll_ms == 0) {
+        CpEntryPeers_SendSpeeds(e, CP_ENTRY_REPORT_INTERVAL_MS, now_ns);
+    }
 }
 
 void
@@ -110,6 +109,28 @@
         CpEntryHosts_ListReportRecipients(e, false, to, MAX_RECIPIENTS));
 }
 
+void
+CpEntryPeers_SendSpeeds(CpEntry *e, uint32_t max_age_ms, int64_t now_ns)
+{
+    CpFleetSpeed speeds[MAX_SPEED_ROWS];
+    CpEntryAddress to[MAX_RECIPIENTS];
+    CpSpeedRow rows[MAX_SPEED_ROWS];
+    uint32_t n = CpFleet_ListSpeeds(e->fleet, max_age_ms, now_ns, speeds,
+                                    MAX_SPEED_ROWS);
+    for (uint32_t i = 0; i < n; i++) {
+        rows[i] = (CpSpeedRow){.server_hash = speeds[i].server_hash,
+                               .work_percent = speeds[i].work_percent,
+                               .age_ms = speeds[i].age_ms};
+    }
+    CpFrame f = {.type = CP_FRAME_SPEEDS,
+                 .speeds = {.rows = rows, .row_count = n}};
+    if (n > 0) {
+        send_datagram(
+            e, &f, to,
+            CpEntryHosts_ListReportRecipients(e, false, to, MAX_RECIPIENTS));
+    }
+}
+
 static void *
 receive_thread(void *ctx)
 {
@@ -161,28 +182,6 @@
     }
 }
 
-/* Sends the speeds that servers reported since the last time to the hosts of
- * this domain: each alone sees few responses. */
-static void
-send_speeds(CpEntry *e, const CpEntryAddress *to, uint32_t count,
-            int64_t now_ns)
-{
-    CpFleetSpeed speeds[MAX_SPEED_ROWS];
-    CpSpeedRow rows[MAX_SPEED_ROWS];
-    uint32_t n = CpFleet_ListSpeeds(e->fleet, CP_ENTRY_REPORT_INTERVAL_MS,
-                                    now_ns, speeds, MAX_SPEED_ROWS);
-    for (uint32_t i = 0; i < n; i++) {
-        rows[i] = (CpSpeedRow){.server_hash = speeds[i].server_hash,
-                               .work_percent = speeds[i].work_percent,
-                               .age_ms = speeds[i].age_ms};
-    }
-    CpFrame f = {.type = CP_FRAME_SPEEDS,
-                 .speeds = {.rows = rows, .row_count = n}};
-    if (n > 0) {
-        send_datagram(e, &f, to, count);
-    }
-}
-
 static void
 on_speeds(CpEntry *e, const CpSpeedsFrame *frame)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -246,6 +246,25 @@
 void CpFleet_SetPeerSpeeds(CpFleet *f, const CpFleetSpeed *speeds,
                            uint32_t count, int64_t now_ns);
 
+/* A server of this host's domain whose speed no response has told recently. */
+typedef struct {
+    char service[CP_NAME_BYTES];
+    char instance[CP_NAME_BYTES];
+    char address[CP_ADDR_BYTES];
+} CpFleetSpeedTarget;
+/* Lists such servers, of services that report speeds, for which `is_wanted`
+ * returns true. It is called under the lock of the service's shard. Returns
+ * how many, at most `capacity`. */
+uint32_t
+CpFleet_ListSpeedTargets(CpFleet *f, uint32_t max_age_ms, int64_t now_ns,
+                         bool (*is_wanted)(void *ctx, const char *instance),
+                         void *ctx, CpFleetSpeedTarget *out,
+                         uint32_t capacity);
+/* Records the speed from a server's health page. */
+void CpFleet_SetPolledSpeed(CpFleet *f, const char *service,
+                            const char *instance, uint32_t work_percent,
+                            int64_t now_ns);
+
 /* Counts the servers of a service that may get new requests now. */
 uint32_t CpFleet_CountUsable(CpFleet *f, const char *service, int64_t now_ns);
 
--- a/src/fleet/fleet_speed.c
+++ b/src/fleet/fleet_speed.c
@@ -37,6 +37,17 @@
     int64_t now_ns;
 } PeerSpeeds;
 
+typedef struct {
+    uint32_t max_age_ms;
+    int64_t now_ns;
+    bool (*is_wanted)(void *ctx, const char *instance);
+    void *ctx;
+    CpFleetSpeedTarget *out;
+    uint32_t capacity;
+    uint32_t out_count;
+} Targets;
+
+static void list_targets(CpFleet *f, CpFleetService *s, void *ctx);
 static void list_speeds(CpFleet *f, CpFleetService *s, void *ctx);
 static void set_peer_speeds(CpFleet *f, CpFleetService *s, void *ctx);
 static uint32_t speed_bucket(uint32_t percent);
@@ -103,6 +114,34 @@
     CpFleet_ForEachService(f, set_peer_speeds, &p);
 }
 
+uint32_t
+CpFleet_ListSpeedTargets(CpFleet *f, uint32_t max_age_ms, int64_t now_ns,
+                         bool (*is_wanted)(void *ctx, const char *instance),
+                         void *ctx, CpFleetSpeedTarget *out, uint32_t capacity)
+{
+    Targets t = {.max_age_ms = max_age_ms,
+                 .now_ns = now_ns,
+                 .is_wanted = is_wanted,
+                 .ctx = ctx,
+                 .out = out,
+                 .capacity = capacity};
+    CpFleet_ForEachService(f, list_targets, &t);
+    return t.out_count;
+}
+
+void
+CpFleet_SetPolledSpeed(CpFleet *f, const char *service, const char *instance,
+                       uint32_t work_percent, int64_t now_ns)
+{
+    CpFleetService *s;
+    CpFleetShard *shard = CpFleet_LockService(f, service, &s);
+    CpFleetServer *server = CpFleet_FindServer(s, instance);
+    if (server != NULL) {
+        CpFleet_RecordSpeed(s, server, work_percent, 0, now_ns);
+    }
+    pthread_mutex_unlock(&shard->lock);
+}
+
 bool
 CpFleet_HasSpeeds(const CpFleetService *s, int64_t now_ns)
 {
@@ -230,6 +269,32 @@
     }
 }
 
+/* Servers that requests may not be sent to are not polled either. */
+static void
+list_targets(CpFleet *f, CpFleetService *s, void *ctx)
+{
+    Targets *t = ctx;
+    for (uint32_t i = 0;
+         i < s->servers->len && CpFleet_HasSpeeds(s, t->now_ns) &&
+         t->out_count < t->capacity;
+         i++) {
+        const CpFleetServer *server = g_ptr_array_index(s->servers, i);
+        if (server->domain_index == f->own_domain_index && !server->lapsed &&
+            CpFleet_IsEligible(f, server) &&
+            t->now_ns >= server->paused_until_ns &&
+            t->now_ns >= server->ejected_until_ns &&
+            t->now_ns - server->speed_ns >= t->max_age_ms * CP_NS_PER_MS &&
+            t->is_wanted(t->ctx, server->entry.instance)) {
+            CpFleetSpeedTarget *target = &t->out[t->out_count++];
+            CpStr_Copy(target->service, sizeof(target->service), s->name);
+            CpStr_Copy(target->instance, sizeof(target->instance),
+                       server->entry.instance);
+            CpStr_Copy(target->address, sizeof(target->address),
+                       server->entry.address);
+        }
+    }
+}
+
 static void
 list_speeds(CpFleet *f, CpFleetService *s, void *ctx)
 {
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -36,12 +36,15 @@
     char home_regions[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES];
 } CpRoute;
 
+#define CP_HEALTH_PATH_BYTES 128
+
 /* A group of backend servers that serve the same routes. */
 typedef struct {
     char name[CP_NAME_BYTES];
     uint32_t max_connections; /* to one server, from all callers */
     uint32_t warmup_ms;       /* time after its start that a server is cold */
     uint32_t warmup_per_s_milli; /* requests/s that a cold server can take */
+    char health_path[CP_HEALTH_PATH_BYTES]; /* of its servers; "": none */
 } CpService;
 
 /* Size limits and timeouts of callers' requests. */
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -14,6 +14,8 @@
  * retry_after=TEXT adds that to its refusals; deaf=1 makes connections to the
  * server hang until the process ends.
  *
+ * /health responds with the server's load.
+ *
  * Counted for all servers together and served by each: /stats has the totals,
  * /ran?id=ID how often a request ran, /told?id=ID the last timeout sent with
  * it in ms, and /runs the run count of every id. /arrived counts the requests
@@ -247,6 +249,9 @@
 static void stop_accepting(Server *s);
 static enum MHD_Result respond_stats(struct MHD_Connection *conn);
 static enum MHD_Result respond_runs(struct MHD_Connection *conn);
+static enum MHD_Result respond_health(struct MHD_Connection *conn,
+                                      const Server *s);
+static void describe_load(const Server *s, char *out, size_t out_bytes);
 static enum MHD_Result run_request(struct MHD_Connection *conn, Server *s,
                                    Request *q, const char *url,
                                    const char *method);
@@ -329,6 +334,9 @@
         return CpStandin_Respond(
             conn, 200, g_strdup_printf("%llu\n", (unsigned long long)count));
     }
+    if (strcmp(url, "/health") == 0) {
+        return respond_health(conn, ctx);
+    }
     bool wants_timeout = strcmp(url, "/told") == 0;
     if (wants_timeout || strcmp(url, "/ran") == 0) {
         pthread_mutex_lock(&lock);
@@ -433,6 +441,35 @@
     return CpStandin_Respond(conn, 200, text);
 }
 
+static enum MHD_Result
+respond_health(struct MHD_Connection *conn, const Server *s)
+{
+    static char text[] = "{}\n";
+    char load[64];
+    pthread_mutex_lock(&lock);
+    describe_load(s, load, sizeof(load));
+    pthread_mutex_unlock(&lock);
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(r, "Chestnutpaddle-Server-Load", load);
+    enum MHD_Result ok = MHD_queue_response(conn, 200, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+/* Describes the load of a server as its load header does. */
+static void
+describe_load(const Server *s, char *out, size_t out_bytes)
+{
+    int n = snprintf(out, out_bytes, "%llu,0,%llu",
+                     (unsigned long long)s->inflight,
+                     (unsigned long long)s->slots);
+    if (s->work_percent > 0) {
+        snprintf(out + n, out_bytes - (size_t)n, ",%llu",
+                 (unsigned long long)s->work_percent);
+    }
+}
+
 static enum MHD_Result
 respond_runs(struct MHD_Connection *conn)
 {
@@ -510,13 +547,7 @@
     pthread_mutex_lock(&lock);
     s->inflight--;
     cancelled += !connected;
-    snprintf(load, sizeof(load), "%llu,0,%llu",
-             (unsigned long long)s->inflight, (unsigned long long)s->slots);
-    if (s->work_percent > 0) {
-        size_t n = strlen(load);
-        snprintf(load + n, sizeof(load) - n, ",%llu",
-                 (unsigned long long)s->work_percent);
-    }
+    describe_load(s, load, sizeof(load));
     snprintf(seal, sizeof(seal), "seal-%s", s->instance);
     pthread_mutex_unlock(&lock);
     if (!connected || mode == MODE_LOSE) {
