entry: a response is overdue after 1.25 times the expected time

The expected time is a mean, so that half of the responses come later; and one late response among twenty made it look likely that the present one would come, too. Ruled out: the retry budget (not used up), the speeds (logged as 100%). Change: an attempt is looked at after 1.25 times the expected time. Its chance has a share of 0.05 for a server that is slower than any response has shown.

--- a/regress/drive_fleet.c
+++ b/regress/drive_fleet.c
@@ -20,6 +20,7 @@
 #define MAX_REQUESTS 128000
 #define RETRY_PERCENT 15 /* attempts that move on, of the requests */
 #define RETRY_BURST 80
+#define OVERDUE_PERCENT 125
 #define SLOW_CHECK_MS 50
 #define QUEUE_PER_SLOT 3 /* waiting requests, beyond those in slots */
 #define SIM_DOMAINS 6
@@ -760,7 +761,7 @@
                  q->host * MAX_SERVERS + (uint32_t)q->server);
     }
     if (p->policy == POLICY_FLEET || p->policy >= POLICY_OWN_SPEEDS) {
-        schedule_check(w, r, q->expected_ms);
+        schedule_check(w, r, q->expected_ms * OVERDUE_PERCENT / 100);
     }
     int64_t network_ms =
         w->servers[q->server].domain / 2 == q->domain / 2 ? 1 : 12;
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -15,6 +15,9 @@
  * another server. */
 #define ATTEMPT_TIMEOUT_FACTOR 4
 #define ATTEMPT_TIMEOUT_MIN_GOALS 2
+/* A response is overdue after this part of the expected time: many come a
+ * little later than expected. */
+#define OVERDUE_PERCENT 125
 /* How often it is checked whether a request that could still be answered
  * within its latency goal should leave a server that turned slow. */
 #define SLOW_CHECK_INTERVAL_NS (50 * CP_NS_PER_MS)
@@ -366,7 +369,8 @@
 static int64_t
 attempt_deadline_ns(const RequestState *s, int64_t now_ns)
 {
-    int64_t overdue_ns = now_ns + s->choice.expected_ms * CP_NS_PER_MS;
+    int64_t overdue_ns =
+        now_ns + s->choice.expected_ms * OVERDUE_PERCENT * CP_NS_PER_MS / 100;
     if (s->choice.work_percent == 0 || !s->route->idempotent ||
         s->attempts >= s->route->max_attempts || overdue_ns >= s->goal_ns) {
         return s->attempt_end_ns;
--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -61,9 +61,9 @@
 /* After so many failures in a row a server is taken as dead. One that fails
  * 90% of its attempts gets there once in 24 times. */
 #define DEAD_FAILURES 30
-/* Work that lasts longer than this share of all takes is on a server that does
- * not respond. */
-#define MAX_ENDED_SHARE 0.98
+/* Chance that a server becomes slower than any response has shown; it matters
+ * when a response is overdue. */
+#define STUCK_SHARE 0.05
 /* With a smaller chance to be answered at all, a request that would be
  * answered at the usual speed is refused. */
 #define MIN_DEADLINE_SHARE 0.25
@@ -749,7 +749,7 @@
     double in_goal =
         CpFleet_ChanceWithin(q->service, server, attempt->work_class, goal_us,
                              attempt->started_ns, 1);
-    return ended < MAX_ENDED_SHARE ? (in_goal - ended) / (1 - ended) : 0;
+    return (in_goal - ended) / (1 - ended + STUCK_SHARE);
 }
 
 /* Checks the best candidate against the deadline and the latency goal; returns
