--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -97,6 +97,13 @@
     [CP_COUNT_CALLERS_CLOSED] = {"callers_closed",
                                  "Connections of callers closed because they "
                                  "made no progress"},
+    [CP_COUNT_SLOW_ATTEMPTS_LEFT] =
+        {"slow_attempts_left",
+         "Attempts abandoned for a faster server, within the latency goal"},
+    [CP_COUNT_SPEEDS_RECEIVED] = {"speeds_received",
+                                  "Speeds of servers, from other hosts"},
+    [CP_COUNT_SPEED_POLLS] = {"speed_polls",
+                              "Health pages read for a server's speed"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -73,6 +73,8 @@
     uint32_t quota_window_s;
     char quota_overshoot[16]; /* allowed, as a fraction of the limit; "": 0 */
     uint32_t quota_tolerance; /* allowed in addition, requests */
+    /* between polls of a server that reports its speed; 0: none */
+    uint32_t speed_poll_ms;
 } CpSettings;
 bool CpSettings_ServesRoutes(const CpSettings *s);
 /* Returns quota_overshoot in thousandths, rounded down; 0 if it is not set.
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -143,6 +143,11 @@
     U64(CpTokensFrame, receiver_ns),
     U32(CpTokensFrame, wants_reply),
     ROWS(CpTokensFrame, rows, row_count, CpTokensRow, tokens_row_fields)};
+static const Field speed_row_fields[] = {U64(CpSpeedRow, server_hash),
+                                         U32(CpSpeedRow, work_percent),
+                                         U32(CpSpeedRow, age_ms)};
+static const Field speeds_fields[] = {
+    ROWS(CpSpeedsFrame, rows, row_count, CpSpeedRow, speed_row_fields)};
 
 #define FRAME_LAYOUT(table)                                                   \
     {                                                                         \
@@ -170,6 +175,7 @@
     [CP_FRAME_TOKENS_MOVE] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_ASK] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_GRANT] = FRAME_LAYOUT(tokens_fields),
+    [CP_FRAME_SPEEDS] = FRAME_LAYOUT(speeds_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -14,9 +14,12 @@
  * for its next K requests if K is given, and its service time; status=N is the
  * status of its responses in the mode "status"; instance=I changes its
  * instance name; leaving=1 makes its responses announce that it leaves, and
+ * work=N makes its service time N percent and tells so in its load;
  * retry_after=TEXT adds that to its refusals; deaf=1 makes connections to the
  * server hang until the process ends.
  *
+ * /health responds with the server's load.
+ *
  * Counted for all servers together and served by each: /stats has the totals,
  * /ran?id=ID how often a request ran, /told?id=ID the last timeout sent with
  * it in ms, /head?id=ID the headers of its last attempt if it had the header
@@ -103,6 +106,7 @@
     uint32_t status;             /* in MODE_STATUS */
     uint64_t inflight;
     uint64_t arrived;
+    uint64_t work_percent; /* of service_ms, and in the load; 0: not told */
     bool leaving;
     char retry_after[32]; /* "": none */
     struct MHD_Daemon *daemon;
@@ -271,6 +275,9 @@
 static void record_head(struct MHD_Connection *conn, const char *id);
 static enum MHD_Result append_header(void *ctx, enum MHD_ValueKind kind,
                                      const char *name, const char *value);
+static enum MHD_Result respond_health(struct MHD_Connection *conn,
+                                      const Server *s);
+static void describe_load(const Server *s, char *out, size_t out_bytes);
 static enum MHD_Result run_request(struct MHD_Connection *conn, Server *s,
                                    Request *q, const char *url,
                                    const char *method);
@@ -374,6 +381,9 @@
         return CpStandin_Respond(
             conn, 200, g_strdup_printf("%llu\n", (unsigned long long)count));
     }
+    if (strcmp(url, "/health") == 0) {
+        return respond_health(conn, ctx);
+    }
     bool wants_timeout = strcmp(url, "/told") == 0;
     if (wants_timeout || strcmp(url, "/ran") == 0) {
         pthread_mutex_lock(&lock);
@@ -422,6 +432,7 @@
         CpStandin_GetQueryText(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
     s->leaving = CpStandin_GetQueryNumber(conn, "leaving", s->leaving) != 0;
+    s->work_percent = CpStandin_GetQueryNumber(conn, "work", s->work_percent);
     CpStr_Copy(s->retry_after, sizeof(s->retry_after),
                CpStandin_GetQueryText(conn, "retry_after", ""));
     pthread_mutex_unlock(&lock);
@@ -478,6 +489,35 @@
     return CpStandin_Respond(conn, 200, text);
 }
 
+static enum MHD_Result
+respond_health(struct MHD_Connection *conn, const Server *s)
+{
+    static char text[] = "{}\n";
+    char load[64];
+    pthread_mutex_lock(&lock);
+    describe_load(s, load, sizeof(load));
+    pthread_mutex_unlock(&lock);
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        sizeof(text) - 1, text, MHD_RESPMEM_PERSISTENT);
+    MHD_add_response_header(r, "Chestnutpaddle-Server-Load", load);
+    enum MHD_Result ok = MHD_queue_response(conn, 200, r);
+    MHD_destroy_response(r);
+    return ok;
+}
+
+/* Describes the load of a server as its load header does. */
+static void
+describe_load(const Server *s, char *out, size_t out_bytes)
+{
+    int n = snprintf(out, out_bytes, "%llu,0,%llu",
+                     (unsigned long long)s->inflight,
+                     (unsigned long long)s->slots);
+    if (s->work_percent > 0) {
+        snprintf(out + n, out_bytes - (size_t)n, ",%llu",
+                 (unsigned long long)s->work_percent);
+    }
+}
+
 static enum MHD_Result
 respond_runs(struct MHD_Connection *conn)
 {
@@ -588,8 +628,7 @@
     pthread_mutex_lock(&lock);
     s->inflight--;
     cancelled += !connected;
-    snprintf(load, sizeof(load), "%llu,0,%llu",
-             (unsigned long long)s->inflight, (unsigned long long)s->slots);
+    describe_load(s, load, sizeof(load));
     snprintf(seal, sizeof(seal), "seal-%s", s->instance);
     pthread_mutex_unlock(&lock);
     if (!connected || mode == MODE_LOSE) {
@@ -876,6 +915,9 @@
 {
     pthread_mutex_lock(&lock);
     uint64_t work_ms = s->service_ms;
+    if (s->work_percent > 0) {
+        work_ms = work_ms * s->work_percent / 100;
+    }
     pthread_mutex_unlock(&lock);
     work_ms = timeout_ms > 0 && timeout_ms < work_ms ? timeout_ms : work_ms;
     for (uint64_t elapsed_ms = 0; elapsed_ms < work_ms;
