--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -84,6 +84,13 @@
  * in ns; 0 before the first completed request. */
 int64_t CpAdmit_MeanServiceTime_ns(const CpAdmit *a);
 
+/* Credit of a rank towards its floor, in hundredths of a dispatch. Each
+ * dispatch of any rank earns it the floor percentage, and a dispatch of its own
+ * costs a hundred. */
+bool CpFloor_IsOwed(uint32_t credit);
+void CpFloor_Charge(uint32_t *credit);
+void CpFloor_Earn(uint32_t *credit, uint32_t floor_percent);
+
 /* Units that were lent to or borrowed from one peer. */
 typedef struct {
     char peer[CP_NAME_BYTES];
--- a/src/admit/admit_queue.c
+++ b/src/admit/admit_queue.c
@@ -13,7 +13,6 @@
 #define EJECTION_FAILING_MAX_NS (16 * CP_NS_PER_S)    /* slow or failing */
 #define EJECTION_FAILURES 3 /* in a row, before an ejection */
 #define EJECTION_MAX_SHIFT 8
-#define FLOOR_CREDIT_PER_DISPATCH 100
 
 typedef struct {
     uint32_t slots;
@@ -471,7 +470,7 @@
 {
     for (uint32_t i = CP_RANK_COUNT; i-- > 0;) {
         if (a->ranks[i].count > 0 &&
-            a->ranks[i].floor_credit >= FLOOR_CREDIT_PER_DISPATCH) {
+            CpFloor_IsOwed(a->ranks[i].floor_credit)) {
             return i;
         }
     }
@@ -488,17 +487,11 @@
 static void
 update_floor_credits(CpAdmit *a, uint32_t rank)
 {
-    RankQueue *dispatched = &a->ranks[rank];
-    if (dispatched->floor_credit >= FLOOR_CREDIT_PER_DISPATCH) {
-        dispatched->floor_credit -= FLOOR_CREDIT_PER_DISPATCH;
-    }
+    CpFloor_Charge(&a->ranks[rank].floor_credit);
     for (uint32_t i = 0; i < CP_RANK_COUNT; i++) {
         RankQueue *q = &a->ranks[i];
         if (q->count > 0 || i == rank) {
-            q->floor_credit += a->options.floor_percent[i];
-        }
-        if (q->floor_credit > 2 * FLOOR_CREDIT_PER_DISPATCH) {
-            q->floor_credit = 2 * FLOOR_CREDIT_PER_DISPATCH;
+            CpFloor_Earn(&q->floor_credit, a->options.floor_percent[i]);
         }
     }
 }
