admit: decision for requests of routes under contention

Cause: a route's rank is used by counters only; during overload servers fill with work that is already late. Change: CpContention_Decide() with a manual clock, the simulation in regress/drive_contention.c with the naive model, reasons over_capacity and org_over_share.

--- a/regress/drive_admit.c
+++ b/regress/drive_admit.c
@@ -247,7 +247,7 @@
                     word) == 3) {
         random_loans(s->out, seed, a, strcmp(word, "waiting") == 0);
     }
-    else {
+    else if (!CpDriveContention_RunLine(s->out, line)) {
         fprintf(s->out, "not understood: %s\n", line);
     }
 }
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -20,6 +20,9 @@
 void CpDrive_Steer(FILE *in, FILE *out);
 void CpDrive_Wire(FILE *in, FILE *out);
 
+/* Runs a line of a simulation of contention; returns false if it is none. */
+bool CpDriveContention_RunLine(FILE *out, const char *line);
+
 /* Calls on_line with each line of a script, without its newline. Skips empty
  * lines and comments. */
 typedef void (*CpLineFn)(void *ctx, char *line);
--- a/src/admit/admit.h
+++ b/src/admit/admit.h
@@ -85,8 +85,8 @@
 int64_t CpAdmit_MeanServiceTime_ns(const CpAdmit *a);
 
 /* Credit of a rank towards its floor, in hundredths of a dispatch. Each
- * dispatch of any rank earns it the floor percentage, and a dispatch of its own
- * costs a hundred. */
+ * dispatch of any rank earns it the floor percentage, and a dispatch of its
+ * own costs a hundred. */
 bool CpFloor_IsOwed(uint32_t credit);
 void CpFloor_Charge(uint32_t *credit);
 void CpFloor_Earn(uint32_t *credit, uint32_t floor_percent);
@@ -198,4 +198,63 @@
 /* Admits and counts one request, or returns false. */
 bool CpShiftLimiter_TryAdmit(CpShiftLimiter *s, int64_t now_ns);
 
+/*
+ * Admission under contention: decides for each request of a route, before a
+ * server is chosen, whether its service has capacity for it. Each host decides
+ * alone, from the load that it sees at the servers and from its own recent
+ * arrivals. A rank is shed with a probability that rises with the load, less
+ * urgent ranks first; what a rank gets is divided fairly among organisations.
+ * Thread-safe.
+ */
+#define CP_CONTENTION_MAX_ORGS 128 /* recorded for a service */
+
+/* Capacity of a service, as this host sees it. */
+typedef struct {
+    bool speed_reported; /* false: admission control does not act */
+    /* requests that run or wait at the servers over their slots; 1000: the
+     * slots are in use and nothing waits */
+    uint32_t load_milli;
+    uint32_t mean_work_ms; /* 0: unknown */
+} CpContentionRoom;
+
+typedef struct {
+    const char *service;
+    const char *route;
+    const char *org; /* NULL: none */
+    uint32_t rank;
+    uint32_t goal_ms;    /* latency goal of the route */
+    uint32_t timeout_ms; /* set by the caller; 0: none */
+    uint32_t left_ms;    /* until the request's deadline */
+    CpContentionRoom room;
+    uint64_t random;
+} CpContentionRequest;
+
+typedef struct {
+    bool acts;       /* false: nothing was decided */
+    CpReason reason; /* CP_REASON_NONE: admitted */
+    uint32_t retry_after_ms;
+    bool returning;      /* the caller was refused before */
+    uint32_t elapsed_ms; /* since the caller's first attempt */
+    /* what decided: admitted share of the rank, of the organisation and for
+     * this request, in thousandths */
+    uint32_t rank_share_milli;
+    uint32_t org_share_milli;
+    uint32_t share_milli;
+    /* recent arrivals at this host, in thousandths of a request/s */
+    uint32_t rank_rate_milli;
+    uint32_t org_rate_milli;
+    uint32_t typical_ms; /* median time of a response of the route */
+} CpContentionDecision;
+
+typedef struct CpContention CpContention;
+CpContention *CpContention_New(void);
+void CpContention_Free(CpContention *c);
+/* Counts the request as an arrival and decides whether it is admitted. Called
+ * once for each request, not for attempts that follow a failed one. */
+void CpContention_Decide(CpContention *c, const CpContentionRequest *request,
+                         int64_t now_ns, CpContentionDecision *out);
+/* Records the time in which a server responded to a request of a route. */
+void CpContention_RecordResponse(CpContention *c, const char *service,
+                                 const char *route, int64_t latency_ns);
+
 #endif
--- a/src/admit/admit_floor.c
+++ b/src/admit/admit_floor.c
@@ -2,7 +2,9 @@
 #include "admit/admit.h"
 
 #define CREDIT_PER_DISPATCH 100
-#define MAX_CREDIT (2 * CREDIT_PER_DISPATCH) /* limits a burst after a lull */
+#define MAX_CREDIT                                                            \
+    (2 * CREDIT_PER_DISPATCH) /* limits a burst after a lull                  \
+                               */
 
 bool
 CpFloor_IsOwed(uint32_t credit)
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -114,6 +114,11 @@
                                 1},
     [CP_REASON_ANSWER_TOO_LARGE] = {"answer_too_large",
                                     "the answer has no end in sight", 502, 0},
+    [CP_REASON_OVER_CAPACITY] = {"over_capacity",
+                                 "the service has no capacity left", 503, 1},
+    [CP_REASON_ORG_OVER_SHARE] =
+        {"org_over_share", "the organisation is over its share of the service",
+         503, 1},
 };
 
 CpStatus
