--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -48,6 +48,8 @@
                                   "Configuration versions put in force"},
     [CP_COUNT_CONFIG_REJECTED] = {"config_rejected",
                                   "Configurations that failed their checks"},
+    [CP_COUNT_ORG_PROBLEMS] = {"org_problems",
+                               "Flaws of organisations in new configurations"},
     [CP_COUNT_ROUTE_TYPES_UNKNOWN] = {"route_types_unknown",
                                       "Routes of an unknown type accepted"},
     [CP_COUNT_SERVER_ENTRIES_UNUSABLE] =
@@ -72,6 +74,9 @@
     [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
                                    "Responses of servers that were cut, mixed "
                                    "or not framed"},
+    [CP_COUNT_FRESHNESS_QUERIES] =
+        {"freshness_queries",
+         "Queries for the freshness of the configuration"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -114,6 +114,16 @@
                                 1},
     [CP_REASON_ANSWER_TOO_LARGE] = {"answer_too_large",
                                     "the answer has no end in sight", 502, 0},
+    [CP_REASON_KEY_REJECTED] = {"key_rejected",
+                                "the request needs a valid key", 401, 0},
+    [CP_REASON_NO_COMMON_REGION] =
+        {"no_common_region",
+         "the route and the organisation have no home region in common", 503,
+         5},
+    [CP_REASON_KEY_NOT_FRESH] =
+        {"key_not_fresh",
+         "the key may have been withdrawn: the configuration is not fresh",
+         503, 5},
     [CP_REASON_OVER_CAPACITY] = {"over_capacity",
                                  "the service has no capacity left", 503, 1},
     [CP_REASON_ORG_OVER_SHARE] =
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -22,10 +22,16 @@
 typedef struct {
     CpRoutes *routes; /* kept until the request ends */
     const CpRoute *route;
+    const CpOrg *org;           /* NULL: none; of `routes` */
+    uint32_t rank;              /* of the organisation, or else of the route */
+    uint32_t home_region_count; /* regions it may run in; 0: all */
+    const char (*home_regions)[CP_NAME_BYTES];
+    char common_regions[CP_ROUTE_MAX_HOMES][CP_NAME_BYTES];
     const char *service;
     int64_t deadline_ns;
     int64_t goal_ns;
     int64_t routes_age_ms;
+    CpReason refusal;          /* why may_send() stopped the attempt */
     uint32_t attempts;         /* without those that were not run */
     uint32_t not_run_attempts; /* server unreachable, or it refused */
     bool may_have_run;
@@ -40,9 +46,11 @@
     CpFleetChoice choice; /* of the attempt in progress */
 } RequestState;
 
+static bool on_head(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_request(void *ctx, CpRequest *rq, CpProxyAction *out);
 static void on_attempt_ended(void *ctx, CpRequest *rq,
                              const CpAttemptResult *a, CpProxyAction *out);
+static bool may_send(void *ctx, const CpRequest *rq);
 static bool may_stream(void *ctx, const CpRequest *rq,
                        const CpAttemptResult *head);
 static void on_stream_ended(void *ctx, CpRequest *rq,
@@ -54,6 +62,8 @@
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
 static void get_limits(void *ctx, CpRouteLimits *out);
+static bool has_key_to(const CpRoutes *r, const CpRoute *route,
+                       const CpRequest *rq, const CpOrg **org);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
 static int64_t attempt_deadline_ns(const RequestState *s, int64_t now_ns);
@@ -80,8 +90,10 @@
 void
 CpEntryRequest_InitPolicy(CpEntry *e, CpProxyPolicy *out)
 {
-    *out = (CpProxyPolicy){.on_request = on_request,
+    *out = (CpProxyPolicy){.on_head = on_head,
+                           .on_request = on_request,
                            .on_attempt_ended = on_attempt_ended,
+                           .may_send = may_send,
                            .may_stream = may_stream,
                            .on_stream_ended = on_stream_ended,
                            .should_abandon = should_abandon,
@@ -92,6 +104,28 @@
                            .ctx = e};
 }
 
+/* Refuses a request without a valid key before its body is read. */
+static bool
+on_head(void *ctx, CpRequest *rq, CpProxyAction *out)
+{
+    const CpOrg *org;
+    CpRoutes *r = CpEntry_RetainRoutes(ctx, NULL);
+    const CpRoute *route =
+        r != NULL ? CpRoutes_Match(r, rq->host, rq->target) : NULL;
+    bool valid = route == NULL || has_key_to(r, route, rq, &org);
+    if (!valid) {
+        *out = (CpProxyAction){.type = CP_ACTION_FAIL,
+                               .reason = CP_REASON_KEY_REJECTED};
+        CpCounter_AddReason(CP_REASON_KEY_REJECTED, route->rank);
+        CpEvent(CP_EVENT_REFUSED, "ended", "s:s,s:s,s:s,s:i", "request",
+                rq->id, "route", route->name, "reason",
+                CpReason_Name(CP_REASON_KEY_REJECTED), "status",
+                (int)CpReason_HttpStatus(CP_REASON_KEY_REJECTED));
+    }
+    CpRoutes_Release(r);
+    return valid;
+}
+
 static void
 on_request(void *ctx, CpRequest *rq, CpProxyAction *out)
 {
@@ -99,6 +133,8 @@
     RequestState *s = CpMem_Alloc(sizeof(*s));
     int64_t now_ns = CpClock_Now_ns(), since_ns;
     rq->policy_data = s;
+    /* before the routes are looked at: these are then as fresh */
+    bool is_fresh = CpFreshness_IsFresh(e->freshness, now_ns);
     s->routes = CpEntry_RetainRoutes(e, &since_ns);
     if (s->routes == NULL) {
         set_failure(s, CP_REASON_NOT_CONFIGURED, 500, out);
@@ -110,6 +146,27 @@
         set_failure(s, CP_REASON_NO_ROUTE, 0, out);
         return;
     }
+    s->rank = s->route->rank;
+    if (!has_key_to(s->routes, s->route, rq, &s->org)) {
+        set_failure(s, CP_REASON_KEY_REJECTED, 0, out);
+        return;
+    }
+    if (s->org != NULL && !is_fresh) {
+        /* a public route is served as without the key */
+        s->org = NULL;
+        if (!s->route->is_public) {
+            set_failure(s, CP_REASON_KEY_NOT_FRESH, 0, out);
+            return;
+        }
+    }
+    if (s->org != NULL && s->org->has_rank) {
+        s->rank = s->org->rank;
+    }
+    if (!CpRoute_GetHomeRegions(s->route, s->org, s->common_regions,
+                                &s->home_regions, &s->home_region_count)) {
+        set_failure(s, CP_REASON_NO_COMMON_REGION, 0, out);
+        return;
+    }
     uint32_t limit_ms = s->route->timeout_ms;
     if (rq->timeout_ms > 0 && rq->timeout_ms < limit_ms) {
         limit_ms = rq->timeout_ms;
@@ -127,6 +184,12 @@
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
+    if (a->withheld) { /* says nothing of the server */
+        s->attempts--;
+        report_attempt(e, s, CP_ATTEMPT_CANCELLED, NULL, 0);
+        set_failure(s, s->refusal, 0, out);
+        return;
+    }
     report_attempt(e, s, a->outcome, a, a->latency_ns);
     log_flaw(rq, s, a);
     if (a->verdict == CP_NOT_RUN) {
@@ -149,6 +212,31 @@
     retry_or_fail(e, rq, s, a, out);
 }
 
+/* Checks the key again: since the request was decided this process may have
+ * been suspended, or the key withdrawn. */
+static bool
+may_send(void *ctx, const CpRequest *rq)
+{
+    CpEntry *e = ctx;
+    RequestState *s = rq->policy_data;
+    const CpOrg *org;
+    if (s->org == NULL) {
+        return true;
+    }
+    s->refusal = CpFreshness_IsFresh(e->freshness, CpClock_Now_ns())
+                     ? CP_REASON_NONE
+                     : CP_REASON_KEY_NOT_FRESH;
+    CpRoutes *r = CpEntry_RetainRoutes(e, NULL);
+    if (s->refusal == CP_REASON_NONE && r != s->routes && r->orgs != NULL) {
+        org = CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key));
+        s->refusal = org != NULL && strcmp(org->name, s->org->name) == 0
+                         ? CP_REASON_NONE
+                         : CP_REASON_KEY_REJECTED;
+    }
+    CpRoutes_Release(r);
+    return s->refusal == CP_REASON_NONE;
+}
+
 /* A failed request may be retried on another server, so the response to it is
  * not streamed but read to its end first. */
 static bool
@@ -226,7 +314,7 @@
 {
     RequestState *s = rq->policy_data;
     (void)ctx;
-    uint32_t rank = s != NULL && s->route != NULL ? s->route->rank : 0;
+    uint32_t rank = s != NULL ? s->rank : 0;
     const char *route = s != NULL && s->route != NULL ? s->route->name : "";
     if (result->completed) {
         CpCounter_Add(CP_COUNT_ANSWERED, 1);
@@ -239,7 +327,8 @@
     }
     else {
         CpCounter_AddReason(result->reason, rank);
-        CpEvent(result->status == 503 || result->status == 404
+        CpEvent(result->status == 503 || result->status == 404 ||
+                        result->status == 401
                     ? CP_EVENT_REFUSED
                     : CP_EVENT_FAILED,
                 "ended", "s:s,s:s,s:s,s:i,s:I,s:i,s:i,s:b", "request", rq->id,
@@ -266,6 +355,18 @@
     CpRoutes_Release(r);
 }
 
+/* Returns true if the route needs no key or the request has a valid one, and
+ * sets the organisation of a valid key; NULL: none. */
+static bool
+has_key_to(const CpRoutes *r, const CpRoute *route, const CpRequest *rq,
+           const CpOrg **org)
+{
+    *org = r->orgs != NULL && rq->key != NULL
+               ? CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key))
+               : NULL;
+    return r->orgs == NULL || *org != NULL || route->is_public;
+}
+
 static void
 dispatch(CpEntry *e, CpRequest *rq, RequestState *s, CpProxyAction *out)
 {
@@ -317,6 +418,9 @@
     CpStr_Copy(out->address, sizeof(out->address), s->choice.address);
     CpStr_Copy(out->instance, sizeof(out->instance), s->choice.instance);
     out->idempotent = s->route->idempotent;
+    out->org = s->routes->orgs == NULL ? NULL
+               : s->org != NULL        ? s->org->name
+                                       : "";
     out->deadline_ns = s->deadline_ns;
     out->attempt_deadline_ns = attempt_deadline_ns(s, now_ns);
 }
@@ -352,8 +456,8 @@
         .deadline_left_ms = (uint32_t)left_ms,
         .host_left_ms = host_left_ms(e, now_ns),
         .tried_count = s->tried_count,
-        .home_region_count = s->route->home_region_count,
-        .home_regions = s->route->home_regions,
+        .home_region_count = s->home_region_count,
+        .home_regions = s->home_regions,
         .random = CpRandom()};
     for (uint32_t i = 0; i < s->tried_count; i++) {
         request.tried[i] = s->tried[i];
@@ -435,7 +539,8 @@
     }
 }
 
-/* A 503 promises "not run", so it is sent only if no attempt may have run. */
+/* A refusal promises "not run", so it is sent only if no attempt may have
+ * run. */
 static void
 set_failure(const RequestState *s, CpReason reason, uint32_t retry_after_ms,
             CpProxyAction *out)
@@ -444,7 +549,7 @@
                            .reason = reason,
                            .status = CpReason_HttpStatus(reason),
                            .retry_after_ms = retry_after_ms};
-    if (s->may_have_run && out->status == 503) {
+    if (s->may_have_run && (out->status == 503 || out->status == 401)) {
         out->status = 502;
     }
     if (out->status == 503 && retry_after_ms == 0) {
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -1,15 +1,21 @@
 /* Applies the rows of the followed tables to the state of this host. */
+#include <stdlib.h>
+
 #include "entry/entry_int.h"
 
 static void on_operator_row(CpEntry *e, const CpFeedRow *row);
 static void apply_routes(CpEntry *e, const CpFeedRow *row);
+static CpStatus decode_routes(CpEntry *e, const CpFeedRow *row,
+                              CpRoutes **out);
 static void log_unknown_types(const CpRoutes *r);
+static void log_org_problems(const CpRoutes *r);
 static void on_server_row(CpEntryFollower *f, const CpFeedRow *row);
 
 void
 CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row)
 {
     CpEntryFollower *f = ctx;
+    __atomic_add_fetch(&f->rows_read, 1, __ATOMIC_RELAXED);
     CpEntryFollow_RaiseRowVersion(f, row->version);
     if (!CpEntryNeighbours_UpdateRow(f, row)) {
         CpEvent(CP_EVENT_STATE, "row_older", "s:s,s:I", "key", row->key,
@@ -67,8 +73,8 @@
 apply_routes(CpEntry *e, const CpFeedRow *row)
 {
     CpRoutes *next;
-    if (e->adapter.decode_routes(row->value, row->value_bytes, &next) !=
-        CP_OK) {
+    if (decode_routes(e, row, &next) != CP_OK) {
+        CpFreshness_SetInForce(e->freshness, false);
         CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
         CpEvent(CP_EVENT_STATE, "routes_rejected", "s:I,s:s", "row_version",
                 (json_int_t)row->version, "error", CpError_Message());
@@ -83,6 +89,12 @@
         e->routes_since_ns = CpClock_Now_ns();
     }
     pthread_mutex_unlock(&e->routes_lock);
+    if (supersedes) {
+        CpFreshness_SetInForce(e->freshness, true);
+        CpFreshness_SetHasKeys(e->freshness,
+                               next->orgs != NULL &&
+                                   CpOrgTable_CountKeys(next->orgs) > 0);
+    }
     if (!supersedes) {
         if (next->version < old_version) {
             CpEvent(CP_EVENT_STATE, "routes_older", "s:I,s:I", "version",
@@ -103,10 +115,26 @@
             "routes", (int)next->route_count, "services",
             (int)next->service_count);
     log_unknown_types(next);
+    log_org_problems(next);
     CpRoutes_Release(old);
     CpRoutes_Release(next);
 }
 
+static CpStatus
+decode_routes(CpEntry *e, const CpFeedRow *row, CpRoutes **out)
+{
+    uint32_t n = e->settings.domain_count;
+    const char **names = CpMem_Alloc((n + 1) * sizeof(*names));
+    for (uint32_t i = 0; i < n; i++) {
+        names[i] = e->settings.domains[i].region;
+    }
+    CpOrgRegions regions = {.names = names, .count = n};
+    CpStatus st =
+        e->adapter.decode_routes(row->value, row->value_bytes, &regions, out);
+    free(names);
+    return st;
+}
+
 static void
 log_unknown_types(const CpRoutes *r)
 {
@@ -119,6 +147,26 @@
     }
 }
 
+static void
+log_org_problems(const CpRoutes *r)
+{
+    if (r->orgs == NULL) {
+        return;
+    }
+    for (uint32_t i = 0; i < CpOrgTable_CountProblems(r->orgs); i++) {
+        const CpOrgProblem *p = CpOrgTable_GetProblem(r->orgs, i);
+        CpCounter_Add(CP_COUNT_ORG_PROBLEMS, 1);
+        CpEvent(CP_EVENT_STATE, "org_problem", "s:i,s:s,s:s,s:s,s:i,s:I",
+                "resource", (int)p->position, "org", p->org, "problem",
+                CpOrgFlaw_Name(p->flaw), "other", p->other, "count",
+                (int)p->count, "version", (json_int_t)r->version);
+    }
+    CpEvent(CP_EVENT_STATE, "orgs_in_force", "s:i,s:i,s:I", "count",
+            (int)CpOrgTable_Count(r->orgs), "keys",
+            (int)CpOrgTable_CountKeys(r->orgs), "version",
+            (json_int_t)r->version);
+}
+
 static void
 on_server_row(CpEntryFollower *f, const CpFeedRow *row)
 {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -18,7 +18,8 @@
     struct curl_slist *request_headers;
     char error[CURL_ERROR_SIZE];
     char url[CP_ADDR_BYTES + 16];
-    bool sent; /* its first byte may have been sent */
+    bool sent;     /* its first byte may have been sent */
+    bool withheld; /* by the policy, right before it was sent */
     CpResponseCheck check;
     bool id_matches; /* the response has the request's id */
     bool mismatched; /* the response is not that of this request */
@@ -55,10 +56,11 @@
     GPtrArray *headers; /* CpHeaderLine, to be forwarded */
     GByteArray *body;
     uint64_t max_body_bytes;
-    uint32_t attempts;   /* started */
-    int64_t deadline_ns; /* 0: not sent yet */
-    bool knows_chunks;   /* the caller speaks HTTP/1.1 */
-    bool head_received;  /* of the request */
+    uint32_t attempts;    /* started */
+    int64_t deadline_ns;  /* 0: not sent yet */
+    bool knows_chunks;    /* the caller speaks HTTP/1.1 */
+    bool head_received;   /* of the request */
+    uint32_t key_headers; /* headers with a key that were received */
     bool started;
     bool suspended;
     bool watched;      /* the connection is watched for a disconnect */
