--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -77,6 +77,11 @@
     [CP_COUNT_FRESHNESS_QUERIES] =
         {"freshness_queries",
          "Queries for the freshness of the configuration"},
+    [CP_COUNT_SLOW_ATTEMPTS_LEFT] =
+        {"slow_attempts_left",
+         "Attempts abandoned for a faster server, within the latency goal"},
+    [CP_COUNT_SPEEDS_RECEIVED] = {"speeds_received",
+                                  "Speeds of servers, from other hosts"},
     [CP_COUNT_CANCELLED] = {"cancelled", "Requests cancelled by callers"},
 };
 
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -44,6 +44,7 @@
     CP_FRAME_REPORT,
     CP_FRAME_FRESHNESS_QUERY = 17,
     CP_FRAME_FRESHNESS_REPLY = 18,
+    CP_FRAME_SPEEDS = 19,
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -182,6 +183,19 @@
     uint64_t era;             /* of the store, and version of its copy */
     uint64_t version;
 } CpFreshnessReplyFrame;
+/* Speed of a backend server, as it was in a response to the sender. */
+typedef struct {
+    uint64_t server_hash;  /* of the instance name */
+    uint32_t work_percent; /* time of work, of the usual one */
+    uint32_t age_ms;
+} CpSpeedRow;
+
+/* Speeds of backend servers that report them. A frame of its own, because
+ * older hosts reject a report whose rows have more fields. */
+typedef struct {
+    CpSpeedRow *rows;
+    uint32_t row_count;
+} CpSpeedsFrame;
 
 typedef struct {
     CpFrameType type;
@@ -200,6 +214,7 @@
         CpReportFrame report;
         CpFreshnessQueryFrame freshness_query;
         CpFreshnessReplyFrame freshness_reply;
+        CpSpeedsFrame speeds;
     };
 } CpFrame;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -130,6 +130,11 @@
     U64(CpFreshnessReplyFrame, age_ns),
     U64(CpFreshnessReplyFrame, era),
     U64(CpFreshnessReplyFrame, version)};
+static const Field speed_row_fields[] = {U64(CpSpeedRow, server_hash),
+                                         U32(CpSpeedRow, work_percent),
+                                         U32(CpSpeedRow, age_ms)};
+static const Field speeds_fields[] = {
+    ROWS(CpSpeedsFrame, rows, row_count, CpSpeedRow, speed_row_fields)};
 
 #define FRAME_LAYOUT(table)                                                   \
     {                                                                         \
@@ -154,6 +159,7 @@
     [CP_FRAME_REPORT] = FRAME_LAYOUT(report_fields),
     [CP_FRAME_FRESHNESS_QUERY] = FRAME_LAYOUT(freshness_query_fields),
     [CP_FRAME_FRESHNESS_REPLY] = FRAME_LAYOUT(freshness_reply_fields),
+    [CP_FRAME_SPEEDS] = FRAME_LAYOUT(speeds_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
