entry: admission under contention before the choice of a server

Cause: the rank of a route had an effect on counters alone. Ruled out: the decision inside CpFleet_Choose(): it knows neither rank nor organisation, and is called for each attempt. Change: CpFleet_GetRoom() sums up the load in recent responses; on_request() asks CpContention_Decide() after key and freshness, logs not_admitted with its inputs, and counts the latency goal of a caller that comes back from its first attempt. Nothing happens for services whose servers report no speed.

--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -116,6 +116,7 @@
 
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
+    CpContention *contention;
 };
 
 /* follow: the tables of the store */
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -46,6 +46,7 @@
     pthread_mutex_init(&e->routes_lock, NULL);
     pthread_mutex_init(&e->hosts_lock, NULL);
     pthread_mutex_init(&e->retry_budget_lock, NULL);
+    e->contention = CpContention_New();
     CpEntryHosts_Init(e);
     CpEntryFreshness_Init(e);
     CpFleetDomain *domains =
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -70,6 +70,8 @@
 static void get_limits(void *ctx, CpRouteLimits *out);
 static bool has_key_to(const CpRoutes *r, const CpRoute *route,
                        const CpRequest *rq, const CpOrg **org);
+static bool is_admitted(CpEntry *e, const CpRequest *rq, RequestState *s,
+                        int64_t now_ns, CpProxyAction *out);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
 static void set_attempt_end(RequestState *s, int64_t now_ns);
@@ -88,6 +90,9 @@
 static void report_attempt(CpEntry *e, const RequestState *s,
                            CpAttemptOutcome outcome, const CpAttemptResult *a,
                            int64_t latency_ns);
+static void log_not_admitted(const CpRequest *rq, const RequestState *s,
+                             const CpFleetRoom *room,
+                             const CpContentionDecision *d);
 static void log_attempt(const CpRequest *rq, const RequestState *s);
 static void log_flaw(const CpRequest *rq, const RequestState *s,
                      const CpAttemptResult *a);
@@ -184,7 +189,46 @@
     s->goal_ns = rq->started_ns + s->route->goal_ms * CP_NS_PER_MS;
     s->service = CpRoutes_NextService(s->routes, s->route);
     deposit_retry(e, now_ns);
-    dispatch(e, rq, s, out);
+    if (is_admitted(e, rq, s, now_ns, out)) {
+        dispatch(e, rq, s, out);
+    }
+}
+
+/* Refuses the request if its service is contended and has no capacity for it.
+ * The latency goal of a caller that comes back counts from its first
+ * attempt. */
+static bool
+is_admitted(CpEntry *e, const CpRequest *rq, RequestState *s, int64_t now_ns,
+            CpProxyAction *out)
+{
+    CpFleetRoom room;
+    CpContentionDecision d;
+    CpFleetRequest place = {.service = s->service,
+                            .home_region_count = s->home_region_count,
+                            .home_regions = s->home_regions};
+    CpFleet_GetRoom(e->fleet, &place, now_ns, &room);
+    int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
+    CpContentionRequest request = {
+        .service = s->service,
+        .route = s->route->name,
+        .org = s->org != NULL ? s->org->name : NULL,
+        .rank = s->rank,
+        .goal_ms = s->route->goal_ms,
+        .timeout_ms = rq->timeout_ms,
+        .left_ms = left_ms > 0 ? (uint32_t)left_ms : 0,
+        .room = {.speed_reported = room.speed_reported,
+                 .load_milli = room.load_milli},
+        .random = CpRandom()};
+    CpContention_Decide(e->contention, &request, now_ns, &d);
+    if (d.acts) {
+        s->goal_ns -= d.elapsed_ms * CP_NS_PER_MS;
+    }
+    if (d.reason == CP_REASON_NONE) {
+        return true;
+    }
+    log_not_admitted(rq, s, &room, &d);
+    set_failure(s, d.reason, d.retry_after_ms, out);
+    return false;
 }
 
 static void
@@ -627,9 +671,31 @@
         r.response_bytes = a->response_bytes;
     }
     CpFleet_EndAttempt(e->fleet, &r, CpClock_Now_ns());
+    if (outcome == CP_ATTEMPT_ANSWERED) {
+        CpContention_RecordResponse(e->contention, s->service, s->route->name,
+                                    r.latency_ns);
+    }
     CpEntryPeers_SendUsage(e, s->service, s->choice.instance);
 }
 
+static void
+log_not_admitted(const CpRequest *rq, const RequestState *s,
+                 const CpFleetRoom *room, const CpContentionDecision *d)
+{
+    CpEvent(CP_EVENT_REFUSED, "not_admitted",
+            "s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i",
+            "request", rq->id, "reason", CpReason_Name(d->reason), "service",
+            s->service, "org", s->org != NULL ? s->org->name : "", "rank",
+            (int)s->rank, "load_milli", (int)room->load_milli, "servers_seen",
+            (int)room->server_count, "slots", (int)room->slots,
+            "rank_share_milli", (int)d->rank_share_milli, "org_share_milli",
+            (int)d->org_share_milli, "share_milli", (int)d->share_milli,
+            "rank_rate_milli", (int)d->rank_rate_milli, "org_rate_milli",
+            (int)d->org_rate_milli, "elapsed_ms", (int)d->elapsed_ms,
+            "typical_ms", (int)d->typical_ms, "retry_after_ms",
+            (int)d->retry_after_ms);
+}
+
 static void
 log_attempt(const CpRequest *rq, const RequestState *s)
 {
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -243,6 +243,19 @@
 void CpFleet_SetPeerSpeeds(CpFleet *f, const CpFleetSpeed *speeds,
                            uint32_t count, int64_t now_ns);
 
+/* How much of the capacity that a request may use is in use. */
+typedef struct {
+    bool speed_reported; /* otherwise the rest is 0 */
+    /* requests that run or wait at the servers over their slots, by recent
+     * responses to this host; 0 where there were none */
+    uint32_t load_milli;
+    uint32_t server_count; /* of such responses */
+    uint32_t slots;        /* of all servers */
+} CpFleetRoom;
+/* Gets it for the service and the home regions of the request. */
+void CpFleet_GetRoom(CpFleet *f, const CpFleetRequest *request, int64_t now_ns,
+                     CpFleetRoom *out);
+
 /* Counts the servers of a service that may get new requests now. */
 uint32_t CpFleet_CountUsable(CpFleet *f, const char *service, int64_t now_ns);
 
