admit: callers with a shorter timeout than most are not taken to come back

Cause: with two usual timeouts on a route, the callers with the shorter one counted as coming back, too late for their goal, and were refused at 70% load. Ruled out: the highest timeout as that of first attempts: one caller with a high one would make all others late. Change: a value with half of the count of the most frequent one is that of first attempts, too. Conclusion: kept; a group of less than about a third of a route's callers is not recognised.

--- a/src/admit/admit_int.h
+++ b/src/admit/admit_int.h
@@ -19,6 +19,7 @@
     CpTimeoutCounter counters[CP_TIMEOUT_COUNTERS];
     uint32_t total;
     uint32_t first_ms; /* 0: unknown */
+    uint32_t first_count;
     int64_t last_first_ns;
     uint32_t returning_count; /* requests since the last first attempt */
 } CpFirstTimeout;
--- a/src/admit/admit_timeout.c
+++ b/src/admit/admit_timeout.c
@@ -7,6 +7,11 @@
 /* Of the callers that come back one in so many is counted, or those that come
  * back again and again would outnumber the first attempts. */
 #define COUNT_RETURNING_ONE_IN 16
+/* Of the count of first attempts: a value with at least this part of it is
+ * that of first attempts of other callers. Callers that come back have a few
+ * hundred values. */
+#define OTHER_FIRST_DIVISOR 2
+#define OTHER_FIRST_MIN 4 /* counted; fewer are chance */
 /* After so many callers that seem to come back, and no first attempt for so
  * long, the timeout of first attempts is learned anew. */
 #define RELEARN_REQUESTS 20
@@ -15,6 +20,7 @@
 static void count(CpFirstTimeout *f, uint32_t timeout_ms);
 static void halve_counts(CpFirstTimeout *f);
 static void find_first(CpFirstTimeout *f);
+static bool is_other_first(const CpFirstTimeout *f, uint32_t timeout_ms);
 
 uint32_t
 CpFirstTimeout_Record(CpFirstTimeout *f, uint32_t timeout_ms, int64_t now_ns)
@@ -35,7 +41,9 @@
         count(f, timeout_ms);
         find_first(f);
     }
-    return timeout_ms < f->first_ms ? f->first_ms - timeout_ms : 0;
+    return timeout_ms < f->first_ms && !is_other_first(f, timeout_ms)
+               ? f->first_ms - timeout_ms
+               : 0;
 }
 
 /* Where all counters are taken by other values, each loses one. */
@@ -84,4 +92,19 @@
      * attempts */
     bool frequent = top->count * CP_TIMEOUT_COUNTERS >= f->total;
     f->first_ms = frequent ? top->timeout_ms : 0;
+    f->first_count = top->count;
+}
+
+static bool
+is_other_first(const CpFirstTimeout *f, uint32_t timeout_ms)
+{
+    for (uint32_t i = 0; i < CP_TIMEOUT_COUNTERS; i++) {
+        const CpTimeoutCounter *t = &f->counters[i];
+        if (t->timeout_ms == timeout_ms) {
+            return t->count >= OTHER_FIRST_MIN &&
+                   t->count * COUNT_RETURNING_ONE_IN * OTHER_FIRST_DIVISOR >=
+                       f->first_count;
+        }
+    }
+    return false;
 }
