--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -129,6 +129,11 @@
     [CP_REASON_MEMORY_SHORT] = {"memory_short",
                                 "this host has no memory left for the request",
                                 503, 1},
+    [CP_REASON_OVER_CAPACITY] = {"over_capacity",
+                                 "the service has no capacity left", 503, 1},
+    [CP_REASON_ORG_OVER_SHARE] =
+        {"org_over_share", "the organisation is over its share of the service",
+         503, 1},
 };
 
 CpStatus
