config: room for the settings that there are

Cause: the reader marks the fields that it has seen in an array of 32; with the settings of quotas, keys, memory and speeds there are 36, and marks are written behind the array. routes_poll's hosts refused a setting as a duplicate of itself. Ruled out: a second setting of that name in the script's files. Change: 64 fields, and the table of settings is checked when it is compiled. Before / after: bash regress/system/routes_poll.in (NET=9): 3 of 3 did not start; then the expected output.

--- a/src/config/config_int.h
+++ b/src/config/config_int.h
@@ -52,6 +52,7 @@
         .count_offset = offsetof(s, n), .item_fields = (table)                \
     }
 
+#define CP_MAX_FIELDS 64 /* of one table */
 /* Reads one YAML document into the struct `out`, described by `fields`: the
  * table-driven reader for settings, answers and configurations. */
 CpStatus CpYaml_Bind(const char *label, const char *text, size_t text_bytes,
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -56,6 +56,10 @@
     {0},
 };
 
+_Static_assert(sizeof(settings_fields) / sizeof(settings_fields[0]) <=
+                   CP_MAX_FIELDS,
+               "too many settings");
+
 static void check_address(const char *path, const char *field,
                           const char *value, CpProblems *p);
 static void check_mode(const char *path, const CpSettings *s, CpProblems *p);
--- a/src/config/config_yaml.c
+++ b/src/config/config_yaml.c
@@ -9,7 +9,6 @@
 #include "config/config_int.h"
 
 #define PROBLEM_BYTES 512
-#define MAX_FIELDS 32
 
 typedef struct {
     const char *label;
@@ -146,7 +145,7 @@
 bind_map(Reader *r, yaml_node_t *node, const char *path, const CpField *fields,
          char *out)
 {
-    bool present[MAX_FIELDS] = {false};
+    bool present[CP_MAX_FIELDS] = {false};
     if (node->type != YAML_MAPPING_NODE) {
         CpProblems_Add(r->problems, "%s:%u: %s: expected a mapping of fields",
                        r->label, line_of(node), *path ? path : "file");
