fleet: a free primary server is left only for one that has the object

Cause: where servers report their speed, a request left the primary server of its object for any server with a better chance of the goal. A server that has to load the object misses the goal as the slow primary does, holds its slot three times as long, and drops other objects for it. Change: while the primary has no queue, other servers count only if they have the object cached.

--- a/src/fleet/fleet_choose.c
+++ b/src/fleet/fleet_choose.c
@@ -159,22 +159,29 @@
                 .usable_ns = INT64_MAX,
                 .cached = CpFleet_FindCached(s, request->object)};
     Candidate best = {.cost_us = INT64_MAX}, near = best;
+    Candidate candidate = {0};
     memset(out, 0, sizeof(*out));
     /* a look for a faster server is no request */
     s->requests_since_tick += request->slow_attempt == NULL;
     CpFleet_PlaceObject(f, s, request->object, request, &q.placement);
-    Candidate candidate;
     /* Hundreds of others need no look if none of them can be better. */
     bool ideal = q.placement.primary != NULL &&
                  consider(&q, q.placement.primary, &candidate) &&
                  is_ideal(&q, &candidate);
+    /* A server that has to load the object first misses the goal as a slow
+     * primary server does, and holds its slot longer. */
+    bool primary_is_free = q.has_speeds && q.placement.primary != NULL &&
+                           candidate.server == q.placement.primary &&
+                           candidate.wait_us == 0;
     if (ideal) {
         best = candidate;
     }
     q.usable_slots = q.passed_over_slots =
         0; /* the primary is counted again */
     for (uint32_t i = 0; !ideal && i < s->servers->len; i++) {
-        if (!consider(&q, g_ptr_array_index(s->servers, i), &candidate)) {
+        if (!consider(&q, g_ptr_array_index(s->servers, i), &candidate) ||
+            (primary_is_free && candidate.work_class != CP_WORK_PRIMARY &&
+             candidate.work_class != CP_WORK_CACHED)) {
             continue;
         }
         keep_better(&q, &candidate, &near, &best);
