--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -148,6 +148,9 @@
     static CpTokensRow tokens[] = {
         {.org_hash = UINT64_MAX, .ask_id = 3, .amount = 4000000},
         {.org_hash = 10, .oldest_age_ms = 5, .retry_after_ms = UINT32_MAX}};
+    static CpSpeedRow speeds[] = {
+        {.server_hash = 9, .work_percent = 250, .age_ms = 70},
+        {.server_hash = 10, .work_percent = 100}};
     *loan = (CpLoanRow){.resource = "lookup-1", .units = 3};
     switch (type) {
     case CP_FRAME_HELLO:
@@ -217,6 +220,9 @@
                                    .rows = tokens,
                                    .row_count = 2};
         break;
+    case CP_FRAME_SPEEDS:
+        f.speeds = (CpSpeedsFrame){.rows = speeds, .row_count = 2};
+        break;
     default:
         f.cancel.id = 12;
         break;
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -52,6 +52,7 @@
     CP_U32_FIELD(CpSettings, quota_window_s, 0, 3600, 0, "s"),
     CP_TEXT_FIELD(CpSettings, quota_overshoot, false),
     CP_U32_FIELD(CpSettings, quota_tolerance, 0, 100000, 0, "requests"),
+    CP_U32_FIELD(CpSettings, speed_poll_ms, 0, 60000, 0, "ms"),
     {0},
 };
 
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -15,6 +15,12 @@
  * another server. */
 #define ATTEMPT_TIMEOUT_FACTOR 4
 #define ATTEMPT_TIMEOUT_MIN_GOALS 2
+/* A response is overdue after this part of the expected time: many come a
+ * little later than expected. */
+#define OVERDUE_PERCENT 125
+/* How often it is checked whether a request that could still be answered
+ * within its latency goal should leave a server that turned slow. */
+#define SLOW_CHECK_INTERVAL_NS (50 * CP_NS_PER_MS)
 /* Attempts that were not run do not count against the route's limit. */
 #define MAX_NOT_RUN_ATTEMPTS 3
 
@@ -36,7 +42,8 @@
     uint32_t attempts;         /* without those that were not run */
     uint32_t not_run_attempts; /* server unreachable, or it refused */
     bool may_have_run;
-    /* an attempt timed out: from now on only the deadline counts */
+    /* an attempt timed out, not before the latency goal where servers report
+     * their speed: from now on only the deadline counts */
     bool had_timeout;
     bool retry_paid;      /* the budget was charged for the next retry */
     bool has_next_choice; /* the next server has been chosen */
@@ -45,6 +52,8 @@
     char tried[CP_FLEET_MAX_TRIED][CP_NAME_BYTES];
     char *last_broken;    /* in `tried`: the last that broke off; NULL: none */
     CpFleetChoice choice; /* of the attempt in progress */
+    int64_t attempt_started_ns;
+    int64_t attempt_end_ns; /* may be abandoned from then on; 0: never */
 } RequestState;
 
 static bool on_head(void *ctx, CpRequest *rq, CpProxyAction *out);
@@ -57,7 +66,7 @@
                        const CpAttemptResult *head);
 static void on_stream_ended(void *ctx, CpRequest *rq,
                             const CpAttemptResult *a);
-static bool should_abandon(void *ctx, CpRequest *rq);
+static bool should_abandon(void *ctx, CpRequest *rq, int64_t *next_ns);
 static void on_deadline(void *ctx, CpRequest *rq, bool sent,
                         int64_t latency_ns, CpProxyAction *out);
 static void on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns);
@@ -68,12 +77,17 @@
                        const CpRequest *rq, const CpOrg **org);
 static void take_token_and_dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                                     CpProxyAction *out);
+static bool is_admitted(CpEntry *e, const CpRequest *rq, RequestState *s,
+                        int64_t now_ns, CpProxyAction *out);
 static void dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                      CpProxyAction *out);
+static void set_attempt_end(RequestState *s, int64_t now_ns);
 static int64_t attempt_deadline_ns(const RequestState *s, int64_t now_ns);
 static CpReason choose_server(CpEntry *e, const CpRequest *rq,
-                              const RequestState *s, int64_t now_ns,
-                              CpFleetChoice *out);
+                              const RequestState *s,
+                              const CpFleetAttempt *slow_attempt,
+                              int64_t now_ns, CpFleetChoice *out);
+static int64_t earlier(int64_t a_ns, int64_t b_ns);
 static uint32_t host_left_ms(CpEntry *e, int64_t now_ns);
 static void retry_or_fail(CpEntry *e, CpRequest *rq, RequestState *s,
                           const CpAttemptResult *a, CpProxyAction *out);
@@ -83,6 +97,9 @@
 static void report_attempt(CpEntry *e, const RequestState *s,
                            CpAttemptOutcome outcome, const CpAttemptResult *a,
                            int64_t latency_ns);
+static void log_not_admitted(const CpRequest *rq, const RequestState *s,
+                             const CpFleetRoom *room,
+                             const CpContentionDecision *d);
 static void log_attempt(const CpRequest *rq, const RequestState *s);
 static void log_flaw(const CpRequest *rq, const RequestState *s,
                      const CpAttemptResult *a);
@@ -189,6 +206,44 @@
     take_token_and_dispatch(ctx, rq, rq->policy_data, out);
 }
 
+/* Refuses the request if its service is contended and has no capacity for it.
+ * The latency goal of a caller that comes back counts from its first
+ * attempt. */
+static bool
+is_admitted(CpEntry *e, const CpRequest *rq, RequestState *s, int64_t now_ns,
+            CpProxyAction *out)
+{
+    CpFleetRoom room;
+    CpContentionDecision d;
+    CpFleetRequest place = {.service = s->service,
+                            .home_region_count = s->home_region_count,
+                            .home_regions = s->home_regions};
+    CpFleet_GetRoom(e->fleet, &place, now_ns, &room);
+    int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
+    CpContentionRequest request = {
+        .service = s->service,
+        .route = s->route->name,
+        .org = s->org != NULL ? s->org->name : NULL,
+        .rank = s->rank,
+        .goal_ms = s->route->goal_ms,
+        .timeout_ms = rq->timeout_ms,
+        .left_ms = left_ms > 0 ? (uint32_t)left_ms : 0,
+        .room = {.speed_reported = room.speed_reported,
+                 .load_known = room.server_count > 0,
+                 .load_milli = room.load_milli},
+        .random = CpRandom()};
+    CpContention_Decide(e->contention, &request, now_ns, &d);
+    if (d.acts) {
+        s->goal_ns -= d.elapsed_ms * CP_NS_PER_MS;
+    }
+    if (d.reason == CP_REASON_NONE) {
+        return true;
+    }
+    log_not_admitted(rq, s, &room, &d);
+    set_failure(s, d.reason, d.retry_after_ms, out);
+    return false;
+}
+
 static void
 on_attempt_ended(void *ctx, CpRequest *rq, const CpAttemptResult *a,
                  CpProxyAction *out)
@@ -210,7 +265,9 @@
     else {
         s->may_have_run = true;
     }
-    if (a->outcome == CP_ATTEMPT_TIMED_OUT) {
+    bool is_early =
+        s->choice.work_percent > 0 && CpClock_Now_ns() < s->goal_ns;
+    if (a->outcome == CP_ATTEMPT_TIMED_OUT && !is_early) {
         s->had_timeout = true;
     }
     if (a->outcome == CP_ATTEMPT_BROKEN && s->tried_count > 0) {
@@ -274,24 +331,38 @@
 }
 
 /* Abandons an attempt only if the budget allows a retry and another server has
- * a slot; otherwise the response may still arrive. A leaving host waits for
- * what its servers are running. */
+ * a slot; otherwise the response may still arrive. Before the end of the
+ * attempt, the other server has to be likely to respond within the latency
+ * goal. A leaving host waits for what its servers are running. */
 static bool
-should_abandon(void *ctx, CpRequest *rq)
+should_abandon(void *ctx, CpRequest *rq, int64_t *next_ns)
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
     int64_t now_ns = CpClock_Now_ns();
+    bool at_end = s->attempt_end_ns > 0 && now_ns >= s->attempt_end_ns;
+    int64_t check_ns = now_ns + SLOW_CHECK_INTERVAL_NS;
+    *next_ns = at_end                  ? 0
+               : check_ns < s->goal_ns ? earlier(check_ns, s->attempt_end_ns)
+                                       : s->attempt_end_ns;
     if (CpAtomic_Load(&e->leaving) || !withdraw_retry(e, now_ns)) {
         return false;
     }
+    const CpFleetAttempt attempt = {.instance = s->choice.instance,
+                                    .work_class = s->choice.work_class,
+                                    .wait_ms = s->choice.wait_ms,
+                                    .started_ns = s->attempt_started_ns};
     /* past the latency goal only a server with a free slot is chosen */
     s->has_next_choice =
-        choose_server(e, rq, s, now_ns, &s->next_choice) == CP_REASON_NONE;
+        choose_server(e, rq, s, at_end ? NULL : &attempt, now_ns,
+                      &s->next_choice) == CP_REASON_NONE;
     s->retry_paid = s->has_next_choice;
     if (!s->has_next_choice) {
         refund_retry(e);
     }
+    else if (!at_end) {
+        CpCounter_Add(CP_COUNT_SLOW_ATTEMPTS_LEFT, 1);
+    }
     return s->has_next_choice;
 }
 
@@ -393,7 +464,9 @@
         set_failure(s, CP_REASON_QUOTA_EXCEEDED, out->retry_after_ms, out);
     }
     else if (result == CP_ENTRY_QUOTA_GRANTED) {
-        dispatch(e, rq, s, out);
+        if (is_admitted(e, rq, s, CpClock_Now_ns(), out)) {
+            dispatch(e, rq, s, out);
+        }
     }
     else if (out->wait_until_ns > latest_ns) {
         out->wait_until_ns = latest_ns;
@@ -416,13 +489,13 @@
         s->has_next_choice = false;
     }
     else {
-        reason = choose_server(e, rq, s, now_ns, &s->choice);
+        reason = choose_server(e, rq, s, NULL, now_ns, &s->choice);
     }
     if (reason == CP_REASON_NO_SERVER && s->last_broken != NULL) {
         /* only the server whose response broke off is left */
         s->last_broken[0] = '\0';
         s->last_broken = NULL;
-        reason = choose_server(e, rq, s, now_ns, &s->choice);
+        reason = choose_server(e, rq, s, NULL, now_ns, &s->choice);
     }
     if (reason != CP_REASON_NONE) {
         CpEvent(CP_EVENT_REFUSED, "not_placed",
@@ -455,11 +528,12 @@
                : s->org != NULL        ? s->org->name
                                        : "";
     out->deadline_ns = s->deadline_ns;
+    set_attempt_end(s, now_ns);
     out->attempt_deadline_ns = attempt_deadline_ns(s, now_ns);
 }
 
-static int64_t
-attempt_deadline_ns(const RequestState *s, int64_t now_ns)
+static void
+set_attempt_end(RequestState *s, int64_t now_ns)
 {
     int64_t limit_ms = (int64_t)s->choice.expected_ms * ATTEMPT_TIMEOUT_FACTOR;
     int64_t min_ms = (int64_t)s->route->goal_ms * ATTEMPT_TIMEOUT_MIN_GOALS;
@@ -468,14 +542,37 @@
     bool may_retry = s->route->idempotent &&
                      s->attempts < s->route->max_attempts &&
                      s->deadline_ns - end_ns >= (s->deadline_ns - now_ns) / 2;
-    return may_retry ? end_ns : 0;
+    s->attempt_end_ns = may_retry ? end_ns : 0;
+    s->attempt_started_ns = now_ns;
+}
+
+/* Where servers report their speed, an attempt is also checked when the
+ * response is overdue, while another server could still meet the goal. */
+static int64_t
+attempt_deadline_ns(const RequestState *s, int64_t now_ns)
+{
+    int64_t overdue_ns =
+        now_ns + s->choice.expected_ms * OVERDUE_PERCENT * CP_NS_PER_MS / 100;
+    if (s->choice.work_percent == 0 || !s->route->idempotent ||
+        s->attempts >= s->route->max_attempts || overdue_ns >= s->goal_ns) {
+        return s->attempt_end_ns;
+    }
+    return earlier(overdue_ns, s->attempt_end_ns);
+}
+
+/* Returns the earlier of two times; 0: never. */
+static int64_t
+earlier(int64_t a_ns, int64_t b_ns)
+{
+    return b_ns == 0 || (a_ns > 0 && a_ns < b_ns) ? a_ns : b_ns;
 }
 
 /* Chooses a server by the time left and the servers tried; the request then
  * counts as in flight there. */
 static CpReason
 choose_server(CpEntry *e, const CpRequest *rq, const RequestState *s,
-              int64_t now_ns, CpFleetChoice *out)
+              const CpFleetAttempt *slow_attempt, int64_t now_ns,
+              CpFleetChoice *out)
 {
     int64_t left_ms = (s->deadline_ns - now_ns) / CP_NS_PER_MS;
     int64_t goal_ms = (s->goal_ns - now_ns) / CP_NS_PER_MS;
@@ -491,7 +588,8 @@
         .tried_count = s->tried_count,
         .home_region_count = s->home_region_count,
         .home_regions = s->home_regions,
-        .random = CpRandom()};
+        .random = CpRandom(),
+        .slow_attempt = slow_attempt};
     for (uint32_t i = 0; i < s->tried_count; i++) {
         request.tried[i] = s->tried[i];
     }
@@ -598,11 +696,15 @@
     CpFleetAttemptResult r = {.service = s->service,
                               .instance = s->choice.instance,
                               .outcome = outcome,
-                              .latency_ns = latency_ns};
+                              .latency_ns = latency_ns,
+                              .work_class = s->choice.work_class};
     if (a != NULL) {
         if (a->head_latency_ns > 0) {
             r.latency_ns = a->head_latency_ns;
         }
+        /* A server that sends another's response on a new connection, too, is
+         * found there: this one is not used again. */
+        r.unsolicited = a->reused && a->reason == CP_REASON_ANSWER_CROSSED;
         r.leaving = a->leaving;
         r.pause_ms = a->pause_ms;
         r.has_load = a->has_load;
@@ -611,16 +713,43 @@
         r.response_bytes = a->response_bytes;
     }
     CpFleet_EndAttempt(e->fleet, &r, CpClock_Now_ns());
+    if (outcome == CP_ATTEMPT_ANSWERED) {
+        CpContention_RecordResponse(e->contention, s->service, s->route->name,
+                                    r.latency_ns);
+    }
     CpEntryPeers_SendUsage(e, s->service, s->choice.instance);
 }
 
+static void
+log_not_admitted(const CpRequest *rq, const RequestState *s,
+                 const CpFleetRoom *room, const CpContentionDecision *d)
+{
+    CpEvent(CP_EVENT_REFUSED, "not_admitted",
+            "s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:i",
+            "request", rq->id, "reason", CpReason_Name(d->reason), "service",
+            s->service, "org", s->org != NULL ? s->org->name : "", "rank",
+            (int)s->rank, "load_milli", (int)room->load_milli, "servers_seen",
+            (int)room->server_count, "slots", (int)room->slots,
+            "rank_share_milli", (int)d->rank_share_milli, "org_share_milli",
+            (int)d->org_share_milli, "share_milli", (int)d->share_milli,
+            "rank_rate_milli", (int)d->rank_rate_milli, "org_rate_milli",
+            (int)d->org_rate_milli, "elapsed_ms", (int)d->elapsed_ms,
+            "typical_ms", (int)d->typical_ms, "retry_after_ms",
+            (int)d->retry_after_ms);
+}
+
 static void
 log_attempt(const CpRequest *rq, const RequestState *s)
 {
+    json_t *percent = NULL, *goal_share = NULL; /* fields are left out */
+    if (s->choice.work_percent > 0) {
+        percent = json_integer(s->choice.work_percent);
+        goal_share = json_integer(s->choice.goal_share_milli);
+    }
     CpEvent(CP_EVENT_ATTEMPT, "sent",
-            "s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I", "request",
-            rq->id, "object", rq->object, "route", s->route->name, "service",
-            s->service, "instance", s->choice.instance, "place",
+            "s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:i,s:I,s:i,s:I,s:I,s:O*,s:O*",
+            "request", rq->id, "object", rq->object, "route", s->route->name,
+            "service", s->service, "instance", s->choice.instance, "place",
             (int)s->choice.placement, "near", (int)s->choice.locality,
             "wait_ms", (int)s->choice.wait_ms, "expected_ms",
             (int)s->choice.expected_ms, "load_age_ms",
@@ -629,7 +758,10 @@
                 : (json_int_t)s->choice.load_age_ms,
             "entry_age_ms", (int)s->choice.entry_age_ms, "routes_version",
             (json_int_t)s->routes->version, "routes_age_ms",
-            (json_int_t)s->routes_age_ms);
+            (json_int_t)s->routes_age_ms, "work_percent", percent,
+            "goal_share_milli", goal_share);
+    json_decref(percent);
+    json_decref(goal_share);
 }
 
 /* Logs a response that was not one whole response, and one that other bytes
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -47,6 +47,7 @@
     CP_FRAME_TOKENS_MOVE = 19,
     CP_FRAME_TOKENS_ASK = 20,
     CP_FRAME_TOKENS_GRANT = 21,
+    CP_FRAME_SPEEDS = 22,
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -209,6 +210,19 @@
     CpTokensRow *rows;
     uint32_t row_count;
 } CpTokensFrame;
+/* Speed of a backend server, as it was in a response to the sender. */
+typedef struct {
+    uint64_t server_hash;  /* of the instance name */
+    uint32_t work_percent; /* time of work, of the usual one */
+    uint32_t age_ms;
+} CpSpeedRow;
+
+/* Speeds of backend servers that report them. A frame of its own, because
+ * older hosts reject a report whose rows have more fields. */
+typedef struct {
+    CpSpeedRow *rows;
+    uint32_t row_count;
+} CpSpeedsFrame;
 
 typedef struct {
     CpFrameType type;
@@ -228,6 +242,7 @@
         CpFreshnessQueryFrame freshness_query;
         CpFreshnessReplyFrame freshness_reply;
         CpTokensFrame tokens; /* TOKENS_MOVE, _ASK and _GRANT */
+        CpSpeedsFrame speeds;
     };
 } CpFrame;
 
