proxy, front: a caller that left during its body is noticed

Cause: libmicrohttpd (0.9.75) reads with edge-triggered events. When the end of a connection comes together with the last bytes that it reads, it takes the socket for drained and is not told again: the connection stays in CLOSE_WAIT, and its upload keeps a server's slot until the deadline. Ruled out: the suspended connections, which are watched; the stuck ones were not suspended. Callers whose last bytes do not fit in the host's queue cannot be noticed before those are read.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -205,6 +205,9 @@
 /* Binds a non-blocking TCP socket to IP:port; the caller listens on it and
  * closes it. Returns -1 and sets the error message on failure. */
 int32_t CpSocket_Bind(const char *address);
+/* Returns true if the peer has ended its side of a connection and all that it
+ * sent was read. */
+bool CpSocket_HasEnded(int32_t fd);
 /* Enables TCP keepalive: probes every `idle_s` without traffic; the connection
  * fails after `probes` probes without a response. */
 CpStatus CpSocket_SetKeepalive(int32_t fd, uint32_t idle_s, uint32_t probes);
--- a/src/base/base_address.c
+++ b/src/base/base_address.c
@@ -5,6 +5,8 @@
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -91,3 +93,13 @@
     }
     return CP_OK;
 }
+
+bool
+CpSocket_HasEnded(int32_t fd)
+{
+    struct pollfd p = {.fd = fd, .events = POLLRDHUP};
+    int unread = 0;
+    return poll(&p, 1, 0) > 0 &&
+           (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0 &&
+           ioctl(fd, FIONREAD, &unread) == 0 && unread == 0;
+}
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -377,12 +377,14 @@
 }
 
 /* Closes connections with an unfinished body that has made no progress for too
- * long or is dropped for too long, and others while little memory is left. */
+ * long or is dropped for too long, and others while little memory is left. The
+ * library may miss the end of a connection that comes with the last bytes that
+ * it reads, as the kernel tells of both only once. */
 static void
 close_stalled(CpFront *f, int64_t now_ns)
 {
-    const CpBudgetWanted stalled = {.idle_ns = f->options.body_timeout_ms *
-                                               CP_NS_PER_MS};
+    const CpBudgetWanted stalled = {.idle_ns = CLOSE_IDLE_NS};
+    int64_t timeout_ns = f->options.body_timeout_ms * CP_NS_PER_MS;
     if (now_ns < f->next_close_ns) {
         return;
     }
@@ -397,7 +399,9 @@
              a = next) {
             Caller *caller = a->ctx;
             next = a->next;
-            if (caller->call != NULL && !caller->call->body_received) {
+            if (caller->call != NULL && !caller->call->body_received &&
+                (now_ns - a->progress_ns >= timeout_ns ||
+                 CpSocket_HasEnded(caller->fd))) {
                 CpCounter_Add(CP_COUNT_CALLERS_CLOSED, 1);
                 close_caller(caller);
             }
--- a/src/proxy/proxy_caller.c
+++ b/src/proxy/proxy_caller.c
@@ -128,12 +128,14 @@
     }
 }
 
+/* The daemon may miss the end of a connection that comes with the last bytes
+ * that it reads, as the kernel tells of both only once. */
 void
 CpProxyCaller_Sweep(CpProxyWorker *w, int64_t now_ns)
 {
     const CpProxyOptions *o = &w->proxy->options;
     int64_t body_timeout_ns = o->body_timeout_ms * CP_NS_PER_MS;
-    const CpBudgetWanted stalled = {.idle_ns = body_timeout_ns};
+    const CpBudgetWanted stalled = {.idle_ns = CLOSE_IDLE_NS};
     CpBudgetAccount *next;
     if (now_ns < w->next_sweep_ns) {
         return;
@@ -141,10 +143,12 @@
     w->next_sweep_ns = now_ns + SWEEP_NS;
     for (CpBudgetAccount *a =
              CpBudgetGroup_FindIdlest(w->callers, &stalled, now_ns);
-         a != NULL && now_ns - a->progress_ns >= body_timeout_ns; a = next) {
+         a != NULL && now_ns - a->progress_ns >= CLOSE_IDLE_NS; a = next) {
         CpProxyCaller *c = a->ctx;
         next = a->next;
-        if (c->exchange != NULL && !c->exchange->body_received) {
+        if (c->exchange != NULL && !c->exchange->body_received &&
+            (now_ns - a->progress_ns >= body_timeout_ns ||
+             CpSocket_HasEnded(c->fd))) {
             CpCounter_Add(CP_COUNT_CALLERS_CLOSED, 1);
             CpProxyCaller_Close(c);
         }
