standin: the store comes back from an older copy

Cause: part 6 of docs/design/overview.md: no stand-in store could lose acknowledged writes, go back in its versions and name a later era. Ruled out: the mode stale, which serves old rows of the same versions. Change: control calls copy=1 and restore=1; the header Store-Era in all answers after the first restore; 410 for versions that do not exist; the count of tables read from their first row.

--- a/standin/standin_platform.c
+++ b/standin/standin_platform.c
@@ -11,6 +11,10 @@
  * /control?compact=1 discards the change history; with drop_table=T&drop_key=K
  * also a row or its deletion mark, so that followers see neither the row nor
  * its removal.
+ * POST /control?copy=1 keeps a copy of the rows, their versions and the last
+ * version; restore=1 puts the rows and versions back to that copy and raises
+ * the era, which all responses then have in the header Store-Era. A call for
+ * changes after a version that the store does not have gets 410.
  * mix=X&mix_path=P sets a second fault, of the calls whose path begins with P:
  * responses that are joined on one connection. "head" sends a head with the
  * status mix_status that breaks off in a line, before the response; "body" one
@@ -119,8 +123,12 @@
 static uint64_t mix_status = 200;
 static uint64_t mix_left; /* calls that the fault still meets */
 static uint64_t read_count, write_count, connection_count;
-static uint64_t last_version;          /* of the last transaction */
+static uint64_t list_count;   /* reads of a table from its first row */
+static uint64_t last_version; /* of the last transaction */
 static uint64_t history_start_version; /* older changes are discarded */
+static GTree *copied_rows;             /* NULL: no copy was taken */
+static uint64_t copied_version, copied_history_start_version;
+static uint64_t era; /* number of restores; 0: no header */
 
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
@@ -158,7 +166,11 @@
 static uint32_t render_json(json_t *root, char **out);
 static int compare_paths(const void *a, const void *b, void *ctx);
 static void free_row(void *p);
-static GTree *copy_rows(void);
+static GTree *copy_rows(GTree *from);
+static void take_copy(void);
+static void restore_copy(void);
+static enum MHD_Result respond_with_era(struct MHD_Connection *conn,
+                                        uint32_t status, char *text);
 
 static const Endpoint endpoints[] = {
     {"/rows-tx", "POST", true, transact},
@@ -232,7 +244,7 @@
         return MHD_NO;
     }
     if (current_mode == MODE_BUSY) {
-        return CpStandin_Respond(conn, 503, g_strdup("{}\n"));
+        return respond_with_era(conn, 503, g_strdup("{}\n"));
     }
     return dispatch(conn, url, method, q->body, is_kept);
 }
@@ -274,7 +286,13 @@
     CpStr_Copy(busy_table, sizeof(busy_table),
                CpStandin_GetQueryText(conn, "busy_table", busy_table));
     if (strcmp(mode_name, mode_names[MODE_STALE]) == 0) {
-        stale_rows = copy_rows();
+        stale_rows = copy_rows(rows);
+    }
+    if (CpStandin_GetQueryNumber(conn, "copy", 0) > 0) {
+        take_copy();
+    }
+    if (CpStandin_GetQueryNumber(conn, "restore", 0) > 0) {
+        restore_copy();
     }
     const char *table = CpStandin_GetQueryText(conn, "drop_table", "");
     if (CpStandin_GetQueryNumber(conn, "compact", 0) > 0 || table[0] != '\0') {
@@ -287,9 +305,10 @@
     pthread_cond_broadcast(&changed);
     char *text = g_strdup_printf(
         "{\"mode\":\"%s\",\"reads\":%llu,\"writes\":%llu,"
-        "\"connections\":%llu}\n",
+        "\"connections\":%llu,\"lists\":%llu}\n",
         mode_names[mode], (unsigned long long)read_count,
-        (unsigned long long)write_count, (unsigned long long)connection_count);
+        (unsigned long long)write_count, (unsigned long long)connection_count,
+        (unsigned long long)list_count);
     pthread_mutex_unlock(&lock);
     return CpStandin_Respond(conn, 200, text);
 }
@@ -371,7 +390,25 @@
         g_free(sent->last);
         sent->last = g_strdup(text);
     }
-    return CpStandin_Respond(conn, status, text);
+    return respond_with_era(conn, status, text);
+}
+
+static enum MHD_Result
+respond_with_era(struct MHD_Connection *conn, uint32_t status, char *text)
+{
+    char header[24];
+    pthread_mutex_lock(&lock);
+    snprintf(header, sizeof(header), "%llu", (unsigned long long)era);
+    pthread_mutex_unlock(&lock);
+    struct MHD_Response *r = MHD_create_response_from_buffer(
+        strlen(text), text, MHD_RESPMEM_MUST_FREE);
+    MHD_add_response_header(r, "Content-Type", "application/json");
+    if (strcmp(header, "0") != 0) {
+        MHD_add_response_header(r, "Store-Era", header);
+    }
+    enum MHD_Result ok = MHD_queue_response(conn, status, r);
+    MHD_destroy_response(r);
+    return ok;
 }
 
 /* Returns the fault of calls to this path. */
@@ -500,6 +537,7 @@
     GTree *source = mode == MODE_STALE ? stale_rows : rows;
     json_t *found = json_array();
     bool has_more = false;
+    list_count += from[0] == '\0' && limit >= DEFAULT_PAGE_ROWS;
     char *first_path = row_path(table, part, from);
     (void)suffix, (void)body;
     GTreeNode *node = g_tree_lower_bound(source, first_path);
@@ -572,14 +610,16 @@
     int64_t ns = deadline.tv_nsec + (int64_t)wait_ms * CP_NS_PER_MS;
     deadline.tv_sec += ns / CP_NS_PER_S;
     deadline.tv_nsec = ns % CP_NS_PER_S;
-    bool is_history_discarded = query.after_version < history_start_version;
+    bool is_history_discarded = query.after_version < history_start_version ||
+                                query.after_version > last_version;
     while (!is_history_discarded && mode != MODE_DOWN) {
         g_tree_foreach(rows, collect_change, &query);
         if (query.changes->len > 0 ||
             pthread_cond_timedwait(&changed, &lock, &deadline) != 0) {
             break;
         }
-        is_history_discarded = query.after_version < history_start_version;
+        is_history_discarded = query.after_version < history_start_version ||
+                               query.after_version > last_version;
     }
     g_ptr_array_sort(query.changes, compare_versions);
     json_t *found = json_array();
@@ -716,9 +756,33 @@
 }
 
 static GTree *
-copy_rows(void)
+copy_rows(GTree *from)
 {
     GTree *copy = g_tree_new_full(compare_paths, NULL, g_free, free_row);
-    g_tree_foreach(rows, copy_row, copy);
+    g_tree_foreach(from, copy_row, copy);
     return copy;
 }
+
+static void
+take_copy(void)
+{
+    if (copied_rows != NULL) {
+        g_tree_destroy(copied_rows);
+    }
+    copied_rows = copy_rows(rows);
+    copied_version = last_version;
+    copied_history_start_version = history_start_version;
+}
+
+/* Without a copy, the rows stay and only the era changes. */
+static void
+restore_copy(void)
+{
+    if (copied_rows != NULL) {
+        g_tree_destroy(rows);
+        rows = copy_rows(copied_rows);
+        last_version = copied_version;
+        history_start_version = copied_history_start_version;
+    }
+    era++;
+}
