--- a/regress/regress.h
+++ b/regress/regress.h
@@ -20,6 +20,7 @@
 void CpDrive_Quota(FILE *in, FILE *out);
 void CpDrive_Route(FILE *in, FILE *out);
 void CpDrive_Steer(FILE *in, FILE *out);
+void CpDrive_Store(FILE *in, FILE *out);
 void CpDrive_Wire(FILE *in, FILE *out);
 
 /* Calls on_line with each line of a script, without its newline. Skips empty
--- a/regress/run.c
+++ b/regress/run.c
@@ -29,8 +29,8 @@
     {"member", CpDrive_Member}, {"once", CpDrive_Once},
     {"org", CpDrive_Org},       {"platform", CpDrive_Platform},
     {"quota", CpDrive_Quota},   {"route", CpDrive_Route},
-    {"steer", CpDrive_Steer},   {"wire", CpDrive_Wire},
-    {"system", NULL}, /* run by bash */
+    {"steer", CpDrive_Steer},   {"store", CpDrive_Store},
+    {"wire", CpDrive_Wire},     {"system", NULL}, /* run by bash */
 };
 
 static char *scripts[MAX_TESTS];
