--- a/Makefile
+++ b/Makefile
@@ -75,7 +75,7 @@
 PLATFORM_NAMES := rows-tx|rows-get|rows-feed|blob-(put|get|drop)|Attempt-Id|\
 Affinity-Key|Target-Instance|Not-Executed|Response-Seal|Server-Load|\
 Warmup-Remaining|Server-Leaving|warmupLeftMs|serviceName|configVersion|latencyGoalMs|\
-trafficSplit|routeType|sessionAffinity|apiKeys|ratePerS|paddle-Tenant
+trafficSplit|routeType|sessionAffinity|apiKeys|ratePerS|paddle-Tenant|Store-Era
 lint:
 	! grep -rnE '$(PLATFORM_NAMES)' src
 	clang-format --dry-run -Werror $(C_FILES)
--- a/regress/drive_wire.c
+++ b/regress/drive_wire.c
@@ -206,6 +206,18 @@
                                                     .era = 1,
                                                     .version = UINT64_MAX};
         break;
+    case CP_FRAME_ERA:
+        f.era = (CpEraFrame){.host = "north-a-1",
+                             .incarnation = 7,
+                             .era = 3,
+                             .operator_era = 2,
+                             .operator_version = 40,
+                             .servers_era = 3,
+                             .servers_version = 41,
+                             .hosts_era = 1,
+                             .hosts_version = UINT64_MAX,
+                             .config_version = 6};
+        break;
     case CP_FRAME_TOKENS_MOVE:
     case CP_FRAME_TOKENS_ASK:
     case CP_FRAME_TOKENS_GRANT:
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -22,6 +22,16 @@
 #define PEER_CHECK_S 1    /* between checks for a watching peer */
 #define PROBE_WAIT_MS 100 /* poll after an error, and instead of a peer */
 #define MIN_WAIT_NS (800 * CP_NS_PER_MS) /* for a response, before a stop */
+/* After a restore: for the watching hosts to read a table, before other hosts
+ * of the domain do, one after the other. */
+#define COPY_WAIT_MS 2500
+#define COPY_WAIT_PER_RANK_MS 200
+#define COPY_POLL_MS 100
+/* How long the store is asked at short intervals for an era that another host
+ * has reported. */
+#define ERA_PROBE_NS (10 * CP_NS_PER_S)
+#define CONFIG_ASK_INTERVAL_NS CP_NS_PER_S
+#define HELD_OVER_CHECK_NS CP_NS_PER_S
 /* For a change to reach all hosts. */
 #define MAX_BEHIND_NS (400 * CP_NS_PER_MS)
 
@@ -32,16 +42,23 @@
 } TableInfo;
 
 static void *follow_thread(void *ctx);
-static bool load_at_start(CpEntryFollower *f, uint64_t *version);
+static bool load_at_start(CpEntryFollower *f, CpTableVersion *version);
 static bool reads_from_peer(CpEntryFollower *f, int64_t now_ns);
-static bool fetch_from_peer(CpEntryFollower *f, uint64_t *version);
+static bool fetch_from_peer(CpEntryFollower *f, CpTableVersion *version);
+static bool copy_new_era(CpEntryFollower *f, CpTableVersion *version);
 static void confirm_copy(CpEntryFollower *f, bool nothing_newer,
-                         uint64_t version);
-static void fetch_missed(CpEntryFollower *f, uint64_t *version);
-static void set_read_version(CpEntryFollower *f, uint64_t version);
-static uint32_t max_wait_ms(const CpEntryFollower *f, bool instead_of_peer);
+                         const CpTableVersion *version);
+static void fetch_missed(CpEntryFollower *f, CpTableVersion *version);
+static void fetch_config(CpEntry *e);
+static bool is_config_due(CpEntry *e, int64_t now_ns);
+static void set_read_version(CpEntryFollower *f,
+                             const CpTableVersion *version);
+static bool is_era_due(CpEntryFollower *f, int64_t now_ns);
+static bool is_peer_later(CpEntryFollower *f, const CpTableVersion *version);
+static uint32_t max_wait_ms(CpEntryFollower *f, bool instead_of_peer);
 static bool should_stop(void *ctx);
-static CpStatus scan_table(CpEntryFollower *f, uint64_t *version);
+static CpStatus scan_table(CpEntryFollower *f, CpTableVersion *version);
+static void on_scanned_row(void *ctx, const CpFeedRow *row);
 static void record_result(CpEntryFollower *f, CpStatus st);
 static void record_answer(CpEntryFollower *f, bool was_connected,
                           int64_t now_ns);
@@ -67,6 +84,7 @@
         f->table = (CpTable)i;
         f->store = e->adapter.new_store(e->settings.platform, SCAN_TIMEOUT_MS);
         CpEntryNeighbours_Init(f);
+        pthread_mutex_init(&f->versions_lock, NULL);
         f->store->should_stop = should_stop;
         f->store->should_stop_ctx = f;
         f->store->new_connections =
@@ -118,6 +136,14 @@
                     (int)n);
         }
     }
+    if (is_store_reachable(e) && CpEntryFollow_Era(e) > 0 &&
+        now_ns - e->held_over_checked_ns >= HELD_OVER_CHECK_NS) {
+        e->held_over_checked_ns = now_ns;
+        CpEntryNeighbours_GiveUpHeldOver(&e->followers[CP_TABLE_OPERATOR],
+                                         now_ns);
+        CpEntryNeighbours_GiveUpHeldOver(&e->followers[CP_TABLE_HOSTS],
+                                         now_ns);
+    }
 }
 
 static void *
@@ -125,12 +151,16 @@
 {
     CpEntryFollower *f = ctx;
     CpEntry *e = f->entry;
-    uint64_t version = 0;
+    CpTableVersion version = {0};
     bool scanned = false;
     bool history_gone = false; /* since the last feed that was read */
     for (;;) {
-        uint64_t before = version;
+        CpTableVersion before = version;
         f->call_started_ns = CpClock_Now_ns();
+        if (f->table == CP_TABLE_OPERATOR &&
+            is_config_due(e, f->call_started_ns)) {
+            fetch_config(e);
+        }
         bool has_peer = scanned && reads_from_peer(f, f->call_started_ns);
         if (has_peer && fetch_from_peer(f, &version)) {
             continue;
@@ -147,6 +177,12 @@
                                              max_wait_ms(f, has_peer),
                                              CpEntryFollow_OnRow, f, &version)
                           : scan_table(f, &version);
+        if (st == CP_ERR_RANGE && scanned && version.era > before.era) {
+            CpEntryFollow_OnEra(e, version.era);
+            version = before;
+            scanned = copy_new_era(f, &version);
+            continue;
+        }
         if (st == CP_ERR_RANGE) { /* the history is gone: scan again */
             CpEvent(CP_EVENT_DEPENDENCY, "history_gone", "s:s", "table",
                     table_info[f->table].label);
@@ -161,7 +197,9 @@
             history_gone = false;
         }
         if (st != CP_OK && f->ended_early) { /* no fault of the store */
-            CpFreshness_OnUnconfirmedRead(e->freshness);
+            if (f->table == CP_TABLE_OPERATOR) {
+                CpFreshness_OnUnconfirmedRead(e->freshness);
+            }
             continue;
         }
         record_result(f, st);
@@ -176,17 +214,19 @@
             back_off(f);
             continue;
         }
-        set_read_version(f, version);
+        CpEntryFollow_OnEra(e, version.era);
+        set_read_version(f, &version);
         if (f->table == CP_TABLE_OPERATOR) {
             bool no_rows = __atomic_load_n(&f->rows_read, __ATOMIC_RELAXED) ==
                            rows_before;
-            confirm_copy(f, scanned && no_rows, version);
+            confirm_copy(f, scanned && no_rows, &version);
         }
         scanned = true;
-        if (version != before) {
+        bool changed = CpTableVersion_IsLater(&version, &before);
+        if (changed) {
             CpEntryPeers_SendVersions(e);
         }
-        if (version != before && table_info[f->table].pause_ms > 0) {
+        if (changed && table_info[f->table].pause_ms > 0) {
             CpSleep_ms(table_info[f->table].pause_ms);
         }
     }
@@ -198,11 +238,11 @@
  * that no host has to serve more than two others. Returns false if the table
  * has to be scanned. */
 static bool
-load_at_start(CpEntryFollower *f, uint64_t *version)
+load_at_start(CpEntryFollower *f, CpTableVersion *version)
 {
     CpEntry *e = f->entry;
     char parent[CP_NAME_BYTES];
-    if (!e->settings.first_start || *version > 0) {
+    if (!e->settings.first_start || version->version > 0) {
         return false;
     }
     if (f->table == CP_TABLE_HOSTS) { /* until all have written their rows */
@@ -210,8 +250,9 @@
         return false;
     }
     while (CpEntryHosts_IsStarting(e)) {
-        uint64_t hosts_version = __atomic_load_n(
-            &e->followers[CP_TABLE_HOSTS].read_version, __ATOMIC_RELAXED);
+        CpEntryFollower *hosts = &e->followers[CP_TABLE_HOSTS];
+        uint64_t hosts_version =
+            CpEntryFollow_Get(hosts, &hosts->read).version;
         if (hosts_version > 0 && !CpEntryHosts_GetParent(e, parent)) {
             return false;
         }
@@ -219,8 +260,8 @@
             CpEntryNeighbours_LoadTable(f, parent, version) == CP_OK) {
             CpEvent(CP_EVENT_DEPENDENCY, "table_loaded", "s:s,s:s,s:I",
                     "table", table_info[f->table].label, "from", parent,
-                    "version", (json_int_t)*version);
-            set_read_version(f, *version);
+                    "version", (json_int_t)version->version);
+            set_read_version(f, version);
             return true;
         }
         CpSleep_ms(START_POLL_MS);
@@ -247,18 +288,16 @@
  * provide the rows, or the last read failed, so that what was missing then is
  * not known to be gone. */
 static bool
-fetch_from_peer(CpEntryFollower *f, uint64_t *version)
+fetch_from_peer(CpEntryFollower *f, CpTableVersion *version)
 {
     CpEntry *e = f->entry;
     char peer[CP_NAME_BYTES];
     pthread_mutex_lock(&e->store_lock);
-    bool behind =
-        __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
+    bool behind = is_peer_later(f, version);
     if (!behind && CpAtomic_Load(&f->consecutive_errors) == 0) {
         CpCond_Wait_ns(&e->store_changed, &e->store_lock,
                        PEER_CHECK_S * CP_NS_PER_S);
-        behind =
-            __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
+        behind = is_peer_later(f, version);
     }
     CpStr_Copy(peer, sizeof(peer), f->peer_host);
     pthread_mutex_unlock(&e->store_lock);
@@ -272,18 +311,59 @@
         return false;
     }
     CpAtomic_Store(&f->consecutive_errors, 0);
-    set_read_version(f, *version);
+    set_read_version(f, version);
     return true;
 }
 
+static bool
+is_peer_later(CpEntryFollower *f, const CpTableVersion *version)
+{
+    CpTableVersion peer = CpEntryFollow_Get(f, &f->peer);
+    return CpTableVersion_IsLater(&peer, version);
+}
+
+/* The store was restored. Hosts that do not watch it wait until a watching
+ * host has read the table in the new era and copy it, so that they do not all
+ * read it from the store. Returns false if the table has to be scanned. */
+static bool
+copy_new_era(CpEntryFollower *f, CpTableVersion *version)
+{
+    CpEntry *e = f->entry;
+    int64_t start_ns = CpClock_Now_ns();
+    for (;;) {
+        char peer[CP_NAME_BYTES];
+        uint32_t rank = CpEntryHosts_Rank(e);
+        if (rank < e->settings.watching_hosts ||
+            CpClock_Now_ns() - start_ns >
+                (int64_t)(COPY_WAIT_MS + rank * COPY_WAIT_PER_RANK_MS) *
+                    CP_NS_PER_MS) {
+            return false;
+        }
+        pthread_mutex_lock(&e->store_lock);
+        CpStr_Copy(peer, sizeof(peer), f->peer_host);
+        pthread_mutex_unlock(&e->store_lock);
+        if (is_peer_later(f, version) &&
+            CpEntryNeighbours_FetchChanges(f, peer, version) == CP_OK) {
+            CpAtomic_Store(&f->consecutive_errors, 0);
+            CpEvent(CP_EVENT_DEPENDENCY, "table_loaded", "s:s,s:s,s:I",
+                    "table", table_info[f->table].label, "from", peer,
+                    "version", (json_int_t)version->version);
+            set_read_version(f, version);
+            return true;
+        }
+        CpSleep_ms(COPY_POLL_MS);
+    }
+}
+
 /* Only a call for changes that returned none confirms the copy: rows may be a
  * part of those that there are. */
 static void
-confirm_copy(CpEntryFollower *f, bool nothing_newer, uint64_t version)
+confirm_copy(CpEntryFollower *f, bool nothing_newer,
+             const CpTableVersion *version)
 {
-    const CpTableVersion v = {.version = version};
+    CpEntryFollow_CheckConfig(f->entry);
     if (nothing_newer) {
-        CpFreshness_OnNothingNewer(f->entry->freshness, &v,
+        CpFreshness_OnNothingNewer(f->entry->freshness, version,
                                    f->call_started_ns);
     }
     else {
@@ -294,13 +374,12 @@
 /* While the store cannot be read, the rows of another host that has read more
  * of the table keep the copy fresh. */
 static void
-fetch_missed(CpEntryFollower *f, uint64_t *version)
+fetch_missed(CpEntryFollower *f, CpTableVersion *version)
 {
     CpEntry *e = f->entry;
     char peer[CP_NAME_BYTES];
     pthread_mutex_lock(&e->store_lock);
-    bool behind =
-        __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) > *version;
+    bool behind = is_peer_later(f, version);
     CpStr_Copy(peer, sizeof(peer), f->peer_host);
     pthread_mutex_unlock(&e->store_lock);
     if (!behind) {
@@ -309,8 +388,8 @@
     if (CpEntryNeighbours_FetchMissed(f, peer, version) == CP_OK) {
         CpEvent(CP_EVENT_DEPENDENCY, "table_loaded", "s:s,s:s,s:I", "table",
                 table_info[f->table].label, "from", peer, "version",
-                (json_int_t)*version);
-        set_read_version(f, *version);
+                (json_int_t)version->version);
+        set_read_version(f, version);
         return;
     }
     pthread_mutex_lock(&e->store_lock);
@@ -318,19 +397,153 @@
     pthread_mutex_unlock(&e->store_lock);
 }
 
+static bool
+is_config_due(CpEntry *e, int64_t now_ns)
+{
+    uint64_t in_force = CpEntryFollow_ConfigInForce(e);
+    pthread_mutex_lock(&e->store_lock);
+    bool due = e->config.highest_known > in_force &&
+               e->config_host[0] != '\0' &&
+               now_ns - e->config_asked_ns >= CONFIG_ASK_INTERVAL_NS;
+    pthread_mutex_unlock(&e->store_lock);
+    return due;
+}
+
+/* Another host has a configuration in force that the store has lost. */
 static void
-set_read_version(CpEntryFollower *f, uint64_t version)
+fetch_config(CpEntry *e)
 {
-    __atomic_store_n(&f->read_version, version, __ATOMIC_RELAXED);
+    char peer[CP_NAME_BYTES];
+    pthread_mutex_lock(&e->store_lock);
+    CpStr_Copy(peer, sizeof(peer), e->config_host);
+    e->config_host[0] = '\0'; /* the next one to report it is asked */
+    e->config_asked_ns = CpClock_Now_ns();
+    pthread_mutex_unlock(&e->store_lock);
+    bool fetched = CpEntryNeighbours_FetchConfig(e, peer);
+    CpEvent(CP_EVENT_DEPENDENCY,
+            fetched ? "neighbour_answered" : "neighbour_gave_nothing",
+            "s:s,s:s", "name", peer, "table", "operator");
+}
+
+static void
+set_read_version(CpEntryFollower *f, const CpTableVersion *version)
+{
+    CpEntry *e = f->entry;
+    pthread_mutex_lock(&f->versions_lock);
+    bool started = f->read.version == 0;
+    bool new_era = version->era > f->read.era;
+    f->read = *version;
+    bool caught_up = !CpTableVersion_IsLater(&f->peer, version);
+    pthread_mutex_unlock(&f->versions_lock);
+    if (f->table == CP_TABLE_OPERATOR && new_era) {
+        pthread_mutex_lock(&e->store_lock);
+        e->config.era_since_ns = CpClock_Now_ns();
+        e->config.others_asked = e->config.others_asked || !started;
+        pthread_mutex_unlock(&e->store_lock);
+    }
     if (f->table == CP_TABLE_OPERATOR) {
-        CpFreshness_OnHeld(f->entry->freshness,
-                           &(CpTableVersion){.version = version});
+        CpFreshness_OnHeld(e->freshness, version);
     }
-    if (version >= __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED)) {
+    if (caught_up) {
         __atomic_store_n(&f->behind_since_ns, 0, __ATOMIC_RELAXED);
     }
 }
 
+CpTableVersion
+CpEntryFollow_Get(CpEntryFollower *f, const CpTableVersion *v)
+{
+    pthread_mutex_lock(&f->versions_lock);
+    CpTableVersion out = *v;
+    pthread_mutex_unlock(&f->versions_lock);
+    return out;
+}
+
+uint64_t
+CpEntryFollow_Era(CpEntry *e)
+{
+    pthread_mutex_lock(&e->store_lock);
+    uint64_t era = e->store_era;
+    pthread_mutex_unlock(&e->store_lock);
+    return era;
+}
+
+void
+CpEntryFollow_OnEra(CpEntry *e, uint64_t era)
+{
+    pthread_mutex_lock(&e->store_lock);
+    uint64_t before = e->store_era;
+    if (era > before) {
+        e->store_era = era;
+        e->store_era_since_ns = CpClock_Now_ns();
+        pthread_cond_broadcast(&e->store_changed);
+    }
+    pthread_mutex_unlock(&e->store_lock);
+    if (era > before) {
+        CpEvent(CP_EVENT_DEPENDENCY, "store_restored", "s:I,s:I", "era",
+                (json_int_t)era, "before", (json_int_t)before);
+        CpEntryPeers_AnnounceEra(e);
+    }
+}
+
+/* Returns true while this table was last read in an era before the latest. */
+static bool
+is_era_due(CpEntryFollower *f, int64_t now_ns)
+{
+    CpEntry *e = f->entry;
+    CpTableVersion read = CpEntryFollow_Get(f, &f->read);
+    pthread_mutex_lock(&e->store_lock);
+    bool due = e->store_era > read.era &&
+               now_ns - e->store_era_since_ns < ERA_PROBE_NS;
+    pthread_mutex_unlock(&e->store_lock);
+    return due;
+}
+
+void
+CpEntryFollow_OnPeerConfig(CpEntry *e, const char *host, uint64_t version)
+{
+    uint64_t in_force = CpEntryFollow_ConfigInForce(e);
+    pthread_mutex_lock(&e->store_lock);
+    e->config.others_asked = true;
+    if (version > in_force && version >= e->config.highest_known) {
+        if (version > e->config.highest_known || e->config_host[0] == '\0') {
+            CpStr_Copy(e->config_host, sizeof(e->config_host), host);
+            pthread_cond_broadcast(&e->store_changed);
+        }
+        e->config.highest_known = version;
+    }
+    pthread_mutex_unlock(&e->store_lock);
+    CpEntryFollow_CheckConfig(e);
+}
+
+void
+CpEntryFollow_SetRejected(CpEntry *e, bool rejected)
+{
+    pthread_mutex_lock(&e->store_lock);
+    e->config.rejected = rejected;
+    pthread_mutex_unlock(&e->store_lock);
+    CpEntryFollow_CheckConfig(e);
+}
+
+void
+CpEntryFollow_CheckConfig(CpEntry *e)
+{
+    uint64_t in_force = CpEntryFollow_ConfigInForce(e);
+    pthread_mutex_lock(&e->store_lock);
+    e->config.in_force = in_force;
+    bool may = CpEra_MayConfirm(&e->config, CpClock_Now_ns());
+    CpFreshness_SetInForce(e->freshness, may);
+    pthread_mutex_unlock(&e->store_lock);
+}
+
+uint64_t
+CpEntryFollow_ConfigInForce(CpEntry *e)
+{
+    pthread_mutex_lock(&e->routes_lock);
+    uint64_t version = e->routes != NULL ? e->routes->version : 0;
+    pthread_mutex_unlock(&e->routes_lock);
+    return version;
+}
+
 bool
 CpEntryFollow_IsWatching(CpEntry *e)
 {
@@ -341,10 +554,11 @@
 /* After an error any response is of use: it shows that the store is reachable,
  * and that the table was read since. */
 static uint32_t
-max_wait_ms(const CpEntryFollower *f, bool instead_of_peer)
+max_wait_ms(CpEntryFollower *f, bool instead_of_peer)
 {
     CpEntry *e = f->entry;
-    if (instead_of_peer || !f->connected || !is_store_reachable(e)) {
+    if (instead_of_peer || !f->connected || !is_store_reachable(e) ||
+        is_era_due(f, CpClock_Now_ns())) {
         return PROBE_WAIT_MS;
     }
     if (f->table != CP_TABLE_OPERATOR) {
@@ -374,63 +588,88 @@
     if (now_ns - f->call_started_ns <= MIN_WAIT_NS) {
         return false;
     }
-    f->ended_early = !unreachable && !behind &&
-                     f->table == CP_TABLE_OPERATOR &&
-                     CpFreshness_IsDue(e->freshness, now_ns);
+    f->ended_early =
+        is_era_due(f, now_ns) ||
+        (!unreachable && !behind && f->table == CP_TABLE_OPERATOR &&
+         (CpFreshness_IsDue(e->freshness, now_ns) ||
+          is_config_due(e, now_ns)));
     return unreachable || behind || f->ended_early;
 }
 
 void
 CpEntryFollow_OnPeerVersion(CpEntry *e, const char *host, CpTable table,
-                            uint64_t version, int64_t now_ns)
+                            const CpTableVersion *version, int64_t now_ns)
 {
     CpEntryFollower *f = &e->followers[table];
     if (table == CP_TABLE_OPERATOR) {
-        CpFreshness_OnKnown(e->freshness,
-                            &(CpTableVersion){.version = version});
+        CpFreshness_OnKnown(e->freshness, version);
     }
-    if (version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)) {
-        return;
-    }
-    if (version >= __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED)) {
-        pthread_mutex_lock(&e->store_lock);
-        if (version > __atomic_load_n(&f->peer_version, __ATOMIC_RELAXED) ||
-            f->peer_host[0] == '\0') {
-            CpStr_Copy(f->peer_host, sizeof(f->peer_host), host);
-            __atomic_store_n(&f->peer_version, version, __ATOMIC_RELAXED);
-            pthread_cond_broadcast(&e->store_changed);
-        }
-        pthread_mutex_unlock(&e->store_lock);
+    pthread_mutex_lock(&e->store_lock);
+    pthread_mutex_lock(&f->versions_lock);
+    bool is_later = CpTableVersion_IsLater(version, &f->read);
+    bool is_latest = is_later && !CpTableVersion_IsLater(&f->peer, version);
+    if (is_latest && (CpTableVersion_IsLater(version, &f->peer) ||
+                      f->peer_host[0] == '\0')) {
+        CpStr_Copy(f->peer_host, sizeof(f->peer_host), host);
+        f->peer = *version;
+        pthread_cond_broadcast(&e->store_changed);
     }
-    if (__atomic_load_n(&f->behind_since_ns, __ATOMIC_RELAXED) == 0) {
+    pthread_mutex_unlock(&f->versions_lock);
+    pthread_mutex_unlock(&e->store_lock);
+    if (is_later &&
+        __atomic_load_n(&f->behind_since_ns, __ATOMIC_RELAXED) == 0) {
         __atomic_store_n(&f->behind_since_ns, now_ns, __ATOMIC_RELAXED);
     }
 }
 
-uint64_t
+CpTableVersion
 CpEntryFollow_RowVersion(CpEntry *e, CpTable table)
 {
-    const CpEntryFollower *f = &e->followers[table];
-    uint64_t version = __atomic_load_n(&f->row_version, __ATOMIC_RELAXED);
-    return version <= __atomic_load_n(&f->read_version, __ATOMIC_RELAXED)
-               ? version
-               : 0;
+    CpEntryFollower *f = &e->followers[table];
+    pthread_mutex_lock(&f->versions_lock);
+    CpTableVersion version = {0};
+    if (!CpTableVersion_IsLater(&f->row, &f->read)) {
+        version = f->row;
+    }
+    pthread_mutex_unlock(&f->versions_lock);
+    return version;
 }
 
 static CpStatus
-scan_table(CpEntryFollower *f, uint64_t *version)
+scan_table(CpEntryFollower *f, CpTableVersion *version)
 {
     CpEntryNeighbours_BeginList(f);
-    CpStatus st = f->store->scan(f->store->ctx, f->table, CpEntryFollow_OnRow,
-                                 f, version);
+    CpStatus st =
+        f->store->scan(f->store->ctx, f->table, on_scanned_row, f, version);
     if (st == CP_OK) {
-        CpEntryNeighbours_EndList(f, *version, *version);
+        CpEntryNeighbours_EndList(f, version, version->version);
         /* A row may have been removed at any version up to this one. */
-        CpEntryFollow_RaiseRowVersion(f, *version);
+        CpEntryFollow_RaiseRowVersion(f, version);
     }
     return st;
 }
 
+/* A host that starts after a restore asks its neighbours first what they know,
+ * as the store may have lost it. */
+static void
+on_scanned_row(void *ctx, const CpFeedRow *row)
+{
+    CpEntryFollower *f = ctx;
+    CpEntry *e = f->entry;
+    if (row->era > 0 && CpEntryFollow_Get(f, &f->read).version == 0) {
+        pthread_mutex_lock(&e->start_lock);
+        if (!e->neighbours_asked) {
+            e->neighbours_asked = true;
+            bool answered = CpEntryNeighbours_AskAll(e);
+            pthread_mutex_lock(&e->store_lock);
+            e->config.others_asked = e->config.others_asked || answered;
+            pthread_mutex_unlock(&e->store_lock);
+        }
+        pthread_mutex_unlock(&e->start_lock);
+    }
+    CpEntryFollow_OnRow(f, row);
+}
+
 static void
 record_result(CpEntryFollower *f, CpStatus st)
 {
--- a/src/entry/entry_freshness.c
+++ b/src/entry/entry_freshness.c
@@ -43,8 +43,8 @@
                                     .sent_ns = (int64_t)q->sent_ns};
     /* Not the version of the last call, which a change of any table raises
      * and the asking host may not have read. */
-    const CpTableVersion held = {
-        .version = CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR)};
+    const CpTableVersion held = CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR);
+    CpEntryFollow_CheckConfig(e);
     if (!CpFreshness_Reply(e->freshness, &query, &held, CpClock_Now_ns(),
                            &reply)) {
         return;
@@ -56,6 +56,7 @@
                                      .era = reply.version.era,
                                      .version = reply.version.version}};
     CpStr_Copy(f.freshness_reply.host, CP_NAME_BYTES, e->settings.host);
+    CpEntryPeers_SendEra(e, from, from_bytes); /* with its configuration */
     CpEntryPeers_Send(e, &f, from, from_bytes);
 }
 
@@ -72,8 +73,9 @@
                   .sent_ns = (int64_t)r->sent_ns},
         .age_ns = (int64_t)r->age_ns,
         .version = {.era = r->era, .version = r->version}};
+    CpEntryFollow_CheckConfig(e);
     CpFreshness_OnReply(e->freshness, &reply, now_ns);
-    CpEntryFollow_OnPeerVersion(e, r->host, CP_TABLE_OPERATOR, r->version,
+    CpEntryFollow_OnPeerVersion(e, r->host, CP_TABLE_OPERATOR, &reply.version,
                                 now_ns);
 }
 
@@ -114,6 +116,7 @@
             "s:I,s:i,s:I", "age_ms",
             (json_int_t)(age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS), "bound_ms",
             (int)e->settings.revocation_bound_ms, "operator_version",
-            (json_int_t)CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR));
+            (json_int_t)CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR)
+                .version);
     }
 }
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -24,6 +24,7 @@
 /* From the reading of a host's row to its first report. */
 #define FIRST_REPORT_TIMEOUT_NS (5 * CP_NS_PER_S)
 
+static uint32_t position(CpEntry *e);
 static CpEntryHost *find_host(CpEntry *e, const char *name);
 static uint32_t rank_in_domain(const CpEntry *e, const CpEntryHost *host);
 static const CpEntryHost *find_live(const CpEntry *e, const char *domain,
@@ -50,7 +51,10 @@
 CpEntryHosts_Tick(void *ctx, int64_t now_ns)
 {
     CpEntry *e = ctx;
+    int64_t lost_ns = __atomic_load_n(&e->own_row_lost_ns, __ATOMIC_RELAXED);
     if (CpAtomic_Load(&e->leaving) ||
+        (lost_ns != 0 &&
+         now_ns - lost_ns < CpEra_WriteDelay_ns(position(e))) ||
         (e->own_row_written_ns > 0 &&
          now_ns - e->own_row_written_ns < OWN_ROW_WAIT_NS)) {
         return;
@@ -59,7 +63,7 @@
     const CpEntryHost *self = find_host(e, e->settings.host);
     bool has_row = self != NULL && self->incarnation == e->incarnation;
     pthread_mutex_unlock(&e->hosts_lock);
-    if (has_row) {
+    if (has_row && lost_ns == 0) {
         return;
     }
     char *value = encode_host(e);
@@ -72,9 +76,58 @@
         CpEvent(CP_EVENT_DEPENDENCY, "host_row_not_written", "s:s", "error",
                 CpError_Message());
     }
+    /* After a failure the writes are spread again. */
+    if (lost_ns != 0) {
+        __atomic_store_n(&e->own_row_lost_ns, st == CP_OK ? 0 : now_ns,
+                         __ATOMIC_RELAXED);
+    }
     free(value);
 }
 
+void
+CpEntryHosts_OnOwnRowLost(CpEntry *e, int64_t now_ns)
+{
+    int64_t none = 0;
+    __atomic_compare_exchange_n(&e->own_row_lost_ns, &none, now_ns, false,
+                                __ATOMIC_RELAXED, __ATOMIC_RELAXED);
+}
+
+/* Returns this host's place in the order of all hosts by name. */
+static uint32_t
+position(CpEntry *e)
+{
+    uint32_t before = 0;
+    pthread_mutex_lock(&e->hosts_lock);
+    for (guint i = 0; i < e->hosts->len; i++) {
+        const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
+        before += strcmp(h->name, e->settings.host) < 0;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return before;
+}
+
+bool
+CpEntryHosts_OnEra(CpEntry *e, const char *name)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    CpEntryHost *h = find_host(e, name);
+    if (h != NULL) {
+        h->reports_era = true;
+    }
+    pthread_mutex_unlock(&e->hosts_lock);
+    return h != NULL;
+}
+
+bool
+CpEntryHosts_ReportsEra(CpEntry *e, const char *name)
+{
+    pthread_mutex_lock(&e->hosts_lock);
+    const CpEntryHost *h = find_host(e, name);
+    bool reports = h != NULL && h->reports_era;
+    pthread_mutex_unlock(&e->hosts_lock);
+    return reports;
+}
+
 void
 CpEntryHosts_RemoveOwnRow(CpEntry *e)
 {
@@ -114,6 +167,10 @@
         g_ptr_array_remove(e->hosts, host);
     }
     pthread_mutex_unlock(&e->hosts_lock);
+    if (usable && strcmp(next.name, e->settings.host) == 0 &&
+        next.incarnation == e->incarnation) {
+        __atomic_store_n(&e->own_row_lost_ns, 0, __ATOMIC_RELAXED);
+    }
     CpEvent(CP_EVENT_STATE, usable ? "host" : "host_gone", "s:s,s:I", "name",
             row->key, "row_version", (json_int_t)row->version);
 }
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -11,6 +11,7 @@
 #include "entry/entry.h"
 #include "http/http.h"
 #include "quota/quota.h"
+#include "store/era.h"
 #include "wire/wire.h"
 
 /* An entry host, this one included, from its row and its last report. */
@@ -28,6 +29,8 @@
     int64_t row_read_ns;
     int64_t last_report_ns;   /* 0: none received */
     int64_t last_watching_ns; /* last_report_ns of a watching host; else 0 */
+    bool reports_era; /* in frames of their own: the versions in its reports
+                         are not used */
 } CpEntryHost;
 
 typedef struct {
@@ -49,18 +52,20 @@
      * list of all rows has no marks, so that they start anew there. 0: none
      * read. */
     uint64_t removals_version;
-    GHashTable *rows; /* last read version of each, served to other hosts */
+    GHashTable *rows;  /* last read version of each, served to other hosts */
+    uint64_t list_era; /* highest of the rows; by rows_lock */
     uint32_t consecutive_errors; /* atomic */
     uint64_t rows_read;          /* count; atomic */
-    bool ended_early; /* the call, to confirm the copy; thread only */
-    /* highest of all rows read, and of the removals that a scan implies;
-     * atomic */
-    uint64_t row_version;
-    uint64_t read_version; /* the table is read completely up to it; atomic */
-    uint64_t peer_version; /* highest that a peer has read; atomic */
+    bool ended_early; /* the call, to confirm the copy or as it asks for a
+                         version of an earlier era; thread only */
+    pthread_mutex_t versions_lock; /* guards the next 3 */
+    /* highest of all rows read, and of the removals that a scan implies */
+    CpTableVersion row;
+    CpTableVersion read;           /* the table is read completely up to it */
+    CpTableVersion peer;           /* highest that a peer has read */
     char peer_host[CP_NAME_BYTES]; /* that peer, "": none; guarded by
                                       store_lock */
-    /* when peer_version first exceeded read_version; 0: it does not; atomic */
+    /* when `peer` first exceeded `read`; 0: it does not; atomic */
     int64_t behind_since_ns;
 } CpEntryFollower;
 
@@ -98,8 +103,13 @@
     CpStore *store;   /* for writes */
     CpEntryFollower followers[CP_TABLE_COUNT];
     int64_t own_row_written_ns; /* by the timer's thread; 0: not yet */
+    int64_t own_row_lost_ns; /* the store has lost it; 0: it has not; atomic */
+    int64_t held_over_checked_ns; /* by the timer's thread */
 
-    pthread_mutex_t store_lock; /* guards the next 5 */
+    pthread_mutex_t start_lock; /* guards the next */
+    bool neighbours_asked;      /* at a start in a later era */
+
+    pthread_mutex_t store_lock; /* guards the next 10 */
     /* signalled when the store is reachable again or a peer has a later
      * version */
     pthread_cond_t store_changed;
@@ -109,6 +119,12 @@
      * entries lapse */
     int64_t store_reachable_since_ns;
     int64_t store_answered_ns; /* last answer to any call of the followers */
+    uint64_t store_era;        /* latest that is known */
+    int64_t store_era_since_ns;
+    CpEraConfig config;              /* but for `in_force` */
+    char config_host[CP_NAME_BYTES]; /* has the highest configuration that is
+                                        known; "": none to ask */
+    int64_t config_asked_ns;
     /* flag: lapsed entries may exist; atomic */
     uint32_t lapsed_removal_due;
 
@@ -151,7 +167,26 @@
 void CpEntryFollow_Tick(void *ctx, int64_t now_ns);
 /* Handles a report of a peer that it has read a table up to a version. */
 void CpEntryFollow_OnPeerVersion(CpEntry *e, const char *host, CpTable table,
-                                 uint64_t version, int64_t now_ns);
+                                 const CpTableVersion *version,
+                                 int64_t now_ns);
+/* Handles the news, from the store or another host, that the store was
+ * restored and is in this era. */
+void CpEntryFollow_OnEra(CpEntry *e, uint64_t era);
+/* Handles a report of a peer that it has this version of the configuration in
+ * force. */
+void CpEntryFollow_OnPeerConfig(CpEntry *e, const char *host,
+                                uint64_t version);
+/* Decides anew whether the configuration may be confirmed; call it before
+ * each confirmation. */
+void CpEntryFollow_CheckConfig(CpEntry *e);
+/* Sets that the newest configuration that was read cannot be used, or can. */
+void CpEntryFollow_SetRejected(CpEntry *e, bool rejected);
+/* Returns the version of the configuration in force; 0: none. */
+uint64_t CpEntryFollow_ConfigInForce(CpEntry *e);
+/* Reads one of the three versions of a follower, under their lock. */
+CpTableVersion CpEntryFollow_Get(CpEntryFollower *f, const CpTableVersion *v);
+/* Returns the latest known era of the store. */
+uint64_t CpEntryFollow_Era(CpEntry *e);
 /* Returns true if this is a watching host and the store is reachable. */
 bool CpEntryFollow_IsWatching(CpEntry *e);
 /* Returns how long missing entries may still reappear; 0: they are gone. */
@@ -160,7 +195,7 @@
 void CpEntryFollow_SetLapseLeft(CpEntry *e, uint32_t left_ms, int64_t now_ns);
 /* Returns the highest version of the rows read from a table; 0 while rows are
  * missing that other hosts would expect of this one. */
-uint64_t CpEntryFollow_RowVersion(CpEntry *e, CpTable table);
+CpTableVersion CpEntryFollow_RowVersion(CpEntry *e, CpTable table);
 
 /* Returns true during an outage of the store and for `lapse_ms` after it, when
  * a missing entry may reappear. */
@@ -169,19 +204,32 @@
 /* rows: applies a row of a table; `ctx` is a CpEntryFollower */
 void CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row);
 /* Sets the version that this host reports to others, unless it is higher. */
-void CpEntryFollow_RaiseRowVersion(CpEntryFollower *f, uint64_t version);
+void CpEntryFollow_RaiseRowVersion(CpEntryFollower *f,
+                                   const CpTableVersion *version);
+/* Decodes the version of a configuration; returns false if it is unusable. */
+bool CpEntryFollow_GetConfigVersion(CpEntry *e, const char *text,
+                                    size_t text_bytes, uint64_t *version);
 
 /* neighbours: rows of the tables that hosts fetch from each other */
 void CpEntryNeighbours_Init(CpEntryFollower *f);
-/* Returns false if a later version of the row is held: copies of other hosts
- * may lag. */
-bool CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row);
+/* Decides on a row and keeps it, or what replaces it. IGNORE: a later version
+ * of the row is held, as copies of other hosts may lag. */
+CpEraDecision CpEntryNeighbours_UpdateRow(CpEntryFollower *f,
+                                          const CpFeedRow *row);
 /* Begin and end a list of all rows as of `version`. Rows that it did not
  * contain are removed at its end, as if their removal had been read; marks of
  * removals are complete from `removals_version` on. */
 void CpEntryNeighbours_BeginList(CpEntryFollower *f);
-void CpEntryNeighbours_EndList(CpEntryFollower *f, uint64_t version,
+void CpEntryNeighbours_EndList(CpEntryFollower *f,
+                               const CpTableVersion *version,
                                uint64_t removals_version);
+/* Removes rows that were held over and did not come back. */
+void CpEntryNeighbours_GiveUpHeldOver(CpEntryFollower *f, int64_t now_ns);
+/* Loads all tables from all neighbours, so that a host that starts after a
+ * restore knows what they know. Returns false if none answered. */
+bool CpEntryNeighbours_AskAll(CpEntry *e);
+/* Fetches the configuration from a peer; returns false if that failed. */
+bool CpEntryNeighbours_FetchConfig(CpEntry *e, const char *peer);
 /* Loads all tables from the first neighbour that has routes. */
 void CpEntryNeighbours_LoadTables(CpEntry *e);
 /* Fetches the rows that a peer has read after *version, applies them and
@@ -189,15 +237,15 @@
  * are removed. CP_ERR_PARSE: it has no later version, or does not state from
  * which version its removals are complete. */
 CpStatus CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
-                                        uint64_t *version);
+                                        CpTableVersion *version);
 /* The same for a host that does not reach the store itself, and says nothing
  * of entries that lapsed. */
 CpStatus CpEntryNeighbours_FetchMissed(CpEntryFollower *f, const char *peer,
-                                       uint64_t *version);
+                                       CpTableVersion *version);
 /* Fetches all rows of a table from a host that has read it; *version becomes
  * the version up to which it has. */
 CpStatus CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
-                                     uint64_t *version);
+                                     CpTableVersion *version);
 uint32_t CpEntryNeighbours_RenderState(void *ctx, const CpPageQuery *q,
                                        char **out);
 
@@ -208,6 +256,14 @@
 void CpEntryHosts_Tick(void *ctx, int64_t now_ns);
 void CpEntryHosts_RemoveOwnRow(CpEntry *e);
 void CpEntryHosts_OnRow(CpEntry *e, const CpFeedRow *row);
+/* The store has lost this host's row: it is written again, after a delay that
+ * spreads the writes of all hosts. */
+void CpEntryHosts_OnOwnRowLost(CpEntry *e, int64_t now_ns);
+/* Records that a peer reports the era of its versions; returns false if the
+ * peer is unknown. */
+bool CpEntryHosts_OnEra(CpEntry *e, const char *name);
+/* Returns true if it does. */
+bool CpEntryHosts_ReportsEra(CpEntry *e, const char *name);
 /* Counts the known hosts; at least 1. */
 uint32_t CpEntryHosts_Count(CpEntry *e);
 /* Returns this host's rank by name among the live hosts of its domain, from 0.
@@ -284,6 +340,12 @@
 void CpEntryPeers_SendUsage(CpEntry *e, const char *service,
                             const char *instance);
 
+/* Sends the era of the store, with the versions of the tables and of the
+ * configuration, to a host; nothing in the first era. */
+void CpEntryPeers_SendEra(CpEntry *e, const struct sockaddr_storage *to,
+                          uint32_t to_bytes);
+/* The same to the hosts of this domain and one of each other domain. */
+void CpEntryPeers_AnnounceEra(CpEntry *e);
 /* Sends a datagram; one that cannot be sent is treated as lost. */
 void CpEntryPeers_Send(CpEntry *e, const CpFrame *f,
                        const struct sockaddr_storage *to, uint32_t to_bytes);
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -17,25 +17,45 @@
 /* For all rows of a large table over a slow link. */
 #define LOAD_TIMEOUT_MS 2500
 #define MAX_STATE_BYTES (16u * 1024 * 1024)
+/* How long the mark of a removed row outlasts a list of all rows: a copy from
+ * which the store is restored is some seconds old. */
+#define MARK_KEEP_NS (3600 * CP_NS_PER_S)
 
 /* The last version read of a row. */
 typedef struct {
-    char *value; /* NULL: deleted */
-    uint64_t version;
+    char *value;      /* NULL: deleted */
+    char *last_value; /* of a deleted row; NULL: not known */
+    CpTableVersion version;
     uint32_t list_number; /* the last list of all rows that contained it */
+    int64_t deleted_ns;   /* when it was read that it is deleted */
+    int64_t held_over_ns; /* since when the store is not known to have it; 0:
+                             it has */
 } CachedRow;
 
+static CpEraKind kind_of(const CpEntryFollower *f, const char *key);
+static CpEraDecision decide(CpEntryFollower *f, const CachedRow *held,
+                            const CpFeedRow *row);
+static CpEraRow describe(CpEntryFollower *f, CpEraKind kind, const char *key,
+                         const char *value, size_t value_bytes);
+static CpEraRow describe_held(CpEntryFollower *f, CpEraKind kind,
+                              const char *key, const CachedRow *held);
+static void hold_over(CpEntryFollower *f, const char *key, CachedRow *held,
+                      int64_t since_ns);
 static bool load_from(CpEntry *e, const char *address);
-static json_t *render_table(CpEntryFollower *f, uint64_t after,
+static json_t *render_table(CpEntryFollower *f, const CpTableVersion *after,
                             uint64_t digest);
 static CpStatus fetch_rows(CpEntryFollower *f, const char *peer,
                            uint32_t timeout_ms, bool sets_lapse,
-                           uint64_t *version);
+                           CpTableVersion *version);
+static uint64_t get_integer(const json_t *o, const char *name);
+static CpTableVersion get_version(const json_t *table);
 static json_t *fetch_page(const char *address, const char *path,
                           uint32_t timeout_ms);
-static void apply_rows(CpEntryFollower *f, const json_t *rows);
+static void apply_rows(CpEntryFollower *f, const json_t *rows, uint64_t era);
+static void apply_held_over(CpEntryFollower *f, const CpFeedRow *row,
+                            int64_t held_ns);
 static bool mark_listed(CpEntryFollower *f, const CpFeedRow *row,
-                        uint64_t read_version);
+                        const CpTableVersion *read);
 static uint64_t rows_digest(CpEntryFollower *f);
 static void free_row(void *p);
 
@@ -46,26 +66,137 @@
     f->rows = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_row);
 }
 
-bool
+CpEraDecision
 CpEntryNeighbours_UpdateRow(CpEntryFollower *f, const CpFeedRow *row)
 {
+    const CpTableVersion version = {.era = row->era, .version = row->version};
     pthread_mutex_lock(&f->rows_lock);
-    const CachedRow *held = g_hash_table_lookup(f->rows, row->key);
-    bool is_later = held == NULL || held->version <= row->version;
-    if (is_later) {
+    CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    CpEraDecision d = decide(f, held, row);
+    f->list_era = row->era > f->list_era ? row->era : f->list_era;
+    if (d == CP_ERA_TAKE || d == CP_ERA_GONE) {
         /* What is no text is no entry, and could not be served as JSON. */
         bool is_text =
             g_utf8_validate(row->value, (gssize)row->value_bytes, NULL);
+        bool deleted = row->deleted || d == CP_ERA_GONE;
         CachedRow *cached = CpMem_Alloc(sizeof(*cached));
-        cached->value = row->deleted ? NULL
-                        : is_text    ? g_strndup(row->value, row->value_bytes)
-                                     : g_strdup("");
-        cached->version = row->version;
+        cached->value = deleted   ? NULL
+                        : is_text ? g_strndup(row->value, row->value_bytes)
+                                  : g_strdup("");
+        if (deleted) {
+            cached->last_value =
+                held == NULL
+                    ? NULL
+                    : g_strdup(held->value != NULL ? held->value
+                                                   : held->last_value);
+            cached->deleted_ns = CpClock_Now_ns();
+        }
+        cached->version = version;
+        if (held != NULL && CpTableVersion_IsLater(&held->version, &version)) {
+            cached->version = held->version;
+        }
         cached->list_number = f->list_number;
         g_hash_table_replace(f->rows, g_strdup(row->key), cached);
     }
+    else if (d == CP_ERA_KEEP) {
+        held->version = version;
+        held->list_number = f->list_number;
+        /* the store has an earlier process's row */
+        if (f->table == CP_TABLE_HOSTS && held->value != NULL &&
+            strcmp(held->value, row->value) != 0) {
+            hold_over(f, row->key, held, CpClock_Now_ns());
+        }
+    }
     pthread_mutex_unlock(&f->rows_lock);
-    return is_later;
+    return d;
+}
+
+/* Called under the rows' lock. */
+static CpEraDecision
+decide(CpEntryFollower *f, const CachedRow *held, const CpFeedRow *row)
+{
+    CpEraRow held_row, next;
+    if (row->era == 0 && (held == NULL || held->version.era == 0)) {
+        return held == NULL || held->version.version <= row->version
+                   ? CP_ERA_TAKE
+                   : CP_ERA_IGNORE;
+    }
+    CpEraKind kind = kind_of(f, row->key);
+    next = describe(f, kind, row->key, row->value, row->value_bytes);
+    next.version = (CpTableVersion){.era = row->era, .version = row->version};
+    next.deleted = row->deleted;
+    if (held != NULL) {
+        held_row = describe_held(f, kind, row->key, held);
+    }
+    return CpEra_OnRow(kind, held != NULL ? &held_row : NULL, &next);
+}
+
+static CpEraKind
+kind_of(const CpEntryFollower *f, const char *key)
+{
+    char domain[CP_NAME_BYTES];
+    if (f->table != CP_TABLE_OPERATOR) {
+        return f->table == CP_TABLE_SERVERS ? CP_ERA_SERVER : CP_ERA_HOST;
+    }
+    CpEntryRowType type = f->entry->adapter.classify_operator_row(key, domain);
+    return type == CP_ENTRY_ROW_ROUTES       ? CP_ERA_CONFIG
+           : type == CP_ENTRY_ROW_EVACUATION ? CP_ERA_EVACUATION
+                                             : CP_ERA_OTHER;
+}
+
+static CpEraRow
+describe(CpEntryFollower *f, CpEraKind kind, const char *key,
+         const char *value, size_t value_bytes)
+{
+    CpEraRow row = {0};
+    CpServerEntry entry;
+    if (kind == CP_ERA_SERVER &&
+        f->entry->adapter.decode_server(key, value, value_bytes, &entry) ==
+            CP_OK) {
+        row.started_ms = entry.started_ms;
+        row.sequence = entry.sequence;
+    }
+    if (kind == CP_ERA_HOST) {
+        row.sequence = CpHash_Str(value, 0);
+    }
+    if (kind == CP_ERA_CONFIG) {
+        row.unusable = !CpEntryFollow_GetConfigVersion(
+            f->entry, value, value_bytes, &row.sequence);
+    }
+    return row;
+}
+
+/* The configuration that counts is the one in force. */
+static CpEraRow
+describe_held(CpEntryFollower *f, CpEraKind kind, const char *key,
+              const CachedRow *held)
+{
+    CpEraRow row = {0};
+    const char *value = held->value != NULL ? held->value : held->last_value;
+    if (kind == CP_ERA_CONFIG) {
+        row.sequence = CpEntryFollow_ConfigInForce(f->entry);
+    }
+    else if (value != NULL) {
+        row = describe(f, kind, key, value, strlen(value));
+    }
+    row.version = held->version;
+    row.deleted = held->value == NULL;
+    row.held_over = held->held_over_ns != 0;
+    return row;
+}
+
+/* Called under the rows' lock. */
+static void
+hold_over(CpEntryFollower *f, const char *key, CachedRow *held,
+          int64_t since_ns)
+{
+    CpEntry *e = f->entry;
+    if (held->held_over_ns == 0) {
+        held->held_over_ns = since_ns;
+    }
+    if (f->table == CP_TABLE_HOSTS && strcmp(key, e->settings.host) == 0) {
+        CpEntryHosts_OnOwnRowLost(e, CpClock_Now_ns());
+    }
 }
 
 void
@@ -77,34 +208,89 @@
 }
 
 void
-CpEntryNeighbours_EndList(CpEntryFollower *f, uint64_t version,
+CpEntryNeighbours_EndList(CpEntryFollower *f, const CpTableVersion *version,
                           uint64_t removals_version)
 {
     GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
     GHashTableIter it;
     void *key, *value;
+    int64_t now_ns = CpClock_Now_ns();
+    CpTableVersion read = CpEntryFollow_Get(f, &f->read);
+    bool new_era = version->era > read.era && read.version > 0;
     pthread_mutex_lock(&f->rows_lock);
+    f->list_era = version->era > f->list_era ? version->era : f->list_era;
     g_hash_table_iter_init(&it, f->rows);
     while (g_hash_table_iter_next(&it, &key, &value)) {
-        const CachedRow *cached = value;
+        CachedRow *cached = value;
         if (cached->list_number == f->list_number ||
-            cached->version > version) {
+            CpTableVersion_IsLater(&cached->version, version)) {
             continue;
         }
         if (cached->value != NULL) {
-            g_ptr_array_add(gone, g_strdup(key));
+            CpEraKind kind = kind_of(f, key);
+            const CpEraRow held = {.version = cached->version,
+                                   .held_over = cached->held_over_ns != 0};
+            if (CpEra_OnMissing(kind, &held, version) == CP_ERA_GONE) {
+                g_ptr_array_add(gone, g_strdup(key));
+                continue;
+            }
+            cached->version = *version;
+            if (kind != CP_ERA_CONFIG) {
+                hold_over(f, key, cached, now_ns);
+                CpEvent(CP_EVENT_STATE, "row_held_over", "s:s,s:I", "key",
+                        (const char *)key, "era", (json_int_t)version->era);
+            }
         }
-        else { /* older than the marks that are complete */
+        else if (now_ns - cached->deleted_ns > MARK_KEEP_NS) {
             g_hash_table_iter_remove(&it);
         }
+        else if (version->era > cached->version.era) {
+            cached->version = *version;
+        }
     }
     f->removals_version = removals_version;
     pthread_mutex_unlock(&f->rows_lock);
+    if (new_era && f->table == CP_TABLE_SERVERS) {
+        CpEntryFollow_SetLapseLeft(f->entry, f->entry->settings.lapse_ms,
+                                   now_ns);
+    }
     for (guint i = 0; i < gone->len; i++) {
         CpFeedRow row = {.key = g_ptr_array_index(gone, i),
                          .value = "",
                          .deleted = true,
-                         .version = version};
+                         .version = version->version,
+                         .era = version->era};
+        CpEntryFollow_OnRow(f, &row);
+    }
+    g_ptr_array_unref(gone);
+}
+
+void
+CpEntryNeighbours_GiveUpHeldOver(CpEntryFollower *f, int64_t now_ns)
+{
+    GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+    GHashTableIter it;
+    void *key, *value;
+    CpTableVersion version = CpEntryFollow_Get(f, &f->read);
+    pthread_mutex_lock(&f->rows_lock);
+    g_hash_table_iter_init(&it, f->rows);
+    while (version.era > 0 && g_hash_table_iter_next(&it, &key, &value)) {
+        CachedRow *cached = value;
+        if (cached->held_over_ns != 0 && cached->value != NULL &&
+            CpEra_IsGivenUp(kind_of(f, key), now_ns - cached->held_over_ns)) {
+            g_ptr_array_add(gone, g_strdup(key));
+        }
+    }
+    pthread_mutex_unlock(&f->rows_lock);
+    for (guint i = 0; i < gone->len; i++) {
+        const char *name = g_ptr_array_index(gone, i);
+        CpEvent(CP_EVENT_STATE, "row_given_up", "s:s,s:I", "key", name, "era",
+                (json_int_t)version.era);
+        CpFeedRow row = {.key = name,
+                         .value = "",
+                         .deleted = true,
+                         .version = version.version,
+                         .era = version.era};
         CpEntryFollow_OnRow(f, &row);
     }
     g_ptr_array_unref(gone);
@@ -115,37 +301,90 @@
 {
     for (uint32_t i = 0; i < e->settings.neighbour_count; i++) {
         const char *address = e->settings.neighbours[i].value;
-        if (strcmp(address, e->settings.control) != 0 &&
-            load_from(e, address)) {
-            return;
+        if (strcmp(address, e->settings.control) != 0) {
+            load_from(e, address);
+            if (CpEntry_IsReady(e)) {
+                return;
+            }
+        }
+    }
+}
+
+bool
+CpEntryNeighbours_AskAll(CpEntry *e)
+{
+    bool answered = e->settings.neighbour_count == 0;
+    bool alone = true;
+    for (uint32_t i = 0; i < e->settings.neighbour_count; i++) {
+        const char *address = e->settings.neighbours[i].value;
+        if (strcmp(address, e->settings.control) != 0) {
+            alone = false;
+            answered = load_from(e, address) || answered;
+        }
+    }
+    /* The list of the store that is being read decides which rows exist. */
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        CpEntryNeighbours_BeginList(&e->followers[i]);
+    }
+    return answered || alone;
+}
+
+bool
+CpEntryNeighbours_FetchConfig(CpEntry *e, const char *peer)
+{
+    CpEntryFollower *f = &e->followers[CP_TABLE_OPERATOR];
+    char address[CP_ADDR_BYTES];
+    if (!CpEntryHosts_GetControlAddress(e, peer, address)) {
+        return false;
+    }
+    json_t *state = fetch_page(address, "/state?table=0&after=0&digest=0",
+                               LOAD_TIMEOUT_MS);
+    const json_t *table =
+        json_array_get(json_object_get(state, "tables"), CP_TABLE_OPERATOR);
+    uint64_t era = get_integer(table, "era");
+    json_t *o;
+    size_t k;
+    json_array_foreach(json_object_get(table, "rows"), k, o)
+    {
+        const char *key = json_string_value(json_object_get(o, "key"));
+        const char *value = json_string_value(json_object_get(o, "value"));
+        if (key != NULL && value != NULL && kind_of(f, key) == CP_ERA_CONFIG) {
+            CpFeedRow row = {.key = key,
+                             .value = value,
+                             .value_bytes = strlen(value),
+                             .version = get_integer(o, "version"),
+                             .era = era};
+            CpEntryFollow_OnRow(f, &row);
         }
     }
+    json_decref(state);
+    return state != NULL;
 }
 
 CpStatus
 CpEntryNeighbours_FetchChanges(CpEntryFollower *f, const char *peer,
-                               uint64_t *version)
+                               CpTableVersion *version)
 {
     return fetch_rows(f, peer, STATE_TIMEOUT_MS, true, version);
 }
 
 CpStatus
 CpEntryNeighbours_FetchMissed(CpEntryFollower *f, const char *peer,
-                              uint64_t *version)
+                              CpTableVersion *version)
 {
     return fetch_rows(f, peer, STATE_TIMEOUT_MS, false, version);
 }
 
 CpStatus
 CpEntryNeighbours_LoadTable(CpEntryFollower *f, const char *peer,
-                            uint64_t *version)
+                            CpTableVersion *version)
 {
     return fetch_rows(f, peer, LOAD_TIMEOUT_MS, true, version);
 }
 
 static CpStatus
 fetch_rows(CpEntryFollower *f, const char *peer, uint32_t timeout_ms,
-           bool sets_lapse, uint64_t *version)
+           bool sets_lapse, CpTableVersion *version)
 {
     char address[CP_ADDR_BYTES], path[128];
     if (!CpEntryHosts_GetControlAddress(f->entry, peer, address)) {
@@ -154,20 +393,24 @@
     pthread_mutex_lock(&f->rows_lock);
     uint64_t digest = rows_digest(f);
     pthread_mutex_unlock(&f->rows_lock);
-    snprintf(path, sizeof(path), "/state?table=%d&after=%llu&digest=%llu",
-             (int)f->table, (unsigned long long)*version,
-             (unsigned long long)digest);
+    int n =
+        snprintf(path, sizeof(path), "/state?table=%d&after=%llu&digest=%llu",
+                 (int)f->table, (unsigned long long)version->version,
+                 (unsigned long long)digest);
+    if (version->era > 0) {
+        snprintf(path + n, sizeof(path) - (size_t)n, "&era=%llu",
+                 (unsigned long long)version->era);
+    }
     json_t *state = fetch_page(address, path, timeout_ms);
     const json_t *table =
         json_array_get(json_object_get(state, "tables"), f->table);
-    uint64_t peer_version =
-        (uint64_t)json_integer_value(json_object_get(table, "version"));
-    if (peer_version <= *version) { /* it has restarted since its report */
+    CpTableVersion peer_version = get_version(table);
+    if (!CpTableVersion_IsLater(
+            &peer_version, version)) { /* it has restarted since its report */
         json_decref(state);
         return CpError_Set(CP_ERR_PARSE, "%s has no later version", peer);
     }
-    uint64_t removals_version = (uint64_t)json_integer_value(
-        json_object_get(table, "removals_version"));
+    uint64_t removals_version = get_integer(table, "removals_version");
     const json_t *rows = json_object_get(table, "rows");
     if (removals_version == 0 || !json_is_array(rows)) { /* an earlier build */
         json_decref(state);
@@ -177,17 +420,21 @@
     uint32_t lapse_left_ms =
         (uint32_t)json_integer_value(json_object_get(table, "lapse_left_ms"));
     bool all_rows = json_is_true(json_object_get(table, "all_rows"));
+    if (!all_rows && peer_version.era != version->era) {
+        json_decref(state);
+        return CpError_Set(CP_ERR_PARSE, "%s did not list all rows", peer);
+    }
     if (sets_lapse) {
         CpEntryFollow_SetLapseLeft(f->entry, lapse_left_ms, CpClock_Now_ns());
     }
     if (all_rows) {
         CpEntryNeighbours_BeginList(f);
     }
-    apply_rows(f, rows);
+    apply_rows(f, rows, peer_version.era);
     if (all_rows) {
-        CpEntryNeighbours_EndList(f, peer_version, removals_version);
+        CpEntryNeighbours_EndList(f, &peer_version, removals_version);
     }
-    else if (*version < removals_version) { /* equal digests */
+    else if (version->version < removals_version) { /* equal digests */
         pthread_mutex_lock(&f->rows_lock);
         f->removals_version = removals_version;
         pthread_mutex_unlock(&f->rows_lock);
@@ -197,19 +444,35 @@
     return CP_OK;
 }
 
+static uint64_t
+get_integer(const json_t *o, const char *name)
+{
+    return (uint64_t)json_integer_value(json_object_get(o, name));
+}
+
+/* A table without an era is of the first one. */
+static CpTableVersion
+get_version(const json_t *table)
+{
+    return (CpTableVersion){.era = get_integer(table, "era"),
+                            .version = get_integer(table, "version")};
+}
+
 uint32_t
 CpEntryNeighbours_RenderState(void *ctx, const CpPageQuery *q, char **out)
 {
     CpEntry *e = ctx;
     const char *wanted_table = CpPageQuery_Get(q, "table");
-    uint64_t after = strtoull(CpPageQuery_Get(q, "after"), NULL, 10);
+    const CpTableVersion after = {
+        .era = strtoull(CpPageQuery_Get(q, "era"), NULL, 10),
+        .version = strtoull(CpPageQuery_Get(q, "after"), NULL, 10)};
     uint64_t digest = strtoull(CpPageQuery_Get(q, "digest"), NULL, 10);
     json_t *tables = json_array();
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
         bool wanted =
             wanted_table[0] == '\0' || strtoul(wanted_table, NULL, 10) == i;
         json_array_append_new(
-            tables, wanted ? render_table(&e->followers[i], after, digest)
+            tables, wanted ? render_table(&e->followers[i], &after, digest)
                            : json_null());
     }
     json_t *root = json_pack("{s:o}", "tables", tables);
@@ -222,57 +485,80 @@
  * table was read; all rows if some that were removed after the version are not
  * marked. An equal digest shows that the other host has none of these. */
 static json_t *
-render_table(CpEntryFollower *f, uint64_t after, uint64_t digest)
+render_table(CpEntryFollower *f, const CpTableVersion *after, uint64_t digest)
 {
     json_t *rows = json_array();
     GHashTableIter it;
     void *key, *value;
+    int64_t now_ns = CpClock_Now_ns();
     /* read before the rows: a row that arrives meanwhile is sent twice rather
      * than never */
-    uint64_t version = __atomic_load_n(&f->read_version, __ATOMIC_RELAXED);
+    CpTableVersion read = CpEntryFollow_Get(f, &f->read);
     pthread_mutex_lock(&f->rows_lock);
     uint64_t removals_version = f->removals_version;
-    bool all_rows = after < removals_version && digest != rows_digest(f);
+    bool all_rows =
+        after->era != read.era ||
+        (after->version < removals_version && digest != rows_digest(f));
+    /* Rows of two eras, while the first list of an era is read, are of no use
+     * to others. */
+    bool is_mixed = read.version > 0 && f->list_era != read.era;
+    uint64_t era = f->list_era; /* also of what a neighbour had at the start */
     g_hash_table_iter_init(&it, f->rows);
-    while (g_hash_table_iter_next(&it, &key, &value)) {
+    while (!is_mixed && g_hash_table_iter_next(&it, &key, &value)) {
         const CachedRow *cached = value;
-        if (all_rows || cached->version > after) {
-            json_array_append_new(
-                rows, json_pack("{s:s,s:s?,s:I}", "key", (const char *)key,
-                                "value", cached->value, "version",
-                                (json_int_t)cached->version));
+        /* Without a restore, the lack of a row in a list says the same. */
+        if (cached->value == NULL && era == 0 &&
+            cached->version.version <= removals_version) {
+            continue;
+        }
+        if (all_rows || cached->version.version > after->version) {
+            json_t *row = json_pack("{s:s,s:s?,s:I}", "key", (const char *)key,
+                                    "value", cached->value, "version",
+                                    (json_int_t)cached->version.version);
+            if (cached->held_over_ns != 0) {
+                json_object_set_new(
+                    row, "held_ms",
+                    json_integer((now_ns - cached->held_over_ns) /
+                                 CP_NS_PER_MS));
+            }
+            json_array_append_new(rows, row);
         }
     }
     pthread_mutex_unlock(&f->rows_lock);
-    return json_pack(
-        "{s:I,s:I,s:b,s:i,s:o}", "version", (json_int_t)version,
+    json_t *table = json_pack(
+        "{s:I,s:I,s:b,s:i,s:o}", "version",
+        is_mixed ? (json_int_t)0 : (json_int_t)read.version,
         "removals_version", (json_int_t)removals_version, "all_rows", all_rows,
-        "lapse_left_ms",
-        (int)CpEntryFollow_LapseLeft_ms(f->entry, CpClock_Now_ns()), "rows",
-        rows);
+        "lapse_left_ms", (int)CpEntryFollow_LapseLeft_ms(f->entry, now_ns),
+        "rows", rows);
+    if (era > 0 && !is_mixed) {
+        json_object_set_new(table, "era", json_integer((json_int_t)era));
+    }
+    return table;
 }
 
+/* Returns true if the neighbour answered. */
 static bool
 load_from(CpEntry *e, const char *address)
 {
     json_t *state = fetch_page(address, "/state", STATE_TIMEOUT_MS);
     const json_t *tables = json_object_get(state, "tables");
     for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
-        apply_rows(&e->followers[i],
-                   json_object_get(json_array_get(tables, i), "rows"));
+        const json_t *table = json_array_get(tables, i);
+        apply_rows(&e->followers[i], json_object_get(table, "rows"),
+                   get_integer(table, "era"));
     }
     /* all rows as of this version */
-    const json_t *version =
-        json_object_get(json_array_get(tables, CP_TABLE_OPERATOR), "version");
-    CpFreshness_OnHeld(
-        e->freshness,
-        &(CpTableVersion){.version = (uint64_t)json_integer_value(version)});
+    CpTableVersion version =
+        get_version(json_array_get(tables, CP_TABLE_OPERATOR));
+    CpFreshness_OnHeld(e->freshness, &version);
+    bool answered = state != NULL;
     json_decref(state);
-    bool ready = CpEntry_IsReady(e);
     CpEvent(CP_EVENT_DEPENDENCY,
-            ready ? "neighbour_answered" : "neighbour_has_nothing", "s:s",
-            "address", address);
-    return ready;
+            CpEntry_IsReady(e) ? "neighbour_answered"
+                               : "neighbour_has_nothing",
+            "s:s", "address", address);
+    return answered;
 }
 
 /* Fetches a page of another host; NULL on failure. */
@@ -304,16 +590,16 @@
  * those that are not held though this host has read the table beyond them:
  * they are gone. */
 static void
-apply_rows(CpEntryFollower *f, const json_t *rows)
+apply_rows(CpEntryFollower *f, const json_t *rows, uint64_t era)
 {
-    uint64_t read_version =
-        __atomic_load_n(&f->read_version, __ATOMIC_RELAXED);
+    CpTableVersion read = CpEntryFollow_Get(f, &f->read);
     json_t *o;
     size_t k;
     json_array_foreach(rows, k, o)
     {
         const char *key = json_string_value(json_object_get(o, "key"));
         const char *value = json_string_value(json_object_get(o, "value"));
+        const json_t *held_ms = json_object_get(o, "held_ms");
         if (key == NULL) {
             continue; /* malformed; the other rows are still valid */
         }
@@ -321,27 +607,56 @@
                          .value = value != NULL ? value : "",
                          .value_bytes = value != NULL ? strlen(value) : 0,
                          .deleted = value == NULL,
-                         .version = (uint64_t)json_integer_value(
-                             json_object_get(o, "version"))};
-        if (mark_listed(f, &row, read_version)) {
+                         .version = get_integer(o, "version"),
+                         .era = era};
+        if (mark_listed(f, &row, &read)) {
             CpEntryFollow_OnRow(f, &row);
         }
+        if (held_ms != NULL) {
+            apply_held_over(f, &row,
+                            json_integer_value(held_ms) * CP_NS_PER_MS);
+        }
     }
 }
 
+/* Another host holds the row over; its time counts. */
+static void
+apply_held_over(CpEntryFollower *f, const CpFeedRow *row, int64_t held_ns)
+{
+    pthread_mutex_lock(&f->rows_lock);
+    CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    if (held != NULL && held->value != NULL && held->version.era == row->era &&
+        held->version.version == row->version) {
+        hold_over(f, row->key, held, CpClock_Now_ns() - held_ns);
+    }
+    pthread_mutex_unlock(&f->rows_lock);
+}
+
 /* Marks the held row as listed; returns true if `row` is newer than what this
- * host knows. */
+ * host knows, or if both have to be compared, as either host may have kept
+ * what the store has lost. */
 static bool
-mark_listed(CpEntryFollower *f, const CpFeedRow *row, uint64_t read_version)
+mark_listed(CpEntryFollower *f, const CpFeedRow *row,
+            const CpTableVersion *read)
 {
+    const CpTableVersion version = {.era = row->era, .version = row->version};
     pthread_mutex_lock(&f->rows_lock);
     CachedRow *held = g_hash_table_lookup(f->rows, row->key);
+    CpTableVersion known = *read;
+    bool differs = false;
     if (held != NULL) {
         held->list_number = f->list_number;
+        known = held->version;
+        differs =
+            (held->value == NULL) != row->deleted ||
+            (held->value != NULL && strcmp(held->value, row->value) != 0);
     }
-    uint64_t known_version = held != NULL ? held->version : read_version;
+    bool compare =
+        differs && (row->era > 0 || known.era > 0) &&
+        (kind_of(f, row->key) == CP_ERA_CONFIG ||
+         (version.era == known.era && version.version == known.version));
     pthread_mutex_unlock(&f->rows_lock);
-    return row->version > known_version;
+    return compare || CpTableVersion_IsLater(&version, &known);
 }
 
 /* Returns a digest of the rows that exist, independent of their order; called
@@ -356,7 +671,7 @@
     while (g_hash_table_iter_next(&it, &key, &value)) {
         const CachedRow *cached = value;
         if (cached->value != NULL) {
-            digest ^= CpHash_Str(key, cached->version);
+            digest ^= CpHash_Str(key, cached->version.version);
         }
     }
     return digest;
@@ -366,6 +681,7 @@
 free_row(void *p)
 {
     CachedRow *cached = p;
-    free(cached->value);
+    g_free(cached->value);
+    g_free(cached->last_value);
     free(cached);
 }
--- a/src/entry/entry_node.c
+++ b/src/entry/entry_node.c
@@ -41,6 +41,7 @@
     e->adapter = *options->adapter;
     e->incarnation = CpRandom();
     e->started_ns = CpClock_Now_ns();
+    pthread_mutex_init(&e->start_lock, NULL);
     pthread_mutex_init(&e->store_lock, NULL);
     CpCond_Init(&e->store_changed);
     pthread_mutex_init(&e->routes_lock, NULL);
--- a/src/entry/entry_peers.c
+++ b/src/entry/entry_peers.c
@@ -20,6 +20,9 @@
 
 static void *receive_thread(void *ctx);
 static void on_report(CpEntry *e, const CpReportFrame *r);
+static void on_era(CpEntry *e, const CpEraFrame *r,
+                   const struct sockaddr_storage *from, uint32_t from_bytes);
+static bool encode_era(CpEntry *e, CpFrame *f);
 static void send_report(CpEntry *e, const CpReportFrame *r,
                         const CpEntryAddress *to, uint32_t count);
 
@@ -131,6 +134,9 @@
         case CP_FRAME_FRESHNESS_REPLY:
             CpEntryFreshness_OnReply(e, &d.frame.freshness_reply);
             break;
+        case CP_FRAME_ERA:
+            on_era(e, &d.frame.era, &from, from_bytes);
+            break;
         case CP_FRAME_TOKENS_MOVE:
         case CP_FRAME_TOKENS_ASK:
         case CP_FRAME_TOKENS_GRANT:
@@ -154,12 +160,16 @@
                                now_ns)) {
         return; /* unknown host, or not later than the last report */
     }
-    CpEntryFollow_OnPeerVersion(e, r->host, CP_TABLE_OPERATOR,
-                                r->operator_version, now_ns);
-    CpEntryFollow_OnPeerVersion(e, r->host, CP_TABLE_SERVERS,
-                                r->servers_version, now_ns);
-    CpEntryFollow_OnPeerVersion(e, r->host, CP_TABLE_HOSTS, r->hosts_version,
-                                now_ns);
+    const uint64_t versions[CP_TABLE_COUNT] = {
+        [CP_TABLE_OPERATOR] = r->operator_version,
+        [CP_TABLE_SERVERS] = r->servers_version,
+        [CP_TABLE_HOSTS] = r->hosts_version};
+    bool use_versions = !CpEntryHosts_ReportsEra(e, r->host);
+    for (uint32_t i = 0; use_versions && i < CP_TABLE_COUNT; i++) {
+        CpEntryFollow_OnPeerVersion(e, r->host, (CpTable)i,
+                                    &(CpTableVersion){.version = versions[i]},
+                                    now_ns);
+    }
     if (r->complete) {
         CpFleet_ClearPeerLoads(e->fleet, peer);
     }
@@ -169,6 +179,77 @@
     }
 }
 
+/* A host that knows less gets this host's frame at once: it may be the only
+ * one between two domains for a second. */
+static void
+on_era(CpEntry *e, const CpEraFrame *r, const struct sockaddr_storage *from,
+       uint32_t from_bytes)
+{
+    int64_t now_ns = CpClock_Now_ns();
+    const CpTableVersion versions[CP_TABLE_COUNT] = {
+        [CP_TABLE_OPERATOR] = {r->operator_era, r->operator_version},
+        [CP_TABLE_SERVERS] = {r->servers_era, r->servers_version},
+        [CP_TABLE_HOSTS] = {r->hosts_era, r->hosts_version}};
+    if (!CpEntryHosts_OnEra(e, r->host)) {
+        return;
+    }
+    CpEntryFollow_OnEra(e, r->era);
+    CpEntryFollow_OnPeerConfig(e, r->host, r->config_version);
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        CpEntryFollow_OnPeerVersion(e, r->host, (CpTable)i, &versions[i],
+                                    now_ns);
+    }
+    if (r->era < CpEntryFollow_Era(e) ||
+        r->config_version < CpEntryFollow_ConfigInForce(e)) {
+        CpEntryPeers_SendEra(e, from, from_bytes);
+    }
+}
+
+/* Returns false in the first era. */
+static bool
+encode_era(CpEntry *e, CpFrame *f)
+{
+    CpTableVersion v[CP_TABLE_COUNT];
+    for (uint32_t i = 0; i < CP_TABLE_COUNT; i++) {
+        v[i] = CpEntryFollow_RowVersion(e, (CpTable)i);
+    }
+    *f = (CpFrame){.type = CP_FRAME_ERA,
+                   .era = {.incarnation = e->incarnation,
+                           .era = CpEntryFollow_Era(e),
+                           .operator_era = v[CP_TABLE_OPERATOR].era,
+                           .operator_version = v[CP_TABLE_OPERATOR].version,
+                           .servers_era = v[CP_TABLE_SERVERS].era,
+                           .servers_version = v[CP_TABLE_SERVERS].version,
+                           .hosts_era = v[CP_TABLE_HOSTS].era,
+                           .hosts_version = v[CP_TABLE_HOSTS].version,
+                           .config_version = CpEntryFollow_ConfigInForce(e)}};
+    CpStr_Copy(f->era.host, sizeof(f->era.host), e->settings.host);
+    return f->era.era > 0;
+}
+
+void
+CpEntryPeers_SendEra(CpEntry *e, const struct sockaddr_storage *to,
+                     uint32_t to_bytes)
+{
+    CpFrame f;
+    if (encode_era(e, &f)) {
+        CpEntryPeers_Send(e, &f, to, to_bytes);
+    }
+}
+
+void
+CpEntryPeers_AnnounceEra(CpEntry *e)
+{
+    CpEntryAddress to[MAX_RECIPIENTS];
+    uint32_t n =
+        CpEntryHosts_ListReportRecipients(e, true, to, MAX_RECIPIENTS);
+    for (uint32_t i = 0; i < n; i++) {
+        struct sockaddr_storage sa;
+        uint32_t size = CpAddress_Parse(to[i].value, &sa);
+        CpEntryPeers_SendEra(e, &sa, size);
+    }
+}
+
 /* A datagram that cannot be sent is treated as lost. */
 static void
 send_report(CpEntry *e, const CpReportFrame *r, const CpEntryAddress *to,
@@ -176,22 +257,30 @@
 {
     uint8_t data[CP_DATAGRAM_MAX_BYTES];
     uint32_t n;
-    CpFrame f = {.type = CP_FRAME_REPORT, .report = *r};
+    CpFrame era, f = {.type = CP_FRAME_REPORT, .report = *r};
     CpStr_Copy(f.report.host, sizeof(f.report.host), e->settings.host);
     f.report.incarnation = e->incarnation;
     f.report.sequence =
         __atomic_add_fetch(&e->report_sequence, 1, __ATOMIC_RELAXED);
     f.report.leaving = !CpEntry_IsReady(e);
-    f.report.operator_version = CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR);
-    f.report.servers_version = CpEntryFollow_RowVersion(e, CP_TABLE_SERVERS);
-    f.report.hosts_version = CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS);
+    f.report.operator_version =
+        CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR).version;
+    f.report.servers_version =
+        CpEntryFollow_RowVersion(e, CP_TABLE_SERVERS).version;
+    f.report.hosts_version =
+        CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS).version;
     f.report.watches_store = CpEntryFollow_IsWatching(e);
+    /* reports of one server's usage are frequent, and about that alone */
+    bool with_era = encode_era(e, &era) && (r->complete || r->row_count == 0);
     if (count == 0 || CpDatagram_Encode(&f, data, &n) != CP_OK) {
         return;
     }
     for (uint32_t i = 0; i < count; i++) {
         struct sockaddr_storage sa;
         uint32_t size = CpAddress_Parse(to[i].value, &sa);
+        if (with_era) {
+            CpEntryPeers_Send(e, &era, &sa, size);
+        }
         if (size == 0 || sendto(e->report_fd, data, n, MSG_DONTWAIT,
                                 (struct sockaddr *)&sa, size) < 0) {
             CpCounter_Add(CP_COUNT_REPORTS_UNSENT, 1);
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -65,6 +65,11 @@
             text, "chestnutpaddle_freshness_age_ms %" G_GINT64_FORMAT "\n",
             age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS);
     }
+    if (CpEntryFollow_Era(e) > 0) {
+        g_string_append_printf(
+            text, "chestnutpaddle_store_era %" G_GUINT64_FORMAT "\n",
+            CpEntryFollow_Era(e));
+    }
     g_string_append_printf(text, "chestnutpaddle_active_requests %u\n",
                            CpProxy_CountActive(e->proxy));
     CpEntryQuota_AppendMetrics(e, text);
--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -15,12 +15,21 @@
 CpEntryFollow_OnRow(void *ctx, const CpFeedRow *row)
 {
     CpEntryFollower *f = ctx;
+    const CpTableVersion version = {.era = row->era, .version = row->version};
     __atomic_add_fetch(&f->rows_read, 1, __ATOMIC_RELAXED);
-    CpEntryFollow_RaiseRowVersion(f, row->version);
-    if (!CpEntryNeighbours_UpdateRow(f, row)) {
-        CpEvent(CP_EVENT_STATE, "row_older", "s:s,s:I", "key", row->key,
-                "row_version", (json_int_t)row->version);
-        return;
+    CpEntryFollow_RaiseRowVersion(f, &version);
+    CpEraDecision d = CpEntryNeighbours_UpdateRow(f, row);
+    if (d != CP_ERA_TAKE) {
+        CpEvent(CP_EVENT_STATE,
+                d == CP_ERA_KEEP   ? "row_kept"
+                : d == CP_ERA_GONE ? "row_of_gone"
+                                   : "row_older",
+                "s:s,s:I", "key", row->key, "row_version",
+                (json_int_t)row->version);
+        /* A server whose entry lapsed and that has an older one is there. */
+        if (d != CP_ERA_KEEP || f->table != CP_TABLE_SERVERS) {
+            return;
+        }
     }
     switch (f->table) {
     case CP_TABLE_OPERATOR:
@@ -38,11 +47,28 @@
 }
 
 void
-CpEntryFollow_RaiseRowVersion(CpEntryFollower *f, uint64_t version)
+CpEntryFollow_RaiseRowVersion(CpEntryFollower *f,
+                              const CpTableVersion *version)
+{
+    pthread_mutex_lock(&f->versions_lock);
+    if (CpTableVersion_IsLater(version, &f->row)) {
+        f->row = *version;
+    }
+    pthread_mutex_unlock(&f->versions_lock);
+}
+
+bool
+CpEntryFollow_GetConfigVersion(CpEntry *e, const char *text, size_t text_bytes,
+                               uint64_t *version)
 {
-    if (version > __atomic_load_n(&f->row_version, __ATOMIC_RELAXED)) {
-        __atomic_store_n(&f->row_version, version, __ATOMIC_RELAXED);
+    CpRoutes *r;
+    const CpFeedRow row = {.value = text, .value_bytes = text_bytes};
+    if (decode_routes(e, &row, &r) != CP_OK) {
+        return false;
     }
+    *version = r->version;
+    CpRoutes_Release(r);
+    return true;
 }
 
 static void
@@ -74,7 +100,7 @@
 {
     CpRoutes *next;
     if (decode_routes(e, row, &next) != CP_OK) {
-        CpFreshness_SetInForce(e->freshness, false);
+        CpEntryFollow_SetRejected(e, true);
         CpCounter_Add(CP_COUNT_CONFIG_REJECTED, 1);
         CpEvent(CP_EVENT_STATE, "routes_rejected", "s:I,s:s", "row_version",
                 (json_int_t)row->version, "error", CpError_Message());
@@ -90,7 +116,7 @@
     }
     pthread_mutex_unlock(&e->routes_lock);
     if (supersedes) {
-        CpFreshness_SetInForce(e->freshness, true);
+        CpEntryFollow_SetRejected(e, false);
         CpFreshness_SetHasKeys(e->freshness,
                                next->orgs != NULL &&
                                    CpOrgTable_CountKeys(next->orgs) > 0);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,6 +8,7 @@
 #define CP_STORE_H
 
 #include "base/base.h"
+#include "org/org.h"
 
 #define CP_KEY_BYTES 201    /* longest key with NUL */
 #define CP_VALUE_BYTES 4096 /* of a row of this project's own tables */
@@ -34,6 +35,7 @@
     const char *value; /* NUL-terminated */
     size_t value_bytes;
     uint64_t version;
+    uint64_t era; /* of the store, that the version belongs to */
     bool deleted;
 } CpFeedRow;
 typedef void (*CpFeedFn)(void *ctx, const CpFeedRow *row);
@@ -51,14 +53,17 @@
     CpStatus (*put_object)(void *ctx, const char *name, const char *data,
                            size_t size_bytes);
     /* Calls fn for every row of a table, as of one moment, and sets *version
-     * to the table's version at that moment. */
+     * to the table's version at that moment. Responses of an earlier era than
+     * version->era count as errors. CP_ERR_RANGE: the store was restored
+     * meanwhile, scan again. */
     CpStatus (*scan)(void *ctx, CpTable table, CpFeedFn fn, void *fn_ctx,
-                     uint64_t *version);
+                     CpTableVersion *version);
     /* Calls fn for the rows that changed after *version, waiting up to
      * `wait_ms` for a change, and advances *version. CP_ERR_RANGE: the changes
-     * since then are no longer kept, scan again. */
+     * since then are no longer kept, scan again; if the response is of a later
+     * era, version->era becomes that and no row was delivered. */
     CpStatus (*follow)(void *ctx, CpTable table, uint32_t wait_ms, CpFeedFn fn,
-                       void *fn_ctx, uint64_t *version);
+                       void *fn_ctx, CpTableVersion *version);
     /* Polled about once a second during follow(), which ends early if it
      * returns true; NULL: never. Set before the first call. */
     bool (*should_stop)(void *should_stop_ctx);
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -47,6 +47,7 @@
     CP_FRAME_TOKENS_MOVE = 19,
     CP_FRAME_TOKENS_ASK = 20,
     CP_FRAME_TOKENS_GRANT = 21,
+    CP_FRAME_ERA = 23,
     CP_FRAME_TYPE_COUNT
 } CpFrameType;
 
@@ -186,6 +187,21 @@
     uint64_t version;
 } CpFreshnessReplyFrame;
 
+/* Sent beside reports once the store was restored from a copy. The versions in
+ * reports have no era, and earlier builds reject a report with more fields. */
+typedef struct {
+    char host[CP_NAME_BYTES];
+    uint64_t incarnation;
+    uint64_t era;          /* latest that the sender knows */
+    uint64_t operator_era; /* table versions that the sender has read */
+    uint64_t operator_version;
+    uint64_t servers_era;
+    uint64_t servers_version;
+    uint64_t hosts_era;
+    uint64_t hosts_version;
+    uint64_t config_version; /* of the configuration in force; 0: none */
+} CpEraFrame;
+
 /* Quota tokens of one organisation, in millionths. */
 typedef struct {
     uint64_t org_hash;
@@ -227,6 +243,7 @@
         CpFreshnessQueryFrame freshness_query;
         CpFreshnessReplyFrame freshness_reply;
         CpTokensFrame tokens; /* TOKENS_MOVE, _ASK and _GRANT */
+        CpEraFrame era;
     };
 } CpFrame;
 
--- a/src/wire/wire_codec.c
+++ b/src/wire/wire_codec.c
@@ -130,6 +130,16 @@
     U64(CpFreshnessReplyFrame, age_ns),
     U64(CpFreshnessReplyFrame, era),
     U64(CpFreshnessReplyFrame, version)};
+static const Field era_fields[] = {TEXT(CpEraFrame, host),
+                                   U64(CpEraFrame, incarnation),
+                                   U64(CpEraFrame, era),
+                                   U64(CpEraFrame, operator_era),
+                                   U64(CpEraFrame, operator_version),
+                                   U64(CpEraFrame, servers_era),
+                                   U64(CpEraFrame, servers_version),
+                                   U64(CpEraFrame, hosts_era),
+                                   U64(CpEraFrame, hosts_version),
+                                   U64(CpEraFrame, config_version)};
 static const Field tokens_row_fields[] = {
     U64(CpTokensRow, org_hash),      U64(CpTokensRow, ask_id),
     U64(CpTokensRow, amount),        U32(CpTokensRow, newest_age_ms),
@@ -170,6 +180,7 @@
     [CP_FRAME_TOKENS_MOVE] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_ASK] = FRAME_LAYOUT(tokens_fields),
     [CP_FRAME_TOKENS_GRANT] = FRAME_LAYOUT(tokens_fields),
+    [CP_FRAME_ERA] = FRAME_LAYOUT(era_fields),
 };
 
 static void pack_fields(msgpack_packer *pk, const Field *fields,
