entry: a kept mark of a removed row does not let an older row back in

Cause: found by reading. Marks of removed rows outlast lists since the last change; a row that was there again and removed between two lists is later than the mark, and a peer that lags would bring it back. Ruled out: dropping the marks at lists, as before: they are what shows after a restore that a server had left. Before / after: no script fails without it; routes_missed, store_restored (also under the thread sanitizer, no report) and store_restored_cut as expected.

--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -643,18 +643,22 @@
     pthread_mutex_lock(&f->rows_lock);
     CachedRow *held = g_hash_table_lookup(f->rows, row->key);
     CpTableVersion known = *read;
-    bool differs = false;
+    bool differs = false, same_version = false;
     if (held != NULL) {
         held->list_number = f->list_number;
-        known = held->version;
+        same_version = held->version.era == version.era &&
+                       held->version.version == version.version;
+        /* A removed row may have been there again, and removed, since. */
+        if (held->value != NULL ||
+            CpTableVersion_IsLater(&held->version, &known)) {
+            known = held->version;
+        }
         differs =
             (held->value == NULL) != row->deleted ||
             (held->value != NULL && strcmp(held->value, row->value) != 0);
     }
-    bool compare =
-        differs && (row->era > 0 || known.era > 0) &&
-        (kind_of(f, row->key) == CP_ERA_CONFIG ||
-         (version.era == known.era && version.version == known.version));
+    bool compare = differs && (row->era > 0 || known.era > 0) &&
+                   (same_version || kind_of(f, row->key) == CP_ERA_CONFIG);
     pthread_mutex_unlock(&f->rows_lock);
     return compare || CpTableVersion_IsLater(&version, &known);
 }
