--- a/regress/regress.h
+++ b/regress/regress.h
@@ -21,6 +21,7 @@
 void CpDrive_Quota(FILE *in, FILE *out);
 void CpDrive_Route(FILE *in, FILE *out);
 void CpDrive_Steer(FILE *in, FILE *out);
+void CpDrive_Store(FILE *in, FILE *out);
 void CpDrive_Wire(FILE *in, FILE *out);
 
 /* Runs a line of a simulation of contention; returns false if it is none. */
