quota: a restarted host generates tokens at once

Cause: every host waited 2 s after its row appeared before it generated tokens, because the others may not have read a new row. After a power loss all hosts wait although their rows were there all the time, and nearly all requests with a key are refused for 2 to 3 s.

Ruled out: a shorter wait (new hosts need it); storing tokens (they would have to outlive a process whose last use is unknown).

Change: the decision package is told whether the table was read completely and whether the first read had a row of this host that another process wrote. Such a host generates from its process start on. The own row is written after the first complete read, or after 1 s; without any read, a host counts as a new one 2 s after its start. For 2 s after a restart hosts move tokens every tick, pass over pools that have not responded for 300 ms, and deny for 100 ms at most.

--- a/regress/drive_quota.c
+++ b/regress/drive_quota.c
@@ -30,6 +30,7 @@
     EVENT_ARRIVAL, /* of a request */
     EVENT_RETRY,   /* a request that waits tries again */
     EVENT_HOSTS,   /* hosts learn which others are live */
+    EVENT_START,   /* of a host that lost power */
     EVENT_STEP     /* of the play's failure */
 } EventType;
 
@@ -60,6 +61,8 @@
     uint32_t index;
     uint32_t epoch; /* incremented by each start: older events are void */
     bool down;
+    int64_t first_read_ns; /* from the process start to the first complete read
+                            * of the tables */
     bool sees_down[MAX_HOSTS];
     int64_t frozen_until_ns;
     uint32_t side; /* hosts of different sides do not hear each other */
@@ -104,8 +107,12 @@
     bool pulses;     /* demand for 4 s in 8 s */
     char demand[16]; /* even, skewed or moving */
     char failure[16];
-    uint32_t frozen_host; /* last frozen while it was the pool */
-    uint32_t steps;       /* of the failure */
+    bool new_rows;        /* restarted hosts count as new ones */
+    uint64_t early[4][3]; /* by second after a power loss: requests, those that
+                           * the reference model served, those served */
+    int64_t power_loss_ns; /* the last; 0: none */
+    uint32_t frozen_host;  /* last frozen while it was the pool */
+    uint32_t steps;        /* of the failure */
 } Net;
 
 static void run_line(void *ctx, char *line);
@@ -129,6 +136,8 @@
 static void schedule_arrivals(Net *n, uint32_t org, int64_t end_ns);
 static uint32_t demand_host(Net *n, int64_t at_ns);
 static void fail(Net *n);
+static void lose_power(Net *n);
+static uint32_t seconds_after_loss(const Net *n, int64_t at_ns);
 static uint32_t fullest_window(const Org *o);
 static double bound(const Org *o);
 
@@ -319,15 +328,16 @@
     host->index = h;
     host->down = false;
     host->epoch++;
-    host->quota =
-        CpQuota_New(&(CpQuotaOptions){.host = name,
-                                      .incarnation = ++n->incarnation,
-                                      .window_s = WINDOW_S,
-                                      .overshoot_milli = OVERSHOOT_MILLI,
-                                      .tolerance = TOLERANCE,
-                                      .send = send_message,
-                                      .on_change = on_change,
-                                      .ctx = host});
+    host->quota = CpQuota_New(
+        &(CpQuotaOptions){.host = name,
+                          .incarnation = ++n->incarnation,
+                          .started_ns = n->now_ns - host->first_read_ns,
+                          .window_s = WINDOW_S,
+                          .overshoot_milli = OVERSHOOT_MILLI,
+                          .tolerance = TOLERANCE,
+                          .send = send_message,
+                          .on_change = on_change,
+                          .ctx = host});
     set_hosts(n, h);
     set_limits(n, h);
     add_event(n, &(Event){.due_ns = n->now_ns +
@@ -355,7 +365,13 @@
         snprintf(rows[i].name, CP_NAME_BYTES, "h-%u", i);
         rows[i].live = i < n->host_count && !n->hosts[h].sees_down[i];
     }
-    CpQuota_SetHosts(n->hosts[h].quota, rows, n->row_count, n->now_ns);
+    CpQuota_SetHosts(n->hosts[h].quota,
+                     &(CpQuotaHostTable){.hosts = rows,
+                                         .count = n->row_count,
+                                         .complete = true,
+                                         .restarted = n->hosts[h].epoch > 1 &&
+                                                      !n->new_rows},
+                     n->now_ns);
 }
 
 static void
@@ -434,6 +450,10 @@
 run_event(Net *n, const Event *e)
 {
     Host *h = &n->hosts[e->host];
+    if (e->type == EVENT_START) {
+        start_host(n, e->host);
+        return;
+    }
     if ((e->type == EVENT_TICK && e->epoch != h->epoch) ||
         (h->down && e->type != EVENT_HOSTS && e->type != EVENT_STEP &&
          e->type != EVENT_ARRIVAL)) {
@@ -482,6 +502,8 @@
     case EVENT_STEP:
         fail(n);
         break;
+    case EVENT_START: /* above */
+        break;
     }
 }
 
@@ -534,13 +556,20 @@
     o->bucket += (double)(n->now_ns - o->bucket_ns) * o->rate / CP_NS_PER_S;
     o->bucket = o->bucket > o->burst ? o->burst : o->bucket;
     o->bucket_ns = n->now_ns;
+    /* callers know another host; without any, requests reach none */
+    for (uint32_t i = 0; i < (n->power_loss_ns > 0 ? n->host_count : 1); i++) {
+        h = n->hosts[h].down ? (h + 1) % n->host_count : h;
+    }
+    if (n->power_loss_ns > 0 && n->hosts[h].down) {
+        return;
+    }
+    uint32_t second = seconds_after_loss(n, n->now_ns);
     o->offered += counts;
+    n->early[second][0] += second < 3;
     if (o->bucket >= 1) {
         o->bucket -= 1;
         o->reference += counts;
-    }
-    if (n->hosts[h].down) { /* its callers know another */
-        h = (h + 1) % n->host_count;
+        n->early[second][1] += second < 3;
     }
     for (uint32_t i = 0; i < MAX_WAITERS; i++) {
         if (!n->waiters[i].used) {
@@ -592,6 +621,7 @@
     if (d.type == CP_QUOTA_GRANTED) {
         g_array_append_val(o->granted, n->now_ns);
         o->served += counts;
+        n->early[seconds_after_loss(n, w->arrived_ns)][2]++;
     }
     else {
         o->refused += counts;
@@ -697,6 +727,7 @@
     n->plays = true;
     n->pulses = option(line, "pulses", 0) > 0;
     n->retries = option(line, "retries", 0) > 0;
+    n->new_rows = option(line, "new", 0) > 0;
     n->loss_percent = option(line, "loss", 0);
     text_option(line, "demand", n->demand);
     text_option(line, "failure", n->failure);
@@ -718,7 +749,9 @@
     for (uint32_t i = 0; i < n->org_count; i++) {
         schedule_arrivals(n, i, end_ns);
     }
-    uint32_t step_s = strcmp(n->failure, "random") == 0 ? 1 : 5;
+    uint32_t step_s = strcmp(n->failure, "random") == 0     ? 1
+                      : strcmp(n->failure, "power-3s") == 0 ? 3
+                                                            : 5;
     for (uint32_t s = 0; s < seconds && n->failure[0] != '\0'; s += step_s) {
         add_event(n, &(Event){.due_ns = START_NS + WARMUP_NS +
                                         (s + step_s) * CP_NS_PER_S,
@@ -755,6 +788,13 @@
                 100.0 * (double)n->retried_granted / (double)n->retried,
                 n->retried_ms / (n->retried > 0 ? n->retried : 1));
     }
+    for (uint32_t i = 0; i < 3 && n->power_loss_ns > 0; i++) {
+        const uint64_t *c = n->early[i];
+        fprintf(out,
+                "%60s second %u: offered %6" PRIu64 " reference %6" PRIu64
+                " granted %6" PRIu64 "\n",
+                "", i + 1, c[0], c[1], c[2]);
+    }
     clear_net(n);
     free(n);
 }
@@ -850,6 +890,12 @@
             break;
         }
     }
+    else if (strcmp(n->failure, "power") == 0 && step % 2 == 0) {
+        lose_power(n); /* every 10 s */
+    }
+    else if (strcmp(n->failure, "power-3s") == 0) {
+        lose_power(n);
+    }
     else if (strcmp(n->failure, "kills") == 0 && step < 3) {
         for (uint32_t i = 0; i < n->org_count; i++) {
             kill_host(n, pool_of(n, i));
@@ -857,6 +903,36 @@
     }
 }
 
+/* All hosts are killed, and ready again 0.5 to 1.5 s later. */
+static void
+lose_power(Net *n)
+{
+    n->power_loss_ns = n->now_ns;
+    for (uint32_t h = 0; h < n->host_count; h++) {
+        Host *host = &n->hosts[h];
+        host->down = true;
+        host->epoch++;
+        host->first_read_ns =
+            (50 + CpSeed_Below(&n->seed, 250)) * CP_NS_PER_MS;
+        int64_t ready_ms = 500 + CpSeed_Below(&n->seed, 1000);
+        add_event(n, &(Event){.due_ns = n->now_ns + ready_ms * CP_NS_PER_MS,
+                              .type = EVENT_START,
+                              .host = h});
+    }
+}
+
+/* Whole seconds since the first hosts were ready again, 3 at most. */
+static uint32_t
+seconds_after_loss(const Net *n, int64_t at_ns)
+{
+    int64_t ready_ns = n->power_loss_ns + 500 * CP_NS_PER_MS;
+    if (n->power_loss_ns == 0 || at_ns < ready_ns ||
+        at_ns >= ready_ns + 3 * CP_NS_PER_S) {
+        return 3;
+    }
+    return (uint32_t)((at_ns - ready_ns) / CP_NS_PER_S);
+}
+
 static uint32_t
 fullest_window(const Org *o)
 {
--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -16,7 +16,9 @@
 /* Four report intervals within this domain. */
 #define LOCAL_REPORT_TIMEOUT_NS (2 * CP_NS_PER_S)
 #define START_NS                                                              \
-    (6 * CP_NS_PER_S)             /* of a first start, until hosts are ready */
+    (6 * CP_NS_PER_S) /* of a first start, until hosts are ready */
+/* For the first read of the table, which shows whether this host had a row. */
+#define FIRST_READ_WAIT_NS CP_NS_PER_S
 #define MAX_LOST_REMOTE_REPORTS 3 /* in a row, before a domain is silent */
 /* Three report intervals; then the peers of a watching host follow the store
  * themselves. */
@@ -62,6 +64,12 @@
     if (has_row) {
         return;
     }
+    /* At a first start there was no row, and the table is read later. */
+    if (!e->settings.first_start && e->own_row_written_ns == 0 &&
+        CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) == 0 &&
+        now_ns - e->started_ns < FIRST_READ_WAIT_NS) {
+        return;
+    }
     char *value = encode_host(e);
     CpStatus st = e->store->write_row(e->store->ctx, CP_TABLE_HOSTS,
                                       e->settings.host, value);
@@ -94,8 +102,12 @@
         CpEvent(CP_EVENT_STATE, "host_row_unusable", "s:s,s:I", "name",
                 row->key, "row_version", (json_int_t)row->version);
     }
+    bool is_own = strcmp(row->key, e->settings.host) == 0;
     pthread_mutex_lock(&e->hosts_lock);
     CpEntryHost *host = find_host(e, row->key);
+    if (is_own && CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) == 0) {
+        e->had_row = usable && next.incarnation != e->incarnation;
+    }
     if (usable && host == NULL) {
         host = CpMem_Alloc(sizeof(*host));
         g_ptr_array_add(e->hosts, host);
@@ -208,12 +220,13 @@
 /* This host counts as live until it leaves; it then generates no tokens, and
  * removes its row, which makes the others generate more. */
 uint32_t
-CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out)
+CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out, bool *restarted)
 {
     bool leaving = CpAtomic_Load(&e->leaving) != 0;
     pthread_mutex_lock(&e->hosts_lock);
     uint32_t n = e->hosts->len;
     *out = CpMem_Alloc((n + 1) * sizeof(**out));
+    *restarted = e->had_row;
     for (guint i = 0; i < n; i++) {
         const CpEntryHost *h = g_ptr_array_index(e->hosts, i);
         bool self = strcmp(h->name, e->settings.host) == 0;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -117,9 +117,10 @@
     CpRoutes *routes;            /* NULL: none in force yet */
     int64_t routes_since_ns;     /* when they came into force */
 
-    pthread_mutex_t hosts_lock; /* guards the next 2 */
+    pthread_mutex_t hosts_lock; /* guards the next 3 */
     GPtrArray *hosts;           /* CpEntryHost */
     bool *domain_silent;        /* no host of the domain is heard */
+    bool had_row; /* this host, of an earlier process, in the first read */
 
     int32_t report_fd;
     pthread_t report_thread;
@@ -136,7 +137,8 @@
     CpQuota *quota; /* NULL: quotas are not enforced */
     CpEntryQuotaShard quota_shards[CP_ENTRY_QUOTA_SHARDS]; /* by org */
     CpTimer *quota_timer;
-    uint32_t quota_ticks; /* used by that timer only */
+    uint32_t quota_ticks;     /* used by that timer only */
+    bool quota_has_all_hosts; /* as above */
 
     pthread_mutex_t retry_budget_lock; /* guards retry_budget */
     CpRetryBudget retry_budget; /* retries that this host may still send */
@@ -269,8 +271,10 @@
  * unknown. */
 bool CpEntryHosts_GetInnerAddress(CpEntry *e, const char *name,
                                   CpEntryAddress *out);
-/* Lists all hosts of the table, this one included; free() *out. */
-uint32_t CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out);
+/* Lists all hosts of the table, this one included; free() *out. *restarted:
+ * this host had a row before this process wrote one. */
+uint32_t CpEntryHosts_ListForQuota(CpEntry *e, CpQuotaHost **out,
+                                   bool *restarted);
 
 /* peers: reports between hosts */
 #define CP_ENTRY_REPORT_INTERVAL_MS 500         /* of complete reports */
--- a/src/entry/entry_quota.c
+++ b/src/entry/entry_quota.c
@@ -15,6 +15,10 @@
     4 /* how often the table of hosts is passed on                            \
        */
 
+/* Without a response of the store, what was copied from a neighbour is used
+ * after this time; this host then counts as a new one. */
+#define READ_WAIT_NS (2 * CP_NS_PER_S)
+
 static void tick(void *ctx, int64_t now_ns);
 static void send_message(void *ctx, const CpQuotaMessage *m);
 static void wake_requests(void *ctx, uint64_t org);
@@ -37,6 +41,7 @@
         e->quota = CpQuota_New(
             &(CpQuotaOptions){.host = s->host,
                               .incarnation = e->incarnation,
+                              .started_ns = e->started_ns,
                               .window_s = s->quota_window_s,
                               .overshoot_milli = CpSettings_Overshoot_milli(s),
                               .tolerance = s->quota_tolerance,
@@ -188,7 +193,10 @@
 tick(void *ctx, int64_t now_ns)
 {
     CpEntry *e = ctx;
-    if (e->quota_ticks++ % HOSTS_INTERVAL_TICKS == 0) {
+    /* The first complete table is passed on without delay: this host generates
+     * no tokens before. */
+    if (e->quota_ticks++ % HOSTS_INTERVAL_TICKS == 0 ||
+        !e->quota_has_all_hosts) {
         update_hosts(e, now_ns);
     }
     CpQuota_Tick(e->quota, now_ns);
@@ -290,8 +298,16 @@
 update_hosts(CpEntry *e, int64_t now_ns)
 {
     CpQuotaHost *hosts;
-    uint32_t n = CpEntryHosts_ListForQuota(e, &hosts);
-    CpQuota_SetHosts(e->quota, hosts, n, now_ns);
+    CpQuotaHostTable table = {0};
+    /* before the hosts are listed: all rows were applied by then */
+    bool read = CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) > 0;
+    table.complete = e->quota_has_all_hosts || read ||
+                     now_ns - e->started_ns >= READ_WAIT_NS;
+    table.count = CpEntryHosts_ListForQuota(e, &hosts, &table.restarted);
+    table.restarted = table.restarted && read;
+    table.hosts = hosts;
+    e->quota_has_all_hosts = table.complete;
+    CpQuota_SetHosts(e->quota, &table, now_ns);
     free(hosts);
 }
 
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -25,6 +25,10 @@
 #define MAX_ASK_DELAY_NS (300 * CP_NS_PER_MS) /* its requests have ended */
 #define UNANSWERED_DENIAL_NS (250 * CP_NS_PER_MS)
 #define MAX_DENIAL_NS (2 * CP_NS_PER_S) /* demand moves between hosts */
+/* While many hosts start, a pool gets tokens soon, but cannot tell how many.
+ */
+#define STARTING_DENIAL_NS (100 * CP_NS_PER_MS)
+#define STARTING_MOVE_INTERVAL 1 /* in ticks */
 #define MIN_DENIAL_NS (10 * CP_NS_PER_MS)
 #define MAX_RETRY_AFTER_NS (10 * CP_NS_PER_S)
 #define PAUSE_NS (500 * CP_NS_PER_MS) /* between ticks: a paused process */
@@ -66,8 +70,8 @@
                      int64_t now_ns);
 static uint32_t next_retry_ms(CpQuotaOrg *o, int64_t now_ns);
 static int64_t batch_amount(const CpQuotaOrg *o, int64_t missing);
-static int64_t promise(CpQuotaOrg *o, int64_t amount, int64_t stored,
-                       int64_t now_ns);
+static int64_t promise(CpQuota *q, CpQuotaOrg *o, int64_t amount,
+                       int64_t stored, int64_t now_ns);
 static void tick_org(CpQuota *q, CpQuotaOrg *o, double passed_s,
                      int64_t now_ns, Outbox *out);
 static void move_surplus(CpQuota *q, CpQuotaOrg *o, int64_t now_ns,
@@ -93,7 +97,7 @@
     CpQuota *q = CpMem_Alloc(sizeof(*q));
     q->options = *options;
     CpStr_Copy(q->host, sizeof(q->host), options->host);
-    CpQuotaPeers_Init(&q->peers, q->host);
+    CpQuotaPeers_Init(&q->peers, q->host, options->started_ns);
     for (uint32_t i = 0; i < CP_QUOTA_SHARDS; i++) {
         pthread_mutex_init(&q->shards[i].lock, NULL);
         q->shards[i].orgs =
@@ -142,7 +146,10 @@
             if (!known) {
                 o = CpMem_Alloc(sizeof(*o));
                 o->hash = hash;
-                o->own_from_ns = now_ns;
+                /* used if this host is restarted; see refresh() */
+                o->own_from_ns =
+                    q->limits_set ? now_ns : q->options.started_ns;
+                o->generated = q->limits_set;
                 g_hash_table_insert(s->orgs, &o->hash, o);
             }
             o->listed = true;
@@ -156,13 +163,13 @@
         }
         pthread_mutex_unlock(&s->lock);
     }
+    q->limits_set = true;
 }
 
 void
-CpQuota_SetHosts(CpQuota *q, const CpQuotaHost *hosts, uint32_t host_count,
-                 int64_t now_ns)
+CpQuota_SetHosts(CpQuota *q, const CpQuotaHostTable *table, int64_t now_ns)
 {
-    CpQuotaPeers_Set(&q->peers, q->host, hosts, host_count, now_ns);
+    CpQuotaPeers_Set(&q->peers, q->host, table, now_ns);
 }
 
 void
@@ -412,7 +419,13 @@
     if (generation == 0 || o->generation == 0) {
         int64_t own = own_amount(o, now_ns); /* none if it was 0 */
         CpQuotaStock_Add(&o->stock, own, o->own_from_ns, now_ns, now_ns);
-        o->own_from_ns = now_ns;
+        /* A restarted host generates from its process start on, for limits
+         * that it found then. */
+        bool from_start = !o->generated && CpQuotaPeers_IsRestarted(&q->peers);
+        if (o->generated || (generation > 0 && !from_start)) {
+            o->own_from_ns = now_ns;
+        }
+        o->generated = o->generated || generation > 0;
     }
     else if (generation > o->generation) {
         /* what was generated at the lower rate does not grow */
@@ -499,7 +512,7 @@
     }
     if (!has_pool) {
         int64_t stored = total_amount(o, now_ns);
-        deny_for(o, promise(o, CP_QUOTA_TOKEN, stored, now_ns), 1, now_ns);
+        deny_for(o, promise(q, o, CP_QUOTA_TOKEN, stored, now_ns), 1, now_ns);
         d->retry_after_ms = next_retry_ms(o, now_ns);
         return;
     }
@@ -508,7 +521,13 @@
     if ((o->ask_state == CP_QUOTA_REPEATED && answer_is_due) ||
         now_ns >= end_ns) {
         o->ask_state = CP_QUOTA_IDLE;
-        deny_for(o, UNANSWERED_DENIAL_NS, 1, now_ns);
+        int64_t denial_ns = CpQuotaPeers_IsStarting(&q->peers, now_ns)
+                                ? STARTING_DENIAL_NS
+                                : UNANSWERED_DENIAL_NS;
+        deny_for(o, denial_ns,
+                 (int64_t)(o->rate / CP_QUOTA_TOKEN * (double)denial_ns /
+                           CP_NS_PER_S),
+                 now_ns);
         o->unanswered = d->unanswered = true;
         d->retry_after_ms = next_retry_ms(o, now_ns);
         return;
@@ -601,9 +620,14 @@
 /* Returns the time until the pool has `amount` for the host that is denied:
  * those denied before are served first. */
 static int64_t
-promise(CpQuotaOrg *o, int64_t amount, int64_t stored, int64_t now_ns)
+promise(CpQuota *q, CpQuotaOrg *o, int64_t amount, int64_t stored,
+        int64_t now_ns)
 {
     double inflow = o->inflow_per_s + o->generation;
+    bool starting = CpQuotaPeers_IsStarting(&q->peers, now_ns);
+    if (starting && inflow < o->rate / 2) { /* other hosts start, too */
+        inflow = o->rate / 2;
+    }
     if (inflow < o->rate / 50) { /* nothing was moved here recently */
         inflow = o->rate / 50;
     }
@@ -612,8 +636,9 @@
         o->promised_ns > now_ns ? (double)amount : (double)(amount - stored);
     double wait_s = missing > 0 ? missing / inflow : 0;
     int64_t ready_ns = from_ns + (int64_t)(wait_s * CP_NS_PER_S);
-    if (ready_ns > now_ns + MAX_DENIAL_NS) {
-        ready_ns = now_ns + MAX_DENIAL_NS;
+    int64_t max_ns = starting ? STARTING_DENIAL_NS : MAX_DENIAL_NS;
+    if (ready_ns > now_ns + max_ns) {
+        ready_ns = now_ns + max_ns;
     }
     o->promised_ns = ready_ns;
     return ready_ns - now_ns > MIN_DENIAL_NS ? ready_ns - now_ns
@@ -641,6 +666,9 @@
     if (o->is_pool || o->pool[0] == '\0') {
         return;
     }
+    uint32_t interval = CpQuotaPeers_IsStarting(&q->peers, now_ns)
+                            ? STARTING_MOVE_INTERVAL
+                            : o->move_interval;
     int64_t stored = total_amount(o, now_ns);
     if (o->ask_state == CP_QUOTA_IDLE && now_ns >= o->denied_until_ns &&
         o->demand_per_s >= ASK_AHEAD_MIN_PER_S &&
@@ -649,7 +677,7 @@
         o->ask_state = CP_QUOTA_ASKED;
         o->asked_ns = now_ns;
     }
-    else if (q->ticks % o->move_interval == 0 && o->waiting == 0) {
+    else if (q->ticks % interval == 0 && o->waiting == 0) {
         move_surplus(q, o, now_ns, out);
     }
     if (q->ticks % o->move_interval == 0) {
@@ -783,7 +811,7 @@
                     age_ms(now_ns, oldest_ns);
             }
             if (part < want) {
-                int64_t ns = promise(o, batch_amount(o, want - part),
+                int64_t ns = promise(q, o, batch_amount(o, want - part),
                                      stored - part, now_ns);
                 g->retry_after_ms =
                     (uint32_t)((ns + CP_NS_PER_MS - 1) / CP_NS_PER_MS);
--- a/src/quota/quota.h
+++ b/src/quota/quota.h
@@ -66,9 +66,19 @@
     bool live; /* reports are received from it, and it is not leaving */
 } CpQuotaHost;
 
+typedef struct {
+    const CpQuotaHost *hosts;
+    uint32_t count;
+    bool complete; /* the whole table was read; else hosts may be missing */
+    /* The first complete read had a row of this host that this process did not
+     * write: the other hosts count it already. */
+    bool restarted;
+} CpQuotaHostTable;
+
 typedef struct {
     const char *host; /* this host */
     uint64_t incarnation;
+    int64_t started_ns; /* when this process started */
     uint32_t window_s;
     uint32_t overshoot_milli; /* of the limit, in thousandths */
     uint32_t tolerance;       /* requests */
@@ -115,9 +125,9 @@
  * applies to the tokens that are stored. */
 void CpQuota_SetLimits(CpQuota *q, const CpQuotaLimit *limits, uint32_t count,
                        int64_t now_ns);
-/* Replaces the hosts of the hosts table. While this host is not among them, or
- * is not live, it generates no tokens. */
-void CpQuota_SetHosts(CpQuota *q, const CpQuotaHost *hosts, uint32_t count,
+/* Replaces the hosts of the hosts table. While the table is not complete, or
+ * this host is not among them or not live, it generates no tokens. */
+void CpQuota_SetHosts(CpQuota *q, const CpQuotaHostTable *table,
                       int64_t now_ns);
 /* Takes a token for a request. `wait_began_ns` is the time of the first call
  * for the request if that resulted in CP_QUOTA_WAIT, else 0. */
--- a/src/quota/quota_int.h
+++ b/src/quota/quota_int.h
@@ -70,8 +70,11 @@
     uint32_t count;         /* hosts in the table */
     uint32_t divisor;       /* hosts among which the rate is divided */
     int64_t divisor_ns;     /* when `count` was last that high */
-    bool self_listed;       /* this host is in the table and live */
+    bool self_listed;       /* this host is in the complete table and live */
     int64_t self_listed_ns; /* since when */
+    bool self_was_listed;   /* at any time since the start */
+    bool restarted;         /* the others counted this host all the time */
+    int64_t started_ns;     /* of this process */
     int64_t grown_ns;       /* when the table last got more rows */
     bool generates;         /* this host generates tokens */
     uint64_t sequence;      /* of the last message sent */
@@ -79,11 +82,10 @@
 } CpQuotaPeers;
 
 /* peers: the other hosts, their clocks, and whether they respond */
-void CpQuotaPeers_Init(CpQuotaPeers *p, const char *host);
+void CpQuotaPeers_Init(CpQuotaPeers *p, const char *host, int64_t started_ns);
 void CpQuotaPeers_Clear(CpQuotaPeers *p);
 void CpQuotaPeers_Set(CpQuotaPeers *p, const char *host,
-                      const CpQuotaHost *hosts, uint32_t count,
-                      int64_t now_ns);
+                      const CpQuotaHostTable *table, int64_t now_ns);
 /* Updates which hosts respond, and the number that divides the rate. */
 void CpQuotaPeers_Tick(CpQuotaPeers *p, int64_t now_ns);
 /* The process was paused: responses may be waiting to be received. */
@@ -91,6 +93,11 @@
 /* Returns how many hosts divide the rate; 0: this host generates nothing. */
 uint32_t CpQuotaPeers_Divisor(CpQuotaPeers *p, int64_t now_ns);
 uint32_t CpQuotaPeers_Epoch(CpQuotaPeers *p);
+/* Returns true if tokens were generated from the process start on. */
+bool CpQuotaPeers_IsRestarted(CpQuotaPeers *p);
+/* Returns true soon after a restart: others may be starting, too, and pools
+ * are still being filled. */
+bool CpQuotaPeers_IsStarting(CpQuotaPeers *p, int64_t now_ns);
 /* Determines the first two usable hosts in the organisation's order. "": there
  * is none; is_self: this host is before it in the order. */
 void CpQuotaPeers_Order(CpQuotaPeers *p, uint64_t org,
@@ -139,6 +146,7 @@
     int64_t raised_ns;      /* last raise of the burst; 0: none */
     double generation;      /* of this host, per s */
     int64_t own_from_ns;    /* own tokens: generated since then */
+    bool generated;         /* this host has generated tokens */
     CpQuotaStock stock;
     int64_t used;           /* own tokens used, not yet told to the pool */
     int64_t used_oldest_ns; /* when those were generated */
@@ -173,6 +181,7 @@
     char host[CP_NAME_BYTES];
     CpQuotaPeers peers;
     CpQuotaShard shards[CP_QUOTA_SHARDS];
+    bool limits_set;                    /* used by CpQuota_SetLimits() only */
     uint64_t ask_id;                    /* atomic */
     uint32_t ticks;                     /* used by CpQuota_Tick() only */
     int64_t tick_ns;                    /* as above: of the last; 0: none */
--- a/src/quota/quota_peers.c
+++ b/src/quota/quota_peers.c
@@ -22,6 +22,11 @@
 /* While further rows appear, many hosts start, and some have not read all of
  * them; a new host waits longer, but not for ever. */
 #define MAX_JOIN_WAIT_NS (10 * CP_NS_PER_S)
+/* After a power loss, hosts start within about this time of each other. */
+#define STARTING_NS (2 * CP_NS_PER_S)
+/* In that time, for a host that has never responded: three probes. */
+#define STARTING_UNANSWERED_NS (300 * CP_NS_PER_MS)
+#define STARTING_PROBE_INTERVAL_NS (100 * CP_NS_PER_MS) /* every tick */
 /* A host whose row was removed may not have read that yet. Rows that are
  * missing because the table is still being read appear within this time. */
 #define REMOVAL_WAIT_NS (5 * CP_NS_PER_S)
@@ -35,10 +40,12 @@
                            const CpQuotaMessage *m, int64_t now_ns);
 static void set_usable(CpQuotaPeers *p, CpQuotaPeer *h, int64_t now_ns);
 static void change_order(CpQuotaPeers *p);
+static bool is_starting(const CpQuotaPeers *p, int64_t now_ns);
 
 void
-CpQuotaPeers_Init(CpQuotaPeers *p, const char *host)
+CpQuotaPeers_Init(CpQuotaPeers *p, const char *host, int64_t started_ns)
 {
+    p->started_ns = started_ns;
     pthread_mutex_init(&p->lock, NULL);
     p->peers = g_ptr_array_new_with_free_func(free);
     p->own_hash = CpHash_Str(host, 0);
@@ -53,9 +60,11 @@
 }
 
 void
-CpQuotaPeers_Set(CpQuotaPeers *p, const char *host, const CpQuotaHost *hosts,
-                 uint32_t count, int64_t now_ns)
+CpQuotaPeers_Set(CpQuotaPeers *p, const char *host,
+                 const CpQuotaHostTable *table, int64_t now_ns)
 {
+    const CpQuotaHost *hosts = table->hosts;
+    uint32_t count = table->count;
     bool self_listed = false;
     pthread_mutex_lock(&p->lock);
     for (guint i = 0; i < p->peers->len; i++) {
@@ -63,7 +72,7 @@
     }
     for (uint32_t i = 0; i < count; i++) {
         if (strcmp(hosts[i].name, host) == 0) {
-            self_listed = hosts[i].live;
+            self_listed = hosts[i].live && table->complete;
             continue;
         }
         CpQuotaPeer *h = find_peer(p, hosts[i].name);
@@ -87,7 +96,11 @@
     if (self_listed != p->self_listed) {
         p->self_listed = self_listed;
         p->self_listed_ns = now_ns;
-        p->generates = false;
+        if (self_listed) {
+            p->restarted = table->restarted && !p->self_was_listed;
+            p->self_was_listed = true;
+        }
+        p->generates = self_listed && p->restarted;
         change_order(p);
     }
     p->grown_ns = count > p->count ? now_ns : p->grown_ns;
@@ -144,6 +157,24 @@
     return n;
 }
 
+bool
+CpQuotaPeers_IsRestarted(CpQuotaPeers *p)
+{
+    pthread_mutex_lock(&p->lock);
+    bool restarted = p->restarted;
+    pthread_mutex_unlock(&p->lock);
+    return restarted;
+}
+
+bool
+CpQuotaPeers_IsStarting(CpQuotaPeers *p, int64_t now_ns)
+{
+    pthread_mutex_lock(&p->lock);
+    bool starting = is_starting(p, now_ns);
+    pthread_mutex_unlock(&p->lock);
+    return starting;
+}
+
 uint32_t
 CpQuotaPeers_Epoch(CpQuotaPeers *p)
 {
@@ -245,8 +276,10 @@
         const CpQuotaPeer *h = g_ptr_array_index(p->peers, i);
         bool due = h->contact_ns == 0 || h->unanswered_ns > 0 ||
                    now_ns - h->contact_ns > CONTACT_INTERVAL_NS;
-        int64_t interval_ns =
-            h->usable ? PROBE_INTERVAL_NS : UNUSABLE_PROBE_INTERVAL_NS;
+        int64_t interval_ns = h->contact_ns == 0 && is_starting(p, now_ns)
+                                  ? STARTING_PROBE_INTERVAL_NS
+                              : h->usable ? PROBE_INTERVAL_NS
+                                          : UNUSABLE_PROBE_INTERVAL_NS;
         if (h->needed && h->live && due &&
             now_ns - h->probed_ns >= interval_ns) {
             CpStr_Copy(out[n++], CP_NAME_BYTES, h->name);
@@ -354,8 +387,11 @@
 static void
 set_usable(CpQuotaPeers *p, CpQuotaPeer *h, int64_t now_ns)
 {
+    int64_t limit_ns = h->contact_ns == 0 && is_starting(p, now_ns)
+                           ? STARTING_UNANSWERED_NS
+                           : UNANSWERED_NS;
     bool usable = h->live && (h->unanswered_ns == 0 ||
-                              now_ns - h->unanswered_ns < UNANSWERED_NS);
+                              now_ns - h->unanswered_ns < limit_ns);
     if (usable != h->usable) {
         h->usable = usable;
         change_order(p);
@@ -371,3 +407,9 @@
     }
     p->epoch++;
 }
+
+static bool
+is_starting(const CpQuotaPeers *p, int64_t now_ns)
+{
+    return p->restarted && now_ns - p->started_ns < STARTING_NS;
+}
