quota: soon after a restart, requests wait for tokens instead of being denied

Cause: in the first second after a power loss pools have just started; a host that was denied refused all requests for up to 100 ms, although tokens were under way.

Conclusion: the first second is limited by what the hosts that are back generate, and by the time that tokens need to reach a pool.

--- a/regress/drive_quota.c
+++ b/regress/drive_quota.c
@@ -61,6 +61,7 @@
     uint32_t index;
     uint32_t epoch; /* incremented by each start: older events are void */
     bool down;
+    bool had_row;          /* of an earlier process, when this one started */
     int64_t first_read_ns; /* from the process start to the first complete read
                             * of the tables */
     bool sees_down[MAX_HOSTS];
@@ -80,6 +81,8 @@
     uint64_t served;
     uint64_t retry_ms; /* sum over refused requests */
     double bucket;     /* of the reference model */
+    double generated;  /* tokens generated after a power loss and not used, if
+                        * any host could use them */
     int64_t bucket_ns;
 } Org;
 
@@ -90,6 +93,7 @@
     Host hosts[MAX_HOSTS];
     uint32_t host_count;
     uint32_t row_count; /* hosts in the table */
+    bool partial;       /* a part of the table was read */
     Org orgs[MAX_ORGS];
     uint32_t org_count;
     GPtrArray *events; /* binary heap */
@@ -107,9 +111,11 @@
     bool pulses;     /* demand for 4 s in 8 s */
     char demand[16]; /* even, skewed or moving */
     char failure[16];
-    bool new_rows;        /* restarted hosts count as new ones */
-    uint64_t early[4][3]; /* by second after a power loss: requests, those that
-                           * the reference model served, those served */
+    bool new_rows; /* restarted hosts count as new ones */
+    /* by second after a power loss: requests, those that the reference model
+     * served, those for which tokens were generated, those served */
+    uint64_t early[4][4];
+    uint32_t up_count;     /* hosts that are ready after a power loss */
     int64_t power_loss_ns; /* the last; 0: none */
     uint32_t frozen_host;  /* last frozen while it was the pool */
     uint32_t steps;        /* of the failure */
@@ -239,6 +245,12 @@
             set_hosts(n, h);
         }
     }
+    else if (strcmp(line, "partial") == 0 || strcmp(line, "complete") == 0) {
+        n->partial = line[0] == 'p';
+        for (uint32_t h = 0; h < n->host_count; h++) {
+            set_hosts(n, h);
+        }
+    }
     else if (sscanf(line, "loss %u", &a) == 1) {
         n->loss_percent = a;
     }
@@ -328,6 +340,7 @@
     host->index = h;
     host->down = false;
     host->epoch++;
+    host->had_row = host->epoch > 1 && h < n->row_count && !n->new_rows;
     host->quota = CpQuota_New(
         &(CpQuotaOptions){.host = name,
                           .incarnation = ++n->incarnation,
@@ -368,9 +381,8 @@
     CpQuota_SetHosts(n->hosts[h].quota,
                      &(CpQuotaHostTable){.hosts = rows,
                                          .count = n->row_count,
-                                         .complete = true,
-                                         .restarted = n->hosts[h].epoch > 1 &&
-                                                      !n->new_rows},
+                                         .complete = !n->partial,
+                                         .restarted = n->hosts[h].had_row},
                      n->now_ns);
 }
 
@@ -452,6 +464,12 @@
     Host *h = &n->hosts[e->host];
     if (e->type == EVENT_START) {
         start_host(n, e->host);
+        n->up_count++;
+        for (uint32_t i = 0; i < n->org_count; i++) {
+            n->orgs[i].generated += (double)h->first_read_ns *
+                                    n->orgs[i].rate / n->host_count /
+                                    CP_NS_PER_S;
+        }
         return;
     }
     if ((e->type == EVENT_TICK && e->epoch != h->epoch) ||
@@ -555,6 +573,8 @@
     bool counts = !n->plays || n->now_ns >= START_NS + WARMUP_NS;
     o->bucket += (double)(n->now_ns - o->bucket_ns) * o->rate / CP_NS_PER_S;
     o->bucket = o->bucket > o->burst ? o->burst : o->bucket;
+    o->generated += (double)(n->now_ns - o->bucket_ns) * o->rate *
+                    n->up_count / n->host_count / CP_NS_PER_S;
     o->bucket_ns = n->now_ns;
     /* callers know another host; without any, requests reach none */
     for (uint32_t i = 0; i < (n->power_loss_ns > 0 ? n->host_count : 1); i++) {
@@ -565,11 +585,15 @@
     }
     uint32_t second = seconds_after_loss(n, n->now_ns);
     o->offered += counts;
-    n->early[second][0] += second < 3;
+    n->early[second][0]++;
+    if (o->generated >= 1) {
+        o->generated -= 1;
+        n->early[second][2]++;
+    }
     if (o->bucket >= 1) {
         o->bucket -= 1;
         o->reference += counts;
-        n->early[second][1] += second < 3;
+        n->early[second][1]++;
     }
     for (uint32_t i = 0; i < MAX_WAITERS; i++) {
         if (!n->waiters[i].used) {
@@ -621,7 +645,7 @@
     if (d.type == CP_QUOTA_GRANTED) {
         g_array_append_val(o->granted, n->now_ns);
         o->served += counts;
-        n->early[seconds_after_loss(n, w->arrived_ns)][2]++;
+        n->early[seconds_after_loss(n, w->arrived_ns)][3]++;
     }
     else {
         o->refused += counts;
@@ -792,8 +816,8 @@
         const uint64_t *c = n->early[i];
         fprintf(out,
                 "%60s second %u: offered %6" PRIu64 " reference %6" PRIu64
-                " granted %6" PRIu64 "\n",
-                "", i + 1, c[0], c[1], c[2]);
+                " generated for %6" PRIu64 " granted %6" PRIu64 "\n",
+                "", i + 1, c[0], c[1], c[2], c[3]);
     }
     clear_net(n);
     free(n);
@@ -908,6 +932,10 @@
 lose_power(Net *n)
 {
     n->power_loss_ns = n->now_ns;
+    n->up_count = 0;
+    for (uint32_t i = 0; i < n->org_count; i++) {
+        n->orgs[i].generated = 0;
+    }
     for (uint32_t h = 0; h < n->host_count; h++) {
         Host *host = &n->hosts[h];
         host->down = true;
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -505,6 +505,14 @@
     int64_t end_ns = began_ns + MAX_WAIT_NS;
     bool has_pool = !o->is_pool && o->pool[0] != '\0';
     d->type = CP_QUOTA_DENIED;
+    bool starting = CpQuotaPeers_IsStarting(&q->peers, now_ns);
+    if (starting && now_ns < o->denied_until_ns &&
+        o->denied_until_ns < end_ns) {
+        /* Tokens are there before a caller could come back. */
+        d->type = CP_QUOTA_WAIT;
+        d->wait_until_ns = o->denied_until_ns;
+        return;
+    }
     if (now_ns < o->denied_until_ns) {
         d->unanswered = o->unanswered;
         d->retry_after_ms = next_retry_ms(o, now_ns);
