entry: whether a host had a row is decided by the first read of the table only

Cause: the version of the rows that a report tells is 0 while a read is in progress, also later than the first. A host's own row, read back then, could replace what the first read had shown, before the quota was told of it.

Ruled out: a flag that is set by the first own row: a scan that fails halfway may have shown one that was removed since.

Change: the check uses the version up to which the table was read.

--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -37,6 +37,7 @@
 static bool is_domain_silent(const CpEntry *e, const char *domain);
 static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
 static char *encode_host(const CpEntry *e);
+static bool is_table_read(const CpEntry *e);
 static const char *region_of(const CpEntry *e, const char *domain);
 
 void
@@ -66,8 +67,7 @@
     }
     /* At a first start there was no row, and the table is read later. */
     if (!e->settings.first_start && e->own_row_written_ns == 0 &&
-        CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) == 0 &&
-        now_ns - e->started_ns < FIRST_READ_WAIT_NS) {
+        !is_table_read(e) && now_ns - e->started_ns < FIRST_READ_WAIT_NS) {
         return;
     }
     char *value = encode_host(e);
@@ -105,7 +105,7 @@
     bool is_own = strcmp(row->key, e->settings.host) == 0;
     pthread_mutex_lock(&e->hosts_lock);
     CpEntryHost *host = find_host(e, row->key);
-    if (is_own && CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) == 0) {
+    if (is_own && !is_table_read(e)) {
         e->had_row = usable && next.incarnation != e->incarnation;
     }
     if (usable && host == NULL) {
@@ -617,6 +617,14 @@
     return text;
 }
 
+/* Returns true after the first complete read of the table. */
+static bool
+is_table_read(const CpEntry *e)
+{
+    return __atomic_load_n(&e->followers[CP_TABLE_HOSTS].read_version,
+                           __ATOMIC_RELAXED) > 0;
+}
+
 static const char *
 region_of(const CpEntry *e, const char *domain)
 {
