--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -38,7 +38,7 @@
 static bool is_domain_silent(const CpEntry *e, const char *domain);
 static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
 static char *encode_host(const CpEntry *e);
-static bool is_table_read(const CpEntry *e);
+static bool is_table_read(CpEntry *e);
 static const char *region_of(const CpEntry *e, const char *domain);
 
 void
@@ -694,10 +694,10 @@
 
 /* Returns true after the first complete read of the table. */
 static bool
-is_table_read(const CpEntry *e)
+is_table_read(CpEntry *e)
 {
-    return __atomic_load_n(&e->followers[CP_TABLE_HOSTS].read_version,
-                           __ATOMIC_RELAXED) > 0;
+    CpEntryFollower *f = &e->followers[CP_TABLE_HOSTS];
+    return CpEntryFollow_Get(f, &f->read).version > 0;
 }
 
 static const char *
