--- a/src/entry/entry_quota.c
+++ b/src/entry/entry_quota.c
@@ -300,7 +300,7 @@
     CpQuotaHost *hosts;
     CpQuotaHostTable table = {0};
     /* before the hosts are listed: all rows were applied by then */
-    bool read = CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS) > 0;
+    bool read = CpEntryFollow_RowVersion(e, CP_TABLE_HOSTS).version > 0;
     table.complete = e->quota_has_all_hosts || read ||
                      now_ns - e->started_ns >= READ_WAIT_NS;
     table.count = CpEntryHosts_ListForQuota(e, &hosts, &table.restarted);
