base, store, org: one type and one comparison of a version within an era

Cause: store included org for the type of a version within an era, against the direction of the layout, and org compared such versions with a function of its own beside that of store.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -255,6 +255,15 @@
 uint32_t CpAtomic_Load(const uint32_t *p);
 void CpAtomic_Store(uint32_t *p, uint32_t value);
 
+/* A version of a table of the store. Versions are compared within one era of
+ * the store only; an era ends when the store is restored from a copy. */
+typedef struct {
+    uint64_t era;
+    uint64_t version;
+} CpTableVersion;
+/* Returns true if `a` is of a later era than `b`, or later in the same one. */
+bool CpTableVersion_IsLater(const CpTableVersion *a, const CpTableVersion *b);
+
 /* Timer service: one thread that calls all subscribers. */
 typedef struct CpTimer CpTimer;
 typedef void (*CpTimerFn)(void *ctx, int64_t now_ns);
--- a/src/base/base_util.c
+++ b/src/base/base_util.c
@@ -162,3 +162,9 @@
 {
     __atomic_store_n(p, value, __ATOMIC_RELEASE);
 }
+
+bool
+CpTableVersion_IsLater(const CpTableVersion *a, const CpTableVersion *b)
+{
+    return a->era > b->era || (a->era == b->era && a->version > b->version);
+}
--- a/src/org/org.h
+++ b/src/org/org.h
@@ -91,13 +91,6 @@
 /* Returns the word for a flaw in log lines. */
 const char *CpOrgFlaw_Name(CpOrgFlaw flaw);
 
-/* A version of the operator's table. Versions are compared within one era of
- * the store only; an era ends when the store is restored from a copy. */
-typedef struct {
-    uint64_t era;
-    uint64_t version;
-} CpTableVersion;
-
 /* Decides how fresh this host's copy of the operator's table is: how long ago
  * it is known to have been the newest one. All times are CLOCK_BOOTTIME of
  * this host, which includes time spent suspended. A confirmation counts from
--- a/src/org/org_freshness.c
+++ b/src/org/org_freshness.c
@@ -40,7 +40,6 @@
 static int64_t age_ns(const CpFreshness *f, int64_t now_ns);
 static bool is_needed(const CpFreshness *f);
 static void confirm(CpFreshness *f, int64_t at_ns);
-static bool is_at_least(const CpTableVersion *a, const CpTableVersion *b);
 
 CpFreshness *
 CpFreshness_New(const CpFreshnessOptions *o, int64_t now_ns)
@@ -84,7 +83,7 @@
 CpFreshness_OnHeld(CpFreshness *f, const CpTableVersion *held)
 {
     pthread_mutex_lock(&f->lock);
-    if (is_at_least(held, &f->held)) {
+    if (!CpTableVersion_IsLater(&f->held, held)) {
         f->held = *held;
     }
     pthread_mutex_unlock(&f->lock);
@@ -94,7 +93,7 @@
 CpFreshness_OnKnown(CpFreshness *f, const CpTableVersion *known)
 {
     pthread_mutex_lock(&f->lock);
-    if (is_at_least(known, &f->known)) {
+    if (!CpTableVersion_IsLater(&f->known, known)) {
         f->known = *known;
     }
     pthread_mutex_unlock(&f->lock);
@@ -106,8 +105,8 @@
 {
     pthread_mutex_lock(&f->lock);
     f->probes = false;
-    bool counts = f->in_force && is_at_least(version, &f->held) &&
-                  is_at_least(version, &f->known);
+    bool counts = f->in_force && !CpTableVersion_IsLater(&f->held, version) &&
+                  !CpTableVersion_IsLater(&f->known, version);
     if (counts) {
         f->held = *version;
         confirm(f, sent_ns);
@@ -249,9 +248,3 @@
 {
     f->confirmed_ns = at_ns > f->confirmed_ns ? at_ns : f->confirmed_ns;
 }
-
-static bool
-is_at_least(const CpTableVersion *a, const CpTableVersion *b)
-{
-    return a->era > b->era || (a->era == b->era && a->version >= b->version);
-}
--- a/src/store/era.h
+++ b/src/store/era.h
@@ -7,10 +7,7 @@
 #ifndef CP_ERA_H
 #define CP_ERA_H
 
-#include "org/org.h"
-
-/* Returns true if `a` is of a later era than `b`, or later in the same one. */
-bool CpTableVersion_IsLater(const CpTableVersion *a, const CpTableVersion *b);
+#include "base/base.h"
 
 typedef enum {
     CP_ERA_OTHER = 0,
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -8,7 +8,6 @@
 #define CP_STORE_H
 
 #include "base/base.h"
-#include "org/org.h"
 
 #define CP_KEY_BYTES 201    /* longest key with NUL */
 #define CP_VALUE_BYTES 4096 /* of a row of this project's own tables */
--- a/src/store/store_era.c
+++ b/src/store/store_era.c
@@ -24,12 +24,6 @@
 static CpEraDecision merge_server(const CpEraRow *held, const CpEraRow *row);
 static bool is_report_older(const CpEraRow *a, const CpEraRow *b);
 
-bool
-CpTableVersion_IsLater(const CpTableVersion *a, const CpTableVersion *b)
-{
-    return a->era > b->era || (a->era == b->era && a->version > b->version);
-}
-
 CpEraDecision
 CpEra_OnRow(CpEraKind kind, const CpEraRow *held, const CpEraRow *row)
 {
