--- a/src/admit/admit_contention.c
+++ b/src/admit/admit_contention.c
@@ -17,9 +17,9 @@
 #define TARGET_MILLI 1200
 #define LESS_URGENT_MILLI 120
 #define MORE_URGENT_MILLI 380
-/* The three above were chosen by regress/admit/contention*.in: with higher
- * ones urgent requests wait too long, with lower ones fewer requests are
- * answered in time at 100% load than without admission. */
+/* With higher values of these three, urgent requests wait too long; with lower
+ * ones fewer requests are answered in time at full load than without
+ * admission. */
 /* Work that is late in any case takes slots that would be idle. */
 #define LATE_TARGET_MILLI 700
 /* Share of the admitted requests, by the number of more urgent ranks. */
--- a/src/entry/entry_quota.c
+++ b/src/entry/entry_quota.c
@@ -11,9 +11,7 @@
 #include "quota/quota.h"
 #include "wire/wire.h"
 
-#define HOSTS_INTERVAL_TICKS                                                  \
-    4 /* how often the table of hosts is passed on                            \
-       */
+#define HOSTS_INTERVAL_TICKS 4 /* between updates of the table of hosts */
 
 /* Without a response of the store, what was copied from a neighbour is used
  * after this time; this host then counts as a new one. */
--- a/src/org/org_freshness.c
+++ b/src/org/org_freshness.c
@@ -10,9 +10,8 @@
  * confirmation is up to twice as old when the next one arrives, and other
  * hosts' queries and a failed call have to fit in the rest. */
 #define FIRST_WAIT_DIVISOR 4
-#define PROBE_WAIT_MS                                                         \
-    100 /* of a call that is to return soon, without rows                     \
-         */
+/* Of a call that is to return soon, without rows. */
+#define PROBE_WAIT_MS 100
 #define ASK_INTERVAL_NS (1000 * CP_NS_PER_MS)
 #define SOON_ASK_INTERVAL_NS (250 * CP_NS_PER_MS) /* a tick */
 #define TICK_SLACK_NS (50 * CP_NS_PER_MS)
