http, proxy: a connection is ended only for the call that uses it

With a length the response broke off at the same place; some good responses became 502.

Cause: libcurl gives a connection to the next call within the step in which the call before ends; the end is known here only after the step. end_attempt() then took bytes of the second response for bytes after the first, failed the first request and ended the connection under the second, or watched it as an idle one. And an idle connection stayed watched until libcurl asked to poll it, which it does not if it sends, receives and is paused in one step.

Ruled out: resets taken for an end (the servers closed in order); a descriptor that had become another connection's (the local ports were equal).

Change: CpConnections knows which call uses which connection. A call takes it in the callback before its first byte; the call before has lost it then. What is not clean or not quiet is left for a new connection, with nothing sent yet. The client of kinds had the lookup by port already and uses the same; its calls could end one another's connections, too. Read besides: entry/poll and host/health (one call at a time to a server), CpEasy_Perform() (connections of its own).

--- a/regress/regress.h
+++ b/regress/regress.h
@@ -18,6 +18,7 @@
 void CpDrive_Once(FILE *in, FILE *out);
 void CpDrive_Org(FILE *in, FILE *out);
 void CpDrive_Platform(FILE *in, FILE *out);
+void CpDrive_Proxy(FILE *in, FILE *out);
 void CpDrive_Quota(FILE *in, FILE *out);
 void CpDrive_Route(FILE *in, FILE *out);
 void CpDrive_Steer(FILE *in, FILE *out);
--- a/regress/run.c
+++ b/regress/run.c
@@ -24,21 +24,14 @@
 } Package;
 
 static const Package packages[] = {
-    {"admit", CpDrive_Admit},
-    {"budget", CpDrive_Budget},
-    {"config", CpDrive_Config},
-    {"fleet", CpDrive_Fleet},
-    {"http", CpDrive_Http},
-    {"member", CpDrive_Member},
-    {"once", CpDrive_Once},
-    {"org", CpDrive_Org},
-    {"platform", CpDrive_Platform},
-    {"quota", CpDrive_Quota},
-    {"route", CpDrive_Route},
-    {"steer", CpDrive_Steer},
-    {"store", CpDrive_Store},
-    {"wire", CpDrive_Wire},
-    {"system", NULL}, /* run by bash */
+    {"admit", CpDrive_Admit},       {"budget", CpDrive_Budget},
+    {"config", CpDrive_Config},     {"fleet", CpDrive_Fleet},
+    {"http", CpDrive_Http},         {"member", CpDrive_Member},
+    {"once", CpDrive_Once},         {"org", CpDrive_Org},
+    {"platform", CpDrive_Platform}, {"proxy", CpDrive_Proxy},
+    {"quota", CpDrive_Quota},       {"route", CpDrive_Route},
+    {"steer", CpDrive_Steer},       {"store", CpDrive_Store},
+    {"wire", CpDrive_Wire},         {"system", NULL}, /* run by bash */
 };
 
 static char *scripts[MAX_TESTS];
--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -53,6 +53,11 @@
  * one. */
 void CpEasy_EndConnection(curl_socket_t fd);
 
+/* The connections of a multi handle, and the call that uses each. The library
+ * gives a connection to the next call as soon as it has a response, before the
+ * end of the call that got this is known here. */
+typedef struct CpConnections CpConnections;
+
 /* How the end of a response's body is marked. */
 typedef enum {
     CP_FRAMING_UNKNOWN = 0, /* the head is not complete */
@@ -64,6 +69,9 @@
 
 /* What is known of a response before it comes. */
 typedef struct {
+    CpConnections *connections; /* of its multi handle; NULL: the connection is
+                                 * not known before the end of the call */
+    const char *server;         /* its address, with connections; not copied */
     const char *const *single_headers; /* at most one line each; up to 32 */
     const char *id_header;             /* NULL: responses have no id */
     const char *id;                    /* of the request; not copied */
@@ -77,8 +85,9 @@
 typedef struct {
     CpResponseOptions options;
     CURL *easy;
-    curl_socket_t fd; /* of the connection, if the caller of the check knows
-                       * it; else CURL_SOCKET_BAD */
+    curl_socket_t opened_fd; /* of a connection that is not used yet */
+    curl_socket_t fd; /* of the connection that the call uses, if known; else
+                       * CURL_SOCKET_BAD */
     curl_socket_t idle_fd; /* after the end, if it can be used again */
     CpFlaw flaw;
     CpFraming framing;
@@ -116,10 +125,41 @@
  * the result of the call, CURLE_PARTIAL_FILE instead of CURLE_OK if there is a
  * flaw. A connection that cannot be used again is ended. */
 CURLcode CpResponseCheck_End(CpResponseCheck *c, CURLcode code);
+/* Returns true if the call's connection can be used again, as far as the
+ * response shows that was received completely. */
+bool CpResponseCheck_IsClean(const CpResponseCheck *c);
+/* Notes what the connection holds after the response, and leaves it there. */
+void CpResponseCheck_ReadFollowing(CpResponseCheck *c, curl_socket_t fd);
 /* Counts a call to a backend server after its end: whether it opened a
  * connection, whether that is spent, and whether the response had a flaw. */
 void CpResponseCheck_Count(const CpResponseCheck *c);
 
+/* How a call came by its connection. */
+typedef enum {
+    CP_CONNECTION_OPENED = 0, /* for this call */
+    CP_CONNECTION_REUSED,
+    CP_CONNECTION_SPENT /* bytes came on it, or its end, which belong to no
+                         * call; it has to be closed */
+} CpConnectionState;
+
+CpConnections *CpConnections_New(void);
+/* Frees the table; the connections have to be closed before. */
+void CpConnections_Free(CpConnections *t);
+/* Sets the options of a call whose check has begun, so that its connection is
+ * known. The function for options of sockets calls CpConnections_OnOpened().
+ */
+void CpConnections_Follow(CpConnections *t, CURL *e);
+void CpConnections_OnOpened(CpResponseCheck *c, curl_socket_t fd);
+/* Begins the use of the connection that the library has chosen for a call,
+ * right before the first byte is sent; the library tells only its port. */
+CpConnectionState CpConnections_Take(CpResponseCheck *c, int local_port);
+/* Ends the use of a connection after its call was removed from the multi
+ * handle. Returns the socket if it is idle now and can be used again. One that
+ * cannot be is ended; one that another call has taken is left alone. */
+curl_socket_t CpConnections_Release(CpResponseCheck *c);
+/* Returns true if no call uses the connection of this socket. */
+bool CpConnections_IsIdle(const CpConnections *t, curl_socket_t fd);
+
 /* A response with a body of text while it is received. */
 typedef struct {
     CpResponseCheck check;
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -6,8 +6,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <glib.h>
 
@@ -28,7 +26,6 @@
     Worker *worker;
     CpExchange *ex;
     CURL *easy;
-    curl_socket_t opened_fd; /* of a connection that is not used yet */
     struct curl_slist *headers;
     char address[CP_ADDR_BYTES];
     char url[CP_ADDR_BYTES + 16];
@@ -38,7 +35,7 @@
     bool finished;
     bool sent;     /* request bytes may have been sent */
     bool expired;  /* the slot or deadline expired before sending */
-    bool spent;    /* the connection chosen holds bytes; nothing was sent */
+    bool spent;    /* the connection chosen is; nothing was sent */
     bool accepted; /* the head is complete and this request's */
     bool head_delivered;
     bool is_first;   /* the connection's first request */
@@ -60,9 +57,7 @@
     bool stopping;
     CURLM *multi;
     CpEasyPool easy_pool;
-    /* The open connections: local port and server to socket, and back. */
-    GHashTable *sockets;
-    GHashTable *connections;
+    CpConnections *connections;
 };
 
 struct CpBackend {
@@ -86,10 +81,8 @@
 static void on_pipe_ready(void *ctx);
 static void on_cancel(void *ctx, CpExchange *ex);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
-static int on_close(void *ctx, curl_socket_t fd);
 static int on_prereq(void *ctx, char *remote, char *local, int remote_port,
                      int local_port);
-static bool find_socket(Dispatch *d, int local_port);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static size_t on_body(char *data, size_t size, size_t n, void *ctx);
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
@@ -117,8 +110,7 @@
         w->multi = curl_multi_init();
         curl_multi_setopt(w->multi, CURLMOPT_MAXCONNECTS,
                           (long)MAX_IDLE_CONNECTIONS);
-        w->sockets = g_hash_table_new(g_direct_hash, g_direct_equal);
-        w->connections = g_hash_table_new(g_direct_hash, g_direct_equal);
+        w->connections = CpConnections_New();
     }
     *out = b;
     return CP_OK;
@@ -148,8 +140,7 @@
         pthread_join(w->thread, NULL);
         CpEasyPool_Clear(&w->easy_pool);
         curl_multi_cleanup(w->multi); /* closes connections */
-        g_hash_table_destroy(w->sockets);
-        g_hash_table_destroy(w->connections);
+        CpConnections_Free(w->connections);
         pthread_mutex_destroy(&w->lock);
     }
     free(b->workers);
@@ -260,11 +251,9 @@
     curl_easy_setopt(e, CURLOPT_INTERFACE, w->backend->interface);
     curl_easy_setopt(e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(e, CURLOPT_CONNECTTIMEOUT_MS, (long)CONNECT_TIMEOUT_MS);
-    d->opened_fd = CURL_SOCKET_BAD;
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
     curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, d);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETFUNCTION, on_close);
-    curl_easy_setopt(e, CURLOPT_CLOSESOCKETDATA, w);
+    CpConnections_Follow(w->connections, e);
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, d);
     CpEasy_SetReceivers(e, on_header, on_body, d);
@@ -274,7 +263,9 @@
     snprintf(d->request_id, sizeof(d->request_id), "%016llx",
              (unsigned long long)CpHash(&ex->id, sizeof(ex->id),
                                         (uint64_t)ex->started_ns));
-    const CpResponseOptions expected = {.single_headers = single_headers,
+    const CpResponseOptions expected = {.connections = w->connections,
+                                        .server = d->address,
+                                        .single_headers = single_headers,
                                         .id_header = CP_HEADER_REQUEST_ID,
                                         .id = d->request_id,
                                         .is_head =
@@ -346,13 +337,14 @@
     if (d->easy != NULL) {
         code = CpResponseCheck_End(&d->check, code);
         CpResponseCheck_Count(&d->check);
-        if (!d->has_id && d->check.idle_fd != CURL_SOCKET_BAD) {
-            CpEasy_EndConnection(d->check.idle_fd);
+        if (!d->has_id) {
+            d->check.idle_fd = CURL_SOCKET_BAD;
         }
     }
     classify_result(d, code, &r);
     if (d->easy != NULL) {
         curl_multi_remove_handle(w->multi, d->easy);
+        CpConnections_Release(&d->check);
         CpEasyPool_Release(&w->easy_pool, d->easy);
         d->easy = NULL;
     }
@@ -461,48 +453,10 @@
 {
     Dispatch *d = ctx;
     (void)purpose;
-    d->opened_fd = fd;
+    CpConnections_OnOpened(&d->check, fd);
     return CURL_SOCKOPT_OK;
 }
 
-static int
-on_close(void *ctx, curl_socket_t fd)
-{
-    Worker *w = ctx;
-    void *connection =
-        g_hash_table_lookup(w->connections, GINT_TO_POINTER(fd));
-    if (connection != NULL) {
-        g_hash_table_remove(w->sockets, connection);
-        g_hash_table_remove(w->connections, GINT_TO_POINTER(fd));
-    }
-    return close(fd);
-}
-
-/* Finds the socket of the connection that the library has chosen, as it tells
- * only the ports of one in use. Returns false if the connection holds bytes
- * that came after an earlier response. */
-static bool
-find_socket(Dispatch *d, int local_port)
-{
-    Worker *w = d->worker;
-    char byte;
-    void *connection =
-        GSIZE_TO_POINTER((gsize)CpHash_Str(d->address, (uint64_t)local_port));
-    if (d->opened_fd != CURL_SOCKET_BAD) {
-        void *fd = GINT_TO_POINTER(d->opened_fd);
-        g_hash_table_replace(w->sockets, connection, fd);
-        g_hash_table_replace(w->connections, fd, connection);
-        d->check.fd = d->opened_fd;
-        d->opened_fd = CURL_SOCKET_BAD;
-        d->is_first = true;
-        return true;
-    }
-    void *fd = g_hash_table_lookup(w->sockets, connection);
-    d->check.fd = fd != NULL ? GPOINTER_TO_INT(fd) : CURL_SOCKET_BAD;
-    return fd != NULL &&
-           recv(d->check.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
-}
-
 /* Called after the connect and right before the first byte is sent, the last
  * point at which the request is known not to have run. */
 static int
@@ -518,8 +472,10 @@
         d->expired = true;
         return CURL_PREREQFUNC_ABORT;
     }
-    if (!find_socket(d, local_port)) {
-        d->spent = true;
+    CpConnectionState state = CpConnections_Take(&d->check, local_port);
+    d->is_first = state == CP_CONNECTION_OPENED;
+    d->spent = state == CP_CONNECTION_SPENT;
+    if (d->spent) {
         return CURL_PREREQFUNC_ABORT;
     }
     d->sent = true;
--- a/src/http/http_response.c
+++ b/src/http/http_response.c
@@ -37,7 +37,6 @@
 static int on_debug(CURL *e, curl_infotype type, char *data, size_t n,
                     void *ctx);
 static void on_raw(CpResponseCheck *c, const char *data, size_t n);
-static void read_following(CpResponseCheck *c, curl_socket_t fd);
 static void check_following(CpResponseCheck *c);
 
 void
@@ -46,6 +45,7 @@
 {
     *c = (CpResponseCheck){.options = *options,
                            .easy = e,
+                           .opened_fd = CURL_SOCKET_BAD,
                            .fd = CURL_SOCKET_BAD,
                            .idle_fd = CURL_SOCKET_BAD};
     curl_easy_setopt(e, CURLOPT_DEBUGFUNCTION, on_debug);
@@ -99,7 +99,7 @@
         data = lf + 1;
     }
     if (c->framing == CP_FRAMING_LENGTH && c->body_bytes >= c->length_bytes) {
-        read_following(c, c->fd);
+        CpResponseCheck_ReadFollowing(c, c->fd);
         check_following(c);
     }
 }
@@ -107,9 +107,12 @@
 CURLcode
 CpResponseCheck_End(CpResponseCheck *c, CURLcode code)
 {
-    curl_socket_t fd = CURL_SOCKET_BAD;
-    curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
-    read_following(c, fd);
+    curl_socket_t fd = code == CURLE_OK ? c->fd : CURL_SOCKET_BAD;
+    bool is_followed = c->options.connections != NULL;
+    if (!is_followed) {
+        curl_easy_getinfo(c->easy, CURLINFO_ACTIVESOCKET, &fd);
+    }
+    CpResponseCheck_ReadFollowing(c, fd);
     if (code == CURLE_OK && c->line_bytes > 0 &&
         (c->options.has_text_body || c->framing == CP_FRAMING_CLOSE)) {
         read_body_line(c); /* the last one, without an end */
@@ -127,23 +130,29 @@
     if (code == CURLE_OK && c->flaw != CP_FLAW_NONE) {
         code = CURLE_PARTIAL_FILE;
     }
-    /* The library drops what it has read after a body in chunks, in which a
-     * response that follows shows, and after an empty one. */
-    bool is_clean =
-        code == CURLE_OK && c->following_bytes == 0 && !c->is_in_head &&
-        (c->framing == CP_FRAMING_LENGTH
-             ? c->length_bytes > 0
-             : c->framing == CP_FRAMING_CHUNKS &&
-                   memcmp(c->raw_tail, "\r\n\r\n", sizeof(c->raw_tail)) == 0);
-    if (fd != CURL_SOCKET_BAD && is_clean) {
+    if (code == CURLE_OK && CpResponseCheck_IsClean(c)) {
         c->idle_fd = fd;
     }
-    else if (fd != CURL_SOCKET_BAD) {
+    else if (!is_followed && fd != CURL_SOCKET_BAD) {
         CpEasy_EndConnection(fd);
     }
     return code;
 }
 
+/* The library drops what it has read after a body in chunks, in which a
+ * response that follows shows, and after an empty one. */
+bool
+CpResponseCheck_IsClean(const CpResponseCheck *c)
+{
+    return c->flaw == CP_FLAW_NONE && c->following_bytes == 0 &&
+           !c->is_in_head &&
+           (c->framing == CP_FRAMING_LENGTH
+                ? c->length_bytes > 0
+                : c->framing == CP_FRAMING_CHUNKS &&
+                      memcmp(c->raw_tail, "\r\n\r\n", sizeof(c->raw_tail)) ==
+                          0);
+}
+
 void
 CpResponseCheck_Count(const CpResponseCheck *c)
 {
@@ -439,9 +448,8 @@
            data + n - tail_bytes, tail_bytes);
 }
 
-/* Reads what the connection holds after the response, and leaves it there. */
-static void
-read_following(CpResponseCheck *c, curl_socket_t fd)
+void
+CpResponseCheck_ReadFollowing(CpResponseCheck *c, curl_socket_t fd)
 {
     if (fd != CURL_SOCKET_BAD && c->following_bytes == 0) {
         ssize_t n = recv(fd, c->following, sizeof(c->following),
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -44,8 +44,9 @@
 static void classify_end(const CpProxyExchange *ex, CURLcode code,
                          CpAttemptResult *out);
 static void stream_if_allowed(CpProxyExchange *ex, bool received_much);
-static int on_prereq(void *ctx, char *local, char *remote, int local_port,
-                     int remote_port);
+static void restart(CpProxyExchange *ex);
+static int on_prereq(void *ctx, char *remote, char *local, int remote_port,
+                     int local_port);
 static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header(char *data, size_t size, size_t n, void *ctx);
 static bool read_header(CpProxyExchange *ex, const char *name,
@@ -81,7 +82,12 @@
         CpProxyExchange *ex;
         CURLcode code = msg->data.result;
         curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &ex);
-        end_attempt(ex, code);
+        if (ex->attempt.spent) {
+            restart(ex);
+        }
+        else {
+            end_attempt(ex, code);
+        }
     }
 }
 
@@ -154,6 +160,8 @@
     curl_easy_setopt(e, CURLOPT_PREREQFUNCTION, on_prereq);
     curl_easy_setopt(e, CURLOPT_PREREQDATA, ex);
     const CpResponseOptions expected = {
+        .connections = ex->worker->connections,
+        .server = ex->attempt.url,
         .single_headers = ex->worker->proxy->single_headers,
         .id_header = ex->worker->proxy->options.headers->request_id,
         .id = ex->request.id,
@@ -178,7 +186,8 @@
         e, CURLOPT_CONNECTTIMEOUT_MS,
         (long)(left_ms < CONNECT_TIMEOUT_MS ? left_ms : CONNECT_TIMEOUT_MS));
     curl_easy_setopt(e, CURLOPT_SOCKOPTFUNCTION, on_socket);
-    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, p);
+    curl_easy_setopt(e, CURLOPT_SOCKOPTDATA, ex);
+    CpConnections_Follow(ex->worker->connections, e);
     curl_easy_setopt(e, CURLOPT_MAXAGE_CONN,
                      (long)(keep_alive_s > IDLE_MARGIN_S
                                 ? keep_alive_s - IDLE_MARGIN_S
@@ -249,14 +258,10 @@
     code = CpResponseCheck_End(&ex->attempt.check, code);
     classify_end(ex, code, &result);
     CpResponseCheck_Count(&ex->attempt.check);
-    CpProxyAttempt_Abort(ex);
-    if (has_unsent && ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
-        CpEasy_EndConnection(ex->attempt.check.idle_fd);
+    if (has_unsent) {
         ex->attempt.check.idle_fd = CURL_SOCKET_BAD;
     }
-    if (ex->attempt.check.idle_fd != CURL_SOCKET_BAD) {
-        CpProxyWorker_WatchIdle(ex->worker, ex->attempt.check.idle_fd);
-    }
+    CpProxyAttempt_Abort(ex);
     if (ex->attempt.streamed) {
         ex->attempt.complete = code == CURLE_OK;
         ex->action.reason = code == CURLE_OPERATION_TIMEDOUT
@@ -374,26 +379,50 @@
         return;
     }
     curl_multi_remove_handle(w->multi, a->easy);
+    curl_socket_t idle_fd = CpConnections_Release(&a->check);
+    if (idle_fd != CURL_SOCKET_BAD) {
+        CpProxyWorker_WatchIdle(w, idle_fd);
+    }
     CpEasyPool_Release(&w->easy_pool, a->easy);
     a->easy = NULL;
     curl_slist_free_all(a->request_headers);
     a->request_headers = NULL;
 }
 
+/* Sends the request on a connection of its own. */
+static void
+restart(CpProxyExchange *ex)
+{
+    CpProxyAttempt *a = &ex->attempt;
+    CpCounter_Add(CP_COUNT_CONNECTIONS_SPENT, 1);
+    curl_multi_remove_handle(ex->worker->multi, a->easy);
+    a->spent = false;
+    curl_easy_setopt(a->easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_multi_add_handle(ex->worker->multi, a->easy);
+}
+
 /* Called right before the first byte is sent; until then the request has not
  * run. Makes the attempt fail rather than send its request a second time, as
  * the library does when a reused connection breaks. */
 static int
-on_prereq(void *ctx, char *local, char *remote, int local_port,
-          int remote_port)
+on_prereq(void *ctx, char *remote, char *local, int remote_port,
+          int local_port)
 {
     CpProxyExchange *ex = ctx;
     CpProxyAttempt *a = &ex->attempt;
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
-    (void)local, (void)remote, (void)local_port, (void)remote_port;
+    (void)remote, (void)local, (void)remote_port;
     if (a->sent) {
         return CURL_PREREQFUNC_ABORT;
     }
+    CpConnectionState state = CpConnections_Take(&a->check, local_port);
+    a->spent = state == CP_CONNECTION_SPENT;
+    if (a->spent) {
+        return CURL_PREREQFUNC_ABORT;
+    }
+    if (state == CP_CONNECTION_REUSED) {
+        CpProxyWorker_UnwatchIdle(ex->worker, a->check.fd);
+    }
     a->withheld = !p->may_send(p->ctx, &ex->request);
     a->sent = !a->withheld;
     return a->sent ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
@@ -402,9 +431,11 @@
 static int
 on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
 {
+    CpProxyExchange *ex = ctx;
     unsigned int unacked_ms = UNACKED_TIMEOUT_MS;
     (void)purpose;
-    CpProxyCaller_BoundBuffers(ctx, fd);
+    CpConnections_OnOpened(&ex->attempt.check, fd);
+    CpProxyCaller_BoundBuffers(ex->worker->proxy, fd);
     if (CpSocket_SetKeepalive(fd, KEEPALIVE_IDLE_S, KEEPALIVE_PROBES) !=
             CP_OK ||
         setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_ms,
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -49,6 +49,7 @@
     char url[CP_ADDR_BYTES + 16];
     bool sent;     /* its first byte may have been sent */
     bool withheld; /* by the policy, right before it was sent */
+    bool spent;    /* the connection chosen is; nothing was sent */
     CpResponseCheck check;
     bool id_matches; /* the response has the request's id */
     bool mismatched; /* the response is not that of this request */
@@ -127,6 +128,7 @@
     int32_t daemon_fd;
     uint32_t has_woken; /* flag: requests that wait may be woken; atomic */
     CURLM *multi;
+    CpConnections *connections;
     int64_t curl_due_ns;         /* INT64_MAX: none */
     GHashTable *exchanges_by_fd; /* those whose caller is watched */
     pthread_mutex_t lock;        /* guards exchanges and active */
@@ -160,8 +162,10 @@
 /* Watches a caller's connection for a disconnect while its request is in
  * flight. */
 void CpProxyWorker_Watch(CpProxyWorker *w, CpProxyExchange *ex);
-/* Watches an idle connection to a server, on which nothing may come. */
+/* Watches an idle connection to a server, on which nothing may come, until a
+ * request is sent on it. */
 void CpProxyWorker_WatchIdle(CpProxyWorker *w, int32_t fd);
+void CpProxyWorker_UnwatchIdle(CpProxyWorker *w, int32_t fd);
 void CpProxyWorker_Unwatch(CpProxyWorker *w, CpProxyExchange *ex);
 /* Schedules a check of the exchange at its next deadline. */
 void CpProxyWorker_ScheduleDeadline(CpProxyWorker *w,
--- a/src/proxy/proxy_worker.c
+++ b/src/proxy/proxy_worker.c
@@ -1,6 +1,5 @@
 /* The workers and their event loops. */
 #include <errno.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -16,11 +15,8 @@
 #define MAX_IDLE_CONNECTIONS 256 /* to servers, kept by each worker */
 #define DEFAULT_KEEP_ALIVE_S 10  /* until a server announces less */
 
-/* The source of an epoll event, in the upper half of its data: a type and, for
- * an idle connection, its local port. The file descriptor is in the lower
- * half. */
-#define EVENT_TYPE_BITS 8
-#define EVENT_TYPE_MASK 0xffu
+/* The source of an epoll event, in the upper half of its data. The file
+ * descriptor is in the lower half. */
 typedef enum {
     EVENT_WAKE = 1,
     EVENT_DAEMON,
@@ -30,11 +26,10 @@
 } EventType;
 
 static CpStatus open_worker(CpProxy *p, uint32_t index);
-static void watch_fd(CpProxyWorker *w, int32_t fd, uint32_t source,
+static void watch_fd(CpProxyWorker *w, int32_t fd, EventType type,
                      uint32_t events);
-static uint32_t local_port(int32_t fd);
 static void handle_event(CpProxyWorker *w, const struct epoll_event *e);
-static void end_idle(CpProxyWorker *w, int32_t fd, uint32_t port);
+static void end_idle(CpProxyWorker *w, int32_t fd);
 static void run_timers(CpProxyWorker *w, int64_t now_ns);
 static void run_woken(CpProxyWorker *w);
 static int next_wait_ms(CpProxyWorker *w, int64_t now_ns);
@@ -171,8 +166,15 @@
 void
 CpProxyWorker_WatchIdle(CpProxyWorker *w, int32_t fd)
 {
-    watch_fd(w, fd, EVENT_IDLE | local_port(fd) << EVENT_TYPE_BITS,
-             EPOLLIN | EPOLLRDHUP);
+    watch_fd(w, fd, EVENT_IDLE, EPOLLIN | EPOLLRDHUP);
+}
+
+/* The library registers its own interest only if it waits for the socket: a
+ * request may be sent, and a part of its response received, in one step. */
+void
+CpProxyWorker_UnwatchIdle(CpProxyWorker *w, int32_t fd)
+{
+    epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
 }
 
 void
@@ -203,16 +205,11 @@
                        void *socket_ctx)
 {
     CpProxyWorker *w = ctx;
-    CpProxyExchange *ex = NULL;
-    (void)socket_ctx;
+    (void)easy, (void)socket_ctx;
     if (what == CURL_POLL_REMOVE) {
         epoll_ctl(w->epoll_fd, EPOLL_CTL_DEL, fd, NULL);
         return 0;
     }
-    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &ex);
-    if (ex != NULL) {
-        ex->attempt.check.fd = fd;
-    }
     watch_fd(w, fd, EVENT_SERVER,
              ((what & CURL_POLL_IN) ? EPOLLIN : 0u) |
                  ((what & CURL_POLL_OUT) ? EPOLLOUT : 0u));
@@ -245,6 +242,7 @@
         return CpError_Set(CP_ERR_IO, "proxy: %s", strerror(errno));
     }
     w->multi = curl_multi_init();
+    w->connections = CpConnections_New();
     curl_multi_setopt(w->multi, CURLMOPT_SOCKETFUNCTION,
                       CpProxyWorker_OnSocket);
     curl_multi_setopt(w->multi, CURLMOPT_SOCKETDATA, w);
@@ -262,10 +260,10 @@
 }
 
 static void
-watch_fd(CpProxyWorker *w, int32_t fd, uint32_t source, uint32_t events)
+watch_fd(CpProxyWorker *w, int32_t fd, EventType type, uint32_t events)
 {
     struct epoll_event e = {.events = events,
-                            .data.u64 = (uint64_t)source << 32 | (uint32_t)fd};
+                            .data.u64 = (uint64_t)type << 32 | (uint32_t)fd};
     if (epoll_ctl(w->epoll_fd, EPOLL_CTL_MOD, fd, &e) != 0 &&
         epoll_ctl(w->epoll_fd, EPOLL_CTL_ADD, fd, &e) != 0) {
         CpLog(CP_LOG_WARNING, "proxy: cannot watch a socket: %s",
@@ -280,8 +278,7 @@
     int running, flags = 0;
     uint64_t count;
     CpProxyExchange *ex;
-    uint32_t source = (uint32_t)(e->data.u64 >> 32);
-    switch ((EventType)(source & EVENT_TYPE_MASK)) {
+    switch ((EventType)(e->data.u64 >> 32)) {
     case EVENT_WAKE:
         while (read(fd, &count, sizeof(count)) > 0) {
         }
@@ -295,7 +292,7 @@
         curl_multi_socket_action(w->multi, fd, flags, &running);
         break;
     case EVENT_IDLE:
-        end_idle(w, fd, source >> EVENT_TYPE_BITS);
+        end_idle(w, fd);
         break;
     case EVENT_CALLER:
         ex = g_hash_table_lookup(w->exchanges_by_fd, GINT_TO_POINTER(fd));
@@ -306,30 +303,14 @@
     }
 }
 
-/* Returns 0 for what is no connection of IP. */
-static uint32_t
-local_port(int32_t fd)
-{
-    struct sockaddr_storage sa = {0};
-    socklen_t n = sizeof(sa);
-    if (getsockname(fd, (struct sockaddr *)&sa, &n) != 0) {
-        return 0;
-    }
-    return sa.ss_family == AF_INET
-               ? ntohs(((const struct sockaddr_in *)&sa)->sin_port)
-           : sa.ss_family == AF_INET6
-               ? ntohs(((const struct sockaddr_in6 *)&sa)->sin6_port)
-               : 0;
-}
-
 /* Ends an idle connection on which bytes came or which its server closed; the
  * library would use it again. */
 static void
-end_idle(CpProxyWorker *w, int32_t fd, uint32_t port)
+end_idle(CpProxyWorker *w, int32_t fd)
 {
     char byte;
-    if (local_port(fd) != port) {
-        return; /* the descriptor has become that of another connection */
+    if (!CpConnections_IsIdle(w->connections, fd)) {
+        return; /* a request was sent since the event, or it was closed */
     }
     ssize_t n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n < 0 && (errno == EAGAIN || errno == ENOTCONN)) {
