proxy, http: a request that is sent has room for its response

Cause: libmicrohttpd takes the head, 64 bytes for each header line, cookie and parameter, and the head of the response from one buffer of a fixed size, here 64 KB, and closes the connection when the last does not fit. Nothing looked at what was left before the request was sent.

Evidence: the library by itself loses the response from 962 parameters, 934 lines or 882 cookies on; their records and the head add up to the buffer in all three. With 5,000 bytes more of response head it begins at 888, 863 and 814.

Ruled out: the server or the caller ending the connection (both waited); a larger buffer as the remedy (the library writes over all of it after each request: 181 us and 1 MB a connection at 1,024 KB, 15 us and 64 KB at 64).

Change: the query is emptied in the library's copy before it is parsed; routes read none of it and forward ours. The rest that a head takes is computed with the library's own counts. Kinds refuse such a request with 431 before it is submitted: the same fault, with a buffer of 32 KB.

Read besides: pages and the operator's addresses (their responses have two header lines, and nothing runs there).

Broken again: without proxy/direct 2 lines of proxy/heads; without the emptied query it does not end in its time.

Heads of more than some 930 lines or 880 cookies still get the library's own 431, not run: open.

--- a/regress/drive_proxy.c
+++ b/regress/drive_proxy.c
@@ -32,11 +32,14 @@
     char id[16];
     char framing[16];
     uint32_t body_bytes;
-    uint32_t head_bytes; /* of a header besides the usual ones */
-    uint32_t connection; /* on which the request came, from 1 on */
-    uint32_t request;    /* its number there */
+    uint32_t head_bytes;   /* of a header besides the usual ones */
+    uint32_t upload_bytes; /* body of the request */
+    uint32_t connection;   /* on which the request came, from 1 on */
+    uint32_t request;      /* its number there */
     uint32_t runs;
-    bool is_held; /* hold the proxy's thread from the request on */
+    bool is_changed; /* the request came with another target */
+    char *target;    /* of the request */
+    bool is_held;    /* hold the proxy's thread from the request on */
 } Answer;
 
 typedef struct {
@@ -64,6 +67,7 @@
     uint64_t body_bytes;
     bool is_complete;
     bool is_right;
+    bool is_closing; /* the connection ends with it */
 } Received;
 
 /* The hold of the proxy's thread: while it is armed, calls on the connection
@@ -81,9 +85,13 @@
 static int32_t listen_any(struct sockaddr_in *address);
 static Answer *add_answer(Script *s, const char *id, const char *framing,
                           uint32_t body_bytes, bool is_held);
-static void send_request(Script *s, uint32_t caller, const char *id,
-                         const char *path, const char *headers);
+static void send_request(Script *s, uint32_t caller, const Answer *a,
+                         const char *more);
 static void print_received(Script *s, uint32_t caller, const Answer *a);
+static GString *make_large(Answer *a, const char *kind, uint32_t n);
+static void get_large(Script *s, const char *id, const char *kind, uint32_t n);
+static void sweep(Script *s, const char *kind, uint32_t from, uint32_t to,
+                  uint32_t upload_bytes);
 static void get(Script *s, const char *id, const char *framing,
                 uint32_t body_bytes, bool is_held);
 static void join(Script *s, const char *first, const char *second,
@@ -94,6 +102,7 @@
 static uint64_t check_body(const char *body, uint64_t n, uint64_t offset);
 static void *server_thread(void *ctx);
 static void *connection_thread(void *ctx);
+static bool has_target(const char *line, const char *target);
 static void answer_request(Connection *c, const Answer *a);
 static bool send_all(int32_t fd, const void *data, size_t n);
 static void wait_for_bytes(int fd);
@@ -153,13 +162,17 @@
  * same, while the proxy's thread is held between the calls that send the
  * request and receive the response, so that it finds much of this at once.
  * join ID1 ID2 FRAMING BYTES: two held requests that the proxy starts to send
- * in one step; the whole response to the first comes within this step. */
+ * in one step; the whole response to the first comes within this step. KIND ID
+ * N: a request with a large head, or whose response has one (see
+ * make_large()). sweep KIND FROM TO BYTES: the same for each N, with a body of
+ * so many bytes; counts requests that run and whose connection ends without a
+ * response. */
 static void
 run_line(void *ctx, char *line)
 {
     Script *s = ctx;
     char id[16], second[16], framing[16];
-    uint32_t n;
+    uint32_t n, to, upload_bytes;
     if (sscanf(line, "get %15s %15s %u", id, framing, &n) == 3) {
         get(s, id, framing, n, false);
     }
@@ -170,6 +183,13 @@
              4) {
         join(s, id, second, framing, n);
     }
+    else if (sscanf(line, "sweep %15s %u %u %u", framing, &n, &to,
+                    &upload_bytes) == 4) {
+        sweep(s, framing, n, to, upload_bytes);
+    }
+    else if (sscanf(line, "%15s %15s %u", framing, id, &n) == 3) {
+        get_large(s, id, framing, n);
+    }
     else {
         fprintf(s->out, "not understood: %s\n", line);
     }
@@ -256,22 +276,26 @@
 add_answer(Script *s, const char *id, const char *framing, uint32_t body_bytes,
            bool is_held)
 {
-    pthread_mutex_lock(&s->lock);
     Answer *a = &s->answers[s->answer_count++ % MAX_ANSWERS];
-    *a = (Answer){.body_bytes = body_bytes, .is_held = is_held};
+    free(a->target);
+    *a = (Answer){.body_bytes = body_bytes,
+                  .target = CpStr_Dup("/"),
+                  .is_held = is_held};
     CpStr_Copy(a->id, sizeof(a->id), id);
     CpStr_Copy(a->framing, sizeof(a->framing), framing);
-    pthread_mutex_unlock(&s->lock);
     return a;
 }
 
 static void
-send_request(Script *s, uint32_t caller, const char *id, const char *path,
-             const char *more)
+send_request(Script *s, uint32_t caller, const Answer *a, const char *more)
 {
     GString *text = g_string_new(NULL);
-    g_string_printf(text, "GET %s HTTP/1.1\r\nHost: a\r\n" ID ": %s\r\n%s\r\n",
-                    path, id, more);
+    g_string_printf(text, "%s %s HTTP/1.1\r\nHost: a\r\n" ID ": %s\r\n%s\r\n",
+                    a->upload_bytes > 0 ? "POST" : "GET", a->target, a->id,
+                    more);
+    for (uint32_t i = 0; i < a->upload_bytes; i++) {
+        g_string_append_c(text, 'u');
+    }
     send_all(s->caller_fds[caller], text->str, text->len);
     g_string_free(text, TRUE);
 }
@@ -280,8 +304,10 @@
 get(Script *s, const char *id, const char *framing, uint32_t body_bytes,
     bool is_held)
 {
+    pthread_mutex_lock(&s->lock);
     Answer *a = add_answer(s, id, framing, body_bytes, is_held);
-    send_request(s, 0, id, "/", "");
+    pthread_mutex_unlock(&s->lock);
+    send_request(s, 0, a, "");
     print_received(s, 0, a);
     CpAtomic_Store(&hold.armed, 0);
 }
@@ -290,23 +316,102 @@
 join(Script *s, const char *first, const char *second, const char *framing,
      uint32_t body_bytes)
 {
+    pthread_mutex_lock(&s->lock);
     Answer *a = add_answer(s, first, "length", 100, true);
     Answer *b = add_answer(s, second, framing, body_bytes, true);
-    pthread_mutex_lock(&s->lock);
     CpStr_Copy(s->joined[0], sizeof(s->joined[0]), first);
     CpStr_Copy(s->joined[1], sizeof(s->joined[1]), second);
     s->waits = NULL;
-    send_request(s, 1, second, "/", "");
+    send_request(s, 1, b, "");
     while (s->waits == NULL) {
         pthread_cond_wait(&s->changed, &s->lock);
     }
     pthread_mutex_unlock(&s->lock);
-    send_request(s, 0, first, "/", "");
+    send_request(s, 0, a, "");
     print_received(s, 0, a);
     print_received(s, 1, b);
     CpAtomic_Store(&hold.armed, 0);
 }
 
+/* KIND is query (N parameters), lines or cookies, or head: a header of N bytes
+ * in the response. Returns header lines of the request. */
+static GString *
+make_large(Answer *a, const char *kind, uint32_t n)
+{
+    bool is_query = strcmp(kind, "query") == 0;
+    bool is_cookies = strcmp(kind, "cookies") == 0;
+    GString *text = g_string_new(is_query     ? "/?"
+                                 : is_cookies ? "Cookie: "
+                                              : "");
+    if (strcmp(kind, "head") == 0) {
+        a->head_bytes = n;
+        return text;
+    }
+    for (uint32_t i = 0; i < n; i++) {
+        g_string_append_printf(text,
+                               is_query     ? "&p=%u"
+                               : is_cookies ? "; c=%u"
+                                            : "l: %u\r\n",
+                               i % 10);
+    }
+    if (is_query) {
+        free(a->target);
+        a->target = CpStr_Dup(text->str);
+        g_string_truncate(text, 0);
+    }
+    if (is_cookies) {
+        g_string_append(text, "\r\n");
+    }
+    return text;
+}
+
+static void
+get_large(Script *s, const char *id, const char *kind, uint32_t n)
+{
+    pthread_mutex_lock(&s->lock);
+    Answer *a = add_answer(s, id, "length", 100, false);
+    GString *more = make_large(a, kind, n);
+    pthread_mutex_unlock(&s->lock);
+    send_request(s, 0, a, more->str);
+    print_received(s, 0, a);
+    g_string_free(more, TRUE);
+}
+
+static void
+sweep(Script *s, const char *kind, uint32_t from, uint32_t to,
+      uint32_t upload_bytes)
+{
+    uint32_t lost = 0, changed = 0, wrong = 0;
+    for (uint32_t n = from; n <= to; n++) {
+        char id[16];
+        Received r = {0};
+        snprintf(id, sizeof(id), "s%u", n);
+        pthread_mutex_lock(&s->lock);
+        Answer *a = add_answer(s, id, "length", 100, false);
+        GString *more = make_large(a, kind, n);
+        a->upload_bytes = upload_bytes;
+        if (upload_bytes > 0) {
+            g_string_append_printf(more, "Content-Length: %u\r\n",
+                                   upload_bytes);
+        }
+        pthread_mutex_unlock(&s->lock);
+        send_request(s, 0, a, more->str);
+        bool has_answer = receive(s->caller_fds[0], &r);
+        pthread_mutex_lock(&s->lock);
+        lost += !has_answer && a->runs > 0;
+        wrong += has_answer && (r.status == 200) != (a->runs > 0);
+        changed += a->is_changed;
+        pthread_mutex_unlock(&s->lock);
+        g_string_free(more, TRUE);
+        close(s->caller_fds[0]);
+        connect_caller(s, 0);
+    }
+    fprintf(s->out,
+            "sweep %s %u to %u, %u bytes: lost %u, changed %u, other status "
+            "than the server's %u\n",
+            kind, from, to, upload_bytes, lost, changed, wrong);
+}
+
 static void
 print_received(Script *s, uint32_t caller, const Answer *a)
 {
@@ -328,10 +433,10 @@
                                                     : "LOOKS COMPLETE");
         }
     }
-    fprintf(s->out, "; server: %u run, connection %u, request %u\n", a->runs,
-            a->connection, a->request);
+    fprintf(s->out, "; server: %u run%s, connection %u, request %u\n", a->runs,
+            a->is_changed ? " (changed)" : "", a->connection, a->request);
     pthread_mutex_unlock(&s->lock);
-    if (!r.is_complete) {
+    if (!r.is_complete || r.is_closing) {
         close(s->caller_fds[caller]);
         connect_caller(s, caller);
     }
@@ -353,6 +458,7 @@
             length_bytes = strtoull(line + 15, NULL, 10);
         }
         is_chunked |= strcasecmp(line, "Transfer-Encoding: chunked") == 0;
+        out->is_closing |= strcasecmp(line, "Connection: close") == 0;
     }
     do {
         if (is_chunked) {
@@ -446,14 +552,21 @@
 {
     Connection *c = ctx;
     Script *s = c->script;
-    char *line = CpMem_Alloc(HEAD_BYTES);
+    char *line = CpMem_Alloc(HEAD_BYTES), *target = CpMem_Alloc(HEAD_BYTES);
     uint32_t requests = 0;
     Answer *a;
     do {
         char id[16] = "";
+        uint32_t upload_bytes = 0;
         a = NULL;
+        read_line(c->fd, target, HEAD_BYTES);
         while (read_line(c->fd, line, HEAD_BYTES) && line[0] != '\0') {
             sscanf(line, ID ": %15s", id);
+            sscanf(line, "Content-Length: %u", &upload_bytes);
+        }
+        while (upload_bytes > 0 &&
+               read_all(c->fd, line, MIN(upload_bytes, HEAD_BYTES))) {
+            upload_bytes -= MIN(upload_bytes, HEAD_BYTES);
         }
         pthread_mutex_lock(&s->lock);
         for (uint32_t i = 0; i < MAX_ANSWERS; i++) {
@@ -462,6 +575,7 @@
                 a->connection = c->number;
                 a->request = ++requests;
                 a->runs++;
+                a->is_changed = !has_target(target, a->target);
             }
         }
         pthread_mutex_unlock(&s->lock);
@@ -470,17 +584,34 @@
         }
     } while (a != NULL && strcmp(a->framing, "close") != 0);
     close(c->fd);
+    free(target);
     free(line);
     free(c);
     return NULL;
 }
 
+/* Returns true if a request line has this target. */
+static bool
+has_target(const char *line, const char *target)
+{
+    const char *at = strchr(line, ' ');
+    size_t n = strlen(target);
+    return at != NULL && strncmp(at + 1, target, n) == 0 && at[n + 1] == ' ';
+}
+
 static void
 answer_request(Connection *c, const Answer *a)
 {
     GString *text = g_string_new(NULL);
     g_string_printf(text, "HTTP/1.1 200 OK\r\n" ID ": %s\r\n" SEAL ": s\r\n",
                     a->id);
+    if (a->head_bytes > 0) {
+        g_string_append(text, "Filler: ");
+        for (uint32_t i = 0; i < a->head_bytes; i++) {
+            g_string_append_c(text, 'f');
+        }
+        g_string_append(text, "\r\n");
+    }
     if (strcmp(a->framing, "length") == 0) {
         g_string_append_printf(text, "Content-Length: %u\r\n\r\n",
                                a->body_bytes);
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -86,6 +86,10 @@
     [CP_COUNT_RESPONSES_FLAWED] = {"responses_flawed",
                                    "Responses of servers that were cut, mixed "
                                    "or not framed"},
+    [CP_COUNT_RESPONSES_DIRECT] = {"responses_direct",
+                                   "Responses after which the connection was "
+                                   "closed, as its request was unfinished or "
+                                   "its head too large"},
     [CP_COUNT_FRESHNESS_QUERIES] =
         {"freshness_queries",
          "Queries for the freshness of the configuration"},
--- a/src/base/base_error.c
+++ b/src/base/base_error.c
@@ -134,6 +134,9 @@
     [CP_REASON_ORG_OVER_SHARE] =
         {"org_over_share", "the organisation is over its share of the service",
          503, 1},
+    [CP_REASON_HEAD_TOO_LARGE] = {"head_too_large",
+                                  "the head has too many lines or parameters",
+                                  431, 0},
 };
 
 CpStatus
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -52,6 +52,9 @@
 bool CpRequestHead_IsOne(struct MHD_Connection *conn, const char *method,
                          const char *target,
                          const char *const *single_headers);
+/* Returns how much of a connection's buffer the library uses for a head
+ * besides its text. What is left has to hold the head of the response. */
+uint32_t CpRequestHead_Records_bytes(struct MHD_Connection *conn);
 
 /* What the front end needs of a kind of work. */
 typedef struct {
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -29,8 +29,12 @@
 /* Accepted over the limit while those without progress are closed for them; in
  * each thread. */
 #define SPARE_CONNECTIONS 16
-/* Of a connection: the library's state and buffer for heads. */
-#define CONNECTION_BYTES (32u * 1024)
+/* The library's buffer of a connection for heads. */
+#define HEAD_BUFFER_BYTES (32u * 1024)
+/* Of it, for the head of a response. */
+#define RESPONSE_HEAD_BYTES (2u * 1024)
+/* Of a connection: the library's state and that buffer. */
+#define CONNECTION_BYTES HEAD_BUFFER_BYTES
 /* Of a request besides bodies: the exchange, and the handle and connection of
  * its dispatch. */
 #define REQUEST_BYTES (48u * 1024)
@@ -134,6 +138,7 @@
 static void begin_call(Call *c, const char *url, const char *method);
 static CpReason init_exchange(CpFront *f, Call *c, const char *url,
                               const char *method);
+static bool leaves_room(struct MHD_Connection *conn);
 static void free_call(void *data);
 static void receive_body(Call *c, const char *data, size_t *data_bytes);
 static void write_body(Call *c, const char *data, size_t *data_bytes);
@@ -191,6 +196,7 @@
                        SPARE_CONNECTIONS * f->options.threads),
         MHD_OPTION_NOTIFY_CONNECTION, on_connection, f,
         MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEAD_BUFFER_BYTES,
         MHD_OPTION_URI_LOG_CALLBACK, on_uri, f, MHD_OPTION_NOTIFY_COMPLETED,
         on_completed, f, MHD_OPTION_END);
     if (f->daemon == NULL) {
@@ -705,6 +711,9 @@
     if (!CpRequestHead_IsOne(c->conn, method, c->target, single_headers)) {
         return CP_REASON_BAD_REQUEST;
     }
+    if (!leaves_room(c->conn)) {
+        return CP_REASON_HEAD_TOO_LARGE;
+    }
     if (strcmp(url, "/ticket") == 0) {
         return CP_REASON_NONE;
     }
@@ -762,6 +771,20 @@
     return CP_REASON_NONE;
 }
 
+/* Returns true if the head of a request leaves enough of the connection's
+ * buffer for that of the response; the library closes the connection without a
+ * response otherwise. */
+static bool
+leaves_room(struct MHD_Connection *conn)
+{
+    size_t head_bytes =
+        MHD_get_connection_info(conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+            ->header_size;
+    return head_bytes + CpRequestHead_Records_bytes(conn) +
+               RESPONSE_HEAD_BYTES <=
+           HEAD_BUFFER_BYTES;
+}
+
 static void
 free_call(void *data)
 {
--- a/src/http/http_request.c
+++ b/src/http/http_request.c
@@ -16,6 +16,8 @@
 #define MAX_SEPARATOR_BYTES 256
 #define LINE_END_BYTES 2
 #define DELETE 0x7f
+/* Of the library for each line, cookie and parameter, on 64-bit machines. */
+#define RECORD_BYTES 64
 
 typedef struct {
     const char *const *single_headers;
@@ -53,6 +55,19 @@
                    ->header_size <= h.bytes;
 }
 
+/* The library makes a copy of the cookies to separate them. */
+uint32_t
+CpRequestHead_Records_bytes(struct MHD_Connection *conn)
+{
+    const enum MHD_ValueKind kinds =
+        MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND;
+    const char *cookies =
+        MHD_lookup_connection_value(conn, MHD_HEADER_KIND, "Cookie");
+    int records = MHD_get_connection_values(conn, kinds, NULL, NULL);
+    return (uint32_t)records * RECORD_BYTES +
+           (cookies != NULL ? (uint32_t)strlen(cookies) + 1 : 0);
+}
+
 bool
 CpHttp_IsToken(const char *text, size_t n)
 {
--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -518,7 +518,8 @@
                       &length);
     bool large = length >= STREAM_MIN_BYTES ||
                  (length < 0 && received_much && ex->knows_chunks);
-    if (!large || strcmp(ex->request.method, "HEAD") == 0) {
+    if (!large || strcmp(ex->request.method, "HEAD") == 0 ||
+        CpProxyDirect_IsNeeded(ex, CP_ACTION_RESPOND)) {
         return;
     }
     classify_end(ex, CURLE_OK, &head);
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -24,6 +24,7 @@
 #define DEADLINE_MARGIN_MS 5      /* to respond before the caller's timeout */
 
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
+static void drop_query(const char *uri);
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
                                   const char *url, const char *method,
                                   const char *version, const char *data,
@@ -31,10 +32,10 @@
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
                          enum MHD_RequestTerminationCode code);
 static bool read_head(CpProxyExchange *ex, const char *method);
+static uint32_t head_room_bytes(struct MHD_Connection *conn);
 static bool reserve_request(CpProxyExchange *ex);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
                                  const char *name, const char *value);
-static void remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names);
 static bool is_hop_header(const char *name, char **named,
                           const CpHeaderNames *names);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
@@ -218,9 +219,22 @@
     CpProxyCaller_Begin(ex->caller, ex);
     ex->headers = CpHeaderLine_NewList();
     ex->request.target = CpStr_Dup(uri);
+    drop_query(uri);
     return ex;
 }
 
+/* Empties the query in the daemon's own copy of the target, which it parses
+ * next: each parameter would take memory that the head of the response needs,
+ * and none is read here. */
+static void
+drop_query(const char *uri)
+{
+    char *query = strchr(uri, '?');
+    if (query != NULL) {
+        query[1] = '\0';
+    }
+}
+
 static enum MHD_Result
 on_request(void *ctx, struct MHD_Connection *conn, const char *url,
            const char *method, const char *version, const char *data,
@@ -302,6 +316,7 @@
                                                      "Content-Length");
     rq->started_ns = CpClock_Now_ns();
     CpProxyCaller_OnHead(ex->caller);
+    ex->head_room_bytes = head_room_bytes(ex->conn);
     o->policy.get_limits(o->policy.ctx, &limits);
     ex->max_body_bytes = limits.max_body_bytes;
     if (limits.idle_timeout_ms > 0) {
@@ -322,7 +337,7 @@
     rq->timeout_ms =
         timeout != NULL ? (uint32_t)strtoul(timeout, NULL, 10) : 0;
     MHD_get_connection_values(ex->conn, MHD_HEADER_KIND, on_header, ex);
-    remove_hop_headers(ex->headers, o->headers);
+    CpHeader_RemoveHop(ex->headers, o->headers);
     const char *const single[] = {"Host", o->headers->request_id,
                                   o->headers->timeout_ms, NULL};
     if (!CpRequestHead_IsOne(ex->conn, method, rq->target, single)) {
@@ -355,6 +370,24 @@
     return reserve_request(ex);
 }
 
+/* Returns how much of the connection's buffer is left for the head of a
+ * response. The daemon reads into half of it, or more for a longer head; other
+ * bytes than the head's may wait there. */
+static uint32_t
+head_room_bytes(struct MHD_Connection *conn)
+{
+    uint32_t head_bytes = (uint32_t)MHD_get_connection_info(
+                              conn, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE)
+                              ->header_size;
+    uint32_t read_bytes = head_bytes > CONNECTION_MEMORY_BYTES / 2
+                              ? head_bytes
+                              : CONNECTION_MEMORY_BYTES / 2;
+    uint32_t used_bytes = read_bytes + CpRequestHead_Records_bytes(conn);
+    return used_bytes < CONNECTION_MEMORY_BYTES
+               ? CONNECTION_MEMORY_BYTES - used_bytes
+               : 0;
+}
+
 /* Reserves memory for a request; returns false if it is refused, as there is
  * none for it or for the part of its body that has to be held. */
 static bool
@@ -403,10 +436,8 @@
     return MHD_YES;
 }
 
-/* Removes the Connection headers and those that they name: they concern only
- * the connection on which they were received. */
-static void
-remove_hop_headers(GPtrArray *lines, const CpHeaderNames *names)
+void
+CpHeader_RemoveHop(GPtrArray *lines, const CpHeaderNames *names)
 {
     GString *options = g_string_new(NULL);
     for (guint i = lines->len; i-- > 0;) {
@@ -517,6 +548,10 @@
 static enum MHD_Result
 queue_response(CpProxyExchange *ex)
 {
+    if (!ex->attempt.streamed && CpProxyDirect_IsNeeded(ex, ex->action.type)) {
+        CpProxyDirect_Respond(ex);
+        return MHD_NO;
+    }
     struct MHD_Response *r = ex->action.type == CP_ACTION_RESPOND
                                  ? server_response(ex)
                                  : failure_response(ex);
@@ -553,7 +588,7 @@
             n, body,
             body != NULL ? MHD_RESPMEM_MUST_FREE : MHD_RESPMEM_PERSISTENT);
     }
-    remove_hop_headers(a->response_headers,
+    CpHeader_RemoveHop(a->response_headers,
                        ex->worker->proxy->options.headers);
     for (guint i = 0; i < a->response_headers->len; i++) {
         const CpHeaderLine *h = g_ptr_array_index(a->response_headers, i);
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -98,14 +98,15 @@
     bool body_received;       /* completely */
     bool streams_body;        /* it is passed on while it is received */
     /* While the rest of a body is dropped, as its request has ended: */
-    int64_t drop_since_ns; /* 0: it is not dropped */
-    int64_t dropped_ns;    /* the last time that bytes came */
-    bool response_sent;    /* beside the daemon */
-    uint32_t attempts;     /* started */
-    int64_t deadline_ns;   /* 0: not sent yet */
-    bool knows_chunks;     /* the caller speaks HTTP/1.1 */
-    bool head_received;    /* of the request */
-    uint32_t key_headers;  /* headers with a key that were received */
+    int64_t drop_since_ns;    /* 0: it is not dropped */
+    int64_t dropped_ns;       /* the last time that bytes came */
+    bool response_sent;       /* beside the daemon */
+    uint32_t head_room_bytes; /* of the daemon's, for the response's head */
+    uint32_t attempts;        /* started */
+    int64_t deadline_ns;      /* 0: not sent yet */
+    bool knows_chunks;        /* the caller speaks HTTP/1.1 */
+    bool head_received;       /* of the request */
+    uint32_t key_headers;     /* headers with a key that were received */
     bool started;
     bool suspended;
     bool waiting;      /* for a wake-up, without an attempt */
@@ -196,6 +197,9 @@
  * only, and those that are set anew. Connection is kept until the lines are
  * passed on, as it names others. */
 bool CpHeader_IsUnforwarded(const char *name);
+/* Removes the Connection headers and those that they name: they concern only
+ * the connection on which they were received. */
+void CpHeader_RemoveHop(GPtrArray *lines, const CpHeaderNames *names);
 
 /* Ends a request that cannot be served before its body was received. */
 void CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason);
@@ -266,6 +270,13 @@
 /* Ends an attempt whose response is complete, and its connection. */
 void CpProxyAttempt_EndEarly(CpProxyExchange *ex);
 
+/* direct: responses that are written beside the daemon */
+/* Returns true if the response, of the server or of this host, has a head for
+ * which the daemon may not have enough memory. */
+bool CpProxyDirect_IsNeeded(const CpProxyExchange *ex, CpProxyActionType type);
+/* Sends the response and closes the connection. */
+void CpProxyDirect_Respond(CpProxyExchange *ex);
+
 /* attempt: attempts at backend servers */
 void CpProxyAttempt_Start(CpProxyExchange *ex, const CpProxyAction *action);
 /* Handles the attempts that the multi handle reports as ended. */
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -8,10 +8,7 @@
  * before, the rest of its body is dropped for a bounded time; then the
  * response is written beside the daemon and the connection closed.
  */
-#include <stdio.h>
 #include <string.h>
-#include <strings.h>
-#include <sys/socket.h>
 
 #include "proxy/proxy_int.h"
 
@@ -31,8 +28,6 @@
 static size_t on_read(char *out, size_t size, size_t n, void *ctx);
 static void end_upload(CpProxyExchange *ex, int64_t now_ns);
 static void schedule(CpProxyExchange *ex, int64_t due_ns);
-static void send_response(CpProxyExchange *ex);
-static GString *create_response(CpProxyExchange *ex);
 
 void
 CpProxyUpload_OnData(CpProxyExchange *ex, const char *data, size_t *n)
@@ -146,7 +141,7 @@
             due_ns = ex->drop_since_ns + MAX_DROP_NS;
         }
         if (now_ns >= due_ns) {
-            send_response(ex);
+            CpProxyDirect_Respond(ex);
         }
         else {
             schedule(ex, due_ns);
@@ -300,57 +295,3 @@
         ex->worker->next_deadline_ns = due_ns;
     }
 }
-
-/* Sends the response of a request whose body has no end in sight, as far as
- * the socket takes it, and closes the connection. */
-static void
-send_response(CpProxyExchange *ex)
-{
-    GString *text = create_response(ex);
-    int bytes = (int)text->len;
-    setsockopt(ex->fd, SOL_SOCKET, SO_SNDBUF, &bytes, sizeof(bytes));
-    ssize_t sent =
-        send(ex->fd, text->str, text->len, MSG_DONTWAIT | MSG_NOSIGNAL);
-    ex->response_sent = sent == (ssize_t)text->len;
-    g_string_free(text, TRUE);
-    CpProxyCaller_Close(ex->caller);
-}
-
-static GString *
-create_response(CpProxyExchange *ex)
-{
-    const CpProxyAttempt *a = &ex->attempt;
-    bool is_servers = ex->action.type == CP_ACTION_RESPOND;
-    char retry_after[24];
-    char *failure = is_servers ? NULL : CpProxyFront_FailureText(ex);
-    uint32_t status = is_servers ? a->status : ex->action.status;
-    const char *body = failure;
-    size_t n = failure != NULL ? strlen(failure) : 0;
-    GString *text = g_string_new(NULL);
-    if (is_servers && a->body != NULL) {
-        body = (const char *)a->body->data;
-        n = a->body->len;
-    }
-    g_string_printf(text, "HTTP/1.1 %u %s\r\n", status,
-                    MHD_get_reason_phrase_for(status));
-    for (guint i = 0; is_servers && i < a->response_headers->len; i++) {
-        const CpHeaderLine *h = g_ptr_array_index(a->response_headers, i);
-        if (strcasecmp(h->name, "Connection") != 0) {
-            g_string_append_printf(text, "%s: %s\r\n", h->name, h->value);
-        }
-    }
-    if (!is_servers) {
-        g_string_append(text, "Content-Type: application/json\r\n");
-        g_string_append_printf(text, "%s: %s\r\n",
-                               ex->worker->proxy->options.headers->request_id,
-                               ex->request.id);
-        if (CpProxyFront_RetryAfter(ex, retry_after)) {
-            g_string_append_printf(text, "Retry-After: %s\r\n", retry_after);
-        }
-    }
-    g_string_append_printf(
-        text, "Content-Length: %zu\r\nConnection: close\r\n\r\n", n);
-    g_string_append_len(text, body, (gssize)n);
-    g_free(failure);
-    return text;
-}
