--- a/src/http/easy.h
+++ b/src/http/easy.h
@@ -53,9 +53,9 @@
  * one. */
 void CpEasy_EndConnection(curl_socket_t fd);
 
-/* The connections of a multi handle, and the call that uses each. The library
- * gives a connection to the next call as soon as it has a response, before the
- * end of the call that got this is known here. */
+/* The connections of a multi handle, and the call that uses each. When the
+ * library has received a response, it may give the connection to the next call
+ * before curl_multi_info_read() reports the end of the first. */
 typedef struct CpConnections CpConnections;
 
 /* How the end of a response's body is marked. */
@@ -71,7 +71,8 @@
 typedef struct {
     CpConnections *connections; /* of its multi handle; NULL: the connection is
                                  * not known before the end of the call */
-    const char *server;         /* its address, with connections; not copied */
+    const char *server;         /* names the server among the connections; not
+                                 * copied */
     const char *const *single_headers; /* at most one line each; up to 32 */
     const char *id_header;             /* NULL: responses have no id */
     const char *id;                    /* of the request; not copied */
@@ -138,20 +139,19 @@
 typedef enum {
     CP_CONNECTION_OPENED = 0, /* for this call */
     CP_CONNECTION_REUSED,
-    CP_CONNECTION_SPENT /* bytes came on it, or its end, which belong to no
-                         * call; it has to be closed */
+    CP_CONNECTION_SPENT /* it has ended, or holds bytes of no call: abort the
+                         * call, so that the library closes it */
 } CpConnectionState;
 
 CpConnections *CpConnections_New(void);
 /* Frees the table; the connections have to be closed before. */
 void CpConnections_Free(CpConnections *t);
-/* Sets the options of a call whose check has begun, so that its connection is
- * known. The function for options of sockets calls CpConnections_OnOpened().
- */
+/* Sets the options of a call that keep the table up to date; its function for
+ * CURLOPT_SOCKOPTFUNCTION has to call CpConnections_OnOpened(). */
 void CpConnections_Follow(CpConnections *t, CURL *e);
 void CpConnections_OnOpened(CpResponseCheck *c, curl_socket_t fd);
-/* Begins the use of the connection that the library has chosen for a call,
- * right before the first byte is sent; the library tells only its port. */
+/* Begins the use of the connection that the library has chosen for a call. To
+ * be called by its CURLOPT_PREREQFUNCTION, which gets the port. */
 CpConnectionState CpConnections_Take(CpResponseCheck *c, int local_port);
 /* Ends the use of a connection after its call was removed from the multi
  * handle. Returns the socket if it is idle now and can be used again. One that
--- a/src/http/http_backend.c
+++ b/src/http/http_backend.c
@@ -35,7 +35,7 @@
     bool finished;
     bool sent;     /* request bytes may have been sent */
     bool expired;  /* the slot or deadline expired before sending */
-    bool spent;    /* the connection chosen is; nothing was sent */
+    bool spent;    /* the library chose a spent connection; nothing sent */
     bool accepted; /* the head is complete and this request's */
     bool head_delivered;
     bool is_first;   /* the connection's first request */
--- a/src/http/http_connections.c
+++ b/src/http/http_connections.c
@@ -1,8 +1,7 @@
 /*
- * Which call uses which connection to a server. The library opens and closes
- * connections and chooses one for each call; what the calls find out about
- * theirs has to be done to the right one, and only while no other call uses
- * it.
+ * Which call uses which connection to a server. The library opens connections,
+ * chooses one for each call, and closes them. A connection is only looked at,
+ * watched or ended on behalf of the call that uses it, or while it is idle.
  */
 #include <errno.h>
 #include <stdlib.h>
@@ -138,9 +137,8 @@
     c->opened_fd = CURL_SOCKET_BAD;
 }
 
-/* Ends the use of a connection by a call that the library has ended, and whose
- * end is not known yet: from here on, what comes is not for that call. Returns
- * true if the connection can be used again. */
+/* Ends the use of a connection by a call that the library has ended, but not
+ * yet reported. Returns true if the connection can be used again. */
 static bool
 hand_on(Connection *connection)
 {
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -223,9 +223,9 @@
     return ex;
 }
 
-/* Empties the query in the daemon's own copy of the target, which it parses
- * next: each parameter would take memory that the head of the response needs,
- * and none is read here. */
+/* Empties the query in the daemon's own buffer before the daemon parses it:
+ * each parameter would take memory of the connection that the head of the
+ * response may need, and none is read here. */
 static void
 drop_query(const char *uri)
 {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -49,7 +49,7 @@
     char url[CP_ADDR_BYTES + 16];
     bool sent;     /* its first byte may have been sent */
     bool withheld; /* by the policy, right before it was sent */
-    bool spent;    /* the connection chosen is; nothing was sent */
+    bool spent;    /* the library chose a spent connection; nothing sent */
     CpResponseCheck check;
     bool id_matches; /* the response has the request's id */
     bool mismatched; /* the response is not that of this request */
@@ -101,7 +101,7 @@
     int64_t drop_since_ns;    /* 0: it is not dropped */
     int64_t dropped_ns;       /* the last time that bytes came */
     bool response_sent;       /* beside the daemon */
-    uint32_t head_room_bytes; /* of the daemon's, for the response's head */
+    uint32_t head_room_bytes; /* left for the response's, by the daemon */
     uint32_t attempts;        /* started */
     int64_t deadline_ns;      /* 0: not sent yet */
     bool knows_chunks;        /* the caller speaks HTTP/1.1 */
