proxy, entry: denials are counted by cause and logged

Cause: a request that is refused while its head is read (400, 413) and one that libmicrohttpd refuses itself leave no line and no counter, and the line of a 404 or 401 does not tell which copy of the configuration it was decided on, so that the hypotheses of docs/incidents/denied.md look the same. Change: a counter by cause, and a line of kind denied for each; those that depend on the configuration have its version, the versions read here and by peers, and the age of the last confirmation. No decision is changed. Ruled out: a reason for each cause; callers would see it.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -185,12 +185,33 @@
 /* Returns the seconds for Retry-After; 0 where a retry would not help. */
 uint32_t CpReason_RetryAfter_s(CpReason reason);
 
+/* Why a request was denied: ended with a status from 300 to 499 that tells its
+ * caller not to send it again. */
+typedef enum {
+    CP_DENIAL_NO_ROUTE = 0,
+    CP_DENIAL_NO_KEY, /* or more than one */
+    CP_DENIAL_UNKNOWN_KEY,
+    CP_DENIAL_KEY_WITHDRAWN, /* after the request was received */
+    CP_DENIAL_FIELDS,        /* no host name or id, or a field is too long */
+    CP_DENIAL_HEAD,          /* it is not that of one request */
+    CP_DENIAL_LENGTH,        /* more is announced than a body may have */
+    CP_DENIAL_BODY,          /* more was received than a body may have */
+    CP_DENIAL_METHOD,        /* HEAD with a body that has to be streamed */
+    CP_DENIAL_LIBRARY,       /* by the HTTP library, before the proxy saw it */
+    CP_DENIAL_SERVER,        /* by a backend server */
+    CP_DENIAL_COUNT
+} CpDenial;
+
 void CpCounter_Add(CpCounter counter, uint64_t n);
 uint64_t CpCounter_Get(CpCounter counter);
 const char *CpCounter_Name(CpCounter counter);
 const char *CpCounter_Help(CpCounter counter);
 void CpCounter_AddReason(CpReason reason, uint32_t rank);
 uint64_t CpCounter_GetReason(CpReason reason, uint32_t rank);
+void CpCounter_AddDenial(CpDenial denial);
+uint64_t CpCounter_GetDenial(CpDenial denial);
+/* Returns the name used in logs and metrics. */
+const char *CpDenial_Name(CpDenial denial);
 /* Records the latency of one completed request of `rank`. */
 void CpCounter_RecordLatency(uint32_t rank, int64_t latency_ns);
 /* Latency histogram: upper bound of a bucket in ns, twice that of the bucket
--- a/src/base/base_counter.c
+++ b/src/base/base_counter.c
@@ -9,6 +9,7 @@
 typedef struct {
     uint64_t counters[CP_COUNTER_COUNT];
     uint64_t reason[CP_REASON_COUNT][CP_RANK_COUNT];
+    uint64_t denial[CP_DENIAL_COUNT];
     uint64_t latency[CP_RANK_COUNT][CP_LATENCY_BUCKETS];
 } CounterShard;
 
@@ -21,6 +22,20 @@
 static uint32_t next_shard;
 static _Thread_local uint32_t thread_shard = SHARDS;
 
+static const char *const denial_names[CP_DENIAL_COUNT] = {
+    [CP_DENIAL_NO_ROUTE] = "no_route",
+    [CP_DENIAL_NO_KEY] = "no_key",
+    [CP_DENIAL_UNKNOWN_KEY] = "unknown_key",
+    [CP_DENIAL_KEY_WITHDRAWN] = "key_withdrawn",
+    [CP_DENIAL_FIELDS] = "fields",
+    [CP_DENIAL_HEAD] = "head",
+    [CP_DENIAL_LENGTH] = "length",
+    [CP_DENIAL_BODY] = "body",
+    [CP_DENIAL_METHOD] = "method",
+    [CP_DENIAL_LIBRARY] = "library",
+    [CP_DENIAL_SERVER] = "server",
+};
+
 static const CounterInfo counter_info[CP_COUNTER_COUNT] = {
     [CP_COUNT_LOOKUPS] = {"lookups", "Look-ups answered"},
     [CP_COUNT_REQUESTS] = {"requests", "Requests received from callers"},
@@ -164,6 +179,28 @@
     return sum;
 }
 
+void
+CpCounter_AddDenial(CpDenial denial)
+{
+    ck_pr_inc_64(&current_shard()->denial[denial]);
+}
+
+uint64_t
+CpCounter_GetDenial(CpDenial denial)
+{
+    uint64_t sum = 0;
+    for (uint32_t i = 0; i < SHARDS; i++) {
+        sum += ck_pr_load_64(&shards[i].denial[denial]);
+    }
+    return sum;
+}
+
+const char *
+CpDenial_Name(CpDenial denial)
+{
+    return denial_names[denial];
+}
+
 /* The first bucket ends at 4.096 us; the last also counts longer latencies. */
 int64_t
 CpCounter_LatencyBound_ns(uint32_t bucket)
--- a/src/base/base_event.c
+++ b/src/base/base_event.c
@@ -29,6 +29,7 @@
     [CP_EVENT_ATTEMPT] = {"attempt", 100},
     [CP_EVENT_RETRY] = {"retry", 50},
     [CP_EVENT_REFUSED] = {"refused", 100},
+    [CP_EVENT_DENIED] = {"denied", 50},
     [CP_EVENT_FAILED] = {"failed", 100},
     [CP_EVENT_ANSWERED] = {"answered", 100},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -21,6 +21,7 @@
     CP_EVENT_ATTEMPT,  /* a request was sent to a server */
     CP_EVENT_RETRY,    /* a request is retried, or a retry is denied */
     CP_EVENT_REFUSED,  /* a request was refused before it was sent */
+    CP_EVENT_DENIED,   /* a request was denied, and why */
     CP_EVENT_FAILED,   /* a request got no response from a server */
     CP_EVENT_ANSWERED, /* a request was completed */
     CP_EVENT_KIND_COUNT
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -64,7 +64,6 @@
                           int64_t now_ns);
 static void back_off(CpEntryFollower *f);
 static bool has_routes(CpEntry *e);
-static bool is_store_reachable(CpEntry *e);
 
 /* That the store is unreachable shows only when a long poll ends. The first
  * host of a domain polls the operator's table with a short wait; the others
@@ -136,7 +135,7 @@
                     (int)n);
         }
     }
-    if (is_store_reachable(e) && CpEntryFollow_Era(e) > 0 &&
+    if (CpEntryFollow_IsStoreReachable(e) && CpEntryFollow_Era(e) > 0 &&
         now_ns - e->held_over_checked_ns >= HELD_OVER_CHECK_NS) {
         e->held_over_checked_ns = now_ns;
         CpEntryNeighbours_GiveUpHeldOver(&e->followers[CP_TABLE_OPERATOR],
@@ -547,7 +546,7 @@
 bool
 CpEntryFollow_IsWatching(CpEntry *e)
 {
-    return is_store_reachable(e) &&
+    return CpEntryFollow_IsStoreReachable(e) &&
            CpEntryHosts_Rank(e) < e->settings.watching_hosts;
 }
 
@@ -557,7 +556,8 @@
 max_wait_ms(CpEntryFollower *f, bool instead_of_peer)
 {
     CpEntry *e = f->entry;
-    if (instead_of_peer || !f->connected || !is_store_reachable(e) ||
+    if (instead_of_peer || !f->connected ||
+        !CpEntryFollow_IsStoreReachable(e) ||
         is_era_due(f, CpClock_Now_ns())) {
         return PROBE_WAIT_MS;
     }
@@ -581,7 +581,8 @@
     CpEntry *e = f->entry;
     int64_t behind_since_ns =
         __atomic_load_n(&f->behind_since_ns, __ATOMIC_RELAXED);
-    bool unreachable = !is_store_reachable(e) && f->table != CP_TABLE_OPERATOR;
+    bool unreachable =
+        !CpEntryFollow_IsStoreReachable(e) && f->table != CP_TABLE_OPERATOR;
     int64_t now_ns = CpClock_Now_ns();
     bool behind =
         behind_since_ns != 0 && now_ns - behind_since_ns > MAX_BEHIND_NS;
@@ -767,7 +768,7 @@
     }
     ms = ms < RETRY_MAX_MS ? ms : RETRY_MAX_MS;
     ms = ms / 2 + (uint32_t)(CpRandom() % (ms / 2 + 1));
-    if (f->table == CP_TABLE_OPERATOR || is_store_reachable(e)) {
+    if (f->table == CP_TABLE_OPERATOR || CpEntryFollow_IsStoreReachable(e)) {
         CpSleep_ms(ms);
         return;
     }
@@ -788,8 +789,8 @@
     return found;
 }
 
-static bool
-is_store_reachable(CpEntry *e)
+bool
+CpEntryFollow_IsStoreReachable(CpEntry *e)
 {
     pthread_mutex_lock(&e->store_lock);
     bool reachable = e->store_reachable;
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -191,6 +191,8 @@
 CpTableVersion CpEntryFollow_Get(CpEntryFollower *f, const CpTableVersion *v);
 /* Returns the latest known era of the store. */
 uint64_t CpEntryFollow_Era(CpEntry *e);
+/* Returns false since the last call to the store failed. */
+bool CpEntryFollow_IsStoreReachable(CpEntry *e);
 /* Returns true if this is a watching host and the store is reachable. */
 bool CpEntryFollow_IsWatching(CpEntry *e);
 /* Returns how long missing entries may still reappear; 0: they are gone. */
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -6,6 +6,7 @@
 
 static uint32_t render_metrics(void *ctx, const CpPageQuery *q, char **out);
 static void append_reasons(GString *text);
+static void append_denials(GString *text);
 static void append_latencies(GString *text);
 static void append_dropped_lines(GString *text);
 
@@ -50,6 +51,7 @@
             CpCounter_Name(i), CpCounter_Name(i), CpCounter_Get(i));
     }
     append_reasons(text);
+    append_denials(text);
     append_latencies(text);
     append_dropped_lines(text);
     g_string_append_printf(
@@ -98,6 +100,17 @@
     }
 }
 
+static void
+append_denials(GString *text)
+{
+    for (uint32_t i = 0; i < CP_DENIAL_COUNT; i++) {
+        g_string_append_printf(text,
+                               "chestnutpaddle_denied_total{cause=\"%s\"} "
+                               "%" G_GUINT64_FORMAT "\n",
+                               CpDenial_Name(i), CpCounter_GetDenial(i));
+    }
+}
+
 static void
 append_latencies(GString *text)
 {
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -23,6 +23,7 @@
 #define SLOW_CHECK_INTERVAL_NS (50 * CP_NS_PER_MS)
 /* Attempts that were not run do not count against the route's limit. */
 #define MAX_NOT_RUN_ATTEMPTS 3
+#define TARGET_LOG_BYTES 128 /* of a path in log lines */
 
 /* The policy's state of one request. */
 typedef struct {
@@ -100,6 +101,9 @@
 static void log_not_admitted(const CpRequest *rq, const RequestState *s,
                              const CpFleetRoom *room,
                              const CpContentionDecision *d);
+static void note_denial(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
+                        CpDenial denial);
+static CpDenial key_denial(const CpRequest *rq);
 static void log_attempt(const CpRequest *rq, const RequestState *s);
 static void log_flaw(const CpRequest *rq, const RequestState *s,
                      const CpAttemptResult *a);
@@ -136,6 +140,7 @@
         r != NULL ? CpRoutes_Match(r, rq->host, rq->target) : NULL;
     bool valid = route == NULL || has_key_to(r, route, rq, &org);
     if (!valid) {
+        note_denial(ctx, rq, r, key_denial(rq));
         *out = (CpProxyAction){.type = CP_ACTION_FAIL,
                                .reason = CP_REASON_KEY_REJECTED};
         CpCounter_AddReason(CP_REASON_KEY_REJECTED, route->rank);
@@ -165,11 +170,13 @@
     s->routes_age_ms = (now_ns - since_ns) / CP_NS_PER_MS;
     s->route = CpRoutes_Match(s->routes, rq->host, rq->target);
     if (s->route == NULL) {
+        note_denial(e, rq, s->routes, CP_DENIAL_NO_ROUTE);
         set_failure(s, CP_REASON_NO_ROUTE, 0, out);
         return;
     }
     s->rank = s->route->rank;
     if (!has_key_to(s->routes, s->route, rq, &s->org)) {
+        note_denial(e, rq, s->routes, key_denial(rq));
         set_failure(s, CP_REASON_KEY_REJECTED, 0, out);
         return;
     }
@@ -274,6 +281,9 @@
         s->last_broken = s->tried[s->tried_count - 1];
     }
     if (a->outcome == CP_ATTEMPT_ANSWERED && may_forward(a)) {
+        if (a->status >= 300) {
+            CpCounter_AddDenial(CP_DENIAL_SERVER);
+        }
         out->type = CP_ACTION_RESPOND;
         return;
     }
@@ -300,6 +310,9 @@
         s->refusal = org != NULL && strcmp(org->name, s->org->name) == 0
                          ? CP_REASON_NONE
                          : CP_REASON_KEY_REJECTED;
+        if (s->refusal != CP_REASON_NONE) {
+            note_denial(e, rq, r, CP_DENIAL_KEY_WITHDRAWN);
+        }
     }
     CpRoutes_Release(r);
     return s->refusal == CP_REASON_NONE;
@@ -738,6 +751,36 @@
             (int)d->retry_after_ms);
 }
 
+/* Counts a denial and logs what this host knows of its copy of the operator's
+ * table: the versions that were read and that another host has read, and how
+ * long ago the copy was the newest one; -1: never. */
+static void
+note_denial(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
+            CpDenial denial)
+{
+    CpEntryFollower *f = &e->followers[CP_TABLE_OPERATOR];
+    int64_t age_ns = CpFreshness_Age_ns(e->freshness, CpClock_Now_ns());
+    char target[TARGET_LOG_BYTES];
+    CpStr_Copy(target, sizeof(target), rq->target);
+    target[strcspn(target, "?")] = '\0';
+    CpCounter_AddDenial(denial);
+    CpEvent(CP_EVENT_DENIED, CpDenial_Name(denial),
+            "s:s,s:s,s:s,s:I,s:I,s:I,s:I,s:b", "request", rq->id, "hostname",
+            rq->host, "target", target, "routes_version",
+            (json_int_t)r->version, "read_version",
+            (json_int_t)CpEntryFollow_Get(f, &f->read).version, "peer_version",
+            (json_int_t)CpEntryFollow_Get(f, &f->peer).version,
+            "confirmed_ms_ago",
+            (json_int_t)(age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS),
+            "store_reachable", (int)CpEntryFollow_IsStoreReachable(e));
+}
+
+static CpDenial
+key_denial(const CpRequest *rq)
+{
+    return rq->key == NULL ? CP_DENIAL_NO_KEY : CP_DENIAL_UNKNOWN_KEY;
+}
+
 static void
 log_attempt(const CpRequest *rq, const RequestState *s)
 {
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -3,11 +3,13 @@
  * suspended in the daemon and watched for a disconnect of the caller; the
  * response resumes it.
  */
+#include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
+#include "base/event.h"
 #include "http/http.h"
 #include "proxy/proxy_int.h"
 
@@ -22,6 +24,7 @@
 #define REQUEST_BYTES (64u * 1024)
 #define MEMORY_RETRY_AFTER_MS 500 /* at least; spread by as much */
 #define DEADLINE_MARGIN_MS 5      /* to respond before the caller's timeout */
+#define LIBRARY_LINE_BYTES 512
 
 static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn);
 static void drop_query(const char *uri);
@@ -38,6 +41,10 @@
                                  const char *name, const char *value);
 static bool is_hop_header(const char *name, char **named,
                           const CpHeaderNames *names);
+static void on_library_line(void *ctx, const char *fmt, va_list ap);
+static void set_denial(CpProxyExchange *ex, CpReason reason, CpDenial denial);
+static void note_denial(const CpProxyExchange *ex, CpReason reason,
+                        CpDenial denial);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
 static struct MHD_Response *server_response(CpProxyExchange *ex);
@@ -70,7 +77,8 @@
 {
     const CpProxyOptions *o = &w->proxy->options;
     w->daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, w,
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+        NULL, on_request, w, MHD_OPTION_EXTERNAL_LOGGER, on_library_line, NULL,
         MHD_OPTION_LISTEN_SOCKET, w->proxy->listen_fd,
         MHD_OPTION_CONNECTION_LIMIT,
         (unsigned int)(o->max_connections + SPARE_CONNECTIONS),
@@ -327,7 +335,7 @@
     if (host == NULL || id == NULL || strlen(id) >= sizeof(rq->id) ||
         strlen(host) >= sizeof(rq->host) ||
         strlen(method) >= sizeof(rq->method)) {
-        set_failure(ex, CP_REASON_BAD_REQUEST, 0);
+        set_denial(ex, CP_REASON_BAD_REQUEST, CP_DENIAL_FIELDS);
         return false;
     }
     CpStr_Copy(rq->id, sizeof(rq->id), id);
@@ -341,7 +349,7 @@
     const char *const single[] = {"Host", o->headers->request_id,
                                   o->headers->timeout_ms, NULL};
     if (!CpRequestHead_IsOne(ex->conn, method, rq->target, single)) {
-        set_failure(ex, CP_REASON_BAD_REQUEST, 0);
+        set_denial(ex, CP_REASON_BAD_REQUEST, CP_DENIAL_HEAD);
         return false;
     }
     if (ex->key_headers != 1) {
@@ -358,7 +366,7 @@
         return false;
     }
     if (length != NULL && strtoull(length, NULL, 10) > limits.max_body_bytes) {
-        set_failure(ex, CP_REASON_BODY_TOO_LARGE, 0);
+        set_denial(ex, CP_REASON_BODY_TOO_LARGE, CP_DENIAL_LENGTH);
         return false;
     }
     ex->announced_bytes =
@@ -493,6 +501,13 @@
     CpProxyFront_Resume(ex);
 }
 
+void
+CpProxyFront_Deny(CpProxyExchange *ex, CpReason reason, CpDenial denial)
+{
+    note_denial(ex, reason, denial);
+    CpProxyFront_Refuse(ex, reason);
+}
+
 void
 CpProxyFront_Begin(CpProxyExchange *ex)
 {
@@ -531,6 +546,40 @@
     CpProxyFront_Execute(ex, &action);
 }
 
+/* The library tells only here that it has refused a request itself. */
+static void
+on_library_line(void *ctx, const char *fmt, va_list ap)
+{
+    char line[LIBRARY_LINE_BYTES];
+    unsigned int status = 0;
+    (void)ctx;
+    vsnprintf(line, sizeof(line), fmt, ap);
+    const char *at = strstr(line, "HTTP response code is ");
+    if (at != NULL && sscanf(at, "HTTP response code is %u", &status) == 1 &&
+        status < 500) {
+        CpCounter_AddDenial(CP_DENIAL_LIBRARY);
+        CpEvent(CP_EVENT_DENIED, CpDenial_Name(CP_DENIAL_LIBRARY), "s:i",
+                "status", (int)status);
+    }
+}
+
+static void
+set_denial(CpProxyExchange *ex, CpReason reason, CpDenial denial)
+{
+    set_failure(ex, reason, 0);
+    note_denial(ex, reason, denial);
+}
+
+static void
+note_denial(const CpProxyExchange *ex, CpReason reason, CpDenial denial)
+{
+    const CpRequest *rq = &ex->request;
+    CpCounter_AddDenial(denial);
+    CpEvent(CP_EVENT_DENIED, CpDenial_Name(denial), "s:s,s:s,s:s,s:i",
+            "request", rq->id, "method", rq->method, "hostname", rq->host,
+            "status", (int)CpReason_HttpStatus(reason));
+}
+
 static void
 set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status)
 {
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -203,6 +203,8 @@
 
 /* Ends a request that cannot be served before its body was received. */
 void CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason);
+/* Refuses a request for what it is, and counts and logs why. */
+void CpProxyFront_Deny(CpProxyExchange *ex, CpReason reason, CpDenial denial);
 /* Adds a request to the worker's list and lets the policy decide on it. */
 void CpProxyFront_Begin(CpProxyExchange *ex);
 /* Returns the text of a failure's response; g_free() it. */
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -40,7 +40,7 @@
         return;
     }
     if (ex->received_bytes + *n > ex->max_body_bytes) {
-        CpProxyFront_Refuse(ex, CP_REASON_BODY_TOO_LARGE);
+        CpProxyFront_Deny(ex, CP_REASON_BODY_TOO_LARGE, CP_DENIAL_BODY);
         *n = 0;
         return;
     }
@@ -192,7 +192,7 @@
 begin_stream(CpProxyExchange *ex)
 {
     if (strcmp(ex->request.method, "HEAD") == 0) {
-        CpProxyFront_Refuse(ex, CP_REASON_BAD_REQUEST);
+        CpProxyFront_Deny(ex, CP_REASON_BAD_REQUEST, CP_DENIAL_METHOD);
         return false;
     }
     if (!CpProxyCaller_Reserve(ex->caller, STREAM_BYTES, CP_BUDGET_LARGE)) {
