entry: a host whose way to the store is cut gets changes of routes from others

Cause: only with revocation_bound_ms did a host whose calls to the store fail fetch the operator's rows from a host that has reported a later version. Ruled out: that the peers do not report it: peer_version of the denials is later than read_version. Change: the rows are fetched in every deployment. Before / after: regress/system/routes_link_changes: "hold" prints neither "served" nor "the old route is gone" within 6 s before, both after.

--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -206,8 +206,7 @@
             if (f->table == CP_TABLE_OPERATOR && !has_routes(e)) {
                 CpEntryNeighbours_LoadTables(e);
             }
-            else if (f->table == CP_TABLE_OPERATOR &&
-                     e->settings.revocation_bound_ms > 0) {
+            else if (f->table == CP_TABLE_OPERATOR) {
                 fetch_missed(f, &version);
             }
             back_off(f);
