route, org, entry: a request is denied only from a copy known to be the newest

Callers saw 404 and 401 for routes and keys that the configuration in force has, from hosts that had been cut off from the store, turned away by it, suspended, or started from another host's copy. Both are final: callers do not try the next host, which would have served them.

Cause: on_request() and on_head() take what the copy of the configuration lacks for what is not allowed, and nothing there asks how old the copy is; only a known key was checked for freshness. Class: a negative decision from a replica whose age is not known. That the hosts are not told of a newer version: most have been, the denials' peer_version says so. Change: CpRoutes_Decide() decides on access, apart from requests, and takes whether the copy may be old. CpFreshness_MayDeny(): no host has reported a later version, the newest one read is in force, and the copy was confirmed as the newest within denial_bound_ms (3,000; 0: no bound), counted from when the call or query was sent. Otherwise the answer is 503, not run, with a short Retry-After. The confirmations are those for withdrawn keys, now in every deployment; the first watching host of a domain waits for 1 s instead of 2 s for changes. What must be refused stays refused: such requests are not sent.

--- a/regress/drive_org.c
+++ b/regress/drive_org.c
@@ -77,6 +77,7 @@
     bool naive; /* a reply counts from when it is received */
     CpSeed seed;
     int64_t bound_ms;
+    int64_t denial_bound_ms; /* 0: none, and nothing is printed of denials */
     int64_t now_ms;
     uint32_t host_count; /* of two domains, by turns */
     SimHost hosts[MAX_HOSTS];
@@ -88,13 +89,15 @@
     Message messages[MAX_MESSAGES];
     uint32_t message_count;
     uint64_t violations, fresh_steps, steps, calls, queries;
+    uint64_t denial_violations, denial_steps;
     int64_t max_age_ms;
 } Sim;
 
 static void run_line(void *ctx, char *line);
 static void fill_table(Script *s, uint32_t orgs, uint32_t keys);
 static void run_step(Script *s, const char *line);
-static void start(Script *s, const char *name, uint32_t bound_ms);
+static void start(Script *s, const char *name, uint32_t bound_ms,
+                  uint32_t denial_bound_ms);
 static CpFreshness *find(Script *s, const char *name);
 static void simulate(Script *s, const char *line);
 static void start_faults(Sim *m);
@@ -187,7 +190,7 @@
     CpTableVersion v = {.version = (uint64_t)n[0], .era = (uint64_t)n[1]};
     fprintf(s->out, "%" PRId64 " %s", s->now_ns / CP_NS_PER_MS, line);
     if (strcmp(verb, "starts") == 0) {
-        start(s, host, (uint32_t)n[0]);
+        start(s, host, (uint32_t)n[0], (uint32_t)n[1]);
     }
     else if (strcmp(verb, "keys") == 0) {
         CpFreshness_SetHasKeys(f, n[0] != 0);
@@ -210,7 +213,7 @@
     }
     else if (strcmp(verb, "waits") == 0) {
         fprintf(s->out, ": %u",
-                CpFreshness_Wait_ms(f, (uint32_t)n[0], n[1] != 0));
+                CpFreshness_Wait_ms(f, (uint32_t)n[0], n[1] != 0, s->now_ns));
     }
     else if (strcmp(verb, "asks") == 0) {
         fprintf(s->out, ": %s",
@@ -227,6 +230,10 @@
                 CpFreshness_OnReply(f, &s->reply, s->now_ns) ? "counts"
                                                              : "does not");
     }
+    else if (strcmp(verb, "denies") == 0) {
+        fprintf(s->out, ": %s",
+                CpFreshness_MayDeny(f, s->now_ns) ? "yes" : "no");
+    }
     else if (strcmp(verb, "state") != 0) {
         fprintf(s->out, ": not understood");
     }
@@ -240,9 +247,10 @@
 
 /* A process with a new number, in place of an earlier one of the host. */
 static void
-start(Script *s, const char *name, uint32_t bound_ms)
+start(Script *s, const char *name, uint32_t bound_ms, uint32_t denial_bound_ms)
 {
     const CpFreshnessOptions o = {.bound_ms = bound_ms,
+                                  .denial_bound_ms = denial_bound_ms,
                                   .incarnation = ++s->incarnations};
     CpFreshness **f = &s->hosts[name[0] - 'a'];
     CpFreshness_Free(*f);
@@ -255,7 +263,7 @@
 find(Script *s, const char *name)
 {
     if (s->hosts[name[0] - 'a'] == NULL) {
-        start(s, name, 0);
+        start(s, name, 0, 0);
     }
     return s->hosts[name[0] - 'a'];
 }
@@ -273,6 +281,8 @@
         m->faults[k] = at != NULL ? (uint32_t)atoi(strchr(at, ' ')) : 0;
     }
     m->naive = strstr(line, "naive") != NULL;
+    const char *denial = strstr(line, "denial");
+    m->denial_bound_ms = denial != NULL ? atoi(strchr(denial, ' ')) : 0;
     m->version = 1;
     for (uint32_t i = 0; i < m->host_count; i++) {
         restart(m, i);
@@ -304,6 +314,12 @@
             line, m->violations, m->fresh_steps * 1000 / m->steps,
             m->max_age_ms, m->calls * 1000 / seconds,
             m->queries * 1000 / seconds / m->host_count);
+    if (m->denial_bound_ms > 0) {
+        fprintf(s->out,
+                "  denied from an old copy %" PRIu64 ", may deny %" PRIu64
+                "/1000 of the time\n",
+                m->denial_violations, m->denial_steps * 1000 / m->steps);
+    }
     for (uint32_t i = 0; i < m->host_count; i++) {
         CpFreshness_Free(m->hosts[i].freshness);
     }
@@ -348,6 +364,8 @@
 {
     SimHost *h = &m->hosts[i];
     const CpFreshnessOptions o = {.bound_ms = (uint32_t)m->bound_ms,
+                                  .denial_bound_ms =
+                                      (uint32_t)m->denial_bound_ms,
                                   .incarnation = ++m->incarnations};
     CpFreshness_Free(h->freshness);
     h->freshness = CpFreshness_New(&o, clock_ns(m, i));
@@ -386,7 +404,7 @@
         h->call_sent_ns = clock_ns(m, i);
         h->answer_ms = 0;
         h->call_wait_ms = CpFreshness_Wait_ms(
-            h->freshness, is_first ? 2000 : 10000, is_first);
+            h->freshness, is_first ? 2000 : 10000, is_first, clock_ns(m, i));
         m->calls++;
     }
     if (!h->calling) {
@@ -523,7 +541,8 @@
 }
 
 /* A request that is sent now may run while the copy counts as fresh: the next
- * version then was acknowledged no longer ago than the bound. */
+ * version then was acknowledged no longer ago than the bound. The same holds
+ * of one that is denied now. */
 static void
 check(Sim *m, uint32_t i)
 {
@@ -538,8 +557,13 @@
     m->max_age_ms = age_ns / CP_NS_PER_MS > m->max_age_ms
                         ? age_ns / CP_NS_PER_MS
                         : m->max_age_ms;
-    m->violations += fresh && h->version < m->version &&
-                     m->now_ms - m->commits_ms[h->version + 1] > m->bound_ms;
+    bool is_old = h->version < m->version;
+    int64_t old_for_ms =
+        is_old ? m->now_ms - m->commits_ms[h->version + 1] : 0;
+    m->violations += fresh && old_for_ms > m->bound_ms;
+    bool denies = CpFreshness_MayDeny(h->freshness, clock_ns(m, i));
+    m->denial_steps += denies;
+    m->denial_violations += denies && old_for_ms > m->denial_bound_ms;
 }
 
 static bool
--- a/regress/drive_route.c
+++ b/regress/drive_route.c
@@ -19,6 +19,24 @@
     CpRoutes *current;
 } Script;
 
+/* A configuration of random_access(), as plain tables. */
+#define ACCESS_ROUTES 6
+#define ACCESS_KEYS 6
+typedef struct {
+    bool has_route[ACCESS_ROUTES];
+    bool is_public[ACCESS_ROUTES];
+    bool needs_keys;
+    int32_t org_of_key[ACCESS_KEYS]; /* -1: the key is unknown */
+} AccessModel;
+typedef struct {
+    int32_t route;
+    int32_t key; /* -1: none */
+    bool is_fresh;
+} AccessRequest;
+/* Some are prefixes of others. */
+static const char *const access_prefixes[ACCESS_ROUTES] = {
+    "/a/", "/a/b/", "/a/b/c/", "/b/", "/b/c/", "/c/"};
+
 static void run_line(void *ctx, char *line);
 static void add_route(Script *s, const char *name, const char *host,
                       const char *prefix, const char *splits);
@@ -26,6 +44,14 @@
 static void print_homes(Script *s, const char *name, const char *regions);
 static void print_split(Script *s, const char *name, uint32_t times);
 static void random_match(Script *s, uint64_t seed, uint32_t count);
+static void random_access(Script *s, uint64_t seed, uint32_t count);
+static void make_access(CpSeed *seed, const AccessModel *before,
+                        AccessModel *out);
+static CpRoutes *to_routes(const AccessModel *m, uint64_t version);
+static CpReason naive_access(const AccessModel *held, bool is_newest,
+                             const AccessRequest *rq);
+static bool model_matches(const AccessModel *m, const AccessRequest *rq,
+                          int32_t *route, int32_t *org);
 static const CpRoute *linear_match(const CpRoutes *r, const char *host,
                                    const char *path);
 
@@ -92,6 +118,9 @@
     else if (sscanf(line, "random match %" SCNu64 " %u", &seed, &n) == 2) {
         random_match(s, seed, n);
     }
+    else if (sscanf(line, "random access %" SCNu64 " %u", &seed, &n) == 2) {
+        random_access(s, seed, n);
+    }
     else {
         fprintf(s->out, "not understood: %s\n", line);
     }
@@ -265,3 +294,151 @@
     }
     return best;
 }
+
+/* Decides random requests on hosts that hold the newest of two configurations
+ * or the one before, and compares with a twin that looks through plain tables.
+ * Counts decisions by reason, and denials of what the newest one allows. */
+static void
+random_access(Script *s, uint64_t seed_state, uint32_t count)
+{
+    CpSeed seed = {.state = seed_state};
+    uint32_t reasons[CP_REASON_COUNT] = {0};
+    uint32_t differ = 0, wrong = 0, served = 0;
+    AccessModel old = {0}, newest;
+    for (uint32_t i = 0; i < count; i++) {
+        make_access(&seed, &old, &newest);
+        bool is_newest = CpSeed_Below(&seed, 2) == 0;
+        const AccessModel *held = is_newest ? &newest : &old;
+        CpRoutes *r = to_routes(held, i + 1);
+        for (uint32_t k = 0; k < 8; k++) {
+            const AccessRequest rq = {
+                .route = (int32_t)CpSeed_Below(&seed, ACCESS_ROUTES),
+                .key = (int32_t)CpSeed_Below(&seed, ACCESS_KEYS + 1) - 1,
+                .is_fresh = CpSeed_Below(&seed, 4) > 0};
+            char target[64], key[16];
+            snprintf(target, sizeof(target), "%sx?k=/none/",
+                     access_prefixes[rq.route]);
+            snprintf(key, sizeof(key), "key-%d", rq.key);
+            const CpRouteRequest request = {.host = "A.example:80",
+                                            .target = target,
+                                            .key = rq.key >= 0 ? key : NULL,
+                                            .is_fresh = rq.is_fresh,
+                                            .may_deny = is_newest};
+            CpRouteAccess access;
+            CpReason reason = CpRoutes_Decide(r, &request, &access);
+            int32_t route, org;
+            bool denied = CpReason_HttpStatus(reason) < 500;
+            reasons[reason]++;
+            differ += reason != naive_access(held, is_newest, &rq);
+            wrong += denied && model_matches(&newest, &rq, &route, &org);
+            served += reason == CP_REASON_NONE;
+        }
+        CpRoutes_Release(r);
+        old = newest;
+    }
+    fprintf(s->out, "random access: %u served", served);
+    for (uint32_t i = 1; i < CP_REASON_COUNT; i++) {
+        if (reasons[i] > 0) {
+            fprintf(s->out, ", %u %s", reasons[i], CpReason_Name(i));
+        }
+    }
+    fprintf(s->out, "; %u differ, %u denied though allowed\n", differ, wrong);
+}
+
+/* Changes some routes and keys of the configuration before. */
+static void
+make_access(CpSeed *seed, const AccessModel *before, AccessModel *out)
+{
+    *out = *before;
+    out->needs_keys = CpSeed_Below(seed, 4) > 0;
+    for (uint32_t i = 0; i < ACCESS_ROUTES; i++) {
+        if (CpSeed_Below(seed, 3) == 0) {
+            out->has_route[i] = CpSeed_Below(seed, 2) == 0;
+            out->is_public[i] = CpSeed_Below(seed, 4) == 0;
+        }
+    }
+    for (uint32_t i = 0; i < ACCESS_KEYS; i++) {
+        if (CpSeed_Below(seed, 3) == 0) {
+            out->org_of_key[i] = (int32_t)CpSeed_Below(seed, 4) - 1;
+        }
+    }
+}
+
+static CpRoutes *
+to_routes(const AccessModel *m, uint64_t version)
+{
+    const CpOrgRegions regions = {0};
+    CpRoutes *r = CpRoutes_New(ACCESS_ROUTES, 1);
+    uint32_t n = 0;
+    char text[16];
+    CpStr_Copy(r->services[0].name, CP_NAME_BYTES, "s");
+    for (uint32_t i = 0; i < ACCESS_ROUTES; i++) {
+        if (m->has_route[i]) {
+            CpRoute *route = &r->routes[n++];
+            *route = (CpRoute){.timeout_ms = 1000,
+                               .max_attempts = 1,
+                               .is_public = m->is_public[i],
+                               .split_count = 1};
+            CpStr_Copy(route->host, sizeof(route->host), "a.example");
+            CpStr_Copy(route->prefix, sizeof(route->prefix),
+                       access_prefixes[i]);
+            CpStr_Copy(route->splits[0].service, CP_NAME_BYTES, "s");
+            route->splits[0].weight = 1;
+        }
+    }
+    r->route_count = n;
+    r->version = version;
+    r->orgs = m->needs_keys ? CpOrgTable_New(&regions) : NULL;
+    for (int32_t org = 0; m->needs_keys && org < 3; org++) {
+        int bytes = snprintf(text, sizeof(text), "org-%d", org);
+        const CpOrgSpec spec = {.name = text, .name_bytes = (size_t)bytes};
+        CpOrgTable_Add(r->orgs, &spec);
+        for (int32_t key = 0; key < ACCESS_KEYS; key++) {
+            if (m->org_of_key[key] == org) {
+                bytes = snprintf(text, sizeof(text), "key-%d", key);
+                CpOrgTable_AddKey(r->orgs, text, (size_t)bytes);
+            }
+        }
+    }
+    if (CpRoutes_Finalize(r) != CP_OK) {
+        fprintf(stderr, "%s\n", CpError_Message());
+        exit(EXIT_FAILURE);
+    }
+    return r;
+}
+
+static CpReason
+naive_access(const AccessModel *held, bool is_newest, const AccessRequest *rq)
+{
+    int32_t route, org;
+    if (!model_matches(held, rq, &route, &org)) {
+        return !is_newest  ? CP_REASON_NOT_CURRENT
+               : route < 0 ? CP_REASON_NO_ROUTE
+                           : CP_REASON_KEY_REJECTED;
+    }
+    return org >= 0 && !rq->is_fresh && !held->is_public[route]
+               ? CP_REASON_KEY_NOT_FRESH
+               : CP_REASON_NONE;
+}
+
+/* Returns true if the configuration allows the request; sets the route, or -1,
+ * and the organisation, or -1. */
+static bool
+model_matches(const AccessModel *m, const AccessRequest *rq, int32_t *route,
+              int32_t *org)
+{
+    const char *path = access_prefixes[rq->route];
+    *route = *org = -1;
+    for (int32_t i = 0; i < ACCESS_ROUTES; i++) {
+        size_t n = strlen(access_prefixes[i]);
+        if (m->has_route[i] && strncmp(path, access_prefixes[i], n) == 0 &&
+            (*route < 0 || n > strlen(access_prefixes[*route]))) {
+            *route = i;
+        }
+    }
+    if (*route >= 0 && m->needs_keys && rq->key >= 0) {
+        *org = m->org_of_key[rq->key];
+    }
+    return *route >= 0 &&
+           (!m->needs_keys || *org >= 0 || m->is_public[*route]);
+}
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -67,6 +67,7 @@
     bool first_start; /* the hosts start together for the first time */
     /* how long a withdrawn key may still be accepted; 0: no bound */
     uint32_t revocation_bound_ms;
+    uint32_t denial_bound_ms;
     uint32_t lapse_ms; /* after a store outage, before missing
                           server entries are removed */
     /* Window over which the limits of organisations hold; 0: not enforced. */
--- a/src/config/config_settings.c
+++ b/src/config/config_settings.c
@@ -49,6 +49,7 @@
     CP_BOOL_FIELD(CpSettings, first_start, 0),
     CP_U32_FIELD(CpSettings, lapse_ms, 0, 60000, 2000, "ms"),
     CP_U32_FIELD(CpSettings, revocation_bound_ms, 0, 3600000, 0, "ms"),
+    CP_U32_FIELD(CpSettings, denial_bound_ms, 0, 3600000, 3000, "ms"),
     CP_U32_FIELD(CpSettings, quota_window_s, 0, 3600, 0, "s"),
     CP_TEXT_FIELD(CpSettings, quota_overshoot, false),
     CP_U32_FIELD(CpSettings, quota_tolerance, 0, 100000, 0, "requests"),
--- a/src/entry/entry_follow.c
+++ b/src/entry/entry_follow.c
@@ -567,7 +567,7 @@
     return CpFreshness_Wait_ms(e->freshness,
                                is_first ? FIRST_HOST_WAIT_MS
                                         : table_info[f->table].wait_ms,
-                               is_first);
+                               is_first, CpClock_Now_ns());
 }
 
 /* Stops a call that will return nothing: peers have had a later version for a
--- a/src/entry/entry_freshness.c
+++ b/src/entry/entry_freshness.c
@@ -11,13 +11,16 @@
 
 static void tick(void *ctx, int64_t now_ns);
 static void log_change(CpEntry *e, int64_t now_ns);
+static void log_copy(CpEntry *e, const char *what, uint32_t bound_ms,
+                     int64_t now_ns);
 
 void
 CpEntryFreshness_Init(CpEntry *e)
 {
-    const CpFreshnessOptions options = {.bound_ms =
-                                            e->settings.revocation_bound_ms,
-                                        .incarnation = e->incarnation};
+    const CpFreshnessOptions options = {
+        .bound_ms = e->settings.revocation_bound_ms,
+        .denial_bound_ms = e->settings.denial_bound_ms,
+        .incarnation = e->incarnation};
     e->freshness = CpFreshness_New(&options, e->started_ns);
 }
 
@@ -25,7 +28,8 @@
 CpStatus
 CpEntryFreshness_Start(CpEntry *e)
 {
-    if (e->settings.revocation_bound_ms == 0) {
+    if (e->settings.revocation_bound_ms == 0 &&
+        e->settings.denial_bound_ms == 0) {
         return CP_OK;
     }
     e->freshness_timer = CpTimer_New();
@@ -108,15 +112,26 @@
 log_change(CpEntry *e, int64_t now_ns)
 {
     bool fresh = CpFreshness_IsFresh(e->freshness, now_ns);
-    int64_t age_ns = CpFreshness_Age_ns(e->freshness, now_ns);
+    bool current = CpFreshness_MayDeny(e->freshness, now_ns);
     if (fresh != e->was_fresh) {
         e->was_fresh = fresh;
-        CpEvent(
-            CP_EVENT_STATE, fresh ? "freshness_regained" : "freshness_lost",
-            "s:I,s:i,s:I", "age_ms",
-            (json_int_t)(age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS), "bound_ms",
-            (int)e->settings.revocation_bound_ms, "operator_version",
-            (json_int_t)CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR)
-                .version);
+        log_copy(e, fresh ? "freshness_regained" : "freshness_lost",
+                 e->settings.revocation_bound_ms, now_ns);
+    }
+    if (current != e->was_current) {
+        e->was_current = current;
+        log_copy(e, current ? "copy_current" : "copy_outdated",
+                 e->settings.denial_bound_ms, now_ns);
     }
 }
+
+static void
+log_copy(CpEntry *e, const char *what, uint32_t bound_ms, int64_t now_ns)
+{
+    int64_t age_ns = CpFreshness_Age_ns(e->freshness, now_ns);
+    CpEvent(
+        CP_EVENT_STATE, what, "s:I,s:i,s:I", "age_ms",
+        (json_int_t)(age_ns < 0 ? -1 : age_ns / CP_NS_PER_MS), "bound_ms",
+        (int)bound_ms, "operator_version",
+        (json_int_t)CpEntryFollow_RowVersion(e, CP_TABLE_OPERATOR).version);
+}
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -148,7 +148,8 @@
 
     CpFreshness *freshness;
     CpTimer *freshness_timer;
-    bool was_fresh; /* this and the next one: used by that timer only */
+    bool was_fresh; /* this and the next two: used by that timer only */
+    bool was_current;
     uint32_t freshness_queries;
     CpQuota *quota; /* NULL: quotas are not enforced */
     CpEntryQuotaShard quota_shards[CP_ENTRY_QUOTA_SHARDS]; /* by org */
--- a/src/entry/entry_report.c
+++ b/src/entry/entry_report.c
@@ -61,7 +61,8 @@
         text, "chestnutpaddle_orgs %u\nchestnutpaddle_keys %u\n",
         r != NULL && r->orgs != NULL ? CpOrgTable_Count(r->orgs) : 0,
         r != NULL && r->orgs != NULL ? CpOrgTable_CountKeys(r->orgs) : 0);
-    if (e->settings.revocation_bound_ms > 0) {
+    if (e->settings.revocation_bound_ms > 0 ||
+        e->settings.denial_bound_ms > 0) {
         int64_t age_ns = CpFreshness_Age_ns(e->freshness, CpClock_Now_ns());
         g_string_append_printf(
             text, "chestnutpaddle_freshness_age_ms %" G_GINT64_FORMAT "\n",
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -24,6 +24,10 @@
 /* Attempts that were not run do not count against the route's limit. */
 #define MAX_NOT_RUN_ATTEMPTS 3
 #define TARGET_LOG_BYTES 128 /* of a path in log lines */
+#define NOT_CONFIGURED_RETRY_AFTER_MS 500
+/* Retry-After of a refusal that names none, for each second of its reason's:
+ * callers come back to another host. */
+#define RETRY_AFTER_UNIT_MS 200
 
 /* The policy's state of one request. */
 typedef struct {
@@ -74,8 +78,11 @@
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
 static void get_limits(void *ctx, CpRouteLimits *out);
-static bool has_key_to(const CpRoutes *r, const CpRoute *route,
-                       const CpRequest *rq, const CpOrg **org);
+static CpReason decide_access(CpEntry *e, const CpRequest *rq,
+                              CpRoutes **routes, int64_t *since_ns,
+                              CpRouteAccess *out);
+static void note_access(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
+                        CpReason reason);
 static void take_token_and_dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
                                     CpProxyAction *out);
 static bool is_admitted(CpEntry *e, const CpRequest *rq, RequestState *s,
@@ -103,7 +110,6 @@
                              const CpContentionDecision *d);
 static void note_denial(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
                         CpDenial denial);
-static CpDenial key_denial(const CpRequest *rq);
 static void log_attempt(const CpRequest *rq, const RequestState *s);
 static void log_flaw(const CpRequest *rq, const RequestState *s,
                      const CpAttemptResult *a);
@@ -134,23 +140,26 @@
 static bool
 on_head(void *ctx, CpRequest *rq, CpProxyAction *out)
 {
-    const CpOrg *org;
-    CpRoutes *r = CpEntry_RetainRoutes(ctx, NULL);
-    const CpRoute *route =
-        r != NULL ? CpRoutes_Match(r, rq->host, rq->target) : NULL;
-    bool valid = route == NULL || has_key_to(r, route, rq, &org);
-    if (!valid) {
-        note_denial(ctx, rq, r, key_denial(rq));
-        *out = (CpProxyAction){.type = CP_ACTION_FAIL,
-                               .reason = CP_REASON_KEY_REJECTED};
-        CpCounter_AddReason(CP_REASON_KEY_REJECTED, route->rank);
+    CpRouteAccess access;
+    CpRoutes *r;
+    CpReason reason = decide_access(ctx, rq, &r, NULL, &access);
+    bool refused = access.route != NULL && (reason == CP_REASON_KEY_REJECTED ||
+                                            reason == CP_REASON_NOT_CURRENT);
+    if (refused) {
+        *out =
+            (CpProxyAction){.type = CP_ACTION_FAIL,
+                            .reason = reason,
+                            .retry_after_ms = CpReason_RetryAfter_s(reason) *
+                                              RETRY_AFTER_UNIT_MS};
+        note_access(ctx, rq, r, reason);
+        CpCounter_AddReason(reason, access.route->rank);
         CpEvent(CP_EVENT_REFUSED, "ended", "s:s,s:s,s:s,s:i", "request",
-                rq->id, "route", route->name, "reason",
-                CpReason_Name(CP_REASON_KEY_REJECTED), "status",
-                (int)CpReason_HttpStatus(CP_REASON_KEY_REJECTED));
+                rq->id, "route", access.route->name, "reason",
+                CpReason_Name(reason), "status",
+                (int)CpReason_HttpStatus(reason));
     }
     CpRoutes_Release(r);
-    return valid;
+    return !refused;
 }
 
 static void
@@ -158,36 +167,27 @@
 {
     CpEntry *e = ctx;
     RequestState *s = CpMem_Alloc(sizeof(*s));
+    CpRouteAccess access;
     int64_t now_ns = CpClock_Now_ns(), since_ns;
     rq->policy_data = s;
-    /* before the routes are looked at: these are then as fresh */
-    bool is_fresh = CpFreshness_IsFresh(e->freshness, now_ns);
-    s->routes = CpEntry_RetainRoutes(e, &since_ns);
-    if (s->routes == NULL) {
-        set_failure(s, CP_REASON_NOT_CONFIGURED, 500, out);
-        return;
+    CpReason reason = decide_access(e, rq, &s->routes, &since_ns, &access);
+    s->route = access.route;
+    s->org = access.org;
+    if (s->routes != NULL) {
+        s->routes_age_ms = (now_ns - since_ns) / CP_NS_PER_MS;
     }
-    s->routes_age_ms = (now_ns - since_ns) / CP_NS_PER_MS;
-    s->route = CpRoutes_Match(s->routes, rq->host, rq->target);
-    if (s->route == NULL) {
-        note_denial(e, rq, s->routes, CP_DENIAL_NO_ROUTE);
-        set_failure(s, CP_REASON_NO_ROUTE, 0, out);
-        return;
+    if (s->route != NULL) {
+        s->rank = s->route->rank;
     }
-    s->rank = s->route->rank;
-    if (!has_key_to(s->routes, s->route, rq, &s->org)) {
-        note_denial(e, rq, s->routes, key_denial(rq));
-        set_failure(s, CP_REASON_KEY_REJECTED, 0, out);
+    if (reason != CP_REASON_NONE) {
+        note_access(e, rq, s->routes, reason);
+        set_failure(s, reason,
+                    reason == CP_REASON_NOT_CONFIGURED
+                        ? NOT_CONFIGURED_RETRY_AFTER_MS
+                        : 0,
+                    out);
         return;
     }
-    if (s->org != NULL && !is_fresh) {
-        /* a public route is served as without the key */
-        s->org = NULL;
-        if (!s->route->is_public) {
-            set_failure(s, CP_REASON_KEY_NOT_FRESH, 0, out);
-            return;
-        }
-    }
     if (s->org != NULL && s->org->has_rank) {
         s->rank = s->org->rank;
     }
@@ -301,16 +301,19 @@
     if (s->org == NULL) {
         return true;
     }
-    s->refusal = CpFreshness_IsFresh(e->freshness, CpClock_Now_ns())
+    int64_t now_ns = CpClock_Now_ns();
+    s->refusal = CpFreshness_IsFresh(e->freshness, now_ns)
                      ? CP_REASON_NONE
                      : CP_REASON_KEY_NOT_FRESH;
+    bool may_deny = CpFreshness_MayDeny(e->freshness, now_ns);
     CpRoutes *r = CpEntry_RetainRoutes(e, NULL);
     if (s->refusal == CP_REASON_NONE && r != s->routes && r->orgs != NULL) {
         org = CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key));
         s->refusal = org != NULL && strcmp(org->name, s->org->name) == 0
                          ? CP_REASON_NONE
-                         : CP_REASON_KEY_REJECTED;
-        if (s->refusal != CP_REASON_NONE) {
+                     : may_deny ? CP_REASON_KEY_REJECTED
+                                : CP_REASON_NOT_CURRENT;
+        if (s->refusal == CP_REASON_KEY_REJECTED) {
             note_denial(e, rq, r, CP_DENIAL_KEY_WITHDRAWN);
         }
     }
@@ -450,16 +453,37 @@
     CpRoutes_Release(r);
 }
 
-/* Returns true if the route needs no key or the request has a valid one, and
- * sets the organisation of a valid key; NULL: none. */
-static bool
-has_key_to(const CpRoutes *r, const CpRoute *route, const CpRequest *rq,
-           const CpOrg **org)
+/* Looks at how fresh the configuration is before the configuration itself: one
+ * that comes into force in between is at least as fresh. Sets *routes, which
+ * the caller releases. */
+static CpReason
+decide_access(CpEntry *e, const CpRequest *rq, CpRoutes **routes,
+              int64_t *since_ns, CpRouteAccess *out)
 {
-    *org = r->orgs != NULL && rq->key != NULL
-               ? CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key))
-               : NULL;
-    return r->orgs == NULL || *org != NULL || route->is_public;
+    int64_t now_ns = CpClock_Now_ns();
+    const CpRouteRequest request = {
+        .host = rq->host,
+        .target = rq->target,
+        .key = rq->key,
+        .is_fresh = CpFreshness_IsFresh(e->freshness, now_ns),
+        .may_deny = CpFreshness_MayDeny(e->freshness, now_ns)};
+    *routes = CpEntry_RetainRoutes(e, since_ns);
+    return CpRoutes_Decide(*routes, &request, out);
+}
+
+/* Notes a request that the configuration does not let through. */
+static void
+note_access(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
+            CpReason reason)
+{
+    if (reason == CP_REASON_NO_ROUTE) {
+        note_denial(e, rq, r, CP_DENIAL_NO_ROUTE);
+    }
+    else if (reason == CP_REASON_KEY_REJECTED) {
+        note_denial(e, rq, r,
+                    rq->key == NULL ? CP_DENIAL_NO_KEY
+                                    : CP_DENIAL_UNKNOWN_KEY);
+    }
 }
 
 /* Takes a token of the request's organisation, or waits for one as long as the
@@ -698,7 +722,8 @@
         out->status = 502;
     }
     if (out->status == 503 && retry_after_ms == 0) {
-        out->retry_after_ms = CpReason_RetryAfter_s(reason) * 200;
+        out->retry_after_ms =
+            CpReason_RetryAfter_s(reason) * RETRY_AFTER_UNIT_MS;
     }
 }
 
@@ -775,12 +800,6 @@
             "store_reachable", (int)CpEntryFollow_IsStoreReachable(e));
 }
 
-static CpDenial
-key_denial(const CpRequest *rq)
-{
-    return rq->key == NULL ? CP_DENIAL_NO_KEY : CP_DENIAL_UNKNOWN_KEY;
-}
-
 static void
 log_attempt(const CpRequest *rq, const RequestState *s)
 {
--- a/src/org/org.h
+++ b/src/org/org.h
@@ -98,8 +98,9 @@
  * Threads may share it. */
 typedef struct CpFreshness CpFreshness;
 typedef struct {
-    uint32_t bound_ms;    /* 0: requests need no fresh copy */
-    uint64_t incarnation; /* of this process, in its queries */
+    uint32_t bound_ms;        /* 0: requests need no fresh copy */
+    uint32_t denial_bound_ms; /* 0: denials need no fresh copy */
+    uint64_t incarnation;     /* of this process, in its queries */
 } CpFreshnessOptions;
 
 /* The contents of a datagram, to and from another host. */
@@ -140,7 +141,8 @@
 void CpFreshness_OnUnconfirmedRead(CpFreshness *f);
 /* Returns the longest wait of the next call for changes; `wait_ms` is that
  * without a bound, `is_first` that this is the first watching host. */
-uint32_t CpFreshness_Wait_ms(CpFreshness *f, uint32_t wait_ms, bool is_first);
+uint32_t CpFreshness_Wait_ms(CpFreshness *f, uint32_t wait_ms, bool is_first,
+                             int64_t now_ns);
 /* Returns true if a call for changes that waits should be ended, as its
  * confirmation would come too late. */
 bool CpFreshness_IsDue(CpFreshness *f, int64_t now_ns);
@@ -159,6 +161,10 @@
  * call it before the configuration is looked at: one that comes into force
  * later is newer than what was confirmed. */
 bool CpFreshness_IsFresh(CpFreshness *f, int64_t now_ns);
+/* Returns true if a request may be denied for what the configuration lacks:
+ * the copy is not known to be outdated, and was confirmed within the bound for
+ * denials. Call it before the configuration is looked at, too. */
+bool CpFreshness_MayDeny(CpFreshness *f, int64_t now_ns);
 /* Returns the age of the last confirmation; -1: none. */
 int64_t CpFreshness_Age_ns(CpFreshness *f, int64_t now_ns);
 
--- a/src/org/org_freshness.c
+++ b/src/org/org_freshness.c
@@ -10,6 +10,9 @@
  * confirmation is up to twice as old when the next one arrives, and other
  * hosts' queries and a failed call have to fit in the rest. */
 #define FIRST_WAIT_DIVISOR 4
+/* The same for denials, where a failed call leads to a retry at another host.
+ */
+#define DENIAL_WAIT_DIVISOR 3
 /* Of a call that is to return soon, without rows. */
 #define PROBE_WAIT_MS 100
 #define ASK_INTERVAL_NS (1000 * CP_NS_PER_MS)
@@ -22,7 +25,8 @@
 #define DUE_PERCENT 65
 
 struct CpFreshness {
-    int64_t bound_ns; /* 0: none */
+    int64_t key_bound_ns;    /* 0: none */
+    int64_t denial_bound_ns; /* 0: none */
     uint64_t incarnation;
     int64_t started_ns;
     pthread_mutex_t lock; /* guards all below */
@@ -37,14 +41,17 @@
 };
 
 static int64_t age_ns(const CpFreshness *f, int64_t now_ns);
-static bool is_needed(const CpFreshness *f);
+static bool is_needed_for_keys(const CpFreshness *f);
+static int64_t shortest_bound_ns(const CpFreshness *f);
+static int64_t longest_bound_ns(const CpFreshness *f);
 static void confirm(CpFreshness *f, int64_t at_ns);
 
 CpFreshness *
 CpFreshness_New(const CpFreshnessOptions *o, int64_t now_ns)
 {
     CpFreshness *f = CpMem_Alloc(sizeof(*f));
-    f->bound_ns = o->bound_ms * CP_NS_PER_MS;
+    f->key_bound_ns = o->bound_ms * CP_NS_PER_MS;
+    f->denial_bound_ns = o->denial_bound_ms * CP_NS_PER_MS;
     f->incarnation = o->incarnation;
     f->started_ns = now_ns;
     f->in_force = true;
@@ -123,16 +130,32 @@
     pthread_mutex_unlock(&f->lock);
 }
 
+/* For keys each follower looks for a confirmation soon after a change; for
+ * denials that is the first watching host's part, until it fails to. */
 uint32_t
-CpFreshness_Wait_ms(CpFreshness *f, uint32_t wait_ms, bool is_first)
+CpFreshness_Wait_ms(CpFreshness *f, uint32_t wait_ms, bool is_first,
+                    int64_t now_ns)
 {
+    uint32_t limit_ms = UINT32_MAX;
     pthread_mutex_lock(&f->lock);
-    uint32_t most_ms =
-        (uint32_t)(f->bound_ns / CP_NS_PER_MS / FIRST_WAIT_DIVISOR);
-    uint32_t limit_ms = !is_needed(f) ? UINT32_MAX
-                        : f->probes   ? PROBE_WAIT_MS
-                        : is_first    ? most_ms
-                                      : UINT32_MAX;
+    bool for_keys = is_needed_for_keys(f);
+    bool for_denials = f->denial_bound_ns > 0 &&
+                       (is_first || age_ns(f, now_ns) > f->denial_bound_ns);
+    if (f->probes && (for_keys || for_denials)) {
+        limit_ms = PROBE_WAIT_MS;
+    }
+    else if (is_first) {
+        if (for_keys) {
+            limit_ms = (uint32_t)(f->key_bound_ns / CP_NS_PER_MS /
+                                  FIRST_WAIT_DIVISOR);
+        }
+        if (for_denials &&
+            f->denial_bound_ns / CP_NS_PER_MS / DENIAL_WAIT_DIVISOR <
+                limit_ms) {
+            limit_ms = (uint32_t)(f->denial_bound_ns / CP_NS_PER_MS /
+                                  DENIAL_WAIT_DIVISOR);
+        }
+    }
     pthread_mutex_unlock(&f->lock);
     return wait_ms < limit_ms ? wait_ms : limit_ms;
 }
@@ -141,8 +164,10 @@
 CpFreshness_IsDue(CpFreshness *f, int64_t now_ns)
 {
     pthread_mutex_lock(&f->lock);
+    int64_t age = age_ns(f, now_ns);
     bool due =
-        is_needed(f) && age_ns(f, now_ns) > f->bound_ns * DUE_PERCENT / 100;
+        (is_needed_for_keys(f) && age > f->key_bound_ns * DUE_PERCENT / 100) ||
+        (f->denial_bound_ns > 0 && age > f->denial_bound_ns);
     pthread_mutex_unlock(&f->lock);
     return due;
 }
@@ -155,18 +180,18 @@
 {
     CpFreshnessAsk ask = CP_ASK_NONE;
     pthread_mutex_lock(&f->lock);
-    int64_t age = age_ns(f, now_ns),
-            soon_ns = f->bound_ns * SOON_PERCENT / 100;
+    int64_t bound_ns = shortest_bound_ns(f);
+    int64_t age = age_ns(f, now_ns), soon_ns = bound_ns * SOON_PERCENT / 100;
     int64_t lost_ns = age != INT64_MAX ? age : now_ns - f->started_ns;
     bool by_store = f->from_store_ns == f->confirmed_ns && age <= soon_ns;
-    int64_t interval_ns = age <= soon_ns || lost_ns > 2 * f->bound_ns
+    int64_t interval_ns = age <= soon_ns || lost_ns > 2 * bound_ns
                               ? ASK_INTERVAL_NS
                               : SOON_ASK_INTERVAL_NS;
-    if (is_needed(f) && !by_store &&
+    if (bound_ns > 0 && !by_store &&
         (f->asked_ns == INT64_MIN ||
          now_ns - f->asked_ns >= interval_ns - TICK_SLACK_NS)) {
-        ask = age > f->bound_ns * SEVERAL_PERCENT / 100 ? CP_ASK_SEVERAL
-                                                        : CP_ASK_ONE;
+        ask = age > bound_ns * SEVERAL_PERCENT / 100 ? CP_ASK_SEVERAL
+                                                     : CP_ASK_ONE;
         f->asked_ns = now_ns;
         *query = (CpFreshnessQuery){.incarnation = f->incarnation,
                                     .sent_ns = now_ns};
@@ -182,8 +207,8 @@
 {
     pthread_mutex_lock(&f->lock);
     int64_t age = age_ns(f, now_ns);
-    bool useful = f->bound_ns > 0 && age <= f->bound_ns && f->in_force &&
-                  held->version > 0;
+    bool useful =
+        age <= longest_bound_ns(f) && f->in_force && held->version > 0;
     *out = (CpFreshnessReply){
         .query = *query, .age_ns = useful ? age : 0, .version = *held};
     pthread_mutex_unlock(&f->lock);
@@ -203,7 +228,7 @@
                   version->version <= f->held.version &&
                   reply->query.incarnation == f->incarnation &&
                   reply->query.sent_ns <= now_ns && reply->age_ns >= 0 &&
-                  reply->age_ns <= f->bound_ns;
+                  reply->age_ns <= longest_bound_ns(f);
     if (counts) {
         confirm(f, reply->query.sent_ns - reply->age_ns);
     }
@@ -215,12 +240,23 @@
 CpFreshness_IsFresh(CpFreshness *f, int64_t now_ns)
 {
     pthread_mutex_lock(&f->lock);
-    int64_t limit_ns = f->bound_ns * (100 - CLOCK_MARGIN_PERCENT) / 100;
-    bool fresh = f->bound_ns == 0 || age_ns(f, now_ns) <= limit_ns;
+    int64_t limit_ns = f->key_bound_ns * (100 - CLOCK_MARGIN_PERCENT) / 100;
+    bool fresh = f->key_bound_ns == 0 || age_ns(f, now_ns) <= limit_ns;
     pthread_mutex_unlock(&f->lock);
     return fresh;
 }
 
+bool
+CpFreshness_MayDeny(CpFreshness *f, int64_t now_ns)
+{
+    pthread_mutex_lock(&f->lock);
+    bool may = f->denial_bound_ns == 0 ||
+               (f->in_force && !CpTableVersion_IsLater(&f->known, &f->held) &&
+                age_ns(f, now_ns) <= f->denial_bound_ns);
+    pthread_mutex_unlock(&f->lock);
+    return may;
+}
+
 int64_t
 CpFreshness_Age_ns(CpFreshness *f, int64_t now_ns)
 {
@@ -237,9 +273,27 @@
 }
 
 static bool
-is_needed(const CpFreshness *f)
+is_needed_for_keys(const CpFreshness *f)
+{
+    return f->key_bound_ns > 0 && f->has_keys;
+}
+
+/* Of the bounds that confirmations are needed for; 0: none. */
+static int64_t
+shortest_bound_ns(const CpFreshness *f)
+{
+    int64_t key_ns = is_needed_for_keys(f) ? f->key_bound_ns : 0;
+    return key_ns == 0 ||
+                   (f->denial_bound_ns > 0 && f->denial_bound_ns < key_ns)
+               ? f->denial_bound_ns
+               : key_ns;
+}
+
+static int64_t
+longest_bound_ns(const CpFreshness *f)
 {
-    return f->bound_ns > 0 && f->has_keys;
+    return f->key_bound_ns > f->denial_bound_ns ? f->key_bound_ns
+                                                : f->denial_bound_ns;
 }
 
 static void
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -86,6 +86,23 @@
  * `host` and a query in `path` are ignored. */
 const CpRoute *CpRoutes_Match(const CpRoutes *r, const char *host,
                               const char *path);
+/* A request as far as the configuration decides on it, and what is known of
+ * that configuration. */
+typedef struct {
+    const char *host;
+    const char *target;
+    const char *key; /* NULL: none, or not exactly one */
+    bool is_fresh;   /* a key in it may be taken for valid */
+    bool may_deny;   /* it is the newest one, as far as is known */
+} CpRouteRequest;
+typedef struct {
+    const CpRoute *route; /* NULL: none */
+    const CpOrg *org;     /* of a valid key; NULL: none */
+} CpRouteAccess;
+/* Decides whether a request is let through; CP_REASON_NONE: it is. `r` may be
+ * NULL. */
+CpReason CpRoutes_Decide(const CpRoutes *r, const CpRouteRequest *rq,
+                         CpRouteAccess *out);
 /* Returns true if a route of the host name has the region as a home. */
 bool CpRoutes_IsHomeRegion(const CpRoutes *r, const char *host,
                            const char *region);
