http/front: refuse a body for good only by the latest limit

Cause: 413 body_too_large was decided by the kind's limit, and by whether it is repeatable, in the generation in force, whose age nothing asked: the same as for unknown kinds.

Ruled out: the limit of the library (heads) and that of POST /ticket, which no configuration sets.

Change: the front end asks host/follow whether the version that gave the limit is current; otherwise the request is refused with 503 not_current. The verdict of a request that had begun to be sent is now may-have-run, as "not-run" cannot be known of it; that holds for the 413 of a body in chunks, too.

Conclusion: what is over the latest limit gets 413 as before.

--- a/src/host/host_follow.c
+++ b/src/host/host_follow.c
@@ -73,8 +73,9 @@
 }
 
 bool
-CpFollow_IsCurrent(CpNode *n, uint64_t version)
+CpFollow_IsCurrent(void *ctx, uint64_t version)
 {
+    CpNode *n = ctx;
     int64_t now_ns = CpClock_Now_ns();
     pthread_mutex_lock(&n->follow_lock);
     bool current = version >= n->latest_version && n->head_read_ns != 0 &&
--- a/src/host/host_int.h
+++ b/src/host/host_int.h
@@ -313,7 +313,7 @@
 void CpFollow_OnVersion(CpNode *n, uint64_t version);
 /* Returns true if a version is the latest as far as this host can know: the
  * store has reported no later one a short time ago, and no host has. */
-bool CpFollow_IsCurrent(CpNode *n, uint64_t version);
+bool CpFollow_IsCurrent(void *ctx, uint64_t version);
 void CpFollow_OnGet(CpNode *n, CpSession *s, const CpFrame *f);
 void CpFollow_OnChunk(CpNode *n, CpSession *s, const CpFrame *f);
 
--- a/src/host/host_node.c
+++ b/src/host/host_node.c
@@ -211,6 +211,7 @@
                             .body_timeout_ms = s->body_timeout_s * 1000,
                             .budget = n->budget,
                             .find_kind = CpView_FindKind,
+                            .is_current = CpFollow_IsCurrent,
                             .submit = CpDispatch_Submit,
                             .render_lookup = CpView_RenderLookup,
                             .render_ticket = CpOnce_RenderTicket,
--- a/src/host/host_view.c
+++ b/src/host/host_view.c
@@ -207,7 +207,8 @@
                             .rank = c->kinds[i].rank_index,
                             .deadline_ms = c->kinds[i].deadline_ms,
                             .idempotent = c->kinds[i].idempotent,
-                            .max_body_kb = c->kinds[i].max_body_kb};
+                            .max_body_kb = c->kinds[i].max_body_kb,
+                            .version = v->generation->version};
     }
     CpView_Release(v);
     return reason;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -64,6 +64,7 @@
     uint32_t deadline_ms;
     bool idempotent;
     uint32_t max_body_kb;
+    uint64_t version; /* of the configuration that has it */
 } CpKindInfo;
 
 typedef struct CpFront CpFront;
@@ -75,6 +76,9 @@
     CpBudget *budget;         /* of the host; limits the connections, too */
     /* Looks up a kind of work; CP_REASON_NONE if it was found. */
     CpReason (*find_kind)(void *ctx, const char *name, CpKindInfo *out);
+    /* Returns true if no later version is known, and none can have been in
+     * force for long. */
+    bool (*is_current)(void *ctx, uint64_t version);
     /* Consumes one reference and delivers a head to the exchange later. */
     void (*submit)(void *ctx, CpExchange *ex);
     /* Renders the response to a lookup; free() the result; NULL if there is no
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -79,6 +79,7 @@
     CpReason early_refusal; /* reason to refuse before the submission */
     uint32_t submitted;     /* flag; atomic, as the sweep reads it */
     uint32_t max_body_bytes;
+    uint64_t config_version;       /* that limits the body; 0: none does */
     uint64_t content_length_bytes; /* 0: unknown */
     uint64_t received_bytes;       /* of the body, from the caller */
     uint64_t moved_bytes;          /* of the body, since progress was noted */
@@ -139,6 +140,7 @@
 static CpReason init_exchange(CpFront *f, Call *c, const char *url,
                               const char *method);
 static bool leaves_room(struct MHD_Connection *conn);
+static CpReason refuse_body(const Call *c);
 static void free_call(void *data);
 static void receive_body(Call *c, const char *data, size_t *data_bytes);
 static void write_body(Call *c, const char *data, size_t *data_bytes);
@@ -628,7 +630,8 @@
 refuse_early(Call *c)
 {
     CpResponseHead head = {.status = CpReason_HttpStatus(c->early_refusal),
-                           .verdict = CP_NOT_RUN,
+                           .verdict =
+                               c->submitted ? CP_MAY_HAVE_RUN : CP_NOT_RUN,
                            .reason = c->early_refusal};
     CpCounter_AddReason(c->early_refusal, c->ex->rank);
     return CpResponse_QueueRefusal(c->conn, &head);
@@ -756,13 +759,14 @@
     client_ip(c->conn, ip, sizeof(ip));
     f->options.find_origin(f->options.ctx, ip, ex->origin);
     c->max_body_bytes = info.max_body_kb * 1024;
+    c->config_version = info.version;
     if (c->content_length_bytes > c->max_body_bytes) {
-        return CP_REASON_BODY_TOO_LARGE;
+        return refuse_body(c);
     }
     if (transfer_encoding != NULL ||
         c->content_length_bytes > CP_BODY_MAX_BYTES) {
         if (!ex->idempotent) {
-            return CP_REASON_BODY_TOO_LARGE;
+            return refuse_body(c);
         }
         ex->request_body = CpPipe_New(CP_PIPE_CAPACITY_BYTES);
         CpPipe_SetOnWritable(ex->request_body, resume_call, c);
@@ -785,6 +789,16 @@
            HEAD_BUFFER_BYTES;
 }
 
+/* The latest configuration may allow a body that an outdated one does not. */
+static CpReason
+refuse_body(const Call *c)
+{
+    const CpFrontOptions *o = &c->front->options;
+    return c->config_version == 0 || o->is_current(o->ctx, c->config_version)
+               ? CP_REASON_BODY_TOO_LARGE
+               : CP_REASON_NOT_CURRENT;
+}
+
 static void
 free_call(void *data)
 {
@@ -811,7 +825,7 @@
     }
     c->received_bytes += n;
     if (c->received_bytes > c->max_body_bytes) {
-        c->early_refusal = CP_REASON_BODY_TOO_LARGE;
+        c->early_refusal = refuse_body(c);
         *data_bytes = 0;
         if (c->submitted) {
             CpExchange_Cancel(ex);
