--- a/src/host/host_view.c
+++ b/src/host/host_view.c
@@ -197,7 +197,9 @@
     const CpConfig *c = v->generation->config;
     uint32_t i = CpConfig_FindKind(c, name);
     if (i == CP_NO_INDEX) {
-        reason = CP_REASON_UNKNOWN_KIND;
+        reason = CpFollow_IsCurrent(ctx, v->generation->version)
+                     ? CP_REASON_UNKNOWN_KIND
+                     : CP_REASON_NOT_CURRENT;
     }
     else {
         *out = (CpKindInfo){.kind_index = i,
@@ -205,7 +207,8 @@
                             .rank = c->kinds[i].rank_index,
                             .deadline_ms = c->kinds[i].deadline_ms,
                             .idempotent = c->kinds[i].idempotent,
-                            .max_body_kb = c->kinds[i].max_body_kb};
+                            .max_body_kb = c->kinds[i].max_body_kb,
+                            .version = v->generation->version};
     }
     CpView_Release(v);
     return reason;
