route, entry: a key that moves or is withdrawn does not deny what is still allowed

Callers got 401 from hosts in touch, with the newest copy, for requests that every version of the configuration allows: on a public route, when the key that they carry is withdrawn between the decision and the sending, and for a key that moves from one organisation to another meanwhile.

Cause: may_send() decided on access a second time in its own way: another organisation, or none, was an invalid key, whatever the route. Ruled out: an old copy; the copies are fresh, and unknown_key is 0, so that the 401s come from there (key_withdrawn: 39). Change: CpRoutes_DecideAgain(), beside CpRoutes_Decide(): a request that is allowed in another way now is refused with 503, not run, and its caller sends it again; 401 only if the newest copy does not allow it. It is never sent for an organisation that the key does not belong to any more.

--- a/regress/drive_route.c
+++ b/regress/drive_route.c
@@ -33,6 +33,12 @@
     int32_t key; /* -1: none */
     bool is_fresh;
 } AccessRequest;
+typedef struct {
+    uint32_t reasons[CP_REASON_COUNT];
+    uint32_t served;
+    uint32_t differ; /* from the twin */
+    uint32_t wrong;  /* denied, though the newest configuration allows it */
+} AccessCounts;
 /* Some are prefixes of others. */
 static const char *const access_prefixes[ACCESS_ROUTES] = {
     "/a/", "/a/b/", "/a/b/c/", "/b/", "/b/c/", "/c/"};
@@ -48,6 +54,10 @@
 static void make_access(CpSeed *seed, const AccessModel *before,
                         AccessModel *out);
 static CpRoutes *to_routes(const AccessModel *m, uint64_t version);
+static void decide_again(const AccessModel *newest, const CpRoutes *r,
+                         const CpRouteRequest *request, const CpOrg *decided,
+                         const AccessRequest *rq, AccessCounts *out);
+static void print_access(Script *s, const char *label, const AccessCounts *c);
 static CpReason naive_access(const AccessModel *held, bool is_newest,
                              const AccessRequest *rq);
 static bool model_matches(const AccessModel *m, const AccessRequest *rq,
@@ -302,14 +312,14 @@
 random_access(Script *s, uint64_t seed_state, uint32_t count)
 {
     CpSeed seed = {.state = seed_state};
-    uint32_t reasons[CP_REASON_COUNT] = {0};
-    uint32_t differ = 0, wrong = 0, served = 0;
+    AccessCounts first = {0}, again = {0};
     AccessModel old = {0}, newest;
     for (uint32_t i = 0; i < count; i++) {
         make_access(&seed, &old, &newest);
         bool is_newest = CpSeed_Below(&seed, 2) == 0;
         const AccessModel *held = is_newest ? &newest : &old;
         CpRoutes *r = to_routes(held, i + 1);
+        CpRoutes *next = to_routes(&newest, i + 2);
         for (uint32_t k = 0; k < 8; k++) {
             const AccessRequest rq = {
                 .route = (int32_t)CpSeed_Below(&seed, ACCESS_ROUTES),
@@ -328,21 +338,61 @@
             CpReason reason = CpRoutes_Decide(r, &request, &access);
             int32_t route, org;
             bool denied = CpReason_HttpStatus(reason) < 500;
-            reasons[reason]++;
-            differ += reason != naive_access(held, is_newest, &rq);
-            wrong += denied && model_matches(&newest, &rq, &route, &org);
-            served += reason == CP_REASON_NONE;
+            first.reasons[reason]++;
+            first.differ += reason != naive_access(held, is_newest, &rq);
+            first.wrong += denied && model_matches(&newest, &rq, &route, &org);
+            first.served += reason == CP_REASON_NONE;
+            if (access.org != NULL) {
+                CpRouteRequest later = request;
+                later.is_fresh = CpSeed_Below(&seed, 4) > 0;
+                later.may_deny = CpSeed_Below(&seed, 4) > 0;
+                decide_again(&newest, next, &later, access.org, &rq, &again);
+            }
         }
         CpRoutes_Release(r);
+        CpRoutes_Release(next);
         old = newest;
     }
-    fprintf(s->out, "random access: %u served", served);
+    print_access(s, "random access", &first);
+    print_access(s, "  before they are sent", &again);
+}
+
+/* Decides once more on a request that was let through, and compares. */
+static void
+decide_again(const AccessModel *newest, const CpRoutes *r,
+             const CpRouteRequest *request, const CpOrg *decided,
+             const AccessRequest *rq, AccessCounts *out)
+{
+    int32_t route, org;
+    char name[16];
+    CpReason reason = CpRoutes_DecideAgain(r, request, decided);
+    bool allowed = model_matches(newest, rq, &route, &org);
+    snprintf(name, sizeof(name), "org-%d",
+             newest->needs_keys ? newest->org_of_key[rq->key] : -1);
+    bool unchanged = !newest->needs_keys || strcmp(name, decided->name) == 0;
+    allowed = allowed || newest->org_of_key[rq->key] >= 0;
+    CpReason naive = !request->is_fresh  ? CP_REASON_KEY_NOT_FRESH
+                     : unchanged         ? CP_REASON_NONE
+                     : allowed           ? CP_REASON_NOT_CURRENT
+                     : request->may_deny ? CP_REASON_KEY_REJECTED
+                                         : CP_REASON_NOT_CURRENT;
+    out->reasons[reason]++;
+    out->served += reason == CP_REASON_NONE;
+    out->differ += reason != naive;
+    out->wrong += reason == CP_REASON_KEY_REJECTED && allowed;
+}
+
+static void
+print_access(Script *s, const char *label, const AccessCounts *c)
+{
+    fprintf(s->out, "%s: %u served", label, c->served);
     for (uint32_t i = 1; i < CP_REASON_COUNT; i++) {
-        if (reasons[i] > 0) {
-            fprintf(s->out, ", %u %s", reasons[i], CpReason_Name(i));
+        if (c->reasons[i] > 0) {
+            fprintf(s->out, ", %u %s", c->reasons[i], CpReason_Name(i));
         }
     }
-    fprintf(s->out, "; %u differ, %u denied though allowed\n", differ, wrong);
+    fprintf(s->out, "; %u differ, %u denied though allowed\n", c->differ,
+            c->wrong);
 }
 
 /* Changes some routes and keys of the configuration before. */
--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -81,6 +81,7 @@
 static CpReason decide_access(CpEntry *e, const CpRequest *rq,
                               CpRoutes **routes, int64_t *since_ns,
                               CpRouteAccess *out);
+static CpRouteRequest describe_request(CpEntry *e, const CpRequest *rq);
 static void note_access(CpEntry *e, const CpRequest *rq, const CpRoutes *r,
                         CpReason reason);
 static void take_token_and_dispatch(CpEntry *e, CpRequest *rq, RequestState *s,
@@ -297,25 +298,14 @@
 {
     CpEntry *e = ctx;
     RequestState *s = rq->policy_data;
-    const CpOrg *org;
     if (s->org == NULL) {
         return true;
     }
-    int64_t now_ns = CpClock_Now_ns();
-    s->refusal = CpFreshness_IsFresh(e->freshness, now_ns)
-                     ? CP_REASON_NONE
-                     : CP_REASON_KEY_NOT_FRESH;
-    bool may_deny = CpFreshness_MayDeny(e->freshness, now_ns);
+    const CpRouteRequest request = describe_request(e, rq);
     CpRoutes *r = CpEntry_RetainRoutes(e, NULL);
-    if (s->refusal == CP_REASON_NONE && r != s->routes && r->orgs != NULL) {
-        org = CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key));
-        s->refusal = org != NULL && strcmp(org->name, s->org->name) == 0
-                         ? CP_REASON_NONE
-                     : may_deny ? CP_REASON_KEY_REJECTED
-                                : CP_REASON_NOT_CURRENT;
-        if (s->refusal == CP_REASON_KEY_REJECTED) {
-            note_denial(e, rq, r, CP_DENIAL_KEY_WITHDRAWN);
-        }
+    s->refusal = CpRoutes_DecideAgain(r, &request, s->org);
+    if (s->refusal == CP_REASON_KEY_REJECTED) {
+        note_denial(e, rq, r, CP_DENIAL_KEY_WITHDRAWN);
     }
     CpRoutes_Release(r);
     return s->refusal == CP_REASON_NONE;
@@ -453,22 +443,28 @@
     CpRoutes_Release(r);
 }
 
-/* Looks at how fresh the configuration is before the configuration itself: one
- * that comes into force in between is at least as fresh. Sets *routes, which
- * the caller releases. */
+/* Sets *routes, which the caller releases. */
 static CpReason
 decide_access(CpEntry *e, const CpRequest *rq, CpRoutes **routes,
               int64_t *since_ns, CpRouteAccess *out)
+{
+    const CpRouteRequest request = describe_request(e, rq);
+    *routes = CpEntry_RetainRoutes(e, since_ns);
+    return CpRoutes_Decide(*routes, &request, out);
+}
+
+/* Looks at how fresh the configuration is; to be called before it is looked at
+ * itself: one that comes into force in between is at least as fresh. */
+static CpRouteRequest
+describe_request(CpEntry *e, const CpRequest *rq)
 {
     int64_t now_ns = CpClock_Now_ns();
-    const CpRouteRequest request = {
+    return (CpRouteRequest){
         .host = rq->host,
         .target = rq->target,
         .key = rq->key,
         .is_fresh = CpFreshness_IsFresh(e->freshness, now_ns),
         .may_deny = CpFreshness_MayDeny(e->freshness, now_ns)};
-    *routes = CpEntry_RetainRoutes(e, since_ns);
-    return CpRoutes_Decide(*routes, &request, out);
 }
 
 /* Notes a request that the configuration does not let through. */
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -103,6 +103,11 @@
  * NULL. */
 CpReason CpRoutes_Decide(const CpRoutes *r, const CpRouteRequest *rq,
                          CpRouteAccess *out);
+/* Decides whether a request that was let through for an organisation may still
+ * be sent for it. One that is now allowed in another way is refused, so that
+ * its caller sends it again. */
+CpReason CpRoutes_DecideAgain(const CpRoutes *r, const CpRouteRequest *rq,
+                              const CpOrg *decided);
 /* Returns true if a route of the host name has the region as a home. */
 bool CpRoutes_IsHomeRegion(const CpRoutes *r, const char *host,
                            const char *region);
--- a/src/route/route_access.c
+++ b/src/route/route_access.c
@@ -34,3 +34,25 @@
     }
     return CP_REASON_NONE;
 }
+
+/* Only what depends on the key is looked at again: a route that was changed
+ * since applies to later requests. */
+CpReason
+CpRoutes_DecideAgain(const CpRoutes *r, const CpRouteRequest *rq,
+                     const CpOrg *decided)
+{
+    if (!rq->is_fresh) {
+        return CP_REASON_KEY_NOT_FRESH;
+    }
+    if (r->orgs == NULL) {
+        return CP_REASON_NONE;
+    }
+    const CpOrg *org = CpOrgTable_FindByKey(r->orgs, rq->key, strlen(rq->key));
+    if (org != NULL && strcmp(org->name, decided->name) == 0) {
+        return CP_REASON_NONE;
+    }
+    const CpRoute *route = CpRoutes_Match(r, rq->host, rq->target);
+    bool is_allowed = org != NULL || (route != NULL && route->is_public);
+    return is_allowed || !rq->may_deny ? CP_REASON_NOT_CURRENT
+                                       : CP_REASON_KEY_REJECTED;
+}
