--- a/src/config/config.h
+++ b/src/config/config.h
@@ -67,9 +67,9 @@
     bool first_start; /* the hosts start together for the first time */
     /* how long a withdrawn key may still be accepted; 0: no bound */
     uint32_t revocation_bound_ms;
-    uint32_t denial_bound_ms;
-    uint32_t lapse_ms; /* after a store outage, before missing
-                          server entries are removed */
+    uint32_t denial_bound_ms; /* of the copy that a request is denied from */
+    uint32_t lapse_ms;        /* after a store outage, before missing
+                                 server entries are removed */
     /* Window over which the limits of organisations hold; 0: not enforced. */
     uint32_t quota_window_s;
     char quota_overshoot[16]; /* allowed, as a fraction of the limit; "": 0 */
--- a/src/org/org.h
+++ b/src/org/org.h
@@ -99,7 +99,7 @@
 typedef struct CpFreshness CpFreshness;
 typedef struct {
     uint32_t bound_ms;        /* 0: requests need no fresh copy */
-    uint32_t denial_bound_ms; /* 0: denials need no fresh copy */
+    uint32_t denial_bound_ms; /* 0: a request is denied whatever is known */
     uint64_t incarnation;     /* of this process, in its queries */
 } CpFreshnessOptions;
 
