org, entry, http: comments of the bound for denials

Cause: a reader had to guess which part of the bound a constant is, and what the version is compared with. Change: comments only.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -25,8 +25,8 @@
 #define MAX_NOT_RUN_ATTEMPTS 3
 #define TARGET_LOG_BYTES 128 /* of a path in log lines */
 #define NOT_CONFIGURED_RETRY_AFTER_MS 500
-/* Retry-After of a refusal that names none, for each second of its reason's:
- * callers come back to another host. */
+/* Retry-After of a refusal without one of its own, for each second that is set
+ * for its reason. It is short, as callers come back to another host. */
 #define RETRY_AFTER_UNIT_MS 200
 
 /* The policy's state of one request. */
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -76,8 +76,8 @@
     CpBudget *budget;         /* of the host; limits the connections, too */
     /* Looks up a kind of work; CP_REASON_NONE if it was found. */
     CpReason (*find_kind)(void *ctx, const char *name, CpKindInfo *out);
-    /* Returns true if no later version is known, and none can have been in
-     * force for long. */
+    /* Returns true if the version is the latest one, as far as the store told
+     * a short time ago and other hosts have reported. */
     bool (*is_current)(void *ctx, uint64_t version);
     /* Consumes one reference and delivers a head to the exchange later. */
     void (*submit)(void *ctx, CpExchange *ex);
--- a/src/org/org.h
+++ b/src/org/org.h
@@ -163,7 +163,8 @@
 bool CpFreshness_IsFresh(CpFreshness *f, int64_t now_ns);
 /* Returns true if a request may be denied for what the configuration lacks:
  * the copy is not known to be outdated, and was confirmed within the bound for
- * denials. Call it before the configuration is looked at, too. */
+ * denials. As with CpFreshness_IsFresh(), call it before the configuration is
+ * looked at. */
 bool CpFreshness_MayDeny(CpFreshness *f, int64_t now_ns);
 /* Returns the age of the last confirmation; -1: none. */
 int64_t CpFreshness_Age_ns(CpFreshness *f, int64_t now_ns);
--- a/src/org/org_freshness.c
+++ b/src/org/org_freshness.c
@@ -10,8 +10,8 @@
  * confirmation is up to twice as old when the next one arrives, and other
  * hosts' queries and a failed call have to fit in the rest. */
 #define FIRST_WAIT_DIVISOR 4
-/* The same for denials, where a failed call leads to a retry at another host.
- */
+/* The same part of the bound for denials. It leaves no time for a failed call:
+ * then a request is refused, and its caller tries another host. */
 #define DENIAL_WAIT_DIVISOR 3
 /* Of a call that is to return soon, without rows. */
 #define PROBE_WAIT_MS 100
