tools: the crowd of readers is waited for until nothing more can be sent to it

The host closes a connection for the memory it needs once that has made no progress for 0.5 s (docs/OPERATIONS.md, docs/design/memory-budget.md). The test asked three times within 1 s of the moment at which the readers had sent their requests, while the host still sent to them. Ruled out: a host that does not close idle readers. A trace of the send queues and of a request each 0.15 s: the queues last moved at 0.57 s, a request was answered at 1.1 s and from then on. Change: crowd waits, for readers, until the host's send queues have not moved for 0.2 s.

--- a/tools/crowd.sh
+++ b/tools/crowd.sh
@@ -37,14 +37,27 @@
 }
 
 # crowd KIND COUNT KB ADDRESS TARGET: starts a group of callers that stay until
-# crowd_ends, and waits until it has sent all that it sends.
+# crowd_ends, and waits until it has sent all that it sends and, if it reads
+# nothing, until the host can send it nothing more.
 crowds=0
 crowd() {
     crowds=$((crowds + 1))
     spawn "crowd$crowds" "$B/standin-crowd" --kind "$1" --count "$2" --kb "$3" --target "$5" --seconds 100 "$4"
     wait_for 30 crowd_settled
+    [ "$1" != reader ] || wait_for 30 crowd_rests "$4"
 }
 crowd_settled() { grep -q settled "$W/crowd$crowds.out" || [ -e "$W/over" ]; }
+# crowd_rests ADDRESS: whether nothing moves for 0.2 s in the send queues of the
+# address, a host's.
+crowd_rests() {
+    crowd_queues=$(send_queues "$1")
+    sleep 0.2
+    [ "$(send_queues "$1")" = "$crowd_queues" ]
+}
+send_queues() {
+    queues_of=$(printf '%02X%02X%02X%02X:%04X' $(echo "$1" | awk -F'[.:]' '{print $4, $3, $2, $1, $5}'))
+    awk -v address="$queues_of" '$2 == address && $4 == "01" {print $3, $5}' /proc/net/tcp | sort
+}
 crowd_ends() {
     while [ "$crowds" -gt 0 ]; do
         end "crowd$crowds" KILL
