proxy, entry: a body is refused for good only by the latest limit

What callers saw: 413, which they do not repeat, for a body that the operator's latest limit allows, from a host whose copy of the configuration is old. Change: beyond the limit the proxy asks its policy (on_large_body), which looks whether the copy may deny before it reads the limit again. An outdated copy gives 503 not_current, or 502 once an attempt was begun, as 503 promises that the request was not run; a limit that has been raised lets the body through.

--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -77,6 +77,8 @@
 static void on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns);
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
+static bool on_large_body(void *ctx, uint64_t body_bytes, CpProxyAction *out);
+static CpProxyAction refusal(CpReason reason);
 static void get_limits(void *ctx, CpRouteLimits *out);
 static CpReason decide_access(CpEntry *e, const CpRequest *rq,
                               CpRoutes **routes, int64_t *since_ns,
@@ -133,6 +135,7 @@
                            .on_deadline = on_deadline,
                            .on_cancelled = on_cancelled,
                            .on_request_ended = on_request_ended,
+                           .on_large_body = on_large_body,
                            .get_limits = get_limits,
                            .ctx = e};
 }
@@ -147,11 +150,7 @@
     bool refused = access.route != NULL && (reason == CP_REASON_KEY_REJECTED ||
                                             reason == CP_REASON_NOT_CURRENT);
     if (refused) {
-        *out =
-            (CpProxyAction){.type = CP_ACTION_FAIL,
-                            .reason = reason,
-                            .retry_after_ms = CpReason_RetryAfter_s(reason) *
-                                              RETRY_AFTER_UNIT_MS};
+        *out = refusal(reason);
         note_access(ctx, rq, r, reason);
         CpCounter_AddReason(reason, access.route->rank);
         CpEvent(CP_EVENT_REFUSED, "ended", "s:s,s:s,s:s,s:i", "request",
@@ -432,6 +431,33 @@
     }
 }
 
+/* A limit that may be outdated refuses nothing for good. */
+static bool
+on_large_body(void *ctx, uint64_t body_bytes, CpProxyAction *out)
+{
+    CpEntry *e = ctx;
+    CpRouteLimits limits;
+    /* before the limit is read, as in describe_request() */
+    bool may_deny = CpFreshness_MayDeny(e->freshness, CpClock_Now_ns());
+    get_limits(e, &limits);
+    if (body_bytes <= limits.max_body_bytes) {
+        return true;
+    }
+    *out =
+        refusal(may_deny ? CP_REASON_BODY_TOO_LARGE : CP_REASON_NOT_CURRENT);
+    return false;
+}
+
+/* Returns the failure of a request that was not sent to a server. */
+static CpProxyAction
+refusal(CpReason reason)
+{
+    return (CpProxyAction){.type = CP_ACTION_FAIL,
+                           .reason = reason,
+                           .retry_after_ms = CpReason_RetryAfter_s(reason) *
+                                             RETRY_AFTER_UNIT_MS};
+}
+
 static void
 get_limits(void *ctx, CpRouteLimits *out)
 {
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -151,6 +151,10 @@
     /* The response was sent, or the caller disconnected. */
     void (*on_request_ended)(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
+    /* A body has more bytes than the limit that was read with its head.
+     * Returns false and sets the failure if the request is refused; true: the
+     * limit has been raised. */
+    bool (*on_large_body)(void *ctx, uint64_t body_bytes, CpProxyAction *out);
     /* Gets the limits of requests now in force. */
     void (*get_limits)(void *ctx, CpRouteLimits *out);
     void *ctx;
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -35,6 +35,8 @@
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
                          enum MHD_RequestTerminationCode code);
 static bool read_head(CpProxyExchange *ex, const char *method);
+static bool accepts_body(CpProxyExchange *ex, uint64_t body_bytes,
+                         CpDenial denial, CpProxyAction *out);
 static uint32_t head_room_bytes(struct MHD_Connection *conn);
 static bool reserve_request(CpProxyExchange *ex);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
@@ -45,6 +47,8 @@
 static void set_denial(CpProxyExchange *ex, CpReason reason, CpDenial denial);
 static void note_denial(const CpProxyExchange *ex, CpReason reason,
                         CpDenial denial);
+static void stop_work(CpProxyExchange *ex);
+static void respond_early(CpProxyExchange *ex);
 static void set_failure(CpProxyExchange *ex, CpReason reason, uint32_t status);
 static enum MHD_Result queue_response(CpProxyExchange *ex);
 static struct MHD_Response *server_response(CpProxyExchange *ex);
@@ -365,8 +369,10 @@
         ex->decided = true;
         return false;
     }
-    if (length != NULL && strtoull(length, NULL, 10) > limits.max_body_bytes) {
-        set_denial(ex, CP_REASON_BODY_TOO_LARGE, CP_DENIAL_LENGTH);
+    if (length != NULL && !accepts_body(ex, strtoull(length, NULL, 10),
+                                        CP_DENIAL_LENGTH, &ex->action)) {
+        CpCounter_AddReason(ex->action.reason, 0);
+        ex->decided = true;
         return false;
     }
     ex->announced_bytes =
@@ -378,6 +384,25 @@
     return reserve_request(ex);
 }
 
+/* Returns false and sets the failure if a body of so many bytes is refused. */
+static bool
+accepts_body(CpProxyExchange *ex, uint64_t body_bytes, CpDenial denial,
+             CpProxyAction *out)
+{
+    const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
+    if (body_bytes <= ex->max_body_bytes) {
+        return true;
+    }
+    if (p->on_large_body(p->ctx, body_bytes, out)) {
+        ex->max_body_bytes = body_bytes;
+        return true;
+    }
+    if (out->reason == CP_REASON_BODY_TOO_LARGE) {
+        note_denial(ex, out->reason, denial);
+    }
+    return false;
+}
+
 /* Returns how much of the connection's buffer is left for the head of a
  * response. The daemon reads into half of it, or more for a longer head; other
  * bytes than the head's may wait there. */
@@ -484,6 +509,28 @@
 
 void
 CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason)
+{
+    stop_work(ex);
+    set_failure(ex, reason, 0);
+    respond_early(ex);
+}
+
+bool
+CpProxyFront_CheckBody(CpProxyExchange *ex, uint64_t body_bytes)
+{
+    CpProxyAction action = {0};
+    if (accepts_body(ex, body_bytes, CP_DENIAL_BODY, &action)) {
+        return true;
+    }
+    stop_work(ex);
+    ex->decided = true;
+    ex->action = action;
+    respond_early(ex);
+    return false;
+}
+
+static void
+stop_work(CpProxyExchange *ex)
 {
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
     if (ex->attempt.easy != NULL) {
@@ -493,7 +540,16 @@
     }
     CpProxyBody_Clear(&ex->body, ex->caller);
     ex->waiting = false;
-    set_failure(ex, reason, 0);
+}
+
+/* Responds with the failure before the body was received. 503 promises that
+ * the request was not run, so it is sent only if no attempt was begun. */
+static void
+respond_early(CpProxyExchange *ex)
+{
+    if (ex->attempts > 0 && CpReason_HttpStatus(ex->action.reason) == 503) {
+        ex->action.status = 502;
+    }
     if (!ex->started) {
         CpProxyFront_Begin(ex);
     }
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -39,8 +39,7 @@
         *n = 0;
         return;
     }
-    if (ex->received_bytes + *n > ex->max_body_bytes) {
-        CpProxyFront_Deny(ex, CP_REASON_BODY_TOO_LARGE, CP_DENIAL_BODY);
+    if (!CpProxyFront_CheckBody(ex, ex->received_bytes + *n)) {
         *n = 0;
         return;
     }
