proxy/attempt: 3xx and 4xx need the server's seal

What callers saw: a final status that no server had sealed, passed on as the server's: to them it is one of the host's own. Cause: the seal was asked for on a success only. Change: a response below 500 without a seal is no response to the request: it is retried where that is allowed, else 502. The stand-in's mode "unsealed" takes a status. Before / after: system/routes_unsealed: 302, 400, 401, 404, 409, 410 and 413 were passed on, 14 of 14; now 502, 14 of 14. Sealed ones are passed on as before.

--- a/src/proxy/proxy_attempt.c
+++ b/src/proxy/proxy_attempt.c
@@ -1,6 +1,6 @@
 /*
  * Attempts at backend servers. A response is accepted only if it has the id of
- * its request, is sealed by the server if it is a success, and is complete. A
+ * its request, is sealed by the server unless it is 5xx, and is complete. A
  * small response is buffered before any of it is forwarded, so that the
  * request can be retried if the response breaks off. A large one is streamed,
  * because its caller would otherwise wait for it twice; if it breaks off, the
@@ -574,7 +574,8 @@
 }
 
 /* Returns true if the head is a response to this request. A refusal may lack
- * the request's id: the server may not have read it. */
+ * the request's id: the server may not have read it. Without a seal only 5xx
+ * is passed on: to the caller, 3xx and 4xx are final. */
 static bool
 is_valid_head(const CpProxyAttempt *a)
 {
@@ -584,7 +585,7 @@
     if (a->status == 421 || a->not_run) {
         return true;
     }
-    return a->id_matches && (a->sealed || a->status >= 300);
+    return a->id_matches && (a->sealed || a->status >= 500);
 }
 
 static size_t
--- a/standin/standin_routed.c
+++ b/standin/standin_routed.c
@@ -12,11 +12,11 @@
  *
  * /control?mode=M&ms=N&times=K sets the failure mode of the server addressed,
  * for its next K requests if K is given, and its service time; status=N is the
- * status of its responses in the mode "status"; instance=I changes its
- * instance name; leaving=1 makes its responses announce that it leaves, and
- * work=N makes its service time N percent and tells so in its load;
- * retry_after=TEXT adds that to its refusals; deaf=1 makes connections to the
- * server hang until the process ends.
+ * status of its responses in the modes "status" and "unsealed"; instance=I
+ * changes its instance name; leaving=1 makes its responses announce that it
+ * leaves, and work=N makes its service time N percent and tells so in its
+ * load; retry_after=TEXT adds that to its refusals; deaf=1 makes connections
+ * to the server hang until the process ends.
  *
  * /health responds with the server's load.
  *
@@ -427,7 +427,8 @@
     }
     s->service_ms = CpStandin_GetQueryNumber(conn, "ms", s->service_ms);
     s->mode_requests_left = CpStandin_GetQueryNumber(conn, "times", 0);
-    s->status = (uint32_t)CpStandin_GetQueryNumber(conn, "status", 500);
+    s->status = (uint32_t)CpStandin_GetQueryNumber(
+        conn, "status", s->mode == MODE_UNSEALED ? 200 : 500);
     const char *instance =
         CpStandin_GetQueryText(conn, "instance", s->instance);
     CpStr_Copy(s->instance, sizeof(s->instance), instance);
@@ -593,9 +594,9 @@
         record_head(conn, id);
     }
     Mode mode = s->mode;
-    uint32_t status = mode == MODE_STATUS  ? s->status
-                      : mode == MODE_ERROR ? 500
-                                           : 200;
+    uint32_t status = mode == MODE_STATUS || mode == MODE_UNSEALED ? s->status
+                      : mode == MODE_ERROR                         ? 500
+                                                                   : 200;
     if (s->mode_requests_left > 0 && --s->mode_requests_left == 0) {
         s->mode = MODE_OK;
     }
