--- a/src/entry/entry_rows.c
+++ b/src/entry/entry_rows.c
@@ -115,10 +115,8 @@
         e->routes_since_ns = CpClock_Now_ns();
     }
     pthread_mutex_unlock(&e->routes_lock);
-    if (supersedes || next->version == old_version) {
-        CpEntryFollow_SetRejected(e, false);
-    }
     if (supersedes) {
+        CpEntryFollow_SetRejected(e, false);
         CpFreshness_SetHasKeys(e->freshness,
                                next->orgs != NULL &&
                                    CpOrgTable_CountKeys(next->orgs) > 0);
