--- a/src/entry/entry_request.c
+++ b/src/entry/entry_request.c
@@ -77,7 +77,8 @@
 static void on_cancelled(void *ctx, CpRequest *rq, int64_t latency_ns);
 static void on_request_ended(void *ctx, CpRequest *rq,
                              const CpRequestResult *result);
-static bool on_large_body(void *ctx, uint64_t body_bytes, CpProxyAction *out);
+static bool on_large_body(void *ctx, const CpRequest *rq, uint64_t body_bytes,
+                          CpProxyAction *out);
 static CpProxyAction refusal(CpReason reason);
 static void get_limits(void *ctx, CpRouteLimits *out);
 static CpReason decide_access(CpEntry *e, const CpRequest *rq,
@@ -433,7 +434,8 @@
 
 /* A limit that may be outdated refuses nothing for good. */
 static bool
-on_large_body(void *ctx, uint64_t body_bytes, CpProxyAction *out)
+on_large_body(void *ctx, const CpRequest *rq, uint64_t body_bytes,
+              CpProxyAction *out)
 {
     CpEntry *e = ctx;
     CpRouteLimits limits;
@@ -445,10 +447,14 @@
     }
     *out =
         refusal(may_deny ? CP_REASON_BODY_TOO_LARGE : CP_REASON_NOT_CURRENT);
+    CpEvent(CP_EVENT_REFUSED, "body_over_limit", "s:s,s:s,s:I,s:I", "request",
+            rq->id, "reason", CpReason_Name(out->reason), "body_bytes",
+            (json_int_t)body_bytes, "max_body_bytes",
+            (json_int_t)limits.max_body_bytes);
     return false;
 }
 
-/* Returns the failure of a request that was not sent to a server. */
+/* Returns the failure of a request that is refused before its body is read. */
 static CpProxyAction
 refusal(CpReason reason)
 {
--- a/src/http/http_front.c
+++ b/src/http/http_front.c
@@ -625,7 +625,8 @@
                                 f->options.render_ticket(f->options.ctx));
 }
 
-/* Refuses a request before its submission, without reading the body. */
+/* Refuses a request without reading the rest of its body. 503 promises that it
+ * was not run. */
 static enum MHD_Result
 refuse_early(Call *c)
 {
@@ -633,6 +634,9 @@
                            .verdict =
                                c->submitted ? CP_MAY_HAVE_RUN : CP_NOT_RUN,
                            .reason = c->early_refusal};
+    if (c->submitted && head.status == 503) {
+        head.status = 502;
+    }
     CpCounter_AddReason(c->early_refusal, c->ex->rank);
     return CpResponse_QueueRefusal(c->conn, &head);
 }
--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -154,7 +154,8 @@
     /* A body has more bytes than the limit that was read with its head.
      * Returns false and sets the failure if the request is refused; true: the
      * limit has been raised. */
-    bool (*on_large_body)(void *ctx, uint64_t body_bytes, CpProxyAction *out);
+    bool (*on_large_body)(void *ctx, const CpRequest *rq, uint64_t body_bytes,
+                          CpProxyAction *out);
     /* Gets the limits of requests now in force. */
     void (*get_limits)(void *ctx, CpRouteLimits *out);
     void *ctx;
--- a/src/proxy/proxy_front.c
+++ b/src/proxy/proxy_front.c
@@ -35,8 +35,8 @@
 static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
                          enum MHD_RequestTerminationCode code);
 static bool read_head(CpProxyExchange *ex, const char *method);
-static bool accepts_body(CpProxyExchange *ex, uint64_t body_bytes,
-                         CpDenial denial, CpProxyAction *out);
+static bool decide_body(CpProxyExchange *ex, uint64_t body_bytes,
+                        CpDenial denial, CpProxyAction *out);
 static uint32_t head_room_bytes(struct MHD_Connection *conn);
 static bool reserve_request(CpProxyExchange *ex);
 static enum MHD_Result on_header(void *ctx, enum MHD_ValueKind kind,
@@ -369,8 +369,8 @@
         ex->decided = true;
         return false;
     }
-    if (length != NULL && !accepts_body(ex, strtoull(length, NULL, 10),
-                                        CP_DENIAL_LENGTH, &ex->action)) {
+    if (length != NULL && !decide_body(ex, strtoull(length, NULL, 10),
+                                       CP_DENIAL_LENGTH, &ex->action)) {
         CpCounter_AddReason(ex->action.reason, 0);
         ex->decided = true;
         return false;
@@ -384,17 +384,20 @@
     return reserve_request(ex);
 }
 
-/* Returns false and sets the failure if a body of so many bytes is refused. */
+/* Decides whether a body of so many bytes is accepted; else sets the failure.
+ * The limit is that of the head, until a body exceeds it. */
 static bool
-accepts_body(CpProxyExchange *ex, uint64_t body_bytes, CpDenial denial,
-             CpProxyAction *out)
+decide_body(CpProxyExchange *ex, uint64_t body_bytes, CpDenial denial,
+            CpProxyAction *out)
 {
     const CpProxyPolicy *p = &ex->worker->proxy->options.policy;
+    CpRouteLimits limits = {0};
     if (body_bytes <= ex->max_body_bytes) {
         return true;
     }
-    if (p->on_large_body(p->ctx, body_bytes, out)) {
-        ex->max_body_bytes = body_bytes;
+    if (p->on_large_body(p->ctx, &ex->request, body_bytes, out)) {
+        p->get_limits(p->ctx, &limits);
+        ex->max_body_bytes = limits.max_body_bytes;
         return true;
     }
     if (out->reason == CP_REASON_BODY_TOO_LARGE) {
@@ -516,15 +519,15 @@
 }
 
 bool
-CpProxyFront_CheckBody(CpProxyExchange *ex, uint64_t body_bytes)
+CpProxyFront_AcceptBody(CpProxyExchange *ex, uint64_t body_bytes)
 {
-    CpProxyAction action = {0};
-    if (accepts_body(ex, body_bytes, CP_DENIAL_BODY, &action)) {
+    CpProxyAction failure = {0};
+    if (decide_body(ex, body_bytes, CP_DENIAL_BODY, &failure)) {
         return true;
     }
     stop_work(ex);
     ex->decided = true;
-    ex->action = action;
+    ex->action = failure;
     respond_early(ex);
     return false;
 }
--- a/src/proxy/proxy_int.h
+++ b/src/proxy/proxy_int.h
@@ -203,9 +203,8 @@
 
 /* Ends a request that cannot be served before its body was received. */
 void CpProxyFront_Refuse(CpProxyExchange *ex, CpReason reason);
-/* Returns false if a body of so many bytes is refused; the request has then
- * ended. */
-bool CpProxyFront_CheckBody(CpProxyExchange *ex, uint64_t body_bytes);
+/* Ends the request and returns false if a body of so many bytes is refused. */
+bool CpProxyFront_AcceptBody(CpProxyExchange *ex, uint64_t body_bytes);
 /* Refuses a request for what it is, and counts and logs why. */
 void CpProxyFront_Deny(CpProxyExchange *ex, CpReason reason, CpDenial denial);
 /* Adds a request to the worker's list and lets the policy decide on it. */
--- a/src/proxy/proxy_upload.c
+++ b/src/proxy/proxy_upload.c
@@ -39,7 +39,7 @@
         *n = 0;
         return;
     }
-    if (!CpProxyFront_CheckBody(ex, ex->received_bytes + *n)) {
+    if (!CpProxyFront_AcceptBody(ex, ex->received_bytes + *n)) {
         *n = 0;
         return;
     }
--- a/tools/crowd.sh
+++ b/tools/crowd.sh
@@ -37,27 +37,14 @@
 }
 
 # crowd KIND COUNT KB ADDRESS TARGET: starts a group of callers that stay until
-# crowd_ends, and waits until it has sent all that it sends and, if it reads
-# nothing, until the host can send it nothing more.
+# crowd_ends, and waits until it has sent all that it sends.
 crowds=0
 crowd() {
     crowds=$((crowds + 1))
     spawn "crowd$crowds" "$B/standin-crowd" --kind "$1" --count "$2" --kb "$3" --target "$5" --seconds 100 "$4"
     wait_for 30 crowd_settled
-    [ "$1" != reader ] || wait_for 30 crowd_rests "$4"
 }
 crowd_settled() { grep -q settled "$W/crowd$crowds.out" || [ -e "$W/over" ]; }
-# crowd_rests ADDRESS: whether nothing moves for 0.2 s in the send queues of the
-# address, a host's.
-crowd_rests() {
-    crowd_queues=$(send_queues "$1")
-    sleep 0.2
-    [ "$(send_queues "$1")" = "$crowd_queues" ]
-}
-send_queues() {
-    queues_of=$(printf '%02X%02X%02X%02X:%04X' $(echo "$1" | awk -F'[.:]' '{print $4, $3, $2, $1, $5}'))
-    awk -v address="$queues_of" '$2 == address && $4 == "01" {print $3, $5}' /proc/net/tcp | sort
-}
 crowd_ends() {
     while [ "$crowds" -gt 0 ]; do
         end "crowd$crowds" KILL
@@ -82,6 +69,31 @@
     done
     echo "no answer"
 }
+# report_answer_in_time ADDRESS COMMAND...: the same for a crowd that reads nothing.
+# An idle connection gives way after 0.5 s: the command, repeated, is to be answered
+# when it begins within 1 s of the last bytes that the host could send, or is one of
+# the first three after them.
+report_answer_in_time() {
+    crowd_entry=$1
+    shift
+    list_send_queues "$crowd_entry" >"$W/queues"
+    moved_ms=$(date +%s%3N) attempts=0
+    while [ "$attempts" -lt 3 ] || [ $(($(date +%s%3N) - moved_ms)) -lt 1000 ]; do
+        "$@" 2>/dev/null | grep -q ^200 && echo "an ordinary request is answered" && return
+        attempts=$((attempts + 1))
+        sleep 0.05
+        list_send_queues "$crowd_entry" >"$W/queues.now"
+        # of the connections that are still open
+        join "$W/queues" "$W/queues.now" | awk '$2 != $3 {moved = 1} END {exit !moved}' && moved_ms=$(date +%s%3N) attempts=0
+        mv "$W/queues.now" "$W/queues"
+    done
+    echo "no answer"
+}
+# list_send_queues ADDRESS: the callers of a host, and how much waits for each.
+list_send_queues() {
+    socket=$(printf '%02X%02X%02X%02X:%04X' $(echo "$1" | awk -F'[.:]' '{print $4, $3, $2, $1, $5}'))
+    awk -v socket="$socket" '$2 == socket && $4 == "01" {print $3, substr($5, 1, 8)}' /proc/net/tcp | sort
+}
 # An ordinary request to either kind of host.
 ask_route() { send_request na-1 "ask$RANDOM$RANDOM" GET /read/1 -m 3; }
 ask_kind() { curl -s -m 3 -o /dev/null -w '%{http_code}\n' "http://$ENTRY/run/read/x"; }
