entry: a late report of a former process does not shut out its successor

Cause: which incarnation is the later one was taken from the order in which a row and a report arrived, though they come over two channels. The removal of the row had also removed the host's former incarnation. na-2 woke with the new row and the former process's reports waiting: the row was read first, a report of the former process was taken for a restart, and the incarnation of the row was then "previous", whose reports are refused, until another row came. The same with a process that ended before its row was read, and with a row that is read after a later process has reported. In the log of na-2 the row is read at 510,342 ms, as it woke, and the last accepted report came at 510,343. That this was the former process's report is inferred from code and order; reports are not logged. Ruled out: the row or the reports did not arrive: the row was read, and na-1 kept wa-1. Faults of the membership table (src/member): routes do not use it. Change: a row ends the incarnation of the row before it, also if that was removed meanwhile: the cached row keeps its value. An incarnation that has only a row is not taken for a former one when another reports. A row replaces the reports only of the process whose row it replaces.

--- a/src/entry/entry_hosts.c
+++ b/src/entry/entry_hosts.c
@@ -37,6 +37,8 @@
                                  uint32_t own_hosts, int64_t now_ns);
 static bool is_domain_silent(const CpEntry *e, const char *domain);
 static bool decode_host(const CpFeedRow *row, CpEntryHost *out);
+static void keep_reported(CpEntryHost *next, const CpEntryHost *host);
+static uint64_t replaced_incarnation(CpEntry *e, const char *name);
 static char *encode_host(const CpEntry *e);
 static bool is_table_read(CpEntry *e);
 static const char *region_of(const CpEntry *e, const char *domain);
@@ -156,6 +158,7 @@
                 row->key, "row_version", (json_int_t)row->version);
     }
     bool is_own = strcmp(row->key, e->settings.host) == 0;
+    uint64_t replaced = usable ? replaced_incarnation(e, row->key) : 0;
     pthread_mutex_lock(&e->hosts_lock);
     CpEntryHost *host = find_host(e, row->key);
     if (is_own && !is_table_read(e)) {
@@ -166,12 +169,9 @@
         g_ptr_array_add(e->hosts, host);
     }
     if (usable) {
-        bool same = host->incarnation == next.incarnation;
-        next.previous_incarnation =
-            same ? host->previous_incarnation : host->incarnation;
-        next.last_report_sequence = same ? host->last_report_sequence : 0;
-        next.last_report_ns = same ? host->last_report_ns : 0;
-        next.last_watching_ns = same ? host->last_watching_ns : 0;
+        next.replaced_incarnation =
+            replaced != next.incarnation ? replaced : 0;
+        keep_reported(&next, host);
         next.row_read_ns = CpClock_Now_ns();
         *host = next;
     }
@@ -322,11 +322,14 @@
     CpEntryHost *h = find_host(e, name);
     if (h != NULL) {
         bool restarted = incarnation != h->incarnation;
-        later = restarted ? incarnation != h->previous_incarnation
+        later = restarted ? incarnation != h->previous_incarnation &&
+                                incarnation != h->replaced_incarnation
                           : sequence > h->last_report_sequence;
         if (later) {
-            h->previous_incarnation =
-                restarted ? h->incarnation : h->previous_incarnation;
+            /* One that has only a row may be the later one. */
+            if (restarted && h->last_report_ns > 0) {
+                h->previous_incarnation = h->incarnation;
+            }
             h->incarnation = incarnation;
             h->last_report_sequence = sequence;
             h->leaving = leaving;
@@ -680,6 +683,42 @@
     return ok;
 }
 
+/* Keeps the reports that were received, unless their process has ended: one
+ * that is neither that of this row nor that of the row before may be later
+ * than this row. */
+static void
+keep_reported(CpEntryHost *next, const CpEntryHost *host)
+{
+    next->previous_incarnation =
+        host->previous_incarnation != next->incarnation
+            ? host->previous_incarnation
+            : 0;
+    if (host->last_report_ns > 0 &&
+        host->incarnation != next->replaced_incarnation) {
+        next->incarnation = host->incarnation;
+        next->last_report_sequence = host->last_report_sequence;
+        next->last_report_ns = host->last_report_ns;
+        next->last_watching_ns = host->last_watching_ns;
+    }
+}
+
+/* Returns the incarnation of a host's row before the present one, which may
+ * have been removed since; 0 if it is not known. */
+static uint64_t
+replaced_incarnation(CpEntry *e, const char *name)
+{
+    CpEntryHost host = {0};
+    char *value =
+        CpEntryNeighbours_GetLastValue(&e->followers[CP_TABLE_HOSTS], name);
+    if (value != NULL) {
+        const CpFeedRow row = {
+            .key = name, .value = value, .value_bytes = strlen(value)};
+        decode_host(&row, &host);
+    }
+    g_free(value);
+    return host.incarnation;
+}
+
 static char *
 encode_host(const CpEntry *e)
 {
--- a/src/entry/entry_int.h
+++ b/src/entry/entry_int.h
@@ -22,7 +22,9 @@
     char inner[CP_ADDR_BYTES];
     char control[CP_ADDR_BYTES]; /* "": none */
     uint64_t incarnation;
-    uint64_t previous_incarnation; /* its reports are late; 0: none */
+    /* Reports of these two are late; 0: none. */
+    uint64_t previous_incarnation; /* that reported before this one */
+    uint64_t replaced_incarnation; /* of the row before */
     bool leaving;
     bool silent; /* its reports have timed out */
     uint64_t last_report_sequence;
@@ -223,6 +225,9 @@
  * of the row is held, as copies of other hosts may lag. */
 CpEraDecision CpEntryNeighbours_UpdateRow(CpEntryFollower *f,
                                           const CpFeedRow *row);
+/* Returns the value of a host's row before the present one, or of a deleted
+ * row; g_free() it. NULL if it is not known. */
+char *CpEntryNeighbours_GetLastValue(CpEntryFollower *f, const char *key);
 /* Begin and end a list of all rows as of `version`. Rows that it did not
  * contain are removed at its end, as if their removal had been read; marks of
  * removals are complete from `removals_version` on. */
--- a/src/entry/entry_neighbours.c
+++ b/src/entry/entry_neighbours.c
@@ -24,7 +24,8 @@
 /* The last version read of a row. */
 typedef struct {
     char *value;      /* NULL: deleted */
-    char *last_value; /* of a deleted row; NULL: not known */
+    char *last_value; /* of a deleted row, or of a host's row before this one;
+                         NULL: not known */
     CpTableVersion version;
     uint32_t list_number; /* the last list of all rows that contained it */
     int64_t deleted_ns;   /* when it was read that it is deleted */
@@ -83,12 +84,14 @@
         cached->value = deleted   ? NULL
                         : is_text ? g_strndup(row->value, row->value_bytes)
                                   : g_strdup("");
-        if (deleted) {
+        if (held != NULL && (deleted || f->table == CP_TABLE_HOSTS)) {
+            bool differs =
+                held->value != NULL &&
+                (deleted || strcmp(held->value, cached->value) != 0);
             cached->last_value =
-                held == NULL
-                    ? NULL
-                    : g_strdup(held->value != NULL ? held->value
-                                                   : held->last_value);
+                g_strdup(differs ? held->value : held->last_value);
+        }
+        if (deleted) {
             cached->deleted_ns = CpClock_Now_ns();
         }
         cached->version = version;
@@ -111,6 +114,16 @@
     return d;
 }
 
+char *
+CpEntryNeighbours_GetLastValue(CpEntryFollower *f, const char *key)
+{
+    pthread_mutex_lock(&f->rows_lock);
+    const CachedRow *held = g_hash_table_lookup(f->rows, key);
+    char *value = held != NULL ? g_strdup(held->last_value) : NULL;
+    pthread_mutex_unlock(&f->rows_lock);
+    return value;
+}
+
 /* Called under the rows' lock. */
 static CpEraDecision
 decide(CpEntryFollower *f, const CachedRow *held, const CpFeedRow *row)
