tools, regress: 413 is asked for when the copy of the configuration is confirmed

Cause: since a body is refused for good only by a limit that is known to be the latest; the script asked some 30 ms after it had put the configuration, before the copy was confirmed. Traced: 4 of 4 runs beside 8 busy processes, each with body_over_limit, reason not_current.

--- a/tools/crowd.sh
+++ b/tools/crowd.sh
@@ -112,7 +112,7 @@
     limit_host "$W/hosts/na-1.yaml" "worker_threads:1" "$@"
     start_host na-1
     put_config 5 "$(route_json photo a.example /photo/ upload 20000 s1)" "$(route_json big a.example /big/ idempotent 20000 s1)"
-    wait_for 10 all_ready
+    wait_for 10 all_ready && wait_for 5 is_current na-1
     ENTRY=$(ip_of_host na-1):7000
 }
 
--- a/tools/routes.sh
+++ b/tools/routes.sh
@@ -96,6 +96,9 @@
 # is_ready HOST: succeeds when the readiness endpoint returns 200.
 is_ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$(ip_of_host "$1"):7002/ready")" = 200 ]; }
 all_ready() { for h in $ROUTE_HOSTS; do is_ready "$h" || return 1; done; }
+# is_current HOST: succeeds when the host's copy of the configuration is confirmed, so
+# that it denies what that lacks.
+is_current() { send_request "$1" "u$RANDOM$RANDOM" GET /none/1 | grep -q ^404; }
 # Succeeds when every host's directory lists the first host of each domain for
 # callers there, as the hosts then have each other in their membership.
 all_known() {
